--- a/src/main/java/arrowhook/Decide.java
+++ b/src/main/java/cedarrudder/Decide.java
@@ -1,13 +1,13 @@
-package arrowhook;
-
-import arrowhook.Balancer.Effect;
-import arrowhook.Balancer.Endpoint;
-import arrowhook.Balancer.Goal;
-import arrowhook.Balancer.KeyScope;
-import arrowhook.Balancer.Load;
-import arrowhook.Balancer.RequestClass;
-import arrowhook.Balancer.Settings;
-import arrowhook.Balancer.State;
+package cedarrudder;
+
+import cedarrudder.Balancer.Effect;
+import cedarrudder.Balancer.Endpoint;
+import cedarrudder.Balancer.Goal;
+import cedarrudder.Balancer.KeyScope;
+import cedarrudder.Balancer.Load;
+import cedarrudder.Balancer.RequestClass;
+import cedarrudder.Balancer.Settings;
+import cedarrudder.Balancer.State;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/main/java/arrowhook/ProbePool.java
+++ b/src/main/java/cedarrudder/ProbePool.java
@@ -1,9 +1,9 @@
-package arrowhook;
+package cedarrudder;
 
-import arrowhook.Balancer.Actions;
-import arrowhook.Balancer.Load;
-import arrowhook.Balancer.Outcome;
-import arrowhook.Balancer.Settings;
+import cedarrudder.Balancer.Actions;
+import cedarrudder.Balancer.Load;
+import cedarrudder.Balancer.Outcome;
+import cedarrudder.Balancer.Settings;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
--- a/src/main/java/arrowhook/Server.java
+++ b/src/main/java/cedarrudder/Server.java
@@ -1,9 +1,9 @@
-package arrowhook;
+package cedarrudder;
 
-import arrowhook.Balancer.Endpoint;
-import arrowhook.Balancer.Outcome;
-import arrowhook.Balancer.Safety;
-import arrowhook.Balancer.State;
+import cedarrudder.Balancer.Endpoint;
+import cedarrudder.Balancer.Outcome;
+import cedarrudder.Balancer.Safety;
+import cedarrudder.Balancer.State;
 
 /**
  * What one copy knows of one endpoint: its own attempts there, how they ended, whether it is silent,
--- a/src/main/java/arrowhook/sim/FrameDecoder.java
+++ b/src/main/java/cedarrudder/sim/FrameDecoder.java
@@ -1,10 +1,10 @@
-package arrowhook.sim;
+package cedarrudder.sim;
 
-import arrowhook.Balancer.Endpoint;
-import arrowhook.Balancer.ListKind;
-import arrowhook.Balancer.Load;
-import arrowhook.Balancer.Outcome;
-import arrowhook.Balancer.State;
+import cedarrudder.Balancer.Endpoint;
+import cedarrudder.Balancer.ListKind;
+import cedarrudder.Balancer.Load;
+import cedarrudder.Balancer.Outcome;
+import cedarrudder.Balancer.State;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.ByteBuffer;
--- a/src/main/java/arrowhook/sim/FrameEncoder.java
+++ b/src/main/java/cedarrudder/sim/FrameEncoder.java
@@ -1,6 +1,6 @@
-package arrowhook.sim;
+package cedarrudder.sim;
 
-import arrowhook.Balancer.Actions;
+import cedarrudder.Balancer.Actions;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.ByteBuffer;
--- a/src/main/java/arrowhook/sim/ReportFields.java
+++ b/src/main/java/cedarrudder/sim/ReportFields.java
@@ -1,6 +1,6 @@
-package arrowhook.sim;
+package cedarrudder.sim;
 
-import arrowhook.Balancer.Load;
+import cedarrudder.Balancer.Load;
 import java.util.List;
 import java.util.function.IntToDoubleFunction;
 
--- a/src/main/java/arrowhook/sim/SettingsReader.java
+++ b/src/main/java/cedarrudder/sim/SettingsReader.java
@@ -1,14 +1,14 @@
-package arrowhook.sim;
-
-import arrowhook.Balancer.Effect;
-import arrowhook.Balancer.Goal;
-import arrowhook.Balancer.KeyScope;
-import arrowhook.Balancer.Limits;
-import arrowhook.Balancer.Prices;
-import arrowhook.Balancer.RequestClass;
-import arrowhook.Balancer.Safety;
-import arrowhook.Balancer.Settings;
-import arrowhook.Balancer.Tenant;
+package cedarrudder.sim;
+
+import cedarrudder.Balancer.Effect;
+import cedarrudder.Balancer.Goal;
+import cedarrudder.Balancer.KeyScope;
+import cedarrudder.Balancer.Limits;
+import cedarrudder.Balancer.Prices;
+import cedarrudder.Balancer.RequestClass;
+import cedarrudder.Balancer.Safety;
+import cedarrudder.Balancer.Settings;
+import cedarrudder.Balancer.Tenant;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
--- a/src/main/java/arrowhook/sim/SimHost.java
+++ b/src/main/java/cedarrudder/sim/SimHost.java
@@ -1,7 +1,7 @@
-package arrowhook.sim;
+package cedarrudder.sim;
 
-import arrowhook.Balancer;
-import arrowhook.Decide;
+import cedarrudder.Balancer;
+import cedarrudder.Decide;
 import java.io.BufferedInputStream;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
@@ -20,7 +20,7 @@
  */
 public final class SimHost {
 
-    private static final String USAGE = "usage: java -jar arrowhook.jar simhost";
+    private static final String USAGE = "usage: java -jar cedarrudder.jar simhost";
 
     private record Copy(Balancer balancer, ReportFields fields) { }
 
@@ -40,7 +40,7 @@
             serve(new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16),
                     new FileOutputStream(FileDescriptor.out));
         } catch (WireException | IOException e) {
-            System.err.println("arrowhook: " + e.getMessage());
+            System.err.println("cedarrudder: " + e.getMessage());
             System.exit(1);
         }
     }
--- a/src/main/java/arrowhook/sim/Wire.java
+++ b/src/main/java/cedarrudder/sim/Wire.java
@@ -1,4 +1,4 @@
-package arrowhook.sim;
+package cedarrudder.sim;
 
 /** Codes and sizes of the simulator's wire. */
 final class Wire {
--- a/src/main/java/arrowhook/sim/WireException.java
+++ b/src/main/java/cedarrudder/sim/WireException.java
@@ -1,4 +1,4 @@
-package arrowhook.sim;
+package cedarrudder.sim;
 
 /** Input that is not of the wire; the message says what and where. */
 final class WireException extends RuntimeException {
--- a/src/test/java/arrowhook/ColdStartTest.java
+++ b/src/test/java/cedarrudder/ColdStartTest.java
@@ -1,13 +1,13 @@
-package arrowhook;
+package cedarrudder;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import arrowhook.Balancer.Endpoint;
-import arrowhook.Balancer.ListKind;
-import arrowhook.Balancer.Outcome;
-import arrowhook.Balancer.Request;
-import arrowhook.Balancer.Safety;
-import arrowhook.Balancer.State;
+import cedarrudder.Balancer.Endpoint;
+import cedarrudder.Balancer.ListKind;
+import cedarrudder.Balancer.Outcome;
+import cedarrudder.Balancer.Request;
+import cedarrudder.Balancer.Safety;
+import cedarrudder.Balancer.State;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/arrowhook/ConventionsTest.java
+++ b/src/test/java/cedarrudder/ConventionsTest.java
@@ -1,4 +1,4 @@
-package arrowhook;
+package cedarrudder;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/arrowhook/DecideTest.java
+++ b/src/test/java/cedarrudder/DecideTest.java
@@ -1,17 +1,17 @@
-package arrowhook;
+package cedarrudder;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import arrowhook.Balancer.Endpoint;
-import arrowhook.Balancer.ListKind;
-import arrowhook.Balancer.Outcome;
-import arrowhook.Balancer.Request;
-import arrowhook.Balancer.RequestClass;
-import arrowhook.Balancer.State;
-import arrowhook.Balancer.Tenant;
+import cedarrudder.Balancer.Endpoint;
+import cedarrudder.Balancer.ListKind;
+import cedarrudder.Balancer.Outcome;
+import cedarrudder.Balancer.Request;
+import cedarrudder.Balancer.RequestClass;
+import cedarrudder.Balancer.State;
+import cedarrudder.Balancer.Tenant;
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/arrowhook/ExampleTest.java
+++ b/src/test/java/cedarrudder/ExampleTest.java
@@ -1,4 +1,4 @@
-package arrowhook;
+package cedarrudder;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -20,7 +20,7 @@
 
     @Test
     void theReadmeShowsItAsItIs() throws IOException {
-        String source = Files.readString(Path.of("src", "test", "java", "arrowhook", "Example.java"));
+        String source = Files.readString(Path.of("src", "test", "java", "cedarrudder", "Example.java"));
         int from = source.indexOf("    /** One copy");
         String body = source.substring(from, source.indexOf("    private Example"));
         String shown = body.stripTrailing().stripIndent();
--- a/src/test/java/arrowhook/Recorder.java
+++ b/src/test/java/cedarrudder/Recorder.java
@@ -1,4 +1,4 @@
-package arrowhook;
+package cedarrudder;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/arrowhook/RefereeTest.java
+++ b/src/test/java/cedarrudder/RefereeTest.java
@@ -1,17 +1,17 @@
-package arrowhook;
+package cedarrudder;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import arrowhook.Balancer.Effect;
-import arrowhook.Balancer.Endpoint;
-import arrowhook.Balancer.KeyScope;
-import arrowhook.Balancer.ListKind;
-import arrowhook.Balancer.Outcome;
-import arrowhook.Balancer.Request;
-import arrowhook.Balancer.RequestClass;
-import arrowhook.Balancer.Settings;
-import arrowhook.Balancer.State;
+import cedarrudder.Balancer.Effect;
+import cedarrudder.Balancer.Endpoint;
+import cedarrudder.Balancer.KeyScope;
+import cedarrudder.Balancer.ListKind;
+import cedarrudder.Balancer.Outcome;
+import cedarrudder.Balancer.Request;
+import cedarrudder.Balancer.RequestClass;
+import cedarrudder.Balancer.Settings;
+import cedarrudder.Balancer.State;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/arrowhook/RosterTest.java
+++ b/src/test/java/cedarrudder/RosterTest.java
@@ -1,11 +1,11 @@
-package arrowhook;
+package cedarrudder;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import arrowhook.Balancer.ListKind;
-import arrowhook.Balancer.Outcome;
-import arrowhook.Balancer.Request;
+import cedarrudder.Balancer.ListKind;
+import cedarrudder.Balancer.Outcome;
+import cedarrudder.Balancer.Request;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
--- a/src/test/java/arrowhook/ServerTest.java
+++ b/src/test/java/cedarrudder/ServerTest.java
@@ -1,11 +1,11 @@
-package arrowhook;
+package cedarrudder;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import arrowhook.Balancer.Outcome;
-import arrowhook.Balancer.Safety;
-import arrowhook.Balancer.State;
+import cedarrudder.Balancer.Outcome;
+import cedarrudder.Balancer.Safety;
+import cedarrudder.Balancer.State;
 import org.junit.jupiter.api.Test;
 
 class ServerTest {
--- a/src/test/java/arrowhook/Site.java
+++ b/src/test/java/cedarrudder/Site.java
@@ -1,17 +1,17 @@
-package arrowhook;
+package cedarrudder;
 
-import arrowhook.Balancer.Effect;
-import arrowhook.Balancer.Endpoint;
-import arrowhook.Balancer.Goal;
-import arrowhook.Balancer.KeyScope;
-import arrowhook.Balancer.Limits;
-import arrowhook.Balancer.Load;
-import arrowhook.Balancer.Prices;
-import arrowhook.Balancer.RequestClass;
-import arrowhook.Balancer.Safety;
-import arrowhook.Balancer.Settings;
-import arrowhook.Balancer.State;
-import arrowhook.Balancer.Tenant;
+import cedarrudder.Balancer.Effect;
+import cedarrudder.Balancer.Endpoint;
+import cedarrudder.Balancer.Goal;
+import cedarrudder.Balancer.KeyScope;
+import cedarrudder.Balancer.Limits;
+import cedarrudder.Balancer.Load;
+import cedarrudder.Balancer.Prices;
+import cedarrudder.Balancer.RequestClass;
+import cedarrudder.Balancer.Safety;
+import cedarrudder.Balancer.Settings;
+import cedarrudder.Balancer.State;
+import cedarrudder.Balancer.Tenant;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/arrowhook/sim/Frames.java
+++ b/src/test/java/cedarrudder/sim/Frames.java
@@ -1,4 +1,4 @@
-package arrowhook.sim;
+package cedarrudder.sim;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
--- a/src/test/java/arrowhook/sim/JarIT.java
+++ b/src/test/java/cedarrudder/sim/JarIT.java
@@ -1,4 +1,4 @@
-package arrowhook.sim;
+package cedarrudder.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -22,7 +22,7 @@
     private static Run run(byte[] input, String... arguments) throws IOException, InterruptedException {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-jar",
-                "target/arrowhook.jar"));
+                "target/cedarrudder.jar"));
         command.addAll(Arrays.asList(arguments));
         Process process = new ProcessBuilder(command).start();
         try (OutputStream in = process.getOutputStream()) {
@@ -55,7 +55,7 @@
         assertEquals(1, run.exit);
         assertEquals(0, run.out.length);
         assertEquals(1, run.err.lines().count(), run.err);
-        assertTrue(run.err.startsWith("arrowhook: batch 1: input ends"), run.err);
+        assertTrue(run.err.startsWith("cedarrudder: batch 1: input ends"), run.err);
     }
 
     @Test
--- a/src/test/java/arrowhook/sim/SimHostTest.java
+++ b/src/test/java/cedarrudder/sim/SimHostTest.java
@@ -1,4 +1,4 @@
-package arrowhook.sim;
+package cedarrudder.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
