--- /dev/null
+++ b/src/main/java/cedarrudder/logging/Logger.java
@@ -0,0 +1,64 @@
+package cedarrudder.logging;
+
+import java.io.PrintStream;
+
+/**
+ * The project's logger: one line an entry on one stream, with the seconds since the start.
+ *
+ * <p>Not thread-safe, as all that runs after the start runs on one event loop.
+ */
+public final class Logger {
+
+    private static final long WINDOW_NANOS = 1_000_000_000L;
+
+    /**
+     * Guards against a peer that sends nonsense without end: writing it all down would fill the pipe that
+     * the log goes to, and a full pipe blocks the event loop.
+     */
+    private static final int WARNINGS_A_WINDOW = 20;
+
+    private final PrintStream out;
+    private final long started = System.nanoTime();
+    private long window = started;
+    private int warnings;
+    private int suppressed;
+
+    public Logger(PrintStream out) {
+        this.out = out;
+    }
+
+    /** Notes a rare event of the program's own life. */
+    public void info(String line) {
+        write("INFO", line);
+    }
+
+    /** Notes something wrong outside, which may come in any number: what is over the bound is counted. */
+    public void warn(String line) {
+        long now = System.nanoTime();
+        if (now - window > WINDOW_NANOS) {
+            if (suppressed > 0) {
+                write("WARN", suppressed + " more warnings were left out");
+            }
+            window = now;
+            warnings = 0;
+            suppressed = 0;
+        }
+        if (warnings++ < WARNINGS_A_WINDOW) {
+            write("WARN", line);
+        } else {
+            suppressed++;
+        }
+    }
+
+    /** Notes a fault of the program itself; like warnings, these may come in any number. */
+    public void fault(String where, Throwable fault) {
+        StackTraceElement[] trace = fault.getStackTrace();
+        warn(where + ": " + fault + (trace.length > 0 ? " at " + trace[0] : ""));
+    }
+
+    private void write(String level, String line) {
+        long millis = (System.nanoTime() - started) / 1_000_000;
+        out.println(millis / 1000 + "." + String.format("%03d", millis % 1000) + " " + level + " "
+                + line.replaceAll("\\p{Cntrl}", "?"));
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrudder/program/Configuration.java
@@ -0,0 +1,46 @@
+package cedarrudder.program;
+
+import cedarrudder.protocol.Addresses;
+import cedarrudder.protocol.JsonObject;
+import cedarrudder.protocol.SettingsReader;
+import cedarrudder.protocol.SiteSettings;
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/**
+ * What one proxy is told when it starts.
+ *
+ * @param peerListen where datagrams from other proxies arrive, or null where there are none
+ * @param peersAll an address that reaches all of them, or null
+ * @param known the list of nodes as this proxy last had it, still as JSON
+ */
+record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+        int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
+        JsonObject known, SiteSettings site) {
+
+    private static final int DEFAULT_SOCKETS = 1024;
+
+    /** Reads the configuration file; an IllegalArgumentException says what is wrong with it. */
+    static Configuration parse(String text) {
+        JsonObject json = JsonObject.parse(text);
+        return new Configuration(json.text("name", ""), Addresses.parse(json.text("listen", null)),
+                Addresses.parse(json.text("discovery", null)), seed(json.text("seed", null)),
+                (int) json.child("limits").number("sockets", DEFAULT_SOCKETS),
+                optional(json.text("peer_listen", "")),
+                json.texts("peers").stream().map(Addresses::parse).toList(),
+                optional(json.text("peers_all", "")), json.child("known"),
+                SettingsReader.read(json.child("settings")));
+    }
+
+    private static InetSocketAddress optional(String text) {
+        return text.isEmpty() ? null : Addresses.parse(text);
+    }
+
+    private static long seed(String text) {
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("'seed' is not a hexadecimal number");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrudder/program/Main.java
@@ -0,0 +1,59 @@
+package cedarrudder.program;
+
+import cedarrudder.logging.Logger;
+import cedarrudder.sim.SimHost;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** The program: {@code serve} is the proxy, {@code adapter} hosts its decisions for the simulator. */
+public final class Main {
+
+    private static final String USAGE = "usage: java -jar cedarrudder.jar serve | adapter";
+    private static final int BAD_USAGE = 2;
+    private static final int FAILED = 1;
+
+    private Main() { }
+
+    public static void main(String[] args) throws InterruptedException {
+        if (args.length == 1 && args[0].equals("adapter")) {
+            System.exit(SimHost.run());
+        } else if (args.length == 1 && args[0].equals("serve")) {
+            serve();
+        } else {
+            System.err.println(USAGE);
+            System.exit(BAD_USAGE);
+        }
+    }
+
+    private static void serve() throws InterruptedException {
+        try {
+            String file = System.getenv("BALANCER_CONFIG");
+            if (file == null) {
+                throw new IllegalArgumentException("BALANCER_CONFIG is not set");
+            }
+            Configuration configuration = read(file);
+            Proxy proxy = new Proxy(configuration, new Logger(System.err));
+            proxy.start();
+            // SIGTERM: the virtual machine ends when this hook has, so all that was taken is answered.
+            Runtime.getRuntime().addShutdownHook(new Thread(proxy::drain, "drain"));
+        } catch (IllegalArgumentException | IOException e) {
+            System.err.println("cedarrudder: " + String.valueOf(e.getMessage()).replaceAll("\\R", " "));
+            System.exit(FAILED);
+        }
+    }
+
+    private static Configuration read(String file) throws IOException {
+        String text;
+        try {
+            text = Files.readString(Path.of(file));
+        } catch (IOException e) {
+            throw new IOException("can't read the configuration: " + e.getMessage(), e);
+        }
+        try {
+            return Configuration.parse(text);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("configuration: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrudder/program/Proxy.java
@@ -0,0 +1,96 @@
+package cedarrudder.program;
+
+import cedarrudder.Balancer.ListKind;
+import cedarrudder.Decide;
+import cedarrudder.logging.Logger;
+import cedarrudder.protocol.Message;
+import cedarrudder.protocol.ResolverResult;
+import cedarrudder.protocol.ResolverResultReader;
+import cedarrudder.protocol.RpcFields;
+import cedarrudder.routing.Driver;
+import cedarrudder.transport.DiscoveryClient;
+import cedarrudder.transport.Listener;
+import cedarrudder.transport.Loop;
+import cedarrudder.transport.NodeChannels;
+import cedarrudder.transport.PeerSocket;
+import java.io.IOException;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+
+/** One proxy: its parts, wired together. */
+final class Proxy {
+
+    /** Descriptors that are not for callers: channels to nodes, discovery, files of the virtual machine. */
+    private static final double KEPT_FOR_OTHERS = 0.5;
+
+    private final Logger log;
+    private final Configuration configuration;
+    private final Loop loop;
+    private final Driver<Message, Message> driver;
+    private final NodeChannels channels;
+    private final ResolverResultReader reader;
+    private final DiscoveryClient discovery;
+    private final PeerSocket peers;
+    private final Listener listener;
+    private boolean resolved;
+
+    Proxy(Configuration configuration, Logger log) {
+        this.configuration = configuration;
+        this.log = log;
+        var site = configuration.site();
+        loop = new Loop(log);
+        driver = new Driver<>(actions -> new Decide(site.module(), new SplittableRandom(configuration.seed()),
+                actions), site.module().limits().maxAttempts(), loop, log);
+        channels = new NodeChannels(loop, driver, site);
+        reader = new ResolverResultReader(site, loop.now() - System.currentTimeMillis() * 1_000_000);
+        long version = (long) configuration.known().number("version", 0);
+        discovery = new DiscoveryClient(loop, configuration.discovery(), reader, version,
+                result -> resolved(result, result.full() ? ListKind.FULL : ListKind.CHANGES),
+                driver::unresolved);
+        peers = new PeerSocket(loop, driver, configuration.peers(), configuration.peersAll());
+        listener = new Listener(loop, driver, new RpcFields(site), () -> resolved,
+                (int) (configuration.sockets() * (1 - KEPT_FOR_OTHERS)));
+        driver.connect(channels, discovery, peers);
+    }
+
+    /** Starts it: the module learns the list it had before, then callers are let in. */
+    void start() throws IOException, InterruptedException {
+        ResolverResult known = configuration.known().list("servers", false).isEmpty() ? null
+                : reader.read(configuration.known());
+        CountDownLatch told = new CountDownLatch(1);
+        loop.run(() -> {
+            if (known != null) {
+                resolved(known, ListKind.CACHED);
+            } else {
+                driver.resolved(ListKind.CACHED, java.util.List.of());
+            }
+            told.countDown();
+        });
+        told.await();
+        if (configuration.peerListen() != null) {
+            peers.listen(configuration.peerListen());
+        }
+        listener.listen(configuration.listen());
+        log.info(configuration.name() + " listens on " + configuration.listen());
+    }
+
+    private void resolved(ResolverResult result, ListKind kind) {
+        channels.resolved(result.nodes());
+        resolved |= !result.nodes().isEmpty();
+        driver.resolved(kind, result.endpoints());
+    }
+
+    /** Answers all that was taken and returns when nothing is left. To be called from another thread. */
+    void drain() {
+        CountDownLatch drained = new CountDownLatch(1);
+        loop.run(() -> {
+            log.info("draining");
+            listener.drain(drained::countDown);
+        });
+        try {
+            drained.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrudder/protocol/HttpDecoder.java
@@ -0,0 +1,265 @@
+package cedarrudder.protocol;
+
+import io.netty.buffer.ByteBuf;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.Arrays;
+
+/**
+ * Decodes the HTTP/1.1 messages of one direction of a connection. Bytes may come split or joined in any way.
+ * Memory is bounded: so much for a head, and so much for a body.
+ */
+public final class HttpDecoder {
+
+    /** The largest head that is read. */
+    public static final int MOST_HEAD = 16 * 1024;
+
+    /** The largest body that is passed on, by the protocol. */
+    public static final int MOST_BODY = 64 * 1024;
+
+    private static final int MOST_CHUNK_LINE = 256;
+    private static final int FIRST_HEAD_SIZE = 512;
+
+    private enum State { HEAD, FIXED, CHUNK_LINE, CHUNK, CHUNK_END, TRAILER, TO_END }
+
+    private final boolean requests;
+    private final long mostBody;
+    private final OutputStream sink;
+    private final ByteArrayOutputStream collected;
+
+    private State state = State.HEAD;
+    private byte[] line = new byte[FIRST_HEAD_SIZE];
+    private int lineLength;
+    private int lineStart;
+    private Head head;
+    private long bodyLeft;
+    private long bodySeen;
+    private int trailerSeen;
+
+    private HttpDecoder(boolean requests, long mostBody, OutputStream sink, ByteArrayOutputStream collected) {
+        this.requests = requests;
+        this.mostBody = mostBody;
+        this.sink = sink;
+        this.collected = collected;
+    }
+
+    /** Decodes whole requests. */
+    public static HttpDecoder ofRequests() {
+        ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+        return new HttpDecoder(true, MOST_BODY, body, body);
+    }
+
+    /** Decodes whole answers, with bodies of up to so many bytes. */
+    public static HttpDecoder ofAnswers(int mostBody) {
+        ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+        return new HttpDecoder(false, mostBody, body, body);
+    }
+
+    /** Decodes answers whose bodies go to a sink as they come, without a bound. */
+    public static HttpDecoder ofStreams(OutputStream sink) {
+        return new HttpDecoder(false, Long.MAX_VALUE, sink, null);
+    }
+
+    /** The head of the message at hand, or null before it is whole. */
+    public Head head() {
+        return head;
+    }
+
+    /** Whether no byte of a message has been read since the last whole one. */
+    public boolean between() {
+        return state == State.HEAD && lineLength == 0;
+    }
+
+    /** Reads until a message is whole and returns it, or null where more bytes are wanted. */
+    public Message decode(ByteBuf in) throws BadMessageException {
+        while (in.isReadable()) {
+            boolean whole = switch (state) {
+                case HEAD -> readHead(in);
+                case FIXED -> readFixed(in) && bodyLeft == 0;
+                case CHUNK_LINE -> readChunkLine(in);
+                case CHUNK -> {
+                    if (readFixed(in) && bodyLeft == 0) {
+                        state = State.CHUNK_END;
+                    }
+                    yield false;
+                }
+                case CHUNK_END -> {
+                    if (readLine(in, MOST_CHUNK_LINE)) {
+                        if (lineLength > 0) {
+                            throw BadMessageException.badRequest("bad chunk");
+                        }
+                        state = State.CHUNK_LINE;
+                    }
+                    yield false;
+                }
+                case TRAILER -> readTrailer(in);
+                case TO_END -> {
+                    bodyLeft = in.readableBytes();
+                    readFixed(in);
+                    yield false;
+                }
+            };
+            if (whole) {
+                return take();
+            }
+        }
+        return null;
+    }
+
+    /** The connection has ended: returns a message that this makes whole, or null. */
+    public Message atEnd() {
+        return state == State.TO_END ? take() : null;
+    }
+
+    private Message take() {
+        Message message = new Message(head, collected == null ? new byte[0] : collected.toByteArray());
+        if (collected != null) {
+            collected.reset();
+        }
+        state = State.HEAD;
+        head = null;
+        bodySeen = 0;
+        lineLength = 0;
+        lineStart = 0;
+        if (line.length > FIRST_HEAD_SIZE) {
+            line = new byte[FIRST_HEAD_SIZE];
+        }
+        return message;
+    }
+
+    private boolean readHead(ByteBuf in) throws BadMessageException {
+        while (in.isReadable()) {
+            byte next = in.readByte();
+            if (next != '\n') {
+                append(next, MOST_HEAD);
+                continue;
+            }
+            int end = lineLength > lineStart && line[lineLength - 1] == '\r' ? lineLength - 1 : lineLength;
+            if (end > lineStart) {
+                append(next, MOST_HEAD);
+                lineStart = lineLength;
+            } else if (lineStart == 0) {
+                lineLength = 0; // an empty line before a message is allowed, and skipped
+            } else {
+                head = Head.parse(line, lineStart, requests);
+                lineLength = 0;
+                lineStart = 0;
+                return beginBody();
+            }
+        }
+        return false;
+    }
+
+    private void append(byte next, int most) throws BadMessageException {
+        if (lineLength >= most) {
+            throw new BadMessageException(BadMessageException.FIELDS_TOO_LARGE, "too long a head");
+        }
+        if (lineLength == line.length) {
+            line = Arrays.copyOf(line, 2 * lineLength);
+        }
+        line[lineLength++] = next;
+    }
+
+    /** Works out how the body ends; true where there is none. */
+    private boolean beginBody() throws BadMessageException {
+        String length = head.fields().single("Content-Length");
+        String coding = head.fields().single("Transfer-Encoding");
+        if (!requests && head.status() < 200) {
+            head = null; // an interim answer: the final one follows
+            return false;
+        }
+        if (!requests && (head.status() == 204 || head.status() == 304)) {
+            return true;
+        }
+        if (coding != null) {
+            // Guards against request smuggling: two parties that disagree on where a body ends.
+            if (length != null || !coding.equalsIgnoreCase("chunked")) {
+                throw BadMessageException.badRequest("unclear length");
+            }
+            trailerSeen = 0;
+            state = State.CHUNK_LINE;
+            return false;
+        }
+        if (length == null) {
+            state = requests ? State.FIXED : State.TO_END;
+            bodyLeft = 0;
+            return requests;
+        }
+        if (length.isEmpty() || length.length() > 18 || !length.chars().allMatch(c -> c >= '0' && c <= '9')) {
+            throw BadMessageException.badRequest("bad Content-Length");
+        }
+        bodyLeft = Long.parseLong(length);
+        check(bodyLeft);
+        state = State.FIXED;
+        return bodyLeft == 0;
+    }
+
+    private void check(long more) throws BadMessageException {
+        if (more > mostBody - bodySeen) {
+            throw new BadMessageException(BadMessageException.CONTENT_TOO_LARGE, "too long a body");
+        }
+    }
+
+    private boolean readFixed(ByteBuf in) throws BadMessageException {
+        int count = (int) Math.min(bodyLeft, in.readableBytes());
+        check(count);
+        try {
+            in.readBytes(sink, count);
+        } catch (IOException e) {
+            throw BadMessageException.badRequest("content not taken: " + e.getMessage());
+        }
+        bodyLeft -= count;
+        bodySeen += count;
+        return true;
+    }
+
+    /** Reads a short line into {@code line}; false where its end has not come yet. */
+    private boolean readLine(ByteBuf in, int most) throws BadMessageException {
+        if (lineStart < 0) {
+            lineStart = 0;
+            lineLength = 0;
+        }
+        while (in.isReadable()) {
+            byte next = in.readByte();
+            if (next == '\n') {
+                if (lineLength > 0 && line[lineLength - 1] == '\r') {
+                    lineLength--;
+                }
+                lineStart = -1; // the next line starts afresh
+                return true;
+            }
+            append(next, most);
+        }
+        return false;
+    }
+
+    private boolean readChunkLine(ByteBuf in) throws BadMessageException {
+        if (!readLine(in, MOST_CHUNK_LINE)) {
+            return false;
+        }
+        int digits = 0;
+        long size = 0;
+        while (digits < lineLength && digits < 8 && Character.digit(line[digits], 16) >= 0) {
+            size = size * 16 + Character.digit(line[digits++], 16);
+        }
+        if (digits == 0 || digits < lineLength && line[digits] != ';' && line[digits] != ' ') {
+            throw BadMessageException.badRequest("bad chunk size");
+        }
+        check(size);
+        bodyLeft = size;
+        state = size == 0 ? State.TRAILER : State.CHUNK;
+        return false;
+    }
+
+    private boolean readTrailer(ByteBuf in) throws BadMessageException {
+        if (!readLine(in, MOST_HEAD)) {
+            return false;
+        }
+        trailerSeen += lineLength;
+        if (trailerSeen > MOST_HEAD) {
+            throw new BadMessageException(BadMessageException.FIELDS_TOO_LARGE, "too long a trailer");
+        }
+        return lineLength == 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrudder/protocol/HttpEncoder.java
@@ -0,0 +1,97 @@
+package cedarrudder.protocol;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Set;
+
+/** Encodes HTTP/1.1 messages. */
+public final class HttpEncoder {
+
+    /** Fields that concern one connection alone, or that are written anew. */
+    private static final Set<String> NOT_PASSED_ON = Set.of("connection", "keep-alive", "proxy-connection",
+            "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect", "srv-load");
+
+    private static final String DEADLINE = "req-deadline-ms";
+
+    private HttpEncoder() { }
+
+    /** A request as it goes on to a node: unchanged but for the time that is left. */
+    public static ByteBuf request(ByteBufAllocator buffers, Message request, long leftMillis) {
+        StringBuilder head = new StringBuilder(256).append(request.head().method()).append(' ')
+                .append(request.head().target()).append(" HTTP/1.1\r\n");
+        for (HeaderFields.Field field : request.head().fields().all()) {
+            String name = field.name().toLowerCase(Locale.ROOT);
+            if (!NOT_PASSED_ON.contains(name) && !name.equals(DEADLINE)) {
+                field(head, field.name(), field.value());
+            }
+        }
+        field(head, "Req-Deadline-Ms", Long.toString(leftMillis));
+        boolean bodiless = request.body().length == 0 && request.head().method().equals("GET");
+        return finish(buffers, head, request.body(), !bodiless);
+    }
+
+    /** A request of the proxy's own, without a body. */
+    public static ByteBuf get(ByteBufAllocator buffers, String target, String host) {
+        StringBuilder head = new StringBuilder(96).append("GET ").append(target).append(" HTTP/1.1\r\n");
+        field(head, "Host", host);
+        return finish(buffers, head, new byte[0], false);
+    }
+
+    /** A node's answer as it goes on to the caller. */
+    public static ByteBuf served(ByteBufAllocator buffers, Message answer, boolean close) {
+        StringBuilder head = start(200, close);
+        for (HeaderFields.Field field : answer.head().fields().all()) {
+            if (!NOT_PASSED_ON.contains(field.name().toLowerCase(Locale.ROOT))) {
+                field(head, field.name(), field.value());
+            }
+        }
+        return finish(buffers, head, answer.body(), true);
+    }
+
+    /** An answer of the proxy's own; {@code retryAfterNanos} of 0 gives no advice. */
+    public static ByteBuf answer(ByteBufAllocator buffers, int status, String text, long retryAfterNanos,
+            boolean close) {
+        StringBuilder head = start(status, close);
+        field(head, "Content-Type", "text/plain");
+        if (retryAfterNanos > 0) {
+            field(head, "Retry-After", String.format(Locale.ROOT, "%.3f", retryAfterNanos / 1e9));
+        }
+        return finish(buffers, head, (text + "\n").getBytes(StandardCharsets.UTF_8), true);
+    }
+
+    private static StringBuilder start(int status, boolean close) {
+        StringBuilder head = new StringBuilder(128).append("HTTP/1.1 ").append(status).append(' ')
+                .append(reason(status)).append("\r\n");
+        if (close) {
+            field(head, "Connection", "close");
+        }
+        return head;
+    }
+
+    private static String reason(int status) {
+        return switch (status) {
+            case 200 -> "OK";
+            case 400 -> "Bad Request";
+            case 404 -> "Not Found";
+            case 413 -> "Content Too Large";
+            case 431 -> "Request Header Fields Too Large";
+            case 502 -> "Bad Gateway";
+            case 503 -> "Service Unavailable";
+            default -> throw new IllegalArgumentException("no reason for status " + status);
+        };
+    }
+
+    private static void field(StringBuilder head, String name, String value) {
+        head.append(name).append(": ").append(value).append("\r\n");
+    }
+
+    private static ByteBuf finish(ByteBufAllocator buffers, StringBuilder head, byte[] body, boolean length) {
+        if (length) {
+            field(head, "Content-Length", Integer.toString(body.length));
+        }
+        byte[] start = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
+        return buffers.buffer(start.length + body.length).writeBytes(start).writeBytes(body);
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrudder/protocol/JsonObject.java
@@ -0,0 +1,163 @@
+package cedarrudder.protocol;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A JSON object, read with the streaming parser, and its name for messages. Its readers throw an
+ * IllegalArgumentException that says what is missing or wrong. A default of null (or none) makes a key
+ * required.
+ */
+public final class JsonObject {
+
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private final Map<?, ?> members;
+    private final String path;
+
+    private JsonObject(Map<?, ?> members, String path) {
+        this.members = members;
+        this.path = path;
+    }
+
+    /** Reads a text that holds one object. */
+    public static JsonObject parse(String text) {
+        Object value;
+        try (JsonParser parser = JSON.createParser(text)) {
+            parser.nextToken();
+            value = value(parser);
+            if (parser.nextToken() != null) {
+                throw new IllegalArgumentException("not JSON");
+            }
+        } catch (IOException e) {
+            throw new IllegalArgumentException("not JSON");
+        }
+        if (!(value instanceof Map<?, ?> members)) {
+            throw new IllegalArgumentException("not a JSON object");
+        }
+        return new JsonObject(members, "");
+    }
+
+    /** The value that begins at the parser's token. The parser itself bounds how deep values may nest. */
+    private static Object value(JsonParser parser) throws IOException {
+        JsonToken token = parser.currentToken();
+        if (token == JsonToken.START_OBJECT) {
+            Map<String, Object> members = new LinkedHashMap<>();
+            while (parser.nextToken() != JsonToken.END_OBJECT) {
+                String name = parser.currentName();
+                parser.nextToken();
+                members.put(name, value(parser));
+            }
+            return members;
+        }
+        if (token == JsonToken.START_ARRAY) {
+            List<Object> elements = new ArrayList<>();
+            while (parser.nextToken() != JsonToken.END_ARRAY) {
+                elements.add(value(parser));
+            }
+            return elements;
+        }
+        if (token == null) {
+            throw new IllegalArgumentException("not JSON");
+        }
+        return switch (token) {
+            case VALUE_STRING -> parser.getText();
+            case VALUE_NUMBER_INT -> parser.getBigIntegerValue();
+            case VALUE_NUMBER_FLOAT -> parser.getDoubleValue();
+            case VALUE_TRUE -> true;
+            case VALUE_FALSE -> false;
+            default -> null;
+        };
+    }
+
+    private Object get(String key, boolean required) {
+        Object value = members.get(key);
+        if (value == null && required) {
+            throw new IllegalArgumentException("'" + path + key + "' is missing");
+        }
+        return value;
+    }
+
+    private IllegalArgumentException wrong(String key, String wanted) {
+        return new IllegalArgumentException("'" + path + key + "' is not " + wanted);
+    }
+
+    private Number number(String key, boolean required) {
+        Object value = get(key, required);
+        if (value != null && !(value instanceof Number)) {
+            throw wrong(key, "a number");
+        }
+        return (Number) value;
+    }
+
+    public double number(String key, double otherwise) {
+        Number value = number(key, false);
+        return value == null ? otherwise : value.doubleValue();
+    }
+
+    public long whole(String key) {
+        Number value = number(key, true);
+        return value instanceof Double ? (long) value.doubleValue() : value.longValue();
+    }
+
+    public boolean flag(String key, boolean otherwise) {
+        Object value = get(key, false);
+        if (value != null && !(value instanceof Boolean)) {
+            throw wrong(key, "true or false");
+        }
+        return value == null ? otherwise : (Boolean) value;
+    }
+
+    public String text(String key, String otherwise) {
+        Object value = get(key, otherwise == null);
+        if (value instanceof Map || value instanceof List) {
+            throw wrong(key, "a text");
+        }
+        return value == null ? otherwise : value.toString();
+    }
+
+    private List<?> array(String key, boolean required) {
+        Object value = get(key, required);
+        if (value != null && !(value instanceof List)) {
+            throw wrong(key, "a list");
+        }
+        return value == null ? List.of() : (List<?>) value;
+    }
+
+    public List<String> texts(String key) {
+        List<String> texts = new ArrayList<>();
+        for (Object element : array(key, false)) {
+            if (!(element instanceof String text)) {
+                throw wrong(key, "a list of texts");
+            }
+            texts.add(text);
+        }
+        return texts;
+    }
+
+    public List<JsonObject> list(String key, boolean required) {
+        List<JsonObject> objects = new ArrayList<>();
+        for (Object element : array(key, required)) {
+            if (!(element instanceof Map<?, ?> object)) {
+                throw wrong(key, "a list of objects");
+            }
+            objects.add(new JsonObject(object, path + key + "[" + objects.size() + "]."));
+        }
+        return objects;
+    }
+
+    /** A part that may be left out; what is required in it is then missing. */
+    public JsonObject child(String key) {
+        Object value = get(key, false);
+        if (value != null && !(value instanceof Map)) {
+            throw wrong(key, "an object");
+        }
+        return new JsonObject(value == null ? Map.of() : (Map<?, ?>) value, path + key + ".");
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrudder/protocol/LoadReport.java
@@ -0,0 +1,39 @@
+package cedarrudder.protocol;
+
+import cedarrudder.Balancer.Load;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Load reports as nodes write them: {@code TEXT inflight=7, queue=2, util=0.61}. */
+public final class LoadReport {
+
+    private LoadReport() { }
+
+    /** Reads a report; null where there is none. Figures that can't be read count as not reported. */
+    public static Load parse(String text) {
+        if (text == null) {
+            return null;
+        }
+        Map<String, Double> figures = new HashMap<>();
+        for (String part : text.strip().replaceFirst("^TEXT\\s+", "").split("[,\\s]+")) {
+            int equals = part.indexOf('=');
+            if (equals > 0) {
+                try {
+                    double figure = Double.parseDouble(part.substring(equals + 1));
+                    if (Double.isFinite(figure) && figure >= 0) {
+                        figures.put(part.substring(0, equals), figure);
+                    }
+                } catch (NumberFormatException e) {
+                    // a figure that can't be read is one that was not reported
+                }
+            }
+        }
+        return figures.isEmpty() ? null : new Load(figure(figures, "inflight"), figure(figures, "queue"),
+                figure(figures, "util"), figure(figures, "latency_ms"), figure(figures, "qps"),
+                figure(figures, "eps"));
+    }
+
+    private static double figure(Map<String, Double> figures, String name) {
+        return figures.getOrDefault(name, Double.NaN);
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrudder/protocol/ResolverResultReader.java
@@ -0,0 +1,77 @@
+package cedarrudder.protocol;
+
+import cedarrudder.Balancer.Endpoint;
+import cedarrudder.Balancer.State;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads resolver results, and gives each node the number by which the module knows it. */
+public final class ResolverResultReader {
+
+    private static final long FNV_BASIS = 0xCBF29CE484222325L;
+    private static final long FNV_PRIME = 0x100000001B3L;
+    private static final long ID_MASK = (1L << 52) - 1;
+
+    private final SiteSettings site;
+    private final long epochNanos;
+    private final Map<String, Long> numbers = new HashMap<>();
+    private final Map<Long, String> names = new HashMap<>();
+
+    /**
+     * @param epochNanos the instant of the program's clock at which Unix time was 0. It is measured once:
+     * guards against a restart being seen in a start time that was mapped a little differently.
+     */
+    public ResolverResultReader(SiteSettings site, long epochNanos) {
+        this.site = site;
+        this.epochNanos = epochNanos;
+    }
+
+    /** Reads a result; an IllegalArgumentException says what is wrong with it. */
+    public ResolverResult read(JsonObject json) {
+        List<ResolverResult.Node> nodes = new ArrayList<>();
+        for (JsonObject entry : json.list("servers", true)) {
+            nodes.add(node(entry));
+        }
+        return new ResolverResult(json.whole("version"), json.flag("full", false), List.copyOf(nodes));
+    }
+
+    private ResolverResult.Node node(JsonObject entry) {
+        String word = entry.text("state", null);
+        State state = switch (word) {
+            case "in_service" -> State.READY;
+            case "terminating" -> State.DRAINING;
+            case "terminated" -> State.GONE;
+            default -> throw new IllegalArgumentException("unknown state '" + word + "'");
+        };
+        double started = entry.number("started_ms", 0);
+        long startedAt = started == 0 ? 0 : (long) (started * 1e6) + epochNanos;
+        Endpoint endpoint = new Endpoint(number(entry.text("id", null)),
+                site.zones().indexOf(entry.text("zone", "")), site.kinds().indexOf(entry.text("kind", "")),
+                (int) entry.number("cell", 0), state, entry.number("weight", 1), startedAt);
+        return new ResolverResult.Node(endpoint, Addresses.parse(entry.text("addr", null)));
+    }
+
+    /**
+     * The number of a node: a hash of its id, so that all proxies of a tier number a node alike, which the
+     * module's common order of nodes rests on. Where two ids collide the later one takes the next number.
+     */
+    private long number(String id) {
+        Long known = numbers.get(id);
+        if (known != null) {
+            return known;
+        }
+        long hash = FNV_BASIS;
+        for (byte b : id.getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ (b & 0xff)) * FNV_PRIME;
+        }
+        long number = (hash ^ hash >>> 52) & ID_MASK;
+        while (names.putIfAbsent(number, id) != null) {
+            number = number + 1 & ID_MASK;
+        }
+        numbers.put(id, number);
+        return number;
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrudder/protocol/SiteSettings.java
@@ -0,0 +1,29 @@
+package cedarrudder.protocol;
+
+import cedarrudder.Balancer.RequestClass;
+import cedarrudder.Balancer.Settings;
+import cedarrudder.Balancer.Tenant;
+import java.util.List;
+
+/**
+ * All that the settings say: what the module is told, and what only its host needs.
+ *
+ * @param fields which value of a load report stands where, on the simulator's wire
+ * @param reports where load reports come from
+ * @param zones the names of the zones, in the order in which the module numbers them
+ * @param kinds the names of the machine kinds, likewise
+ */
+public record SiteSettings(Settings module, ReportFields fields, Reports reports, List<String> zones,
+        List<String> kinds) {
+
+    /** Where load reports come from: nowhere, only from probes, or from all answers. */
+    public enum Reports { NONE, PROBES, ANSWERS }
+
+    public List<String> classNames() {
+        return module.classes().stream().map(RequestClass::name).toList();
+    }
+
+    public List<String> tenantNames() {
+        return module.tenants().stream().map(Tenant::name).toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrudder/routing/CallAttempt.java
@@ -0,0 +1,45 @@
+package cedarrudder.routing;
+
+/** One attempt at an RPC, at one node. The attempts of an RPC are numbered from 0, in the order sent. */
+public final class CallAttempt<Q, A> {
+
+    private final Exchange<Q, A> exchange;
+    private final int number;
+    private final long endpoint;
+    private final long startedAt;
+    private boolean ended;
+
+    CallAttempt(Exchange<Q, A> exchange, int number, long endpoint, long startedAt) {
+        this.exchange = exchange;
+        this.number = number;
+        this.endpoint = endpoint;
+        this.startedAt = startedAt;
+    }
+
+    public Exchange<Q, A> exchange() {
+        return exchange;
+    }
+
+    public long endpoint() {
+        return endpoint;
+    }
+
+    int number() {
+        return number;
+    }
+
+    long startedAt() {
+        return startedAt;
+    }
+
+    boolean ended() {
+        return ended;
+    }
+
+    /** Whether this call ended it: guards against a second outcome of an attempt that was given up. */
+    boolean end() {
+        boolean first = !ended;
+        ended = true;
+        return first;
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrudder/routing/ClientSide.java
@@ -0,0 +1,23 @@
+package cedarrudder.routing;
+
+/**
+ * The side that talks to nodes, as the driver sees it. Each attempt and each probe is answered by one report
+ * to the driver, which may come at once.
+ */
+public interface ClientSide<Q, A> {
+
+    /** Whether a node of this id was ever listed, so that attempts and probes can be made. */
+    boolean knows(long endpoint);
+
+    /** Carries out an attempt and reports its end. */
+    void start(CallAttempt<Q, A> attempt);
+
+    /** Stops at once whatever is done for an attempt; its end is not reported any more. */
+    void abandon(CallAttempt<Q, A> attempt);
+
+    /** Asks a node for its load. */
+    void probe(long endpoint);
+
+    /** Closes the idle channels to a node. */
+    void closeIdle(long endpoint);
+}
--- /dev/null
+++ b/src/main/java/cedarrudder/routing/Driver.java
@@ -0,0 +1,277 @@
+package cedarrudder.routing;
+
+import cedarrudder.Balancer;
+import cedarrudder.Balancer.Endpoint;
+import cedarrudder.Balancer.ListKind;
+import cedarrudder.Balancer.Load;
+import cedarrudder.Balancer.Outcome;
+import cedarrudder.logging.Logger;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.function.Function;
+
+/**
+ * Feeds the decision module with events, one at a time, and carries out its actions. It decides nothing.
+ *
+ * <p>An action never re-enters the module: what it causes (a connection refused at once, an attempt that is
+ * moot) waits in the queue until the event at hand has been handled, as it would on the simulator's wire.
+ */
+public final class Driver<Q, A> {
+
+    /** An RPC that the module has not ended this long after its deadline is ended for it. */
+    private static final long OVERDUE = 5_000_000L;
+
+    private final Timers timers;
+    private final Logger log;
+    private final int maxAttempts;
+    private final Balancer balancer;
+    private final Queue<Runnable> events = new ArrayDeque<>();
+    private final Map<Long, Exchange<Q, A>> exchanges = new HashMap<>();
+    private ClientSide<Q, A> client;
+    private Resolver resolver;
+    private Peers peers;
+    private boolean delivering;
+
+    public Driver(Function<Balancer.Actions, Balancer> module, int maxAttempts, Timers timers, Logger log) {
+        this.timers = timers;
+        this.log = log;
+        this.maxAttempts = maxAttempts;
+        this.balancer = module.apply(new Hands());
+    }
+
+    /** Completes the wiring; to be called before the first event. */
+    public void connect(ClientSide<Q, A> clientSide, Resolver discovery, Peers others) {
+        client = clientSide;
+        resolver = discovery;
+        peers = others;
+    }
+
+    // ---- events ----
+
+    /** Takes an RPC; its reply is called exactly once unless the caller leaves. */
+    public void accept(Exchange<Q, A> exchange) {
+        exchanges.put(exchange.request().id(), exchange);
+        timers.at(exchange.request().deadline(), () -> expire(exchange));
+        post(() -> balancer.request(timers.now(), exchange.request()));
+    }
+
+    /** The caller has gone. */
+    public void left(Exchange<Q, A> exchange) {
+        if (exchange.over()) {
+            return;
+        }
+        exchange.end();
+        forgetIfDone(exchange);
+        post(() -> balancer.clientLeft(timers.now(), exchange.request().id()));
+    }
+
+    /** A node served an attempt. */
+    public void served(CallAttempt<Q, A> attempt, A answer, Load load) {
+        ended(attempt, Outcome.OK, answer, load);
+    }
+
+    /** An attempt ended in any other way. */
+    public void ended(CallAttempt<Q, A> attempt, Outcome outcome, Load load) {
+        ended(attempt, outcome, null, load);
+    }
+
+    private void ended(CallAttempt<Q, A> attempt, Outcome outcome, A answer, Load load) {
+        if (!attempt.end()) {
+            return;
+        }
+        long latency = timers.now() - attempt.startedAt();
+        post(() -> {
+            Exchange<Q, A> exchange = attempt.exchange();
+            exchange.attemptEnded();
+            if (outcome == Outcome.OK && !exchange.over()) {
+                exchange.end();
+                exchange.reply().served(answer);
+            }
+            forgetIfDone(exchange);
+            balancer.outcome(timers.now(), exchange.request().id(), attempt.number(), attempt.endpoint(),
+                    outcome, latency, exchange.over(), load);
+        });
+    }
+
+    /** A probe came back; {@code load} is null unless it brought a report. */
+    public void probed(long endpoint, Outcome outcome, long latency, Load load) {
+        post(() -> balancer.probed(timers.now(), endpoint, outcome, latency, load));
+    }
+
+    /** A resolver result: the list of nodes, or changes to it. */
+    public void resolved(ListKind kind, List<Endpoint> entries) {
+        post(() -> balancer.endpoints(timers.now(), kind, entries));
+    }
+
+    /** A call to discovery failed or the watch broke. */
+    public void unresolved() {
+        post(() -> balancer.endpointsFailed(timers.now()));
+    }
+
+    /** A message came from another proxy of the tier. */
+    public void message(int from, byte[] message) {
+        post(() -> balancer.message(timers.now(), from, message));
+    }
+
+    private void post(Runnable event) {
+        events.add(event);
+        if (delivering) {
+            return;
+        }
+        delivering = true;
+        try {
+            for (Runnable next = events.poll(); next != null; next = events.poll()) {
+                deliver(next);
+            }
+        } finally {
+            delivering = false;
+        }
+    }
+
+    private void deliver(Runnable event) {
+        try {
+            event.run();
+        } catch (RuntimeException e) {
+            // Guards against one bad event ending the program; the RPC it concerns still has its timer.
+            log.fault("the decision module failed", e);
+        }
+    }
+
+    // ---- the end of an RPC's time ----
+
+    /**
+     * The deadline of an RPC: what is still out has timed out, upon which the module ends the RPC. Each RPC
+     * has this timer of its own, so that none depends on its attempts, or on the module, for an answer.
+     */
+    private void expire(Exchange<Q, A> exchange) {
+        for (CallAttempt<Q, A> attempt : exchange.attempts()) {
+            giveUp(attempt, Outcome.TIMEOUT);
+        }
+        if (!exchange.over()) {
+            timers.at(timers.now() + OVERDUE, () -> overdue(exchange));
+        }
+    }
+
+    private void overdue(Exchange<Q, A> exchange) {
+        if (!exchange.over()) {
+            log.warn("RPC " + exchange.request().id() + " was overdue");
+            exchange.reply().failed();
+            left(exchange);
+        }
+    }
+
+    private void giveUp(CallAttempt<Q, A> attempt, Outcome outcome) {
+        if (!attempt.ended()) {
+            client.abandon(attempt);
+            ended(attempt, outcome, null, null);
+        }
+    }
+
+    private void forgetIfDone(Exchange<Q, A> exchange) {
+        if (exchange.forgettable()) {
+            exchanges.remove(exchange.request().id());
+        }
+    }
+
+    // ---- actions ----
+
+    private final class Hands implements Balancer.Actions {
+
+        @Override
+        public void send(long request, long endpoint, long timeout) {
+            Exchange<Q, A> exchange = exchanges.get(request);
+            if (exchange == null) {
+                log.warn("the decision module sent RPC " + request + ", which is over");
+                return;
+            }
+            long now = timers.now();
+            CallAttempt<Q, A> attempt = exchange.attempt(endpoint, now);
+            if (exchange.over() || now >= exchange.request().deadline() || attempt.number() >= maxAttempts
+                    || !client.knows(endpoint)) {
+                ended(attempt, Outcome.MOOT, null, null);
+                return;
+            }
+            if (timeout != 0) {
+                timers.at(now + timeout, () -> giveUp(attempt, Outcome.TIMEOUT));
+            }
+            client.start(attempt);
+        }
+
+        @Override
+        public void refuse(long request, long retryAfter) {
+            Exchange<Q, A> exchange = finish(request);
+            if (exchange != null) {
+                exchange.reply().refused(retryAfter);
+            }
+        }
+
+        @Override
+        public void fail(long request) {
+            Exchange<Q, A> exchange = finish(request);
+            if (exchange != null) {
+                exchange.reply().failed();
+            }
+        }
+
+        /** Marks an RPC as over; null when it was already. */
+        private Exchange<Q, A> finish(long request) {
+            Exchange<Q, A> exchange = exchanges.get(request);
+            if (exchange == null || exchange.over()) {
+                return null;
+            }
+            exchange.end();
+            forgetIfDone(exchange);
+            return exchange;
+        }
+
+        @Override
+        public void cancel(long request, int attempt) {
+            Exchange<Q, A> exchange = exchanges.get(request);
+            if (exchange != null && attempt < exchange.attempts().size()) {
+                giveUp(exchange.attempts().get(attempt), Outcome.CANCELLED);
+            }
+        }
+
+        @Override
+        public void probe(long endpoint) {
+            if (client.knows(endpoint)) {
+                client.probe(endpoint);
+            } else {
+                probed(endpoint, Outcome.MOOT, 0, null);
+            }
+        }
+
+        @Override
+        public void closeIdle(long endpoint) {
+            client.closeIdle(endpoint);
+        }
+
+        @Override
+        public void schedule(long at, long token) {
+            timers.at(at, () -> post(() -> balancer.timer(timers.now(), token)));
+        }
+
+        @Override
+        public void subscribe(boolean on) {
+            resolver.subscribe(on);
+        }
+
+        @Override
+        public void fetchEndpoints() {
+            resolver.fetch();
+        }
+
+        @Override
+        public void tell(int copy, byte[] message) {
+            peers.tell(copy, message);
+        }
+
+        @Override
+        public void log(String line) {
+            log.info(line);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrudder/routing/Exchange.java
@@ -0,0 +1,83 @@
+package cedarrudder.routing;
+
+import cedarrudder.Balancer;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One RPC between its caller and the nodes: the only thing that the server side and the client side share.
+ *
+ * <p>The server side makes it and is told through {@link Reply} how it ended; the client side reads its
+ * content to carry out the call attempts. What the content and the answers are is the protocol's affair.
+ *
+ * @param <Q> what is passed on to a node
+ * @param <A> what a node answers
+ */
+public final class Exchange<Q, A> {
+
+    /** The server side's end of an exchange. Exactly one of these is called, once. */
+    public interface Reply<A> {
+        /** A node's answer, to be passed on. */
+        void served(A answer);
+
+        /** An unavailable status: trying again is harmless, after this many nanoseconds (0: no advice). */
+        void refused(long retryAfter);
+
+        /** It failed, and nothing is promised. */
+        void failed();
+    }
+
+    private final Balancer.Request request;
+    private final Q content;
+    private final Reply<A> reply;
+    private final List<CallAttempt<Q, A>> attempts = new ArrayList<>(1);
+    private int out;
+    private boolean over;
+
+    /** Its id must be new; its deadline is an instant of the driver's clock. */
+    public Exchange(Balancer.Request request, Q content, Reply<A> reply) {
+        this.request = request;
+        this.content = content;
+        this.reply = reply;
+    }
+
+    public Balancer.Request request() {
+        return request;
+    }
+
+    public Q content() {
+        return content;
+    }
+
+    Reply<A> reply() {
+        return reply;
+    }
+
+    boolean over() {
+        return over;
+    }
+
+    void end() {
+        over = true;
+    }
+
+    List<CallAttempt<Q, A>> attempts() {
+        return attempts;
+    }
+
+    CallAttempt<Q, A> attempt(long endpoint, long now) {
+        CallAttempt<Q, A> attempt = new CallAttempt<>(this, attempts.size(), endpoint, now);
+        attempts.add(attempt);
+        out++;
+        return attempt;
+    }
+
+    /** Counts an attempt as ended; an exchange may be forgotten once it is over and none is out. */
+    void attemptEnded() {
+        out--;
+    }
+
+    boolean forgettable() {
+        return over && out == 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrudder/routing/Peers.java
@@ -0,0 +1,8 @@
+package cedarrudder.routing;
+
+/** The way to the other proxies of the tier. */
+public interface Peers {
+
+    /** Sends a message to one of them by its number, or to all (-1). It may be lost. */
+    void tell(int copy, byte[] message);
+}
--- a/src/main/java/cedarrudder/sim/FrameDecoder.java
+++ b/src/main/java/cedarrudder/sim/FrameDecoder.java
@@ -5,6 +5,7 @@
 import cedarrudder.Balancer.Load;
 import cedarrudder.Balancer.Outcome;
 import cedarrudder.Balancer.State;
+import cedarrudder.protocol.ReportFields;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.ByteBuffer;
--- a/src/main/java/cedarrudder/sim/SimHost.java
+++ b/src/main/java/cedarrudder/sim/SimHost.java
@@ -2,6 +2,10 @@
 
 import cedarrudder.Balancer;
 import cedarrudder.Decide;
+import cedarrudder.protocol.JsonObject;
+import cedarrudder.protocol.ReportFields;
+import cedarrudder.protocol.SettingsReader;
+import cedarrudder.protocol.SiteSettings;
 import java.io.BufferedInputStream;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
@@ -20,8 +24,6 @@
  */
 public final class SimHost {
 
-    private static final String USAGE = "usage: java -jar cedarrudder.jar simhost";
-
     private record Copy(Balancer balancer, ReportFields fields) { }
 
     private final FrameEncoder reply = new FrameEncoder();
@@ -31,17 +33,15 @@
 
     private SimHost() { }
 
-    public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("simhost")) {
-            System.err.println(USAGE);
-            System.exit(2);
-        }
+    /** Serves standard input until it ends and returns the exit code. */
+    public static int run() {
         try {
             serve(new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16),
                     new FileOutputStream(FileDescriptor.out));
+            return 0;
         } catch (WireException | IOException e) {
             System.err.println("cedarrudder: " + e.getMessage());
-            System.exit(1);
+            return 1;
         }
     }
 
@@ -85,14 +85,14 @@
             throw batch.error("a new instance without a TO before it");
         }
         long seed = batch.i64(1);
-        SettingsReader settings;
+        SiteSettings settings;
         try {
-            settings = new SettingsReader(batch.text(9));
+            settings = SettingsReader.read(JsonObject.parse(batch.text(9)));
         } catch (IllegalArgumentException e) {
             throw batch.error("settings: " + e.getMessage());
         }
         SplittableRandom random = new SplittableRandom(seed);
-        Balancer balancer = new Decide(settings.settings(), random, reply.actionsOf(current));
+        Balancer balancer = new Decide(settings.module(), random, reply.actionsOf(current));
         copies.put(current, new Copy(balancer, settings.fields()));
     }
 
--- /dev/null
+++ b/src/main/java/cedarrudder/transport/DiscoveryClient.java
@@ -0,0 +1,223 @@
+package cedarrudder.transport;
+
+import cedarrudder.protocol.BadMessageException;
+import cedarrudder.protocol.HttpDecoder;
+import cedarrudder.protocol.HttpEncoder;
+import cedarrudder.protocol.JsonObject;
+import cedarrudder.protocol.Message;
+import cedarrudder.protocol.ResolverResult;
+import cedarrudder.protocol.ResolverResultReader;
+import cedarrudder.routing.Resolver;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+/** The connections to discovery: the watch on changes, and calls for the whole list. */
+public final class DiscoveryClient implements Resolver {
+
+    private static final String LIST = "/catalog/members";
+    private static final int CONNECT_MILLIS = 1000;
+
+    /** The largest list that is read. */
+    private static final int MOST_LIST = 4 * 1024 * 1024;
+
+    /** A call that was not answered within this time has failed. */
+    private static final long CALL_PATIENCE = 3_000_000_000L;
+
+    /**
+     * A watch brings a line at least every 2 s; one that was silent for so long is lost. Guards against a
+     * network that was cut: the connection then stays open and says nothing for good.
+     */
+    private static final long WATCH_PATIENCE = 5_000_000_000L;
+
+    private final Loop loop;
+    private final InetSocketAddress address;
+    private final ResolverResultReader reader;
+    private final Consumer<ResolverResult> results;
+    private final Runnable failures;
+    private final Bootstrap bootstrap;
+    private Call watch;
+    private long version;
+
+    /** @param known the version of the list that the proxy starts with */
+    public DiscoveryClient(Loop loop, InetSocketAddress address, ResolverResultReader reader, long known,
+            Consumer<ResolverResult> results, Runnable failures) {
+        this.loop = loop;
+        this.address = address;
+        this.reader = reader;
+        this.version = known;
+        this.results = results;
+        this.failures = failures;
+        this.bootstrap = new Bootstrap().group(loop.group()).channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, loop.buffers())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS);
+    }
+
+    @Override
+    public void subscribe(boolean on) {
+        if (watch != null) {
+            watch.drop();
+            watch = null;
+        }
+        if (on) {
+            watch = new Call(true);
+            watch.open(LIST + "?follow=1&since=" + version);
+        }
+    }
+
+    @Override
+    public void fetch() {
+        new Call(false).open(LIST);
+    }
+
+    /** One call to discovery, on a connection of its own. It fails once at the most. */
+    private final class Call extends SimpleChannelInboundHandler<ByteBuf> {
+        private final boolean follows;
+        private final HttpDecoder decoder = HttpDecoder.ofStreams(new Lines(this::line));
+        private Channel channel;
+        private boolean over;
+        private boolean answered;
+        private long heardAt;
+
+        Call(boolean follows) {
+            this.follows = follows;
+        }
+
+        void open(String target) {
+            heardAt = loop.now();
+            watchOver();
+            bootstrap.clone().handler(this).connect(address).addListener(connected -> {
+                if (connected.isSuccess() && !over) {
+                    channel.writeAndFlush(HttpEncoder.get(loop.buffers(), target,
+                            address.getAddress().getHostAddress() + ":" + address.getPort()));
+                } else {
+                    fail("can't connect");
+                }
+            });
+        }
+
+        private void watchOver() {
+            long patience = answered ? WATCH_PATIENCE : CALL_PATIENCE;
+            if (over) {
+                return;
+            }
+            if (loop.now() - heardAt >= patience) {
+                fail("silent");
+            } else {
+                loop.at(heardAt + patience, this::watchOver);
+            }
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            channel = context.channel();
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf in) {
+            heardAt = loop.now();
+            try {
+                Message end = decoder.decode(in);
+                if (end != null || decoder.head() != null && decoder.head().status() != 200) {
+                    end(end == null ? decoder.head().status() : end.head().status());
+                }
+            } catch (BadMessageException | IllegalArgumentException e) {
+                fail(e.getMessage());
+            }
+        }
+
+        private void end(int status) {
+            if (follows || status != 200 || !answered) {
+                fail("ended with status " + status);
+            } else {
+                drop();
+            }
+        }
+
+        /** One line of the answer. An empty one only says that the watch is alive. */
+        private void line(String text) {
+            if (over || text.isBlank()) {
+                return;
+            }
+            if (decoder.head() == null || decoder.head().status() != 200) {
+                return;
+            }
+            ResolverResult result = reader.read(JsonObject.parse(text));
+            answered = true;
+            if (!follows && result.version() < version) {
+                // Guards against a late answer taking back what the watch has told since.
+                fail("older than what is known");
+                return;
+            }
+            version = result.version();
+            results.accept(result);
+        }
+
+        private void fail(String why) {
+            if (!over) {
+                loop.log().warn("discovery: " + (follows ? "watch: " : "call: ") + why);
+                drop();
+                if (watch == this) {
+                    watch = null;
+                }
+                failures.run();
+            }
+        }
+
+        void drop() {
+            over = true;
+            if (channel != null) {
+                channel.close();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            decoder.atEnd();
+            if (answered && !follows) {
+                over = true;
+            }
+            fail("connection ended");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            fail(cause.toString());
+            context.close();
+        }
+    }
+
+    /** Cuts a stream of bytes into lines. */
+    private static final class Lines extends OutputStream {
+        private final Consumer<String> lines;
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+
+        Lines(Consumer<String> lines) {
+            this.lines = lines;
+        }
+
+        @Override
+        public void write(int next) throws IOException {
+            if (next != '\n') {
+                if (line.size() >= MOST_LIST) {
+                    throw new IOException("too long a list");
+                }
+                line.write(next);
+                return;
+            }
+            String text = line.toString(StandardCharsets.UTF_8);
+            line.reset();
+            lines.accept(text);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrudder/transport/Loop.java
@@ -0,0 +1,63 @@
+package cedarrudder.transport;
+
+import cedarrudder.logging.Logger;
+import cedarrudder.routing.Timers;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.concurrent.TimeUnit;
+
+/** The one event loop, which owns all that runs, and its clock. */
+public final class Loop implements Timers {
+
+    private static final int PAGE = 8192;
+    private static final int CHUNK_ORDER = 5;
+
+    private final EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("loop"));
+    // One small arena of 256 KiB chunks: the defaults take megabytes for each core of the machine.
+    private final ByteBufAllocator buffers = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER,
+            64, 16, true);
+    private final Logger log;
+
+    public Loop(Logger log) {
+        this.log = log;
+    }
+
+    EventLoopGroup group() {
+        return group;
+    }
+
+    ByteBufAllocator buffers() {
+        return buffers;
+    }
+
+    Logger log() {
+        return log;
+    }
+
+    @Override
+    public long now() {
+        return System.nanoTime();
+    }
+
+    @Override
+    public void at(long instant, Runnable task) {
+        group.schedule(() -> guarded(task), Math.max(1, instant - now()), TimeUnit.NANOSECONDS);
+    }
+
+    /** Runs a task on the loop, from any thread. */
+    public void run(Runnable task) {
+        group.execute(() -> guarded(task));
+    }
+
+    private void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            // Guards against a fault in one task ending what the loop does for all others.
+            log.fault("a task failed", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrudder/transport/NodeChannels.java
@@ -0,0 +1,354 @@
+package cedarrudder.transport;
+
+import cedarrudder.Balancer.Outcome;
+import cedarrudder.protocol.BadMessageException;
+import cedarrudder.protocol.HttpDecoder;
+import cedarrudder.protocol.HttpEncoder;
+import cedarrudder.protocol.LoadReport;
+import cedarrudder.protocol.Message;
+import cedarrudder.protocol.ResolverResult;
+import cedarrudder.protocol.SiteSettings;
+import cedarrudder.routing.CallAttempt;
+import cedarrudder.routing.ClientSide;
+import cedarrudder.routing.Driver;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+
+/** The client side: the pool of channels to the nodes, and the call attempts and probes on them. */
+public final class NodeChannels implements ClientSide<Message, Message> {
+
+    /** How often idle channels are looked over. */
+    private static final long SWEEP = 1_000_000_000L;
+
+    /** A probe without an answer is given up after this long. */
+    private static final long PROBE_PATIENCE = 250_000_000L;
+
+    /** A node may close an idle channel a little early by our clock: ours goes this much earlier. */
+    private static final double IDLE_SHARE = 0.8;
+
+    private static final long DEFAULT_CONNECT_NANOS = 1_000_000_000L;
+
+    private final Loop loop;
+    private final Driver<Message, Message> driver;
+    private final SiteSettings.Reports reports;
+    private final Bootstrap bootstrap;
+    private final long idleLimit;
+    private final Map<Long, Node> nodes = new HashMap<>();
+    private final Map<CallAttempt<Message, Message>, Work> attempts = new IdentityHashMap<>();
+
+    public NodeChannels(Loop loop, Driver<Message, Message> driver, SiteSettings site) {
+        this.loop = loop;
+        this.driver = driver;
+        this.reports = site.reports();
+        long connect = site.module().limits().connectTimeout();
+        long idle = site.module().limits().connectionIdle();
+        this.idleLimit = idle == 0 ? Long.MAX_VALUE : (long) (idle * IDLE_SHARE);
+        this.bootstrap = new Bootstrap().group(loop.group()).channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, loop.buffers())
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                        (int) Math.max(1, (connect == 0 ? DEFAULT_CONNECT_NANOS : connect) / 1_000_000));
+        loop.at(loop.now() + SWEEP, this::sweep);
+    }
+
+    /** Where a node is reached, and the idle channels to it: the one used last comes last. */
+    private static final class Node {
+        final long id;
+        final Deque<NodeChannel> idle = new ArrayDeque<>();
+        InetSocketAddress address;
+
+        Node(long id, InetSocketAddress address) {
+            this.id = id;
+            this.address = address;
+        }
+    }
+
+    /** Takes in where nodes are. A node that is gone stays known: attempts may still be out there. */
+    public void resolved(List<ResolverResult.Node> listed) {
+        for (ResolverResult.Node entry : listed) {
+            Node node = nodes.computeIfAbsent(entry.endpoint().id(), id -> new Node(id, entry.address()));
+            if (!node.address.equals(entry.address())) {
+                node.address = entry.address();
+                closeIdle(node.id);
+            }
+        }
+    }
+
+    @Override
+    public boolean knows(long endpoint) {
+        return nodes.containsKey(endpoint);
+    }
+
+    @Override
+    public void start(CallAttempt<Message, Message> attempt) {
+        Work work = new Attempt(attempt);
+        attempts.put(attempt, work);
+        carry(nodes.get(attempt.endpoint()), work);
+    }
+
+    @Override
+    public void abandon(CallAttempt<Message, Message> attempt) {
+        Work work = attempts.remove(attempt);
+        if (work != null) {
+            work.giveUp();
+        }
+    }
+
+    @Override
+    public void probe(long endpoint) {
+        Probe probe = new Probe(endpoint);
+        loop.at(loop.now() + PROBE_PATIENCE, probe::expire);
+        carry(nodes.get(endpoint), probe);
+    }
+
+    @Override
+    public void closeIdle(long endpoint) {
+        Node node = nodes.get(endpoint);
+        if (node != null) {
+            for (NodeChannel idle : List.copyOf(node.idle)) {
+                idle.retire();
+            }
+        }
+    }
+
+    private void carry(Node node, Work work) {
+        NodeChannel idle = node.idle.pollLast();
+        if (idle != null) {
+            idle.carry(work);
+            return;
+        }
+        NodeChannel fresh = new NodeChannel(node);
+        bootstrap.clone().handler(fresh).connect(node.address).addListener(connected -> {
+            if (connected.isSuccess()) {
+                fresh.carry(work);
+            } else {
+                work.broke();
+            }
+        });
+    }
+
+    private void sweep() {
+        loop.at(loop.now() + SWEEP, this::sweep);
+        for (Node node : nodes.values()) {
+            while (!node.idle.isEmpty() && loop.now() - node.idle.peekFirst().idleSince > idleLimit) {
+                node.idle.peekFirst().retire();
+            }
+        }
+    }
+
+    /** What travels on a channel: one request, and what its end means. */
+    private abstract static class Work {
+        NodeChannel channel;
+        boolean written;
+        boolean over;
+
+        abstract ByteBuf encode();
+
+        abstract void answered(Message answer);
+
+        abstract void failed(Outcome outcome);
+
+        /** The connection never came up, or it ended without a whole answer. */
+        final void broke() {
+            if (!over) {
+                over = true;
+                failed(written ? Outcome.RESET : Outcome.CONNECT_FAILED);
+            }
+        }
+
+        /** Closing the connection is how a node is told that nobody waits any more. */
+        final void giveUp() {
+            over = true;
+            if (channel != null) {
+                channel.close();
+            }
+        }
+    }
+
+    private final class Attempt extends Work {
+        private final CallAttempt<Message, Message> attempt;
+
+        Attempt(CallAttempt<Message, Message> attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        ByteBuf encode() {
+            long left = attempt.exchange().request().deadline() - loop.now();
+            return HttpEncoder.request(loop.buffers(), attempt.exchange().content(),
+                    Math.max(1, left / 1_000_000));
+        }
+
+        @Override
+        void answered(Message answer) {
+            attempts.remove(attempt);
+            var load = reports == SiteSettings.Reports.ANSWERS
+                    ? LoadReport.parse(answer.head().fields().get("Srv-Load")) : null;
+            int status = answer.head().status();
+            if (status == 200) {
+                driver.served(attempt, answer, load);
+            } else {
+                driver.ended(attempt, declined(answer) ? Outcome.FULL : Outcome.ERROR, load);
+            }
+        }
+
+        @Override
+        void failed(Outcome outcome) {
+            attempts.remove(attempt);
+            driver.ended(attempt, outcome, null);
+        }
+    }
+
+    private final class Probe extends Work {
+        private final long endpoint;
+        private final long startedAt = loop.now();
+
+        Probe(long endpoint) {
+            this.endpoint = endpoint;
+        }
+
+        void expire() {
+            if (!over) {
+                giveUp();
+                failed(Outcome.TIMEOUT);
+            }
+        }
+
+        @Override
+        ByteBuf encode() {
+            String host = nodes.get(endpoint).address.getAddress().getHostAddress();
+            return HttpEncoder.get(loop.buffers(),
+                    reports == SiteSettings.Reports.NONE ? "/ping" : "/_load", host);
+        }
+
+        @Override
+        void answered(Message answer) {
+            boolean ok = answer.head().status() == 200;
+            var load = ok ? LoadReport.parse(new String(answer.body(), StandardCharsets.UTF_8)) : null;
+            driver.probed(endpoint, ok ? Outcome.OK : declined(answer) ? Outcome.FULL : Outcome.ERROR,
+                    loop.now() - startedAt, load);
+        }
+
+        @Override
+        void failed(Outcome outcome) {
+            driver.probed(endpoint, outcome, loop.now() - startedAt, null);
+        }
+    }
+
+    /** Whether a node turned a request away unseen. */
+    private static boolean declined(Message answer) {
+        int status = answer.head().status();
+        return (status == 503 || status == 504) && "1".equals(answer.head().fields().get("Srv-Declined"));
+    }
+
+    /** One connection to a node; it carries one piece of work at a time. */
+    private final class NodeChannel extends SimpleChannelInboundHandler<ByteBuf> {
+        private final Node node;
+        private final HttpDecoder decoder = HttpDecoder.ofAnswers(HttpDecoder.MOST_BODY);
+        private Channel channel;
+        private Work work;
+        private long idleSince;
+
+        NodeChannel(Node node) {
+            this.node = node;
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            channel = context.channel();
+        }
+
+        void carry(Work next) {
+            if (next.over) {
+                channel.close();
+                return;
+            }
+            work = next;
+            next.channel = this;
+            channel.writeAndFlush(next.encode()).addListener(wrote -> {
+                if (wrote.isSuccess()) {
+                    next.written = true;
+                } else {
+                    channel.close();
+                }
+            });
+        }
+
+        void close() {
+            channel.close();
+        }
+
+        /** Leaves the pool at once, and closes. */
+        void retire() {
+            node.idle.remove(this);
+            channel.close();
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf in) {
+            try {
+                Message answer = decoder.decode(in);
+                if (answer != null) {
+                    finish(answer, answer.head().keepsAlive() && work != null && work.written
+                            && !in.isReadable());
+                } else if (work == null && !decoder.between()) {
+                    retire(); // bytes that nobody asked for
+                }
+            } catch (BadMessageException e) {
+                loop.log().warn("node " + node.address + ": " + e.getMessage());
+                retire();
+            }
+        }
+
+        private void finish(Message answer, boolean reusable) {
+            Work done = work;
+            work = null;
+            if (reusable) {
+                idleSince = loop.now();
+                node.idle.addLast(this);
+            } else {
+                retire();
+            }
+            if (done != null && !done.over) {
+                done.over = true;
+                done.answered(answer);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            node.idle.remove(this);
+            Message last = decoder.atEnd();
+            if (last != null) {
+                finish(last, false);
+            } else if (work != null) {
+                Work broken = work;
+                work = null;
+                broken.broke();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                loop.log().fault("channel to " + node.address, cause);
+            }
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrudder/transport/PeerSocket.java
@@ -0,0 +1,81 @@
+package cedarrudder.transport;
+
+import cedarrudder.routing.Driver;
+import cedarrudder.routing.Peers;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/** The datagrams that proxies of one tier send one another. */
+public final class PeerSocket implements Peers {
+
+    /** A longer message breaks the protocol. */
+    private static final int MOST_MESSAGE = 256;
+
+    private final Loop loop;
+    private final Driver<?, ?> driver;
+    private final List<InetSocketAddress> peers;
+    private final InetSocketAddress all;
+    private Channel channel;
+
+    /**
+     * @param peers the address of each proxy of the tier, by its number
+     * @param all an address that reaches them all, or null where there is none
+     */
+    public PeerSocket(Loop loop, Driver<?, ?> driver, List<InetSocketAddress> peers, InetSocketAddress all) {
+        this.loop = loop;
+        this.driver = driver;
+        this.peers = peers;
+        this.all = all;
+    }
+
+    /** Begins to listen; blocks until it does. */
+    public void listen(InetSocketAddress address) throws IOException, InterruptedException {
+        var bound = new Bootstrap().group(loop.group()).channel(NioDatagramChannel.class)
+                .option(ChannelOption.ALLOCATOR, loop.buffers())
+                .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MOST_MESSAGE + 1))
+                .handler(new Incoming()).bind(address).await();
+        if (!bound.isSuccess()) {
+            throw new IOException("can't listen on " + address + ": " + bound.cause().getMessage());
+        }
+        channel = bound.channel();
+    }
+
+    @Override
+    public void tell(int copy, byte[] message) {
+        InetSocketAddress to = copy < 0 ? all : copy < peers.size() ? peers.get(copy) : null;
+        if (channel == null || to == null || message.length > MOST_MESSAGE) {
+            loop.log().warn("a message to proxy " + copy + " can't be sent");
+            return;
+        }
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(message), to));
+    }
+
+    private final class Incoming extends SimpleChannelInboundHandler<DatagramPacket> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            int from = peers.indexOf(packet.sender());
+            if (from < 0 || packet.content().readableBytes() > MOST_MESSAGE) {
+                loop.log().warn("a datagram from " + packet.sender() + " that is no peer's message");
+                return;
+            }
+            driver.message(from, ByteBufUtil.getBytes(packet.content()));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            loop.log().warn("peers: " + cause); // such as a peer's port being closed: the socket stays
+        }
+    }
+}
--- a/src/test/java/cedarrudder/sim/JarIT.java
+++ b/src/test/java/cedarrudder/sim/JarIT.java
@@ -43,7 +43,7 @@
 
     @Test
     void servesAnExchangeAndEndsWithItsInput() throws Exception {
-        Run run = run(exchange(), "simhost");
+        Run run = run(exchange(), "adapter");
         assertEquals(0, run.exit, run.err);
         assertTrue(Frames.actions(run.out).contains("3 send 5 11"));
         assertEquals("", run.err);
@@ -51,7 +51,7 @@
 
     @Test
     void saysInOneLineWhatIsWrongWithItsInput() throws Exception {
-        Run run = run(Arrays.copyOf(exchange(), 100), "simhost");
+        Run run = run(Arrays.copyOf(exchange(), 100), "adapter");
         assertEquals(1, run.exit);
         assertEquals(0, run.out.length);
         assertEquals(1, run.err.lines().count(), run.err);
@@ -60,7 +60,7 @@
 
     @Test
     void tellsItsUsage() throws Exception {
-        for (String[] arguments : new String[][] {{}, {"serve"}, {"simhost", "more"}}) {
+        for (String[] arguments : new String[][] {{}, {"simhost"}, {"adapter", "more"}}) {
             Run run = run(new byte[0], arguments);
             assertEquals(2, run.exit);
             assertTrue(run.err.startsWith("usage: "), run.err);
--- a/src/test/java/cedarrudder/sim/SimHostTest.java
+++ b/src/test/java/cedarrudder/sim/SimHostTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cedarrudder.protocol.JsonObject;
+import cedarrudder.protocol.ReportFields;
+import cedarrudder.protocol.SettingsReader;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -168,7 +171,7 @@
 
     @Test
     void readsReportsInTheOrderThatTheSettingsName() {
-        ReportFields fields = new SettingsReader(Frames.SETTINGS).fields();
+        ReportFields fields = SettingsReader.read(JsonObject.parse(Frames.SETTINGS)).fields();
         double[] values = {50, 4, 12};
         var load = fields.load(i -> values[i]);
         assertEquals(4, load.inFlight());
