--- /dev/null
+++ b/deploy/ClassData.java
@@ -0,0 +1,148 @@
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Makes the class-data archive with which the proxy starts in half the time: runs the built jar for a moment
+ * with a node and a discovery that answer anything, and lets the virtual machine write down what it loaded.
+ *
+ * <p>Without the archive the proxy runs all the same, so whatever goes wrong here only leaves it out.
+ */
+public final class ClassData {
+
+    private static final int RPCS = 40;
+    private static final long PATIENCE_SECONDS = 30;
+
+    private ClassData() { }
+
+    public static void main(String[] args) throws InterruptedException {
+        Path archive = Path.of(args[1]);
+        try (ServerSocket service = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Files.deleteIfExists(archive);
+            Thread answering = new Thread(() -> accept(service), "service");
+            answering.setDaemon(true);
+            answering.start();
+            Path config = Files.createTempFile(archive.toAbsolutePath().getParent(), "training", ".json");
+            try {
+                train(args[0], archive, config, service.getLocalPort());
+            } finally {
+                Files.deleteIfExists(config);
+            }
+        } catch (IOException e) {
+            System.err.println("no class data: " + e.getMessage());
+        }
+        System.exit(0);
+    }
+
+    private static void train(String jar, Path archive, Path config, int service)
+            throws IOException, InterruptedException {
+        int listen;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            listen = free.getLocalPort();
+        }
+        String example = Files.readString(Path.of("example", "config.json"));
+        Files.writeString(config, example.replace(":7000", ":" + listen).replace(":7100", ":" + service)
+                .replace("\"servers\": []", "\"servers\": [" + node(service) + "]"));
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString(), "-XX:ArchiveClassesAtExit=" + archive, "-Xlog:cds=off", "-Xlog:cds+dynamic=off",
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-jar", jar, "serve");
+        builder.environment().put("BALANCER_CONFIG", config.toString());
+        Process proxy = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        try (Socket caller = connect(listen, proxy)) {
+            BufferedReader in = reader(caller);
+            for (int i = 0; i < RPCS; i++) {
+                String kind = i % 2 == 0 ? "GET /api HTTP/1.1\r\nReq-Kind: lookup\r\n"
+                        : "POST /api HTTP/1.1\r\nReq-Kind: order\r\nContent-Length: 2\r\n";
+                write(caller, kind + "Host: a\r\nReq-Id: " + i + "\r\nReq-Owner: acme\r\n"
+                        + "Req-Deadline-Ms: 900\r\n\r\n" + (i % 2 == 0 ? "" : "{}"));
+                readMessage(in);
+            }
+        } finally {
+            proxy.destroy();
+            if (!proxy.waitFor(PATIENCE_SECONDS, TimeUnit.SECONDS)) {
+                proxy.destroyForcibly();
+            }
+        }
+    }
+
+    private static String node(int port) {
+        return "{\"id\":\"a\",\"addr\":\"127.0.0.1:" + port + "\",\"zone\":\"room\",\"kind\":\"standard\","
+                + "\"cell\":0,\"state\":\"in_service\",\"weight\":1.0,\"started_ms\":0}";
+    }
+
+    private static Socket connect(int port, Process proxy) throws IOException, InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
+        while (proxy.isAlive() && System.nanoTime() < until) {
+            try {
+                return new Socket(InetAddress.getLoopbackAddress(), port);
+            } catch (IOException e) {
+                Thread.sleep(20);
+            }
+        }
+        throw new IOException("the proxy did not start");
+    }
+
+    private static void accept(ServerSocket service) {
+        try {
+            while (true) {
+                Socket socket = service.accept();
+                Thread connection = new Thread(() -> answer(socket, service.getLocalPort()), "connection");
+                connection.setDaemon(true);
+                connection.start();
+            }
+        } catch (IOException e) {
+            // closed: the training is over
+        }
+    }
+
+    private static void answer(Socket socket, int port) {
+        try (socket) {
+            BufferedReader in = reader(socket);
+            for (String first = readMessage(in); first != null; first = readMessage(in)) {
+                if (first.contains("/catalog/members")) {
+                    String list = "{\"version\":1,\"full\":true,\"servers\":[" + node(port) + "]}\n";
+                    write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
+                } else {
+                    String body = "TEXT latency_ms=5, inflight=1, util=0.1";
+                    write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+                }
+            }
+        } catch (IOException e) {
+            // the proxy closed it
+        }
+    }
+
+    /** Reads a message and returns its first line; null at the end. */
+    private static String readMessage(BufferedReader in) throws IOException {
+        String first = in.readLine();
+        int length = 0;
+        for (String line = first; line != null && !line.isEmpty(); line = in.readLine()) {
+            if (line.startsWith("Content-Length: ")) {
+                length = Integer.parseInt(line.substring(16));
+            }
+        }
+        for (int i = 0; i < length; i++) {
+            in.read();
+        }
+        return first;
+    }
+
+    private static BufferedReader reader(Socket socket) throws IOException {
+        return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+}
--- a/src/main/java/cedarrudder/logging/Logger.java
+++ b/src/main/java/cedarrudder/logging/Logger.java
@@ -58,7 +58,13 @@
 
     private void write(String level, String line) {
         long millis = (System.nanoTime() - started) / 1_000_000;
-        out.println(millis / 1000 + "." + String.format("%03d", millis % 1000) + " " + level + " "
-                + line.replaceAll("\\p{Cntrl}", "?"));
+        StringBuilder entry = new StringBuilder(80).append(millis / 1000).append('.')
+                .append(millis % 1000 / 100).append(millis % 100 / 10).append(millis % 10)
+                .append(' ').append(level).append(' ');
+        for (int i = 0; i < line.length(); i++) {
+            // Guards against a peer that writes log lines of its own by sending line ends.
+            entry.append(Character.isISOControl(line.charAt(i)) ? '?' : line.charAt(i));
+        }
+        out.println(entry);
     }
 }
--- a/src/main/java/cedarrudder/program/Main.java
+++ b/src/main/java/cedarrudder/program/Main.java
@@ -26,6 +26,16 @@
         }
     }
 
+    /**
+     * Spares Netty what it does for larger programs. Each of these costs start-up time or memory, which count
+     * on one core: looking for a hardware address, sizing for all cores of the machine, watching for leaks.
+     */
+    private static void keepNettySmall() {
+        System.setProperty("io.netty.machineId", "00:00:00:00:00:00:00:01");
+        System.setProperty("io.netty.availableProcessors", "1");
+        System.setProperty("io.netty.leakDetection.level", "disabled");
+    }
+
     private static void serve() throws InterruptedException {
         try {
             String file = System.getenv("BALANCER_CONFIG");
@@ -33,6 +43,7 @@
                 throw new IllegalArgumentException("BALANCER_CONFIG is not set");
             }
             Configuration configuration = read(file);
+            keepNettySmall();
             Proxy proxy = new Proxy(configuration, new Logger(System.err));
             proxy.start();
             // SIGTERM: the virtual machine ends when this hook has, so all that was taken is answered.
--- a/src/main/java/cedarrudder/program/Proxy.java
+++ b/src/main/java/cedarrudder/program/Proxy.java
@@ -14,6 +14,7 @@
 import cedarrudder.transport.NodeChannels;
 import cedarrudder.transport.PeerSocket;
 import java.io.IOException;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 
@@ -62,7 +63,7 @@
             if (known != null) {
                 resolved(known, ListKind.CACHED);
             } else {
-                driver.resolved(ListKind.CACHED, java.util.List.of());
+                driver.resolved(ListKind.CACHED, List.of());
             }
             told.countDown();
         });
@@ -89,6 +90,7 @@
         });
         try {
             drained.await();
+            loop.stop();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/cedarrudder/protocol/Head.java
+++ b/src/main/java/cedarrudder/protocol/Head.java
@@ -1,7 +1,6 @@
 package cedarrudder.protocol;
 
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 
 /**
  * The head of an HTTP/1.1 message: the three parts of its first line (method, target and version, or
@@ -22,10 +21,11 @@
         this.third = third;
     }
 
-    /** Reads a head up to and without its empty line. */
+    /** Reads a head, line by line with their ends, up to and without its empty line. */
     static Head parse(byte[] bytes, int length, boolean request) throws BadMessageException {
-        String[] lines = new String(Arrays.copyOf(bytes, length), StandardCharsets.ISO_8859_1).split("\r?\n");
-        String[] parts = lines[0].split(" ", request ? -1 : 3);
+        String text = new String(bytes, 0, length, StandardCharsets.ISO_8859_1);
+        int end = lineEnd(text, 0);
+        String[] parts = text.substring(0, end).split(" ", request ? -1 : 3);
         if (request ? parts.length != 3 : parts.length < 2) {
             throw BadMessageException.badRequest("not HTTP");
         }
@@ -37,12 +37,18 @@
         if (request ? !isToken(head.first) || !isTarget(head.second) : !isStatus(head.second)) {
             throw BadMessageException.badRequest("bad first line");
         }
-        for (int i = 1; i < lines.length; i++) {
-            head.parseField(lines[i]);
+        for (int at = text.indexOf('\n') + 1; at < length; at = text.indexOf('\n', at) + 1) {
+            head.parseField(text.substring(at, lineEnd(text, at)));
         }
         return head;
     }
 
+    /** Where the line that begins here ends, without its CR and LF. */
+    private static int lineEnd(String text, int from) {
+        int end = text.indexOf('\n', from);
+        return end > from && text.charAt(end - 1) == '\r' ? end - 1 : end;
+    }
+
     private void parseField(String line) throws BadMessageException {
         int colon = line.indexOf(':');
         if (colon < 0 || !isToken(line.substring(0, colon))) {
@@ -59,8 +65,13 @@
     }
 
     private static boolean isToken(String text) {
-        return !text.isEmpty() && text.chars().allMatch(c -> c < 128
-                && (Character.isLetterOrDigit(c) || TOKEN_MARKS.indexOf(c) >= 0));
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c > 127 || !Character.isLetterOrDigit(c) && TOKEN_MARKS.indexOf(c) < 0) {
+                return false;
+            }
+        }
+        return !text.isEmpty();
     }
 
     private static boolean isTarget(String text) {
--- a/src/main/java/cedarrudder/protocol/LoadReport.java
+++ b/src/main/java/cedarrudder/protocol/LoadReport.java
@@ -3,6 +3,7 @@
 import cedarrudder.Balancer.Load;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.StringTokenizer;
 
 /** Load reports as nodes write them: {@code TEXT inflight=7, queue=2, util=0.61}. */
 public final class LoadReport {
@@ -15,8 +16,10 @@
             return null;
         }
         Map<String, Double> figures = new HashMap<>();
-        for (String part : text.strip().replaceFirst("^TEXT\\s+", "").split("[,\\s]+")) {
-            int equals = part.indexOf('=');
+        StringTokenizer parts = new StringTokenizer(text, ", \t\r\n");
+        while (parts.hasMoreTokens()) {
+            String part = parts.nextToken();
+            int equals = part.indexOf('='); // the word TEXT before the figures has none
             if (equals > 0) {
                 try {
                     double figure = Double.parseDouble(part.substring(equals + 1));
--- a/src/main/java/cedarrudder/transport/Loop.java
+++ b/src/main/java/cedarrudder/transport/Loop.java
@@ -15,6 +15,9 @@
     private static final int PAGE = 8192;
     private static final int CHUNK_ORDER = 5;
 
+    /** A task that runs so late tells of a core that is short, or of a pause: answers then come late too. */
+    private static final long LATE = 20_000_000L;
+
     private final EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("loop"));
     // One small arena of 256 KiB chunks: the defaults take megabytes for each core of the machine.
     private final ByteBufAllocator buffers = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER,
@@ -44,7 +47,13 @@
 
     @Override
     public void at(long instant, Runnable task) {
-        group.schedule(() -> guarded(task), Math.max(1, instant - now()), TimeUnit.NANOSECONDS);
+        group.schedule(() -> {
+            long late = now() - instant;
+            if (late > LATE) {
+                log.warn("the loop is " + late / 1_000_000 + " ms late");
+            }
+            guarded(task);
+        }, Math.max(1, instant - now()), TimeUnit.NANOSECONDS);
     }
 
     /** Runs a task on the loop, from any thread. */
@@ -52,6 +61,11 @@
         group.execute(() -> guarded(task));
     }
 
+    /** Ends the loop, from any thread: what it still owns is closed. */
+    public void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
     private void guarded(Runnable task) {
         try {
             task.run();
--- /dev/null
+++ b/src/test/java/cedarrudder/LayersTest.java
@@ -0,0 +1,63 @@
+package cedarrudder;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.testng.annotations.Test;
+
+/** The packages and what each may import: only what lies below it. */
+public class LayersTest {
+
+    private static final Path MAIN = Path.of("src", "main", "java", "cedarrudder");
+    private static final String MODULE = "cedarrudder";
+    private static final Pattern IMPORT = Pattern.compile("^import (?:static )?([\\w.]+?)\\.[A-Z*].*;");
+
+    /** Each package, and those of the project and of Netty that it may use. */
+    private static final Map<String, Set<String>> MAY_USE = Map.of(
+            "cedarrudder", Set.of(),
+            "cedarrudder.logging", Set.of(),
+            "cedarrudder.routing", Set.of(MODULE, "cedarrudder.logging"),
+            "cedarrudder.protocol", Set.of(MODULE, "io.netty.buffer", "io.netty.util"),
+            "cedarrudder.transport", Set.of(MODULE, "cedarrudder.logging", "cedarrudder.routing",
+                    "cedarrudder.protocol", "io.netty"),
+            "cedarrudder.sim", Set.of(MODULE, "cedarrudder.protocol"),
+            "cedarrudder.program", Set.of(MODULE, "cedarrudder.logging", "cedarrudder.routing",
+                    "cedarrudder.protocol", "cedarrudder.transport", "cedarrudder.sim"));
+
+    @Test
+    public void importsPointDownwardOnly() throws IOException {
+        List<String> wrong = new ArrayList<>();
+        int seen = 0;
+        try (Stream<Path> files = Files.walk(MAIN)) {
+            for (Path file : files.filter(f -> f.toString().endsWith(".java")).toList()) {
+                String own = "cedarrudder" + file.getParent().toString().substring(MAIN.toString().length())
+                        .replace('/', '.');
+                assertTrue(MAY_USE.containsKey(own), own + " is no known package");
+                for (String line : Files.readAllLines(file)) {
+                    Matcher found = IMPORT.matcher(line);
+                    if (found.find() && (found.group(1).startsWith("cedarrudder")
+                            || found.group(1).startsWith("io.netty"))) {
+                        seen++;
+                        String used = found.group(1);
+                        if (!used.equals(own) && MAY_USE.get(own).stream().noneMatch(
+                                may -> used.equals(may) || may.equals("io.netty") && used.startsWith(may))) {
+                            wrong.add(file + ": " + line);
+                        }
+                    }
+                }
+            }
+        }
+        assertTrue(seen > 0);
+        assertEquals(wrong, List.of());
+    }
+}
--- /dev/null
+++ b/src/test/java/cedarrudder/program/ServeIT.java
@@ -0,0 +1,84 @@
+package cedarrudder.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.program.World.Caller;
+import cedarrudder.program.World.Received;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.testng.annotations.Test;
+
+/** The built jar, run as the proxy. */
+public class ServeIT {
+
+    private static final int TERMINATED = 128 + 15;
+
+    private static Process serve(String configuration) throws IOException {
+        Path file = Files.createTempFile("cedarrudder", ".json");
+        Files.writeString(file, configuration);
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-jar",
+                "target/cedarrudder.jar", "serve").redirectErrorStream(true);
+        builder.environment().put("BALANCER_CONFIG", file.toString());
+        return builder.start();
+    }
+
+    private static void awaitLine(Process process, String part) throws IOException {
+        BufferedReader lines = new BufferedReader(
+                new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+            if (line.contains(part)) {
+                return;
+            }
+        }
+        throw new AssertionError("the program ended without saying " + part);
+    }
+
+    @Test
+    public void itServesAndAnswersWhatItTookBeforeItEnds() throws Exception {
+        try (World world = new World(1)) {
+            Process process = serve(world.configuration());
+            awaitLine(process, "listens on");
+            try (Caller caller = world.caller(); Caller idle = world.caller()) {
+                idle.send(World.rpc("lookup", "/api", ""));
+                world.call().reply("200 OK", "before");
+                assertEquals(idle.read().body(), "before");
+                caller.send(World.rpc("order", "/api", "x"));
+                Received taken = world.call();
+                process.destroy();
+                assertEquals(idle.read(), null);
+                try (Caller late = world.caller()) {
+                    late.send(World.rpc("order", "/api", "y"));
+                    world.call().reply("200 OK", "late");
+                    assertEquals(late.read().body(), "late");
+                }
+                taken.reply("200 OK", "kept");
+                Received answer = caller.read();
+                assertEquals(answer.body(), "kept");
+                assertEquals(answer.field("Connection"), "close");
+            }
+            assertEquals(process.waitFor(), TERMINATED);
+        }
+    }
+
+    @Test
+    public void itSaysInOneLineWhyItCantStart() throws Exception {
+        try (World world = new World(1)) {
+            String taken = world.configuration().replace(":" + world.port,
+                    ":" + world.nodes.get(0).server.getLocalPort());
+            for (String configuration : new String[] {"{", "{}", taken}) {
+                Process process = serve(configuration);
+                String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+                assertEquals(said.lines().count(), 1, said);
+                assertTrue(said.startsWith("cedarrudder: "), said);
+                assertNotEquals(process.waitFor(), 0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cedarrudder/program/World.java
@@ -0,0 +1,252 @@
+package cedarrudder.program;
+
+import static org.testng.Assert.assertNotNull;
+
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The world round a proxy, played by a test on loopback sockets: callers, nodes and discovery. Nodes answer
+ * probes by themselves; all else waits in a queue for the test's answer.
+ */
+final class World implements AutoCloseable {
+
+    /** No test waits longer than this for what must come; none depends on how soon it comes. */
+    private static final int PATIENCE_MILLIS = 20_000;
+
+    /** A message as it came, and the way to answer it. */
+    record Received(Socket socket, String head, String body) {
+
+        String first() {
+            return head.lines().findFirst().orElseThrow();
+        }
+
+        /** The value of a header field; null where there is none. */
+        String field(String name) {
+            return head.lines().filter(l -> l.toLowerCase().startsWith(name.toLowerCase() + ":"))
+                    .map(l -> l.substring(name.length() + 1).strip()).findFirst().orElse(null);
+        }
+
+        void reply(String status, String text, String... fields) throws IOException {
+            raw("HTTP/1.1 " + status + "\r\nContent-Length: " + text.length() + "\r\n" + lines(fields)
+                    + "\r\n" + text);
+        }
+
+        void raw(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        /** Begins a chunked answer, or goes on with it. */
+        void chunk(String text) throws IOException {
+            raw(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+        }
+
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        /** Waits until the proxy closes the connection. */
+        void awaitEnd() throws IOException {
+            try {
+                if (socket.getInputStream().read() >= 0) {
+                    throw new AssertionError("more bytes instead of the end");
+                }
+            } catch (java.net.SocketException e) {
+                // a reset is an end too
+            }
+        }
+    }
+
+    /** A server whose requests the test answers. */
+    static final class Peer implements Closeable {
+        final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final BlockingQueue<Received> received;
+
+        Peer(BlockingQueue<Received> received) throws IOException {
+            this.received = received;
+            daemon(this::accept);
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    Socket socket = server.accept();
+                    daemon(() -> serve(socket));
+                }
+            } catch (IOException e) {
+                // closed by the test
+            }
+        }
+
+        private void serve(Socket socket) {
+            try {
+                for (Received next = read(socket); next != null; next = read(socket)) {
+                    if (next.first().startsWith("GET /_load ")) {
+                        next.reply("200 OK", "TEXT latency_ms=5, inflight=0, util=0.1");
+                    } else {
+                        received.add(next);
+                        if (next.first().contains("stays-for-test")) {
+                            return; // the test itself watches for the end of this connection
+                        }
+                    }
+                }
+            } catch (IOException e) {
+                // the other side ended it
+            }
+        }
+
+        private static void daemon(Runnable task) {
+            Thread thread = new Thread(task);
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    /** A caller's connection. */
+    static final class Caller implements Closeable {
+        private final Socket socket;
+
+        Caller(int port) throws IOException {
+            socket = new Socket(InetAddress.getLoopbackAddress(), port);
+            socket.setSoTimeout(PATIENCE_MILLIS);
+            socket.setTcpNoDelay(true);
+        }
+
+        Caller send(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            return this;
+        }
+
+        /** The next answer; null where the proxy has closed the connection. */
+        Received read() throws IOException {
+            return World.read(socket);
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    final BlockingQueue<Received> calls = new LinkedBlockingQueue<>();
+    final BlockingQueue<Received> lookups = new LinkedBlockingQueue<>();
+    final List<Peer> nodes = new ArrayList<>();
+    final ByteArrayOutputStream log = new ByteArrayOutputStream();
+    private final Peer discovery = new Peer(lookups);
+    final int port;
+    private Proxy proxy;
+
+    World(int nodeCount) throws IOException {
+        for (int i = 0; i < nodeCount; i++) {
+            nodes.add(new Peer(calls));
+        }
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+    }
+
+    /** Starts a proxy in this process. */
+    World start() throws IOException, InterruptedException {
+        Configuration configuration = Configuration.parse(configuration());
+        proxy = new Proxy(configuration, new cedarrudder.logging.Logger(new PrintStream(log, true)));
+        proxy.start();
+        return this;
+    }
+
+    /** The example's configuration, with this world's addresses and all nodes known. */
+    String configuration() throws IOException {
+        return Files.readString(Path.of("example", "config.json")).replace(":7000", ":" + port)
+                .replace(":7100", ":" + discovery.server.getLocalPort())
+                .replace("\"ask-within-ns\": 1000000000", "\"ask-within-ns\": 1000000")
+                .replace("\"servers\": []", "\"servers\": [" + entries("in_service") + "]");
+    }
+
+    /** The entries of all nodes, as discovery writes them. */
+    String entries(String state) {
+        List<String> entries = new ArrayList<>();
+        for (Peer node : nodes) {
+            entries.add("{\"id\":\"n" + entries.size() + "\",\"addr\":\"127.0.0.1:"
+                    + node.server.getLocalPort() + "\",\"zone\":\"room\",\"kind\":\"standard\",\"cell\":0,"
+                    + "\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":0}");
+        }
+        return String.join(",", entries);
+    }
+
+    Caller caller() throws IOException {
+        return new Caller(port);
+    }
+
+    /** The next RPC that reached a node. */
+    Received call() throws InterruptedException {
+        return await(calls);
+    }
+
+    static Received await(BlockingQueue<Received> queue) throws InterruptedException {
+        Received next = queue.poll(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+        assertNotNull(next, "nothing came");
+        return next;
+    }
+
+    /** An RPC as a caller writes it. */
+    static String rpc(String kind, String target, String body, String... fields) {
+        return (kind.equals("lookup") ? "GET " : "POST ") + target + " HTTP/1.1\r\nHost: service.internal\r\n"
+                + "Req-Id: id-1\r\nReq-Kind: " + kind + "\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 30000\r\n"
+                + (kind.equals("lookup") ? "" : "Content-Length: " + body.length() + "\r\n") + lines(fields)
+                + "\r\n" + body;
+    }
+
+    private static String lines(String... fields) {
+        StringBuilder lines = new StringBuilder();
+        for (String field : fields) {
+            lines.append(field).append("\r\n");
+        }
+        return lines.toString();
+    }
+
+    private static Received read(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = in.read();
+            if (next < 0) {
+                return null;
+            }
+            head.append((char) next);
+        }
+        Received received = new Received(socket, head.toString(), "");
+        String length = received.field("Content-Length");
+        byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
+        return new Received(socket, head.toString(), new String(body, StandardCharsets.ISO_8859_1));
+    }
+
+    @Override
+    public void close() throws IOException {
+        if (proxy != null) {
+            proxy.drain();
+        }
+        discovery.close();
+        for (Peer node : nodes) {
+            node.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cedarrudder/routing/DriverTest.java
@@ -0,0 +1,208 @@
+package cedarrudder.routing;
+
+import static org.testng.Assert.assertEquals;
+
+import cedarrudder.Balancer;
+import cedarrudder.Balancer.Actions;
+import cedarrudder.Balancer.Endpoint;
+import cedarrudder.Balancer.ListKind;
+import cedarrudder.Balancer.Load;
+import cedarrudder.Balancer.Outcome;
+import cedarrudder.logging.Logger;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What the module is told, and what is carried out, with every part round the driver played by the test. */
+public class DriverTest {
+
+    private static final int MOST_ATTEMPTS = 2;
+    private static final long DEADLINE = 1000;
+
+    private final List<String> seen = new ArrayList<>();
+    private final List<CallAttempt<String, String>> started = new ArrayList<>();
+    private final List<Runnable> timers = new ArrayList<>();
+    private Runnable onRequest;
+    private Runnable onOutcome;
+    private boolean refuseConnections;
+    private long now;
+    private Actions actions;
+    private Driver<String, String> driver;
+
+    @BeforeMethod
+    public void start() {
+        seen.clear();
+        started.clear();
+        timers.clear();
+        now = 1;
+        refuseConnections = false;
+        onRequest = () -> actions.send(1, 7, 0);
+        onOutcome = () -> { };
+        driver = new Driver<>(did -> {
+            actions = did;
+            return new Module();
+        }, MOST_ATTEMPTS, new Timers() {
+            @Override
+            public long now() {
+                return now;
+            }
+
+            @Override
+            public void at(long instant, Runnable task) {
+                timers.add(task);
+            }
+        }, new Logger(new PrintStream(OutputStream.nullOutputStream())));
+        driver.connect(new Client(), null, null);
+    }
+
+    private void accept() {
+        driver.accept(new Exchange<>(new Balancer.Request(1, 0, 0, DEADLINE, 0, false, false, 0), "q",
+                new Exchange.Reply<>() {
+                    @Override
+                    public void served(String answer) {
+                        seen.add("served " + answer);
+                    }
+
+                    @Override
+                    public void refused(long retryAfter) {
+                        seen.add("refused");
+                    }
+
+                    @Override
+                    public void failed() {
+                        seen.add("failed");
+                    }
+                }));
+    }
+
+    @Test
+    public void anActionNeverReentersTheModule() {
+        refuseConnections = true;
+        onRequest = () -> {
+            actions.send(1, 7, 0);
+            seen.add("request handled");
+        };
+        accept();
+        assertEquals(seen, List.of("start 0", "request handled", "outcome 0 CONNECT_FAILED open"));
+    }
+
+    @Test
+    public void theFirstServedAttemptEndsTheRpcAndTheOtherIsSettled() {
+        onRequest = () -> {
+            actions.send(1, 7, 0);
+            actions.send(1, 8, 0);
+        };
+        accept();
+        driver.served(started.get(1), "b", null);
+        driver.served(started.get(0), "a", null);
+        assertEquals(seen, List.of("start 0", "start 1", "served b", "outcome 1 OK settled",
+                "outcome 0 OK settled"));
+    }
+
+    @Test
+    public void attemptsBeyondTheMostAreMoot() {
+        onRequest = () -> {
+            for (int i = 0; i <= MOST_ATTEMPTS; i++) {
+                actions.send(1, 7, 0);
+            }
+        };
+        accept();
+        assertEquals(seen, List.of("start 0", "start 1", "outcome 2 MOOT open"));
+    }
+
+    @Test
+    public void givingUpAbandonsTheAttemptAndLaterNewsOfItIsIgnored() {
+        accept();
+        actions.cancel(1, 0);
+        driver.served(started.get(0), "late", null);
+        assertEquals(seen, List.of("start 0", "abandon 0", "outcome 0 CANCELLED open"));
+    }
+
+    @Test
+    public void atTheDeadlineWhatIsOutTimesOutAndTheModuleEndsIt() {
+        onOutcome = () -> actions.fail(1);
+        accept();
+        now = DEADLINE;
+        timers.remove(0).run();
+        assertEquals(seen, List.of("start 0", "abandon 0", "outcome 0 TIMEOUT open", "failed"));
+    }
+
+    @Test
+    public void anRpcThatTheModuleForgetsIsAnsweredAllTheSame() {
+        onRequest = () -> {
+            throw new IllegalStateException("a fault of the module");
+        };
+        accept();
+        now = DEADLINE;
+        timers.remove(0).run();
+        timers.remove(0).run();
+        assertEquals(seen, List.of("failed", "client left"));
+    }
+
+    private final class Client implements ClientSide<String, String> {
+        @Override
+        public boolean knows(long endpoint) {
+            return true;
+        }
+
+        @Override
+        public void start(CallAttempt<String, String> attempt) {
+            seen.add("start " + attempt.number());
+            started.add(attempt);
+            if (refuseConnections) {
+                driver.ended(attempt, Outcome.CONNECT_FAILED, null);
+            }
+        }
+
+        @Override
+        public void abandon(CallAttempt<String, String> attempt) {
+            seen.add("abandon " + attempt.number());
+        }
+
+        @Override
+        public void probe(long endpoint) { }
+
+        @Override
+        public void closeIdle(long endpoint) { }
+    }
+
+    private final class Module implements Balancer {
+        @Override
+        public void endpoints(long at, ListKind kind, List<Endpoint> entries) { }
+
+        @Override
+        public void endpointsFailed(long at) { }
+
+        @Override
+        public void request(long at, Request request) {
+            onRequest.run();
+        }
+
+        @Override
+        public void firstByte(long at, long request, int attempt, long endpoint, long latency) { }
+
+        @Override
+        public void outcome(long at, long request, int attempt, long endpoint, Outcome outcome, long latency,
+                boolean settled, Load load) {
+            seen.add("outcome " + attempt + " " + outcome + (settled ? " settled" : " open"));
+            onOutcome.run();
+        }
+
+        @Override
+        public void clientLeft(long at, long request) {
+            seen.add("client left");
+        }
+
+        @Override
+        public void timer(long at, long token) { }
+
+        @Override
+        public void probed(long at, long endpoint, Outcome outcome, long latency, Load load) { }
+
+        @Override
+        public void message(long at, int from, byte[] message) { }
+    }
+}
