--- a/src/main/java/cedarrudder/routing/Driver.java
+++ b/src/main/java/cedarrudder/routing/Driver.java
@@ -54,7 +54,7 @@
     /** Takes an RPC; its reply is called exactly once unless the caller leaves. */
     public void accept(Exchange<Q, A> exchange) {
         exchanges.put(exchange.request().id(), exchange);
-        timers.at(exchange.request().deadline(), () -> expire(exchange));
+        exchange.expiresBy(timers.at(exchange.request().deadline(), () -> expire(exchange)));
         post(() -> balancer.request(timers.now(), exchange.request()));
     }
 
@@ -172,6 +172,7 @@
 
     private void forgetIfDone(Exchange<Q, A> exchange) {
         if (exchange.forgettable()) {
+            exchange.forget();
             exchanges.remove(exchange.request().id());
         }
     }
--- a/src/main/java/cedarrudder/routing/Exchange.java
+++ b/src/main/java/cedarrudder/routing/Exchange.java
@@ -31,6 +31,7 @@
     private final Q content;
     private final Reply<A> reply;
     private final List<CallAttempt<Q, A>> attempts = new ArrayList<>(1);
+    private Timers.Timer timer;
     private int out;
     private boolean over;
 
@@ -72,6 +73,18 @@
         return attempt;
     }
 
+    void expiresBy(Timers.Timer deadline) {
+        timer = deadline;
+    }
+
+    /**
+     * Calls the deadline off. Guards against every RPC of the last seconds being kept in memory, bodies and
+     * all, until its deadline comes.
+     */
+    void forget() {
+        timer.cancel();
+    }
+
     /** Counts an attempt as ended; an exchange may be forgotten once it is over and none is out. */
     void attemptEnded() {
         out--;
--- a/src/main/java/cedarrudder/routing/Timers.java
+++ b/src/main/java/cedarrudder/routing/Timers.java
@@ -6,6 +6,12 @@
     /** An instant of the clock, in nanoseconds; it never goes back. */
     long now();
 
+    /** A task that waits for its time. */
+    interface Timer {
+        /** Calls the task off; without effect once it has run. */
+        void cancel();
+    }
+
     /** Runs a task at an instant or soon after, never at once. */
-    void at(long instant, Runnable task);
+    Timer at(long instant, Runnable task);
 }
--- a/src/main/java/cedarrudder/transport/Loop.java
+++ b/src/main/java/cedarrudder/transport/Loop.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
 /** The one event loop, which owns all that runs, and its clock. */
@@ -46,14 +47,15 @@
     }
 
     @Override
-    public void at(long instant, Runnable task) {
-        group.schedule(() -> {
+    public Timer at(long instant, Runnable action) {
+        ScheduledFuture<?> task = group.schedule(() -> {
             long late = now() - instant;
             if (late > LATE) {
                 log.warn("the loop is " + late / 1_000_000 + " ms late");
             }
-            guarded(task);
+            guarded(action);
         }, Math.max(1, instant - now()), TimeUnit.NANOSECONDS);
+        return () -> task.cancel(false);
     }
 
     /** Runs a task on the loop, from any thread. */
--- a/src/main/java/cedarrudder/transport/NodeChannels.java
+++ b/src/main/java/cedarrudder/transport/NodeChannels.java
@@ -11,6 +11,7 @@
 import cedarrudder.routing.CallAttempt;
 import cedarrudder.routing.ClientSide;
 import cedarrudder.routing.Driver;
+import cedarrudder.routing.Timers;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -111,9 +112,7 @@
 
     @Override
     public void probe(long endpoint) {
-        Probe probe = new Probe(endpoint);
-        loop.at(loop.now() + PROBE_PATIENCE, probe::expire);
-        carry(nodes.get(endpoint), probe);
+        carry(nodes.get(endpoint), new Probe(endpoint));
     }
 
     @Override
@@ -217,12 +216,13 @@
     private final class Probe extends Work {
         private final long endpoint;
         private final long startedAt = loop.now();
+        private final Timers.Timer patience = loop.at(startedAt + PROBE_PATIENCE, this::expire);
 
         Probe(long endpoint) {
             this.endpoint = endpoint;
         }
 
-        void expire() {
+        private void expire() {
             if (!over) {
                 giveUp();
                 failed(Outcome.TIMEOUT);
@@ -238,6 +238,7 @@
 
         @Override
         void answered(Message answer) {
+            patience.cancel();
             boolean ok = answer.head().status() == 200;
             var load = ok ? LoadReport.parse(new String(answer.body(), StandardCharsets.UTF_8)) : null;
             driver.probed(endpoint, ok ? Outcome.OK : declined(answer) ? Outcome.FULL : Outcome.ERROR,
@@ -246,6 +247,7 @@
 
         @Override
         void failed(Outcome outcome) {
+            patience.cancel();
             driver.probed(endpoint, outcome, loop.now() - startedAt, null);
         }
     }
@@ -284,11 +286,21 @@
                 if (wrote.isSuccess()) {
                     next.written = true;
                 } else {
-                    channel.close();
+                    fail();
                 }
             });
         }
 
+        /** Closes, and tells the work on it that it ended: there may be no other news of a closed channel. */
+        private void fail() {
+            channel.close();
+            Work broken = work;
+            work = null;
+            if (broken != null) {
+                broken.broke();
+            }
+        }
+
         void close() {
             channel.close();
         }
@@ -336,10 +348,8 @@
             Message last = decoder.atEnd();
             if (last != null) {
                 finish(last, false);
-            } else if (work != null) {
-                Work broken = work;
-                work = null;
-                broken.broke();
+            } else {
+                fail();
             }
         }
 
--- a/src/test/java/cedarrudder/routing/DriverTest.java
+++ b/src/test/java/cedarrudder/routing/DriverTest.java
@@ -51,8 +51,9 @@
             }
 
             @Override
-            public void at(long instant, Runnable task) {
+            public Timer at(long instant, Runnable task) {
                 timers.add(task);
+                return () -> timers.remove(task);
             }
         }, new Logger(new PrintStream(OutputStream.nullOutputStream())));
         driver.connect(new Client(), null, null);
@@ -102,6 +103,14 @@
                 "outcome 0 OK settled"));
     }
 
+    @Test
+    public void whatIsOverIsNotKeptUntilItsDeadline() {
+        accept();
+        assertEquals(timers.size(), 1);
+        driver.served(started.get(0), "a", null);
+        assertEquals(timers.size(), 0);
+    }
+
     @Test
     public void attemptsBeyondTheMostAreMoot() {
         onRequest = () -> {
