Warm the way of a new connection too; test the datagrams between proxies

Ruled out: the warm-up's RPCs themselves, which ran on one channel and so took the way of an accept once. Change: every third of them takes a new channel.

--- a/src/main/java/cedarrudder/program/Warmup.java
+++ b/src/main/java/cedarrudder/program/Warmup.java
@@ -40,6 +40,9 @@
 
     private static final int RPCS = 100;
 
+    /** Callers' first connections all come at once, so the way of a new one is taken often too. */
+    private static final int RPCS_A_CHANNEL = 3;
+
     /** Readiness never waits longer than this for it. */
     private static final long MOST = 3_000_000_000L;
 
@@ -95,6 +98,9 @@
             finish();
             return;
         }
+        if (sent % RPCS_A_CHANNEL == 0) {
+            channels.closeIdle(SELF);
+        }
         long deadline = loop.now() + MOST;
         Request rpc = new Request(sent, 0, 0, deadline, 0, false, false, 0);
         driver.accept(new Exchange<>(rpc, request, new Reply()));
--- /dev/null
+++ b/src/test/java/cedarrudder/transport/PeerSocketTest.java
@@ -0,0 +1,78 @@
+package cedarrudder.transport;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.Balancer;
+import cedarrudder.logging.Logger;
+import cedarrudder.protocol.Message;
+import cedarrudder.routing.Driver;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.lang.reflect.Proxy;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+
+/** Datagrams between proxies, with one of them played by the test. */
+public class PeerSocketTest {
+
+    private static final int PATIENCE_MILLIS = 20_000;
+
+    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+
+    /** A module that only notes the messages it is told of. */
+    private Balancer module() {
+        return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
+                new Class<?>[] {Balancer.class}, (proxy, method, arguments) -> {
+                    if (method.getName().equals("message")) {
+                        told.add(arguments[1] + " " + text((byte[]) arguments[2], 4));
+                    }
+                    return null;
+                });
+    }
+
+    private static String text(byte[] bytes, int length) {
+        return new String(bytes, 0, length, StandardCharsets.UTF_8);
+    }
+
+    @Test
+    public void messagesGoBothWaysAndStrangersAreNotHeard() throws Exception {
+        ByteArrayOutputStream log = new ByteArrayOutputStream();
+        Loop loop = new Loop(new Logger(new PrintStream(log, true)));
+        InetAddress here = InetAddress.getLoopbackAddress();
+        InetSocketAddress own;
+        try (DatagramSocket free = new DatagramSocket(0, here)) {
+            own = (InetSocketAddress) free.getLocalSocketAddress();
+        }
+        try (DatagramSocket other = new DatagramSocket(0, here);
+                DatagramSocket stranger = new DatagramSocket(0, here)) {
+            other.setSoTimeout(PATIENCE_MILLIS);
+            Driver<Message, Message> driver = new Driver<>(actions -> module(), 1, loop,
+                    new Logger(System.err));
+            PeerSocket socket = new PeerSocket(loop, driver,
+                    List.of(own, (InetSocketAddress) other.getLocalSocketAddress()), null);
+            socket.listen(own);
+            loop.run(() -> socket.tell(-1, new byte[] {1})); // there is no address for all
+            loop.run(() -> socket.tell(1, "hello".getBytes(StandardCharsets.UTF_8)));
+            DatagramPacket packet = new DatagramPacket(new byte[300], 300);
+            other.receive(packet);
+            assertEquals(text(packet.getData(), packet.getLength()), "hello");
+            stranger.send(new DatagramPacket("psst".getBytes(StandardCharsets.UTF_8), 4, own));
+            other.send(new DatagramPacket(new byte[257], 257, own));
+            other.send(new DatagramPacket("back".getBytes(StandardCharsets.UTF_8), 4, own));
+            assertEquals(told.poll(PATIENCE_MILLIS, TimeUnit.MILLISECONDS), "1 back");
+            assertTrue(told.isEmpty());
+            assertEquals(log.toString(StandardCharsets.UTF_8).lines().count(), 3, log.toString());
+        } finally {
+            loop.stop();
+        }
+    }
+}
