--- a/src/main/java/cedarrudder/transport/Loop.java
+++ b/src/main/java/cedarrudder/transport/Loop.java
@@ -20,7 +20,7 @@
     private static final long LATE = 20_000_000L;
 
     /** For how long the latest known lateness is taken to last. */
-    private static final long LATE_COUNTS = 1_000_000_000L;
+    private static final long LATE_COUNTS = 5_000_000_000L;
 
     private final EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("loop"));
     // One small arena of 256 KiB chunks: the defaults take megabytes for each core of the machine.
