Handle SIGHUP: read the configuration again and move the watch without a gap

Cause: nothing handled the signal, so the virtual machine ended as it does by default (Main.serve set up only SIGTERM's hook). Checked in the integration test: the built jar ends with 129 without Signals.onHangup. Change: the handler is in place before the proxy listens; the file is read again on the loop; DiscoveryClient moves its calls and opens the watch at the new address, while the former watch tells on until the new one does. A file that can't be read leaves all as it was, with one line in the log.

--- a/src/main/java/cedarrudder/program/Main.java
+++ b/src/main/java/cedarrudder/program/Main.java
@@ -48,7 +48,10 @@
             }
             Configuration configuration = read(file);
             keepNettySmall();
-            Proxy proxy = new Proxy(configuration, new Logger(System.err));
+            Logger log = new Logger(System.err);
+            Proxy proxy = new Proxy(configuration, log);
+            // Before anything listens: guards against the virtual machine's own answer to SIGHUP, its end.
+            Signals.onHangup(() -> proxy.reload(() -> read(file)), log);
             proxy.start();
             // SIGTERM: the virtual machine ends when this hook has, so all that was taken is answered.
             Runtime.getRuntime().addShutdownHook(new Thread(proxy::drain, "drain"));
--- a/src/main/java/cedarrudder/program/Proxy.java
+++ b/src/main/java/cedarrudder/program/Proxy.java
@@ -17,6 +17,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 
 /** One proxy: its parts, wired together. */
@@ -102,6 +103,27 @@
         driver.resolved(kind, result.endpoints());
     }
 
+    /**
+     * Takes up what the operator has changed, from any thread: the address of discovery. The rest of a
+     * configuration counts from the next start. RPCs and callers notice nothing.
+     *
+     * <p>It is read on the loop, which takes a millisecond, so that of two changes the later one counts.
+     *
+     * @param changed reads the configuration, or says in an exception why it can't
+     */
+    void reload(Callable<Configuration> changed) {
+        loop.run(() -> {
+            try {
+                Configuration next = changed.call();
+                log.info("reload: discovery is at " + next.discovery());
+                discovery.moveTo(next.discovery());
+            } catch (Exception e) {
+                // Guards against a file that is broken or half written ending what works.
+                log.warn("reload: the configuration stays as it was: " + e.getMessage());
+            }
+        });
+    }
+
     /** Answers all that was taken and returns when nothing is left. To be called from another thread. */
     void drain() {
         CountDownLatch drained = new CountDownLatch(1);
--- /dev/null
+++ b/src/main/java/cedarrudder/program/Signals.java
@@ -0,0 +1,33 @@
+package cedarrudder.program;
+
+import cedarrudder.logging.Logger;
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.Proxy;
+
+/** Signals that the platform's own interface has no place for. SIGTERM is a shutdown hook's affair. */
+final class Signals {
+
+    private Signals() { }
+
+    /**
+     * Runs a task at each SIGHUP, on a thread of its own, in place of ending the virtual machine.
+     *
+     * <p>By reflection, since the compiler warns of the class by its name and takes no word that it is meant;
+     * the module that holds it is open to all programs.
+     */
+    static void onHangup(Runnable task, Logger log) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            InvocationHandler runs = (self, method, arguments) -> {
+                task.run();
+                return null;
+            };
+            Object handles = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, runs);
+            signal.getMethod("handle", signal, handler).invoke(null,
+                    signal.getConstructor(String.class).newInstance("HUP"), handles);
+        } catch (ReflectiveOperationException | IllegalArgumentException e) {
+            log.warn("SIGHUP is not handled: " + e);
+        }
+    }
+}
--- a/src/main/java/cedarrudder/transport/DiscoveryClient.java
+++ b/src/main/java/cedarrudder/transport/DiscoveryClient.java
@@ -41,12 +41,15 @@
     private static final long WATCH_PATIENCE = 5_000_000_000L;
 
     private final Loop loop;
-    private final InetSocketAddress address;
     private final ResolverResultReader reader;
     private final Consumer<ResolverResult> results;
     private final Runnable failures;
     private final Bootstrap bootstrap;
+    private InetSocketAddress address;
     private Call watch;
+
+    /** The watch at the address used before, until the one at the new address has told its first. */
+    private Call former;
     private long version;
 
     /** @param known the version of the list that the proxy starts with */
@@ -72,6 +75,32 @@
         if (on) {
             watch = new Call(true);
             watch.open(LIST + "?follow=1&since=" + version);
+        } else {
+            endFormer();
+        }
+    }
+
+    /**
+     * Discovery has moved: calls go to its new address from now on, and so does the watch. Guards against a
+     * gap in the list: the watch at the old address goes on telling until the new one does.
+     */
+    public void moveTo(InetSocketAddress next) {
+        if (next.equals(address)) {
+            return;
+        }
+        address = next;
+        if (watch != null) {
+            endFormer();
+            former = watch;
+            watch = null;
+            subscribe(true);
+        }
+    }
+
+    private void endFormer() {
+        if (former != null) {
+            former.drop();
+            former = null;
         }
     }
 
@@ -84,6 +113,7 @@
     private final class Call extends SimpleChannelInboundHandler<ByteBuf> {
         private final boolean follows;
         private final HttpDecoder decoder = HttpDecoder.ofStreams(new Lines(this::line));
+        private final InetSocketAddress to = address;
         private Channel channel;
         private boolean over;
         private boolean answered;
@@ -96,10 +126,10 @@
         void open(String target) {
             heardAt = loop.now();
             watchOver();
-            bootstrap.clone().handler(this).connect(address).addListener(connected -> {
+            bootstrap.clone().handler(this).connect(to).addListener(connected -> {
                 if (connected.isSuccess() && !over) {
                     channel.writeAndFlush(HttpEncoder.get(loop.buffers(), target,
-                            address.getAddress().getHostAddress() + ":" + address.getPort()));
+                            to.getAddress().getHostAddress() + ":" + to.getPort()));
                 } else {
                     fail("can't connect");
                 }
@@ -154,11 +184,17 @@
             }
             ResolverResult result = reader.read(JsonObject.parse(text));
             answered = true;
+            if (this == watch) {
+                endFormer();
+            }
             if (!follows && result.version() < version) {
                 // Guards against a late answer taking back what the watch has told since.
                 fail("older than what is known");
                 return;
             }
+            if (!result.full() && result.version() < version) {
+                return; // a change that the watch at the former address has told already
+            }
             version = result.version();
             results.accept(result);
         }
@@ -167,6 +203,10 @@
             if (!over) {
                 loop.log().warn("discovery: " + (follows ? "watch: " : "call: ") + why);
                 drop();
+                if (former == this) {
+                    former = null; // it was to end; the watch that takes its place reports for both
+                    return;
+                }
                 if (watch == this) {
                     watch = null;
                 }
--- a/src/test/java/cedarrudder/program/ProxyStoriesTest.java
+++ b/src/test/java/cedarrudder/program/ProxyStoriesTest.java
@@ -151,19 +151,44 @@
         try (World world = new World(1).start()) {
             Received watch = World.await(world.lookups);
             assertEquals(watch.first(), "GET /catalog/members?follow=1&since=0 HTTP/1.1");
-            watch.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            watch.raw(World.STREAM);
             String list = "{\"version\":7,\"full\":true,\"servers\":[" + world.entries("in_service") + "]}\n";
             watch.chunk(list.substring(0, 30));
             watch.chunk(list.substring(30) + "\n");
             watch.reset();
             Received again = World.await(world.lookups);
             assertEquals(again.first(), "GET /catalog/members?follow=1&since=7 HTTP/1.1");
-            again.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            again.raw(World.STREAM);
             again.chunk("no JSON\n");
             assertEquals(World.await(world.lookups).first(), again.first());
         }
     }
 
+    /** Guards against a gap in the list while the watch moves: the old one tells until then. */
+    @Test
+    public void aMovedDiscoveryIsWatchedAtItsNewAddressWithoutAGap() throws Exception {
+        try (World world = new World(1).start()) {
+            Received old = World.await(world.lookups);
+            old.raw(World.STREAM);
+            old.chunk("{\"version\":7,\"full\":true,\"servers\":["
+                    + world.entries("in_service") + "]}\n");
+            world.reload("{");
+            world.awaitLog("stays as it was");
+            world.discovery = new World.Peer(world.lookups);
+            world.reload(world.configuration());
+            Received watch = World.await(world.lookups);
+            assertEquals(watch.socket().getLocalPort(), world.discovery.server.getLocalPort());
+            old.chunk("{\"version\":8,\"full\":false,\"servers\":[]}\n");
+            watch.raw(World.STREAM);
+            watch.chunk("{\"version\":9,\"full\":false,\"servers\":[]}\n");
+            old.awaitEnd();
+            watch.reset();
+            Received again = World.await(world.lookups);
+            assertEquals(again.first(), "GET /catalog/members?follow=1&since=9 HTTP/1.1");
+            assertEquals(again.socket().getLocalPort(), world.discovery.server.getLocalPort());
+        }
+    }
+
     @DataProvider
     public Object[][] badRequests() {
         String body = "x".repeat(65 * 1024);
--- a/src/test/java/cedarrudder/program/ServeIT.java
+++ b/src/test/java/cedarrudder/program/ServeIT.java
@@ -22,6 +22,10 @@
     private static Process serve(String configuration) throws IOException {
         Path file = Files.createTempFile("cedarrudder", ".json");
         Files.writeString(file, configuration);
+        return serve(file);
+    }
+
+    private static Process serve(Path file) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-jar",
                 "target/cedarrudder.jar", "serve").redirectErrorStream(true);
@@ -30,8 +34,11 @@
     }
 
     private static void awaitLine(Process process, String part) throws IOException {
-        BufferedReader lines = new BufferedReader(
-                new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        awaitLine(new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8)),
+                part);
+    }
+
+    private static void awaitLine(BufferedReader lines, String part) throws IOException {
         for (String line = lines.readLine(); line != null; line = lines.readLine()) {
             if (line.contains(part)) {
                 return;
@@ -67,6 +74,42 @@
         }
     }
 
+    /** The virtual machine's own answer to SIGHUP is to end: a crash for those who only sent a new file. */
+    @Test
+    public void itReadsItsConfigurationAgainAtSighupAndServesOn() throws Exception {
+        try (World world = new World(1)) {
+            Path file = Files.createTempFile("cedarrudder", ".json");
+            Files.writeString(file, world.configuration());
+            Process process = serve(file);
+            BufferedReader lines = new BufferedReader(
+                    new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+            awaitLine(lines, "listens on");
+            try (Caller caller = world.caller()) {
+                caller.send(World.rpc("order", "/api", "x"));
+                Received taken = world.call();
+                Files.writeString(file, "{");
+                hangUp(process);
+                awaitLine(lines, "stays as it was");
+                world.discovery = new World.Peer(world.lookups);
+                Files.writeString(file, world.configuration());
+                hangUp(process);
+                while (World.await(world.lookups).socket().getLocalPort()
+                        != world.discovery.server.getLocalPort()) {
+                    // a watch at the old address
+                }
+                taken.reply("200 OK", "kept");
+                assertEquals(caller.read().body(), "kept");
+                hangUp(process);
+                process.destroy();
+            }
+            assertEquals(process.waitFor(), TERMINATED);
+        }
+    }
+
+    private static void hangUp(Process process) throws IOException, InterruptedException {
+        assertEquals(new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor(), 0);
+    }
+
     @Test
     public void itSaysInOneLineWhyItCantStart() throws Exception {
         try (World world = new World(1)) {
--- a/src/test/java/cedarrudder/program/World.java
+++ b/src/test/java/cedarrudder/program/World.java
@@ -1,6 +1,7 @@
 package cedarrudder.program;
 
 import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
 
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
@@ -28,6 +29,9 @@
     /** No test waits longer than this for what must come; none depends on how soon it comes. */
     private static final int PATIENCE_MILLIS = 20_000;
 
+    /** How discovery begins to answer a watch. */
+    static final String STREAM = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
     /** A message as it came, and the way to answer it. */
     record Received(Socket socket, String head, String body) {
 
@@ -152,7 +156,7 @@
     final BlockingQueue<Received> lookups = new LinkedBlockingQueue<>();
     final List<Peer> nodes = new ArrayList<>();
     final ByteArrayOutputStream log = new ByteArrayOutputStream();
-    private final Peer discovery = new Peer(lookups);
+    Peer discovery = new Peer(lookups);
     final int port;
     private Proxy proxy;
 
@@ -173,6 +177,11 @@
         return this;
     }
 
+    /** The configuration is replaced, and the proxy is told to read it again. */
+    void reload(String configuration) {
+        proxy.reload(() -> Configuration.parse(configuration));
+    }
+
     /** The example's configuration, with this world's addresses and all nodes known. */
     String configuration() throws IOException {
         return Files.readString(Path.of("example", "config.json")).replace(":7000", ":" + port)
@@ -239,6 +248,14 @@
         return new Received(socket, head.toString(), new String(body, StandardCharsets.ISO_8859_1));
     }
 
+    /** Waits until the log has a line with this. */
+    void awaitLog(String part) throws InterruptedException {
+        for (int i = 0; !log.toString().contains(part); i++) {
+            assertTrue(i < PATIENCE_MILLIS, log.toString());
+            Thread.sleep(1);
+        }
+    }
+
     @Override
     public void close() throws IOException {
         if (proxy != null) {
