Bound what bad callers and spoilt answers cost, and serve on after SIGTERM

Spoilt answers are now RESET at once (300 ms where the end never comes), and a pooled channel is looked at before it is used. Now callers are served until 0.4 s before the last moment, which is 0.2 s before SIGKILL may come, and deadlines are cut to that moment.

--- a/src/main/java/cedarrudder/logging/Logger.java
+++ b/src/main/java/cedarrudder/logging/Logger.java
@@ -17,6 +17,9 @@
      */
     private static final int WARNINGS_A_WINDOW = 20;
 
+    /** Longer lines are cut: what a peer sent may be part of one. */
+    private static final int MOST_LINE = 300;
+
     private final PrintStream out;
     private final long started = System.nanoTime();
     private long window = started;
@@ -61,7 +64,7 @@
         StringBuilder entry = new StringBuilder(80).append(millis / 1000).append('.')
                 .append(millis % 1000 / 100).append(millis % 100 / 10).append(millis % 10)
                 .append(' ').append(level).append(' ');
-        for (int i = 0; i < line.length(); i++) {
+        for (int i = 0; i < Math.min(line.length(), MOST_LINE); i++) {
             // Guards against a peer that writes log lines of its own by sending line ends.
             entry.append(Character.isISOControl(line.charAt(i)) ? '?' : line.charAt(i));
         }
--- a/src/main/java/cedarrudder/program/Proxy.java
+++ b/src/main/java/cedarrudder/program/Proxy.java
@@ -26,6 +26,9 @@
     /** Descriptors that are not for callers: channels to nodes, discovery, files of the virtual machine. */
     private static final double KEPT_FOR_OTHERS = 0.5;
 
+    /** The share of descriptors that channels to nodes may take while some of them are idle. */
+    private static final double FOR_NODES = 0.25;
+
     private final Logger log;
     private final Configuration configuration;
     private final Loop loop;
@@ -45,7 +48,8 @@
         loop = new Loop(log);
         driver = new Driver<>(actions -> new Decide(site.module(), new SplittableRandom(configuration.seed()),
                 actions), site.module().limits().maxAttempts(), loop, log);
-        channels = new NodeChannels(loop, driver, site);
+        channels = new NodeChannels(loop, driver, site,
+                (int) (configuration.sockets() * FOR_NODES));
         reader = new ResolverResultReader(site, loop.now() - System.currentTimeMillis() * 1_000_000);
         long version = (long) configuration.known().number("version", 0);
         discovery = new DiscoveryClient(loop, configuration.discovery(), reader, version,
@@ -98,7 +102,7 @@
     }
 
     private void resolved(ResolverResult result, ListKind kind) {
-        channels.resolved(result.nodes());
+        channels.resolved(result);
         resolved |= !result.nodes().isEmpty();
         driver.resolved(kind, result.endpoints());
     }
--- a/src/main/java/cedarrudder/program/Warmup.java
+++ b/src/main/java/cedarrudder/program/Warmup.java
@@ -66,15 +66,21 @@
         token = "warm-up-" + Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
         String owner = settings.tenants().isEmpty() ? ""
                 : "Req-Owner: " + settings.tenants().get(0).name() + "\r\n";
-        String text = "GET /warm-up HTTP/1.1\r\nHost: self\r\nReq-Id: " + token + "\r\nReq-Kind: "
+        String method = switch (settings.classes().get(0).effect()) {
+            case SAFE -> "GET /warm-up HTTP/1.1\r\n";
+            case KEYED -> "POST /warm-up HTTP/1.1\r\nIdempotency-Key: " + token + "\r\n";
+            case UNSAFE -> "POST /warm-up HTTP/1.1\r\n";
+        };
+        String text = method + "Host: self\r\nReq-Id: " + token + "\r\nReq-Kind: "
                 + settings.classes().get(0).name() + "\r\n" + owner + "Req-Deadline-Ms: 1000\r\n\r\n";
         request = Message.requestOf(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
         driver = new Driver<>(actions -> new Decide(settings, random, actions),
                 settings.limits().maxAttempts(), new Clock(), log);
-        channels = new NodeChannels(loop, driver, configuration.site());
+        channels = new NodeChannels(loop, driver, configuration.site(), RPCS);
         driver.connect(new Self(), new NoDiscovery(), (copy, message) -> { });
         Endpoint self = new Endpoint(SELF, settings.zone(), 0, 0, State.READY, 1, 0);
-        channels.resolved(List.of(new ResolverResult.Node(self, configuration.listen())));
+        channels.resolved(new ResolverResult(0, true,
+                List.of(new ResolverResult.Node(self, configuration.listen()))));
         driver.resolved(ListKind.FULL, List.of(self));
     }
 
--- a/src/main/java/cedarrudder/protocol/HttpDecoder.java
+++ b/src/main/java/cedarrudder/protocol/HttpDecoder.java
@@ -19,6 +19,9 @@
     public static final int MOST_BODY = 64 * 1024;
 
     private static final int MOST_CHUNK_LINE = 256;
+
+    /** Interim answers (1xx) before the final one. */
+    private static final int MOST_INTERIM = 16;
     private static final int FIRST_HEAD_SIZE = 512;
 
     private enum State { HEAD, FIXED, CHUNK_LINE, CHUNK, CHUNK_END, TRAILER, TO_END }
@@ -37,6 +40,7 @@
     private long bodyLeft;
     private long bodySeen;
     private int trailerSeen;
+    private int interim;
 
     private HttpDecoder(boolean requests, long mostBody, OutputStream sink, ByteArrayOutputStream collected) {
         this.requests = requests;
@@ -67,7 +71,7 @@
         return head;
     }
 
-    /** Whether no byte of a message has been read since the last whole one. */
+    /** Whether no byte of a message has been read since the last whole one, or interim one. */
     public boolean between() {
         return state == State.HEAD && lineLength == 0;
     }
@@ -120,6 +124,7 @@
         }
         state = State.HEAD;
         head = null;
+        interim = 0;
         bodySeen = 0;
         lineLength = 0;
         lineStart = 0;
@@ -187,6 +192,10 @@
         String coding = head.fields().single("transfer-encoding");
         if (!requests && head.status() < 200) {
             head = null; // an interim answer: the final one follows
+            if (++interim > MOST_INTERIM) {
+                // Guards against a node that never comes to its answer.
+                throw BadMessageException.badRequest("too many interim answers");
+            }
             return false;
         }
         if (!requests && (head.status() == 204 || head.status() == 304)) {
--- a/src/main/java/cedarrudder/protocol/LoadReport.java
+++ b/src/main/java/cedarrudder/protocol/LoadReport.java
@@ -8,6 +8,9 @@
 /** Load reports as nodes write them: {@code TEXT inflight=7, queue=2, util=0.61}. */
 public final class LoadReport {
 
+    /** No node has more of anything. */
+    private static final double MOST = 1e6;
+
     private LoadReport() { }
 
     /** Reads a report; null where there is none. Figures that can't be read count as not reported. */
@@ -23,7 +26,8 @@
             if (equals > 0) {
                 try {
                     double figure = Double.parseDouble(part.substring(equals + 1));
-                    if (Double.isFinite(figure) && figure >= 0) {
+                    // Guards against nonsense that is a number: it would outweigh all other nodes' reports.
+                    if (figure >= 0 && figure <= MOST) {
                         figures.put(part.substring(0, equals), figure);
                     }
                 } catch (NumberFormatException e) {
--- a/src/main/java/cedarrudder/protocol/ResolverResultReader.java
+++ b/src/main/java/cedarrudder/protocol/ResolverResultReader.java
@@ -5,8 +5,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Reads resolver results, and gives each node the number by which the module knows it. */
 public final class ResolverResultReader {
@@ -29,13 +31,31 @@
         this.epochNanos = epochNanos;
     }
 
+    /** How many nodes have a number. */
+    int size() {
+        return numbers.size();
+    }
+
     /** Reads a result; an IllegalArgumentException says what is wrong with it. */
     public ResolverResult read(JsonObject json) {
         List<ResolverResult.Node> nodes = new ArrayList<>();
         for (JsonObject entry : json.list("servers", true)) {
             nodes.add(node(entry));
         }
-        return new ResolverResult(json.whole("version"), json.flag("full", false), List.copyOf(nodes));
+        boolean full = json.flag("full", false);
+        if (full) {
+            Set<String> listed = new HashSet<>();
+            for (JsonObject entry : json.list("servers", true)) {
+                listed.add(entry.text("id", null));
+            }
+            List.copyOf(numbers.keySet()).stream().filter(id -> !listed.contains(id)).forEach(this::forget);
+        }
+        return new ResolverResult(json.whole("version"), full, List.copyOf(nodes));
+    }
+
+    /** Guards against keeping every id of a long day: a node that is gone needs no number any more. */
+    private void forget(String id) {
+        names.remove(numbers.remove(id));
     }
 
     private ResolverResult.Node node(JsonObject entry) {
@@ -51,6 +71,9 @@
         Endpoint endpoint = new Endpoint(number(entry.text("id", null)),
                 site.zones().indexOf(entry.text("zone", "")), site.kinds().indexOf(entry.text("kind", "")),
                 (int) entry.number("cell", 0), state, entry.number("weight", 1), startedAt);
+        if (state == State.GONE) {
+            forget(entry.text("id", null));
+        }
         return new ResolverResult.Node(endpoint, Addresses.parse(entry.text("addr", null)));
     }
 
--- a/src/main/java/cedarrudder/protocol/RpcFields.java
+++ b/src/main/java/cedarrudder/protocol/RpcFields.java
@@ -1,6 +1,7 @@
 package cedarrudder.protocol;
 
 import cedarrudder.Balancer;
+import cedarrudder.Balancer.Effect;
 import cedarrudder.Balancer.Settings;
 import java.util.List;
 
@@ -9,6 +10,7 @@
 
     /** Larger figures are nonsense, and would overflow as nanoseconds. */
     private static final long MOST = 86_400_000L;
+    private static final int MOST_DIGITS = 18;
 
     /**
      * The answer is ready this much earlier than the client gives up, or a tenth of its wait earlier. Guards
@@ -17,10 +19,12 @@
      */
     private static final long MARGIN = 40_000_000L;
 
+    private final List<Balancer.RequestClass> kinds;
     private final List<String> classes;
     private final List<String> tenants;
 
     public RpcFields(Settings site) {
+        kinds = site.classes();
         classes = site.classes().stream().map(Balancer.RequestClass::name).toList();
         tenants = site.tenants().stream().map(Balancer.Tenant::name).toList();
     }
@@ -33,29 +37,62 @@
      * against answering just too late: the way here and back, and this process's own delays, come off. On an
      * overloaded day the first tier's loop was 40 to 70 ms late in its first second, which no fixed margin
      * that leaves quick RPCs their time would cover twice, once for reading and once for answering.
+     *
+     * @param latest the answer is ready by then in any case
      */
-    public Balancer.Request read(Head head, long id, long now, long lateness)
+    public Balancer.Request read(Message request, long id, long now, long lateness, long latest)
             throws BadMessageException {
-        HeaderFields fields = head.fields();
+        HeaderFields fields = request.head().fields();
         require(fields, "req-id");
         int kind = classes.indexOf(require(fields, "req-kind"));
         if (kind < 0) {
             throw BadMessageException.badRequest("unknown Req-Kind");
         }
-        String owner = fields.single("req-owner");
+        checkFit(request, kinds.get(kind).effect());
         int tenant = 0;
         if (!tenants.isEmpty()) {
             tenant = tenants.indexOf(require(fields, "req-owner"));
             if (tenant < 0) {
-                throw BadMessageException.badRequest("unknown Req-Owner " + owner);
+                throw BadMessageException.badRequest("unknown Req-Owner");
             }
         }
-        long wait = 1_000_000 * whole("req-deadline-ms", require(fields, "req-deadline-ms"));
+        long wait = 1_000_000 * wait(require(fields, "req-deadline-ms"));
         long deadline = now + wait - Math.min(MARGIN, wait / 10) - Math.min(lateness, wait / 5);
         String cost = fields.single("req-cost");
-        long work = cost == null ? 0 : 1000 * whole("req-cost", cost);
-        return new Balancer.Request(id, kind, tenant, deadline, 0, "1".equals(fields.single("req-retry")),
-                !head.method().equals("GET"), work);
+        long work = cost == null ? 0 : 1000 * cost(cost);
+        return new Balancer.Request(id, kind, tenant, Math.min(deadline, latest), 0,
+                "1".equals(fields.single("req-retry")), !request.head().method().equals("GET"), work);
+    }
+
+    /** The longest that any class of callers waits, in nanoseconds. */
+    public long longestWait() {
+        return kinds.stream().mapToLong(Balancer.RequestClass::deadline).max().orElse(0);
+    }
+
+    /**
+     * The class fixes the method. Guards against passing on what nodes have to turn away, or what would be
+     * repeated by its class though its key or method says otherwise.
+     */
+    private static void checkFit(Message request, Effect effect) throws BadMessageException {
+        String method = request.head().method();
+        String key = request.head().fields().single("idempotency-key");
+        boolean fits = switch (effect) {
+            case SAFE -> method.equals("GET") && key == null && request.body().length == 0;
+            case KEYED -> method.equals("POST") && key != null && !key.isEmpty();
+            case UNSAFE -> method.equals("POST") && key == null;
+        };
+        if (!fits) {
+            throw BadMessageException.badRequest("method, key or body doesn't fit Req-Kind");
+        }
+    }
+
+    private static long wait(String value) throws BadMessageException {
+        boolean whole = value.length() <= MOST_DIGITS && value.chars().allMatch(c -> c >= '0' && c <= '9');
+        long millis = whole ? Long.parseLong(value) : 0;
+        if (millis == 0 || millis > MOST) {
+            throw BadMessageException.badRequest("bad req-deadline-ms");
+        }
+        return millis;
     }
 
     private static String require(HeaderFields fields, String name) throws BadMessageException {
@@ -66,7 +103,7 @@
         return value;
     }
 
-    private static long whole(String name, String value) throws BadMessageException {
+    private static long cost(String value) throws BadMessageException {
         int point = value.indexOf('.');
         try {
             long number = Long.parseLong(point < 0 ? value : value.substring(0, point));
@@ -76,6 +113,6 @@
         } catch (NumberFormatException e) {
             // falls through to the same answer as a number that makes no sense
         }
-        throw BadMessageException.badRequest("bad " + name);
+        throw BadMessageException.badRequest("bad req-cost");
     }
 }
--- a/src/main/java/cedarrudder/transport/Listener.java
+++ b/src/main/java/cedarrudder/transport/Listener.java
@@ -9,8 +9,8 @@
 import cedarrudder.routing.Exchange;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -32,17 +32,50 @@
 
     private static final String HEALTH = "/_health";
 
-    /** After SIGTERM connections still come for up to 0.4 s; they are taken for this long. */
+    /** After SIGTERM connections still come for up to 0.4 s; they are taken for this long at the least. */
     private static final long LINGER = 600_000_000L;
 
-    /** A request that has begun to come must be whole within this time. */
-    private static final long REQUEST_PATIENCE = 10_000_000_000L;
+    /**
+     * SIGKILL follows SIGTERM no sooner than the longest wait (3 s where it is longer) and 0.7 s. What is
+     * taken after SIGTERM is answered a little before that.
+     */
+    private static final long LONGEST_COUNTED = 3_000_000_000L;
+    private static final long KILLED_AFTER = 500_000_000L;
+
+    /** Nothing new is taken for so long before; most RPCs need less. */
+    private static final long WIND_UP = 400_000_000L;
+
+    /**
+     * A request must be whole this long after its connection came, or after its first byte where others came
+     * before it. Guards against half requests and silent connections holding descriptors: whoever sends what
+     * is no request is owed an answer or a close within 3 s.
+     */
+    private static final long REQUEST_PATIENCE = 2_500_000_000L;
+
+    /** A caller between requests may be closed after 2 s; those that ask once and stay would pile up. */
+    private static final long IDLE_PATIENCE = 5_000_000_000L;
+
+    /** A caller that hasn't read its answer for so long has long given up waiting for it. */
+    private static final long ANSWER_PATIENCE = 10_000_000_000L;
 
-    /** How long a caller that sent nonsense may go on sending before it must have read our answer. */
+    /**
+     * How long a caller that was turned away may still send: until it has been quiet for this long, and so
+     * long in all. Guards against the answer being lost, since closing with bytes unread resets a connection.
+     */
     private static final long LAST_WORD = 1_000_000_000L;
+    private static final long LAST_WORDS = 5_000_000_000L;
 
-    /** Bytes of further requests that are kept while one is being answered. */
-    private static final int MOST_AHEAD = HttpDecoder.MOST_BODY + HttpDecoder.MOST_HEAD;
+    /** How often connections are looked over. */
+    private static final long SWEEP = 100_000_000L;
+
+    /**
+     * Bytes taken from one caller before it is another's turn, in so many reads. Guards against callers that
+     * send at full speed without end: each turn of the loop reads little of theirs.
+     */
+    private static final int MOST_READ = 16 * 1024;
+    private static final int READS = 2;
+    private static final int FIRST_READ = 1024;
+    private static final int ACCEPTS = 8;
 
     private final Loop loop;
     private final Driver<Message, Message> driver;
@@ -50,10 +83,21 @@
     private final BooleanSupplier ready;
     private final int mostCallers;
     private final Set<Caller> callers = new HashSet<>();
+
+    /** The callers that may be closed to make room, by why they may; those longest so come first. */
+    private final Set<Caller> rejected = new LinkedHashSet<>();
+    private final Set<Caller> silent = new LinkedHashSet<>();
     private final Set<Caller> idle = new LinkedHashSet<>();
+
+    /** The ids of the RPCs that are open. */
+    private final Set<String> open = new HashSet<>();
     private Channel listening;
+    private boolean full;
     private long lastId;
     private Runnable whenEmpty;
+    private boolean lingering;
+    private boolean stopping;
+    private long answerBy = Long.MAX_VALUE;
     private BiPredicate<Exchange<Message, Message>, Exchange.Reply<Message>> aside = (rpc, reply) -> false;
 
     public Listener(Loop loop, Driver<Message, Message> driver, RpcFields fields, BooleanSupplier ready,
@@ -75,6 +119,11 @@
         var bound = new ServerBootstrap().group(loop.group()).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, 1024)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator()
+                        .maxMessagesPerRead(ACCEPTS))
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(FIRST_READ, FIRST_READ, MOST_READ)
+                                .maxMessagesPerRead(READS))
                 .childOption(ChannelOption.ALLOCATOR, loop.buffers())
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -87,30 +136,83 @@
             throw new IOException("can't listen on " + address + ": " + bound.cause().getMessage());
         }
         listening = bound.channel();
+        loop.run(this::sweep);
+    }
+
+    private void sweep() {
+        long now = loop.now();
+        for (Caller caller : List.copyOf(callers)) {
+            if (now >= caller.due) {
+                caller.close();
+            }
+        }
+        takeMore();
+        loop.at(now + SWEEP, this::sweep);
+    }
+
+    /**
+     * Guards against running out of descriptors: beyond the bound each new connection costs one that may be
+     * closed, those first that were turned away, then those that never said a word. Where there is none, new
+     * ones wait to be accepted.
+     */
+    private void makeRoom(Caller newest) {
+        for (Set<Caller> from : List.of(rejected, silent, idle)) {
+            for (Caller caller : from) {
+                if (caller != newest) {
+                    caller.close();
+                    return;
+                }
+            }
+        }
+        full = true;
+        listening.config().setAutoRead(false);
+    }
+
+    private void takeMore() {
+        if (full && callers.size() <= mostCallers) {
+            full = false;
+            listening.config().setAutoRead(true);
+        }
     }
 
     /**
-     * Ends the service: connections still come for a while, all that is taken is answered, and
+     * Ends the service: for a while callers are served on, all that is taken is answered, and
      * {@code whenDone} runs once no connection is left.
+     *
+     * <p>Guards against leaving callers alone for longer than must be: they use the connections they have as
+     * long as these stay open, and where this proxy is the only one they find no other until it is back. On a
+     * day with one restart all RPCs of 3 s failed while idle connections were closed at SIGTERM.
      */
     public void drain(Runnable whenDone) {
         if (whenEmpty != null) {
             return;
         }
         whenEmpty = whenDone;
-        for (Caller caller : List.copyOf(idle)) {
-            caller.channel.close();
-        }
-        loop.at(loop.now() + LINGER, () -> listening.close().addListener(closed -> {
-            for (Caller caller : List.copyOf(idle)) {
-                caller.channel.close();
-            }
+        lingering = true;
+        long now = loop.now();
+        answerBy = now + Math.min(LONGEST_COUNTED, fields.longestWait()) + KILLED_AFTER;
+        loop.at(now + LINGER, () -> {
+            lingering = false;
             endIfEmpty();
-        }));
+        });
+        loop.at(Math.max(now + LINGER, answerBy - WIND_UP), () -> {
+            stopping = true;
+            listening.close();
+            closeIdle();
+        });
+    }
+
+    private void closeIdle() {
+        for (Set<Caller> from : List.of(silent, idle)) {
+            for (Caller caller : List.copyOf(from)) {
+                caller.close();
+            }
+        }
     }
 
     private void endIfEmpty() {
-        if (whenEmpty != null && callers.isEmpty() && !listening.isOpen()) {
+        if (whenEmpty != null && !lingering && callers.isEmpty()) {
+            listening.close();
             whenEmpty.run();
         }
     }
@@ -121,23 +223,42 @@
         private final HttpDecoder decoder = HttpDecoder.ofRequests();
         private ByteBuf ahead;
         private Exchange<Message, Message> exchange;
+        private String id;
         private boolean keepAlive;
         private boolean decoding;
         private boolean closing;
-        private long requestNumber;
-        private boolean timed;
+        private Set<Caller> among;
+        private long due;
+        private long lastDue;
 
         Caller(DuplexChannel channel) {
             this.channel = channel;
         }
 
+        /** It may now be closed together with these (null: it may not be), and is closed after a while. */
+        private void enter(Set<Caller> next, long patience) {
+            if (among != null) {
+                among.remove(this);
+            }
+            among = next;
+            if (among != null) {
+                among.add(this);
+            }
+            due = patience == Long.MAX_VALUE ? patience : loop.now() + patience;
+        }
+
+        private void close() {
+            enter(null, Long.MAX_VALUE);
+            closing = true;
+            channel.close();
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext context) {
             callers.add(this);
-            idle.add(this);
-            if (callers.size() > mostCallers && idle.size() > 1) {
-                // Guards against running out of descriptors: a connection between requests may be closed.
-                idle.iterator().next().channel.close();
+            enter(silent, REQUEST_PATIENCE);
+            if (callers.size() > mostCallers) {
+                makeRoom(this);
             }
         }
 
@@ -146,13 +267,17 @@
             ByteBuf in = (ByteBuf) message;
             if (closing) {
                 in.release();
+                due = among == rejected ? Math.min(loop.now() + LAST_WORD, lastDue) : due;
                 return;
             }
             ahead = ahead == null ? in : append(in);
             decode();
-            if (ahead != null && ahead.readableBytes() > MOST_AHEAD) {
-                channel.close();
-            }
+            readOn();
+        }
+
+        /** Guards against keeping further requests without end: what comes while one is open stays unread. */
+        private void readOn() {
+            channel.config().setAutoRead(ahead == null || exchange == null);
         }
 
         private ByteBuf append(ByteBuf in) {
@@ -171,10 +296,15 @@
             decoding = true;
             try {
                 while (ahead != null && exchange == null && !closing && ahead.isReadable()) {
-                    idle.remove(this);
+                    if (among == idle) {
+                        enter(null, REQUEST_PATIENCE);
+                    } else if (among == silent) {
+                        long connectedDue = due;
+                        enter(null, 0);
+                        due = connectedDue;
+                    }
                     Message request = decoder.decode(ahead);
                     if (request != null) {
-                        requestNumber++;
                         take(request);
                     }
                 }
@@ -188,23 +318,6 @@
                 ahead.release();
                 ahead = null;
             }
-            if (exchange == null && !closing) {
-                if (decoder.between()) {
-                    idle.add(this);
-                } else if (!timed) {
-                    timed = true;
-                    long number = requestNumber;
-                    loop.at(loop.now() + REQUEST_PATIENCE, () -> expire(number));
-                }
-            }
-        }
-
-        /** Guards against a request that never becomes whole holding its connection for good. */
-        private void expire(long number) {
-            timed = false;
-            if (number == requestNumber && exchange == null) {
-                channel.close();
-            }
         }
 
         private void take(Message request) throws BadMessageException {
@@ -216,8 +329,14 @@
                         0, closes()));
                 return;
             }
-            long id = ++lastId;
-            var told = fields.read(request.head(), id, loop.now(), loop.lateness());
+            var told = fields.read(request, ++lastId, loop.now(), loop.lateness(), answerBy);
+            String name = request.head().fields().get("req-id");
+            if (!open.add(name)) {
+                // Guards against one caller's answer being made for another's request of the same name.
+                throw new BadMessageException(BadMessageException.BAD_REQUEST, "Req-Id is open already");
+            }
+            id = name;
+            enter(null, Long.MAX_VALUE);
             exchange = new Exchange<>(told, request, this);
             if (!aside.test(exchange, this)) {
                 driver.accept(exchange);
@@ -225,7 +344,7 @@
         }
 
         private boolean closes() {
-            return !keepAlive || whenEmpty != null;
+            return !keepAlive || stopping;
         }
 
         @Override
@@ -244,35 +363,43 @@
         }
 
         private void reply(ByteBuf answer) {
-            exchange = null;
+            over();
             write(answer);
             decode();
+            readOn();
+        }
+
+        private void over() {
+            exchange = null;
+            open.remove(id);
         }
 
         private void write(ByteBuf answer) {
-            if (closes()) {
-                closing = true;
-                channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
-            } else {
-                channel.writeAndFlush(answer);
-            }
+            closing = closes();
+            enter(null, ANSWER_PATIENCE);
+            channel.writeAndFlush(answer).addListener(wrote -> {
+                if (closing) {
+                    channel.close();
+                } else if (exchange == null && decoder.between()) {
+                    // Not before it is written: closing it to make room would take an answer away.
+                    enter(idle, IDLE_PATIENCE);
+                }
+            });
         }
 
-        /**
-         * Answers a request that can't be read, and closes. Guards against the answer being lost: closing
-         * with bytes unread resets the connection, so the caller may first finish sending.
-         */
+        /** Answers a request that can't be read, and closes once the caller may have read that. */
         private void reject(BadMessageException e) {
             closing = true;
+            enter(rejected, LAST_WORD);
+            lastDue = loop.now() + LAST_WORDS;
             channel.writeAndFlush(HttpEncoder.answer(loop.buffers(), e.status(), e.getMessage(), 0, true))
                     .addListener(wrote -> channel.shutdownOutput());
-            loop.at(loop.now() + LAST_WORD, channel::close);
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             callers.remove(this);
-            idle.remove(this);
+            enter(null, Long.MAX_VALUE);
             if (ahead != null) {
                 ahead.release();
                 ahead = null;
@@ -280,9 +407,10 @@
             closing = true;
             if (exchange != null) {
                 Exchange<Message, Message> left = exchange;
-                exchange = null;
+                over();
                 driver.left(left);
             }
+            takeMore();
             endIfEmpty();
         }
 
--- a/src/main/java/cedarrudder/transport/NodeChannels.java
+++ b/src/main/java/cedarrudder/transport/NodeChannels.java
@@ -1,6 +1,7 @@
 package cedarrudder.transport;
 
 import cedarrudder.Balancer.Outcome;
+import cedarrudder.Balancer.State;
 import cedarrudder.protocol.BadMessageException;
 import cedarrudder.protocol.HttpDecoder;
 import cedarrudder.protocol.HttpEncoder;
@@ -14,21 +15,20 @@
 import cedarrudder.routing.Timers;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.IdentityHashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** The client side: the pool of channels to the nodes, and the call attempts and probes on them. */
 public final class NodeChannels implements ClientSide<Message, Message> {
@@ -44,23 +44,34 @@
 
     private static final long DEFAULT_CONNECT_NANOS = 1_000_000_000L;
 
+    /**
+     * Nodes write an answer in one go: one that has begun and is not whole after this long has been spoilt.
+     * Guards against waiting until the RPC's end for the rest of an answer that is shorter than it says, or
+     * whose head never ends.
+     */
+    private static final long ANSWER_PATIENCE = 300_000_000L;
+
     private final Loop loop;
     private final Driver<Message, Message> driver;
     private final SiteSettings.Reports reports;
     private final Bootstrap bootstrap;
     private final long idleLimit;
+    private final int mostOpen;
     private final Map<Long, Node> nodes = new HashMap<>();
     private final Map<CallAttempt<Message, Message>, Work> attempts = new IdentityHashMap<>();
     private Timers.Timer sweeping;
+    private int open;
 
-    public NodeChannels(Loop loop, Driver<Message, Message> driver, SiteSettings site) {
+    /** @param mostOpen beyond so many channels, each new one costs one that is idle */
+    public NodeChannels(Loop loop, Driver<Message, Message> driver, SiteSettings site, int mostOpen) {
         this.loop = loop;
         this.driver = driver;
         this.reports = site.reports();
+        this.mostOpen = mostOpen;
         long connect = site.module().limits().connectTimeout();
         long idle = site.module().limits().connectionIdle();
         this.idleLimit = idle == 0 ? Long.MAX_VALUE : (long) (idle * IDLE_SHARE);
-        this.bootstrap = new Bootstrap().group(loop.group()).channel(NioSocketChannel.class)
+        this.bootstrap = new Bootstrap().group(loop.group()).channelFactory(NodeSocket::new)
                 .option(ChannelOption.ALLOCATOR, loop.buffers())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
@@ -71,30 +82,54 @@
     /** Closes what is idle and looks after nothing any more. */
     public void close() {
         sweeping.cancel();
-        for (long id : nodes.keySet()) {
-            closeIdle(id);
-        }
+        nodes.values().forEach(Node::closeIdle);
     }
 
     /** Where a node is reached, and the idle channels to it: the one used last comes last. */
     private static final class Node {
-        final long id;
+        final InetSocketAddress address;
         final Deque<NodeChannel> idle = new ArrayDeque<>();
-        InetSocketAddress address;
+        boolean gone;
 
-        Node(long id, InetSocketAddress address) {
-            this.id = id;
+        Node(InetSocketAddress address) {
             this.address = address;
         }
+
+        void closeIdle() {
+            List.copyOf(idle).forEach(NodeChannel::retire);
+        }
+
+        /** Nothing is sent there any more; attempts that are out hold on to it until they end. */
+        void leave() {
+            gone = true;
+            closeIdle();
+        }
     }
 
-    /** Takes in where nodes are. A node that is gone stays known: attempts may still be out there. */
-    public void resolved(List<ResolverResult.Node> listed) {
-        for (ResolverResult.Node entry : listed) {
-            Node node = nodes.computeIfAbsent(entry.endpoint().id(), id -> new Node(id, entry.address()));
-            if (!node.address.equals(entry.address())) {
-                node.address = entry.address();
-                closeIdle(node.id);
+    /**
+     * Takes in where nodes are. One that is gone, or that has moved, is forgotten with its channels. Guards
+     * against keeping all nodes of a long day, and against a channel to a node that is gone being used for
+     * the one that took over its address.
+     */
+    public void resolved(ResolverResult result) {
+        Set<Long> listed = new HashSet<>();
+        for (ResolverResult.Node entry : result.nodes()) {
+            long id = entry.endpoint().id();
+            Node known = nodes.get(id);
+            boolean stays = entry.endpoint().state() != State.GONE;
+            if (known != null && !(stays && known.address.equals(entry.address()))) {
+                nodes.remove(id).leave();
+            }
+            if (stays) {
+                listed.add(id);
+                nodes.computeIfAbsent(id, added -> new Node(entry.address()));
+            }
+        }
+        if (result.full()) {
+            for (long id : List.copyOf(nodes.keySet())) {
+                if (!listed.contains(id)) {
+                    nodes.remove(id).leave();
+                }
             }
         }
     }
@@ -121,24 +156,28 @@
 
     @Override
     public void probe(long endpoint) {
-        carry(nodes.get(endpoint), new Probe(endpoint));
+        Node node = nodes.get(endpoint);
+        carry(node, new Probe(endpoint, node));
     }
 
     @Override
     public void closeIdle(long endpoint) {
         Node node = nodes.get(endpoint);
         if (node != null) {
-            for (NodeChannel idle : List.copyOf(node.idle)) {
-                idle.retire();
-            }
+            node.closeIdle();
         }
     }
 
     private void carry(Node node, Work work) {
-        NodeChannel idle = node.idle.pollLast();
-        if (idle != null) {
-            idle.carry(work);
-            return;
+        for (NodeChannel idle = node.idle.pollLast(); idle != null; idle = node.idle.pollLast()) {
+            if (idle.channel.quiet()) {
+                idle.carry(work);
+                return;
+            }
+            idle.retire();
+        }
+        if (open >= mostOpen) {
+            closeOldest();
         }
         NodeChannel fresh = new NodeChannel(node);
         bootstrap.clone().handler(fresh).connect(node.address).addListener(connected -> {
@@ -150,6 +189,20 @@
         });
     }
 
+    /** Guards against idle channels to many nodes taking the descriptors that callers and discovery need. */
+    private void closeOldest() {
+        NodeChannel oldest = null;
+        for (Node node : nodes.values()) {
+            NodeChannel first = node.idle.peekFirst();
+            if (first != null && (oldest == null || first.idleSince < oldest.idleSince)) {
+                oldest = first;
+            }
+        }
+        if (oldest != null) {
+            oldest.retire();
+        }
+    }
+
     private void sweep() {
         sweeping = loop.at(loop.now() + SWEEP, this::sweep);
         for (Node node : nodes.values()) {
@@ -224,11 +277,13 @@
 
     private final class Probe extends Work {
         private final long endpoint;
+        private final Node node;
         private final long startedAt = loop.now();
         private final Timers.Timer patience = loop.at(startedAt + PROBE_PATIENCE, this::expire);
 
-        Probe(long endpoint) {
+        Probe(long endpoint, Node node) {
             this.endpoint = endpoint;
+            this.node = node;
         }
 
         private void expire() {
@@ -240,9 +295,8 @@
 
         @Override
         ByteBuf encode() {
-            String host = nodes.get(endpoint).address.getAddress().getHostAddress();
-            return HttpEncoder.get(loop.buffers(),
-                    reports == SiteSettings.Reports.NONE ? "/ping" : "/_load", host);
+            return HttpEncoder.get(loop.buffers(), reports == SiteSettings.Reports.NONE ? "/ping" : "/_load",
+                    node.address.getAddress().getHostAddress());
         }
 
         @Override
@@ -271,8 +325,10 @@
     private final class NodeChannel extends SimpleChannelInboundHandler<ByteBuf> {
         private final Node node;
         private final HttpDecoder decoder = HttpDecoder.ofAnswers(HttpDecoder.MOST_BODY);
-        private Channel channel;
+        private NodeSocket channel;
         private Work work;
+        private Timers.Timer patience;
+        private boolean spent;
         private long idleSince;
 
         NodeChannel(Node node) {
@@ -281,7 +337,13 @@
 
         @Override
         public void handlerAdded(ChannelHandlerContext context) {
-            channel = context.channel();
+            channel = (NodeSocket) context.channel();
+            open++;
+        }
+
+        @Override
+        public void handlerRemoved(ChannelHandlerContext context) {
+            open--;
         }
 
         void carry(Work next) {
@@ -302,7 +364,7 @@
 
         /** Closes, and tells the work on it that it ended: there may be no other news of a closed channel. */
         private void fail() {
-            channel.close();
+            retire();
             Work broken = work;
             work = null;
             if (broken != null) {
@@ -311,41 +373,70 @@
         }
 
         void close() {
-            channel.close();
+            retire();
         }
 
-        /** Leaves the pool at once, and closes. */
+        /** Leaves the pool at once, and closes. What still comes is not read. */
         void retire() {
+            spent = true;
+            stopWaiting();
             node.idle.remove(this);
             channel.close();
         }
 
+        private void stopWaiting() {
+            if (patience != null) {
+                patience.cancel();
+                patience = null;
+            }
+        }
+
+        /**
+         * An answer that can't be read ends here as a connection that broke: the request may have run. Guards
+         * against any part of such an answer being served, now or when the connection ends.
+         */
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf in) {
+            if (spent) {
+                return;
+            }
+            if (work == null) {
+                retire(); // bytes that nobody asked for, such as those behind the last answer
+                return;
+            }
             try {
                 Message answer = decoder.decode(in);
                 if (answer != null) {
-                    finish(answer, answer.head().keepsAlive() && work != null && work.written
-                            && !in.isReadable());
-                } else if (work == null && !decoder.between()) {
-                    retire(); // bytes that nobody asked for
+                    finish(answer, answer.head().keepsAlive() && !in.isReadable());
+                } else if (patience == null && !decoder.between()) {
+                    patience = loop.at(loop.now() + ANSWER_PATIENCE,
+                            () -> spoilt("an answer without an end"));
                 }
             } catch (BadMessageException e) {
-                loop.log().warn("node " + node.address + ": " + e.getMessage());
-                retire();
+                spoilt(e.getMessage());
             }
         }
 
+        private void spoilt(String why) {
+            loop.log().warn("node " + node.address + ": " + why);
+            fail();
+        }
+
         private void finish(Message answer, boolean reusable) {
+            stopWaiting();
             Work done = work;
+            if (!done.written) {
+                spoilt("an answer before the request");
+                return;
+            }
             work = null;
-            if (reusable) {
+            if (reusable && !node.gone) {
                 idleSince = loop.now();
                 node.idle.addLast(this);
             } else {
                 retire();
             }
-            if (done != null && !done.over) {
+            if (!done.over) {
                 done.over = true;
                 done.answered(answer);
             }
@@ -353,8 +444,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            node.idle.remove(this);
-            Message last = decoder.atEnd();
+            Message last = spent || work == null ? null : decoder.atEnd();
             if (last != null) {
                 finish(last, false);
             } else {
@@ -367,7 +457,7 @@
             if (!(cause instanceof IOException)) {
                 loop.log().fault("channel to " + node.address, cause);
             }
-            context.close();
+            fail(); // before the channel ends: what came of an answer until then is not a whole one
         }
     }
 }
