--- a/src/main/java/cedarrudder/Decide.java
+++ b/src/main/java/cedarrudder/Decide.java
@@ -48,6 +48,15 @@
     /** Tries to find an endpoint at random that may take a request, before it is held. */
     private static final int RANDOM_DRAWS = 16;
 
+    /** An answer is late when it takes this many times longer than others do for their work. */
+    private static final double LATE_STRETCH = 3;
+
+    /** Work below this counts as this much: the way and the queue take their time whatever the work. */
+    private static final long LEAST_WORK = 20_000_000L;
+
+    /** Answers after which it is known how long they take. */
+    private static final int STRETCH_KNOWN = 20;
+
     /** Further attempts that an ordinary call pays for: retries stay a small part of the load. */
     private static final double EXTRA_PER_CALL = 0.1;
 
@@ -102,6 +111,7 @@
     private static final long TOKEN_TICK = 0;
     private static final long TOKEN_HELD = 1;
     private static final long TOKEN_ASK = 2;
+    private static final long TOKEN_LATE = 3;
 
     /** A request this copy has taken, with its attempts in the order sent. */
     private static final class Call {
@@ -110,6 +120,7 @@
         final int classIndex;
         final long arrived;
         final long deadline;
+        final long work;
         final boolean overShare;
         final Server[] to;
         final long[] sentAt;
@@ -125,6 +136,7 @@
             this.classIndex = request.classIndex();
             this.arrived = now;
             this.deadline = request.deadline();
+            this.work = request.work();
             this.overShare = overShare;
             this.to = new Server[maxAttempts];
             this.sentAt = new long[maxAttempts];
@@ -173,6 +185,9 @@
     private final Mean[] byClass;
     private final Mean overall = new Mean();
 
+    /** How much longer an answer takes than the work it was said to be. */
+    private final Mean stretch = new Mean();
+
     private final double[] shares;
     private final long[] sharesAt;
 
@@ -396,6 +411,35 @@
         out++;
         server.sent(now, cost(call));
         actions.send(call.id, server.id, 0);
+        long wait = lateAfter(call);
+        if (attempt == 0 && wait > 0 && now + wait < call.arrived + call.kind.aim()) {
+            actions.schedule(now + wait, TOKEN_LATE * TOKEN_KIND + call.id);
+        }
+    }
+
+    /**
+     * After how long an answer is so late that something must be wrong, by what the request was said to cost;
+     * 0 where that is not known or no second copy may go out.
+     */
+    private long lateAfter(Call call) {
+        boolean known = call.work > 0 && stretch.count >= STRETCH_KNOWN;
+        return known && call.kind.effect() != Effect.UNSAFE && settings.limits().parallelTries()
+                ? (long) (LATE_STRETCH * stretch.mean * Math.max(LEAST_WORK, call.work)) : 0;
+    }
+
+    /**
+     * A second copy of a request whose answer is late. Guards against waiting until the deadline on a
+     * connection that fell silent, or on an endpoint turned slow: nothing else tells of it in time. Measured
+     * against what the request costs, since a time-out by its class alone repeats the heavy ones.
+     */
+    private void sendCopy(long now, Call call) {
+        if (call.out == 1 && extra >= 1 && mayAttempt(now, call, null)) {
+            Server server = pick(now, call);
+            if (server != null && !suspect(now, server, patience())) {
+                extra--;
+                send(now, call, server);
+            }
+        }
     }
 
     // ---- the gates ----
@@ -474,6 +518,9 @@
         if (outcome == Outcome.OK) {
             byClass[call.classIndex].add(latency);
             overall.add(latency);
+            if (call.work > 0) {
+                stretch.add(latency / (double) Math.max(LEAST_WORK, call.work));
+            }
         }
         if (outcome == Outcome.OK || outcome == Outcome.TIMEOUT || outcome == Outcome.FULL) {
             // Full counts, against overload that shows as quick refusals. Errors and broken or refused
@@ -515,7 +562,7 @@
         }
         call.answered = true;
         if (refuse) {
-            actions.refuse(call.id, 0);
+            actions.refuse(call.id, comeBack());
         } else {
             actions.fail(call.id);
         }
@@ -525,6 +572,15 @@
         }
     }
 
+    /**
+     * When a client that was turned away should come back: after about the time of one request, when some of
+     * what is out has made room.
+     */
+    private long comeBack() {
+        Limits limits = settings.limits();
+        return limits.retryAfter() ? (long) Math.min(limits.maxRetryAfter(), overall.mean) : 0;
+    }
+
     private void cancelOthers(Call call, int except) {
         for (int i = 0; i < call.attempts && settings.limits().cancel(); i++) {
             if (i != except && call.ended[i] == null) {
@@ -571,6 +627,8 @@
             actions.schedule(now + TICK, TOKEN_TICK);
         } else if (kind == TOKEN_ASK) {
             actions.subscribe(true);
+        } else if (call != null && kind == TOKEN_LATE && !call.answered) {
+            sendCopy(now, call);
         } else if (call != null && kind == TOKEN_HELD && call.held && !call.answered) {
             place(now, call);
         }
--- a/src/main/java/cedarrudder/transport/Listener.java
+++ b/src/main/java/cedarrudder/transport/Listener.java
@@ -146,6 +146,9 @@
                 caller.close();
             }
         }
+        for (int over = callers.size() - mostCallers; full && over > 0; over--) {
+            makeRoom(null);
+        }
         takeMore();
         loop.at(now + SWEEP, this::sweep);
     }
@@ -378,7 +381,7 @@
             closing = closes();
             enter(null, ANSWER_PATIENCE);
             channel.writeAndFlush(answer).addListener(wrote -> {
-                if (closing) {
+                if (closing || stopping) {
                     channel.close();
                 } else if (exchange == null && decoder.between()) {
                     // Not before it is written: closing it to make room would take an answer away.
--- a/src/test/java/cedarrudder/DecideTest.java
+++ b/src/test/java/cedarrudder/DecideTest.java
@@ -48,6 +48,55 @@
 
     private static final Endpoint[] THREE = {Site.ready(1), Site.ready(2), Site.ready(3)};
 
+    // ---- second copies ----
+
+    /** Twenty answers of 10 ms for work of 20 ms, then one request that stays out. */
+    private Decide startLate(RequestClass kind, Endpoint... endpoints) {
+        Decide decide = startWith(kind, endpoints);
+        for (int id = 1; id <= 21; id++) {
+            decide.request(now, new Request(id, 0, 0, now + SECOND, 0, false, false, 20 * MS));
+            if (id <= 20) {
+                decide.outcome(now, id, 0, did.sent.get(id - 1).endpoint(), Outcome.OK, 10 * MS, true, null);
+            }
+        }
+        return decide;
+    }
+
+    private void ring(Decide decide) {
+        for (Recorder.Timer timer : List.copyOf(did.timers)) {
+            now = Math.max(now, timer.at());
+            decide.timer(timer.at(), timer.token());
+        }
+    }
+
+    @Test
+    void sendsASecondCopyWhenAnAnswerIsLateForItsWork() {
+        Decide decide = startLate(Site.SAFE, THREE);
+        assertEquals(now + 30 * MS, did.timers.get(did.timers.size() - 1).at());
+        ring(decide);
+        assertEquals(22, did.sent.size());
+        assertNotEquals(did.sent.get(20).endpoint(), did.sent.get(21).endpoint());
+        end(decide, 21, 1, Outcome.OK);
+        assertTrue(did.lines.contains("cancel 21 0"));
+    }
+
+    @Test
+    void sendsNoSecondCopyOfWhatMustNotRunTwiceOrLeavesItsCell() {
+        ring(startLate(Site.UNSAFE, THREE));
+        assertEquals(21, did.sent.size());
+        did.clear();
+        ring(startLate(Site.KEYED_IN_CELL, Site.endpoint(1, 0, 1, State.READY, 0),
+                Site.endpoint(2, 0, 2, State.READY, 0)));
+        assertEquals(21, did.sent.size());
+    }
+
+    @Test
+    void tellsWhoIsTurnedAwayWhenToComeBack() {
+        Decide decide = startLate(Site.SAFE, THREE);
+        decide.request(now, new Request(22, 0, 0, now, 0, false, false, 0));
+        assertEquals(List.of(10 * MS), did.comeBack);
+    }
+
     // ---- no request is lost ----
 
     @Test
--- a/src/test/java/cedarrudder/Recorder.java
+++ b/src/test/java/cedarrudder/Recorder.java
@@ -13,6 +13,7 @@
     final List<Sent> sent = new ArrayList<>();
     final List<Long> probed = new ArrayList<>();
     final List<Long> refused = new ArrayList<>();
+    final List<Long> comeBack = new ArrayList<>();
     final List<Long> failed = new ArrayList<>();
     final List<Timer> timers = new ArrayList<>();
 
@@ -35,6 +36,7 @@
     public void refuse(long request, long retryAfter) {
         lines.add("refuse " + request);
         refused.add(request);
+        comeBack.add(retryAfter);
     }
 
     @Override
