At the cap close idle callers before those that have just come

Cause, by a probe build that logged each connection closed and why: Listener.makeRoom took silent connections before idle ones; of 1,334 silent ones closed at the cap 887 had come within the last 250 ms, while some 186 idle callers stood by. A request on its way to a connection that closes has failed; an idle caller only connects again. Ruled out: the 2.5 s patience (358 silent ones closed by it, none of them with an RPC), rejections (no warning about a caller in the logs), attempts (no resets, no time-outs). Change: those turned away first, then those silent for 1 s, then idle ones, and only then the longest silent. The test fails with the old order.

--- a/src/main/java/cedarrudder/transport/Listener.java
+++ b/src/main/java/cedarrudder/transport/Listener.java
@@ -52,6 +52,9 @@
      */
     private static final long REQUEST_PATIENCE = 2_500_000_000L;
 
+    /** Callers send their first request as they connect; one that hasn't for so long gives up its place. */
+    private static final long SILENT_LONG = 1_000_000_000L;
+
     /** A caller between requests may be closed after 2 s; those that ask once and stay would pile up. */
     private static final long IDLE_PATIENCE = 5_000_000_000L;
 
@@ -147,7 +150,7 @@
             }
         }
         for (int over = callers.size() - mostCallers; full && over > 0; over--) {
-            makeRoom(null);
+            makeRoom();
         }
         takeMore();
         loop.at(now + SWEEP, this::sweep);
@@ -155,20 +158,27 @@
 
     /**
      * Guards against running out of descriptors: beyond the bound each new connection costs one that may be
-     * closed, those first that were turned away, then those that never said a word. Where there is none, new
-     * ones wait to be accepted.
+     * closed, those first that were turned away, then those that have long said nothing, then idle ones,
+     * then the silent one that has been there longest. Where there is none, new ones wait to be accepted.
+     *
+     * <p>A connection that has just come goes last. Guards against closing callers whose first request is on
+     * its way, which then fails, where a caller between requests would only have to connect again.
      */
-    private void makeRoom(Caller newest) {
-        for (Set<Caller> from : List.of(rejected, silent, idle)) {
-            for (Caller caller : from) {
-                if (caller != newest) {
-                    caller.close();
-                    return;
-                }
-            }
+    private void makeRoom() {
+        Caller first = rejected.isEmpty() ? first(silent) : first(rejected);
+        if (first == null || !first.waited(SILENT_LONG)) {
+            first = idle.isEmpty() && silent.size() > 1 ? first : first(idle);
+        }
+        if (first != null) {
+            first.close();
+        } else {
+            full = true;
+            listening.config().setAutoRead(false);
         }
-        full = true;
-        listening.config().setAutoRead(false);
+    }
+
+    private static Caller first(Set<Caller> callers) {
+        return callers.isEmpty() ? null : callers.iterator().next();
     }
 
     private void takeMore() {
@@ -250,6 +260,11 @@
             due = patience == Long.MAX_VALUE ? patience : loop.now() + patience;
         }
 
+        /** Whether it was turned away, or has been silent for so long. */
+        private boolean waited(long time) {
+            return among == rejected || due - REQUEST_PATIENCE + time <= loop.now();
+        }
+
         private void close() {
             enter(null, Long.MAX_VALUE);
             closing = true;
@@ -261,7 +276,7 @@
             callers.add(this);
             enter(silent, REQUEST_PATIENCE);
             if (callers.size() > mostCallers) {
-                makeRoom(this);
+                makeRoom();
             }
         }
 
--- a/src/test/java/cedarrudder/program/ProxyStoriesTest.java
+++ b/src/test/java/cedarrudder/program/ProxyStoriesTest.java
@@ -284,6 +284,32 @@
         }
     }
 
+    /** A recorded day failed RPCs whose connections were closed before their first bytes had come. */
+    @Test
+    public void atItsBoundTheProxyClosesIdleCallersBeforeThoseThatHaveJustCome() throws Exception {
+        List<Caller> idle = new ArrayList<>();
+        try (World world = new World(1).with("\"sockets\": 1024", "\"sockets\": 16").start()) {
+            for (int i = 0; i < 8; i++) {
+                idle.add(world.caller());
+                idle.get(i).send(World.rpc("lookup", "/api", ""));
+                world.call().reply("200 OK", "once");
+                assertEquals(idle.get(i).read().body(), "once");
+            }
+            try (Caller first = world.caller(); Caller second = world.caller()) {
+                assertNull(idle.get(0).read());
+                assertNull(idle.get(1).read());
+                for (Caller caller : List.of(first, second)) {
+                    caller.send(World.rpc("lookup", "/api", ""));
+                    world.call().reply("200 OK", "new");
+                    assertEquals(caller.read().body(), "new");
+                }
+            }
+        }
+        for (Caller caller : idle) {
+            caller.close();
+        }
+    }
+
     /** What can't be read, or has no end, failed and may have run; none of it may reach the caller. */
     @DataProvider
     public Object[][] spoiltAnswers() {
--- /dev/null
+++ b/src/test/java/cedarrudder/protocol/LoadReportTest.java
@@ -0,0 +1,20 @@
+package cedarrudder.protocol;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+
+import org.testng.annotations.Test;
+
+/** Load reports, as nodes write them and as they come spoilt. */
+public class LoadReportTest {
+
+    /** Guards against one absurd figure outweighing the reports of all other nodes. */
+    @Test
+    public void whatCantBeReadIsNoReport() {
+        assertEquals(LoadReport.parse("TEXT inflight=7, util=0.61").inFlight(), 7.0);
+        for (String spoilt : new String[] {"", "TEXT", "TEXT inflight=", "inflight=x", "inflight=-1",
+            "inflight=NaN", "inflight=1e300", "=7", "\u0000\u00ff"}) {
+            assertNull(LoadReport.parse(spoilt), spoilt);
+        }
+    }
+}
