--- a/daemon/src/main/java/cedarrudder/program/Configuration.java
+++ b/daemon/src/main/java/cedarrudder/program/Configuration.java
@@ -10,13 +10,14 @@
 /**
  * What one proxy is told when it starts.
  *
+ * @param admin where operators call, or null where they can't
  * @param peerListen where datagrams from other proxies arrive, or null where there are none
  * @param peersAll an address that reaches all of them, or null
  * @param known the list of nodes as this proxy last had it, still as JSON
  */
-record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-        int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
-        JsonObject known, SiteSettings site) {
+record Configuration(String name, InetSocketAddress listen, InetSocketAddress admin,
+        InetSocketAddress discovery, long seed, int sockets, InetSocketAddress peerListen,
+        List<InetSocketAddress> peers, InetSocketAddress peersAll, JsonObject known, SiteSettings site) {
 
     private static final int DEFAULT_SOCKETS = 1024;
 
@@ -24,7 +25,7 @@
     static Configuration parse(String text) {
         JsonObject json = JsonObject.parse(text);
         return new Configuration(json.text("name", ""), Addresses.parse(json.text("listen", null)),
-                Addresses.parse(json.text("discovery", null)), seed(json.text("seed", null)),
+                optional(json.text("admin_addr", "")), Addresses.parse(json.text("discovery", null)), seed(json.text("seed", null)),
                 (int) json.child("limits").number("sockets", DEFAULT_SOCKETS),
                 optional(json.text("peer_listen", "")),
                 json.texts("peers").stream().map(Addresses::parse).toList(),
@@ -32,6 +33,12 @@
                 SettingsReader.read(json.child("settings")));
     }
 
+    /** The same, with the operators' address from the environment where that names one. */
+    Configuration withAdmin(String address) {
+        return address == null || address.isEmpty() ? this : new Configuration(name, listen,
+                Addresses.parse(address), discovery, seed, sockets, peerListen, peers, peersAll, known, site);
+    }
+
     private static InetSocketAddress optional(String text) {
         return text.isEmpty() ? null : Addresses.parse(text);
     }
--- a/daemon/src/main/java/cedarrudder/program/Daemon.java
+++ b/daemon/src/main/java/cedarrudder/program/Daemon.java
@@ -85,7 +85,7 @@
             throw new IOException("can't read the configuration: " + e.getMessage(), e);
         }
         try {
-            return Configuration.parse(text);
+            return Configuration.parse(text).withAdmin(System.getenv("BALANCER_ADMIN_ADDR"));
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException("configuration: " + e.getMessage(), e);
         }
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -22,6 +22,8 @@
 import cedarrudder.protocol.RpcFields;
 import cedarrudder.routing.Driver;
 import cedarrudder.toml.BadFileException;
+import cedarrudder.transport.AdminListener;
+import cedarrudder.transport.Desk;
 import cedarrudder.transport.DiscoveryClient;
 import cedarrudder.transport.Listener;
 import cedarrudder.transport.Loop;
@@ -121,6 +123,9 @@
             told.countDown();
         });
         told.await();
+        if (configuration.admin() != null) {
+            new AdminListener(loop, new OnDuty()).listen(configuration.admin());
+        }
         if (configuration.peerListen() != null) {
             peers.listen(configuration.peerListen());
             if (membership != null) {
@@ -206,6 +211,29 @@
         loop.run(() -> log.warn("sighup.not_handled").with("why", why).write());
     }
 
+    /** What operators ask for, carried out by the parts. */
+    private final class OnDuty implements Desk {
+        @Override
+        public boolean ready() {
+            return resolved && warm && listener.lasts();
+        }
+
+        @Override
+        public Done drain() {
+            listener.drainByHand();
+            return Done.YES;
+        }
+
+        @Override
+        public Done resume() {
+            if (!listener.lasts()) {
+                return Done.NO;
+            }
+            listener.resume();
+            return Done.YES;
+        }
+    }
+
     /** Answers all that was taken and returns when nothing is left. To be called from another thread. */
     void drain() {
         CountDownLatch drained = new CountDownLatch(1);
--- a/daemon/src/main/java/cedarrudder/protocol/HttpEncoder.java
+++ b/daemon/src/main/java/cedarrudder/protocol/HttpEncoder.java
@@ -104,6 +104,16 @@
         return finish(buffers, head, (text + "\n").getBytes(StandardCharsets.UTF_8), true);
     }
 
+    /** An answer to an operator's call, after which the connection ends; {@code allow} may be null. */
+    public static ByteBuf page(ByteBufAllocator buffers, int status, String type, byte[] body, String allow) {
+        StringBuilder head = start(status, true);
+        field(head, "Content-Type", type);
+        if (allow != null) {
+            field(head, "Allow", allow);
+        }
+        return finish(buffers, head, body, true);
+    }
+
     /** An answer of the proxy's own to {@code HEAD}: with the length of its body, and without the body. */
     public static ByteBuf answerHead(ByteBufAllocator buffers, int status, String text, boolean close) {
         ByteBuf whole = answer(buffers, status, text, 0, close);
@@ -130,6 +140,7 @@
             case 200 -> "OK";
             case 400 -> "Bad Request";
             case 404 -> "Not Found";
+            case 405 -> "Method Not Allowed";
             case 413 -> "Content Too Large";
             case 414 -> "URI Too Long";
             case 431 -> "Request Header Fields Too Large";
--- /dev/null
+++ b/daemon/src/main/java/cedarrudder/transport/AdminListener.java
@@ -0,0 +1,187 @@
+package cedarrudder.transport;
+
+import cedarrudder.protocol.BadMessageException;
+import cedarrudder.protocol.HttpDecoder;
+import cedarrudder.protocol.HttpEncoder;
+import cedarrudder.protocol.Message;
+import cedarrudder.transport.Desk.Done;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * The operators' address: one call to a connection, answered at once. It routes calls to the {@link Desk} and
+ * knows nothing of RPCs.
+ */
+public final class AdminListener {
+
+    /** Connections at once; at this bound the one that has said least makes room, the oldest of those. */
+    public static final int MOST_CALLS = 16;
+
+    private static final int MOST_HEAD = 4096;
+    private static final int MOST_BODY = 1024;
+
+    /** A call must be whole by then, in nanoseconds from its connection. */
+    private static final long PATIENCE = 5_000_000_000L;
+
+    /** Who has its answer may stay for so long. */
+    private static final long LAST_WORD = 1_000_000_000L;
+
+    private static final String NODES = "/-/nodes/";
+
+    private final Loop loop;
+    private final Desk desk;
+    private final Set<Call> calls = new LinkedHashSet<>();
+    private Channel listening;
+
+    public AdminListener(Loop loop, Desk desk) {
+        this.loop = loop;
+        this.desk = desk;
+    }
+
+    /** Begins to listen; blocks until it does. */
+    public void listen(InetSocketAddress address) throws IOException, InterruptedException {
+        var bound = new ServerBootstrap().group(loop.group()).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.ALLOCATOR, loop.buffers())
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline().addLast(new Call(channel));
+                    }
+                }).bind(address).await();
+        if (!bound.isSuccess()) {
+            throw new IOException("can't listen for operators on " + address + ": "
+                    + bound.cause().getMessage());
+        }
+        listening = bound.channel();
+    }
+
+    /** Where it listens. */
+    InetSocketAddress address() {
+        return (InetSocketAddress) listening.localAddress();
+    }
+
+    /** An answer before it is written; {@code allow} is null but where the method is wrong. */
+    private record Answer(int status, String type, byte[] body, String allow) {
+
+        static Answer text(int status, String text) {
+            return new Answer(status, "text/plain", (text + "\n").getBytes(StandardCharsets.UTF_8), null);
+        }
+
+        static Answer done(Done done) {
+            return switch (done) {
+                case YES -> text(200, "done");
+                case UNKNOWN -> text(404, "no node of this id was ever listed");
+                case NO -> text(503, "can't be done now, or can't be kept");
+            };
+        }
+    }
+
+    private Answer route(String method, String target) {
+        int query = target.indexOf('?');
+        String path = query < 0 ? target : target.substring(0, query);
+        String allowed = switch (path) {
+            case "/-/ready" -> "GET";
+            case "/-/drain", "/-/resume" -> "POST";
+            default -> null;
+        };
+        if (allowed == null) {
+            return Answer.text(404, "unknown path");
+        }
+        if (!method.equals(allowed)) {
+            return new Answer(405, "text/plain", "wrong method\n".getBytes(StandardCharsets.UTF_8), allowed);
+        }
+        return switch (path) {
+            case "/-/ready" -> desk.ready() ? Answer.text(200, "ready") : Answer.text(503, "not ready");
+            case "/-/drain" -> Answer.done(desk.drain());
+            default -> Answer.done(desk.resume());
+        };
+    }
+
+    /** Guards against callers who say nothing, or half a call, shutting out those who say all of it. */
+    private void makeRoom() {
+        Call least = null;
+        for (Call call : calls) {
+            least = least == null || call.said < least.said ? call : least;
+        }
+        if (least != null) {
+            least.channel.close();
+        }
+    }
+
+    /** One connection, with one call. */
+    private final class Call extends SimpleChannelInboundHandler<ByteBuf> {
+        private final DuplexChannel channel;
+        private final HttpDecoder decoder = HttpDecoder.ofRequests(MOST_HEAD, MOST_BODY);
+        private long said;
+        private boolean answered;
+
+        Call(DuplexChannel channel) {
+            this.channel = channel;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            if (calls.size() >= MOST_CALLS) {
+                makeRoom();
+            }
+            calls.add(this);
+            loop.at(loop.now() + PATIENCE, channel::close);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf in) {
+            said += in.readableBytes();
+            if (answered) {
+                return; // what comes behind a call is read, since closing with bytes unread loses the answer
+            }
+            try {
+                Message call = decoder.decode(in);
+                if (call != null) {
+                    answer(route(call.head().method(), call.head().target()));
+                } else if (decoder.awaitsContinue()) {
+                    channel.writeAndFlush(HttpEncoder.goOn(loop.buffers()));
+                }
+            } catch (BadMessageException e) {
+                answer(Answer.text(e.status(), e.getMessage()));
+            }
+        }
+
+        private void answer(Answer answer) {
+            answered = true;
+            said = Long.MAX_VALUE; // it goes last where room is needed
+            channel.writeAndFlush(HttpEncoder.page(loop.buffers(), answer.status(), answer.type(),
+                    answer.body(), answer.allow())).addListener(wrote -> {
+                        channel.shutdownOutput();
+                        loop.at(loop.now() + LAST_WORD, channel::close);
+                    });
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            calls.remove(this);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                loop.log().fault("admin.failed", cause).with("caller", channel.remoteAddress()).write();
+            }
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/cedarrudder/transport/Desk.java
@@ -0,0 +1,24 @@
+package cedarrudder.transport;
+
+/** What operators may ask of the proxy; all of it happens on the loop. */
+public interface Desk {
+
+    /** What came of a call. */
+    enum Done {
+        /** It counts from now on; also where it did already. */
+        YES,
+        /** It names a node that was never listed. */
+        UNKNOWN,
+        /** It can't be done, or can't be kept. */
+        NO
+    }
+
+    /** Whether this process can serve. */
+    boolean ready();
+
+    /** Sends clients away. */
+    Done drain();
+
+    /** Takes clients again. */
+    Done resume();
+}
--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -54,6 +54,13 @@
     private static final long LAST_WORD = 1_000_000_000L;
     private static final long LAST_WORDS = 5_000_000_000L;
 
+    /**
+     * How clients are sent away when operators drain the proxy, counted from then: the front still brings
+     * new ones until the first, and no connection is left idle from the second on.
+     */
+    private static final long AWAY_FROM = 500_000_000L;
+    private static final long AWAY_BY = 1_800_000_000L;
+
     /** How often connections are looked over. */
     private static final long SWEEP = 100_000_000L;
 
@@ -91,6 +98,8 @@
     private Runnable whenEmpty;
     private boolean lingering;
     private boolean stopping;
+    private ServiceState state = ServiceState.FIRST;
+    private long drainedAt;
     private long answerBy = Long.MAX_VALUE;
     private BiPredicate<Exchange<Message, Message>, Exchange.Reply<Message>> aside = (rpc, reply) -> false;
 
@@ -158,9 +167,55 @@
             makeRoom();
         }
         takeMore();
+        if (sendingAway()) {
+            sendAway(now);
+        }
         loop.at(now + SWEEP, this::sweep);
     }
 
+    /** Operators send clients away; on the loop. Without effect where they do already. */
+    public void drainByHand() {
+        if (!state.drained()) {
+            state = state.on(ServiceState.Event.DRAIN);
+            drainedAt = loop.now();
+            loop.log().info("proxy.drained").write();
+        }
+    }
+
+    /** Operators let clients come again; on the loop. */
+    public void resume() {
+        if (state.drained()) {
+            state = state.on(ServiceState.Event.RESUME);
+            loop.log().info("proxy.resumed").write();
+        }
+    }
+
+    /** Whether this process goes on, for all that signals have said. */
+    public boolean lasts() {
+        return state.lasts();
+    }
+
+    private boolean sendingAway() {
+        return state.drained() && loop.now() - drainedAt >= AWAY_FROM;
+    }
+
+    /**
+     * Closes a part of the connections on which nothing is open, those first that have been idle longest, so
+     * that they go evenly and none is left by {@link #AWAY_BY}. Guards against clients coming all at once to
+     * the proxies beside this one.
+     */
+    private void sendAway(long now) {
+        long left = Math.max(1, (drainedAt + AWAY_BY - now) / SWEEP);
+        long most = (idle.size() + silent.size() + left - 1) / left;
+        for (Set<Caller> from : List.of(idle, silent)) {
+            for (Caller caller : List.copyOf(from)) {
+                if (most-- > 0) {
+                    caller.close();
+                }
+            }
+        }
+    }
+
     /**
      * Guards against running out of descriptors: beyond the bound each new connection costs one that may be
      * closed, those first that were turned away, then those that have long said nothing or half a request,
@@ -213,6 +268,7 @@
             return;
         }
         whenEmpty = whenDone;
+        state = state.on(ServiceState.Event.END);
         lingering = true;
         long now = loop.now();
         answerBy = now + Math.min(LONGEST_COUNTED, fields.longestWait()) + KILLED_AFTER;
@@ -375,7 +431,7 @@
             keepAlive = request.head().keepsAlive();
             String target = request.head().target();
             if (target.equals(HEALTH)) {
-                boolean healthy = ready.getAsBoolean() && whenEmpty == null;
+                boolean healthy = ready.getAsBoolean() && state.healthy();
                 write(own(healthy ? 200 : 503, healthy ? "ready" : "not ready", closes()));
                 return;
             }
@@ -395,7 +451,7 @@
         }
 
         private boolean closes() {
-            return !keepAlive || stopping;
+            return !keepAlive || stopping || sendingAway();
         }
 
         @Override
--- a/daemon/src/test/java/cedarrudder/program/World.java
+++ b/daemon/src/test/java/cedarrudder/program/World.java
@@ -181,6 +181,7 @@
     Peer discovery = new Peer(lookups);
     final int port;
     private final Socket held = new Socket();
+    private final Socket adminHeld = new Socket();
     private Operator operator = Operator.NONE;
     private Proxy proxy;
 
@@ -210,6 +211,39 @@
         return this;
     }
 
+    /** The proxy gets an operators' address. */
+    World withAdmin() throws IOException {
+        adminHeld.setReuseAddress(true);
+        adminHeld.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        return with("\"listen\"", "\"admin_addr\":\"127.0.0.1:" + adminHeld.getLocalPort()
+                + "\",\"listen\"");
+    }
+
+    /** An operator's connection. */
+    Caller operator() throws IOException {
+        return new Caller(adminHeld.getLocalPort());
+    }
+
+    /** What the proxy answers to an operator's call. */
+    Received operator(String method, String path) throws IOException {
+        try (Caller call = operator()) {
+            return call.send(method + " " + path + " HTTP/1.1\r\nHost: ops\r\n\r\n").read();
+        }
+    }
+
+    /** The status that the proxy answers to an operator's call. */
+    int status(String method, String path) throws IOException {
+        return Integer.parseInt(operator(method, path).first().split(" ")[1]);
+    }
+
+    /** Waits until an operator's call gets this status. */
+    void awaitStatus(String method, String path, int status) throws Exception {
+        for (int i = 0; status(method, path) != status; i++) {
+            assertTrue(i < PATIENCE_MILLIS, "never " + status);
+            Thread.sleep(1);
+        }
+    }
+
     /** Starts a proxy in this process. */
     World start() throws IOException, InterruptedException {
         Configuration configuration = Configuration.parse(configuration());
@@ -311,5 +345,6 @@
             node.close();
         }
         held.close();
+        adminHeld.close();
     }
 }
