--- a/daemon/src/main/java/cedarrudder/program/Configuration.java
+++ b/daemon/src/main/java/cedarrudder/program/Configuration.java
@@ -25,7 +25,8 @@
     static Configuration parse(String text) {
         JsonObject json = JsonObject.parse(text);
         return new Configuration(json.text("name", ""), Addresses.parse(json.text("listen", null)),
-                optional(json.text("admin_addr", "")), Addresses.parse(json.text("discovery", null)), seed(json.text("seed", null)),
+                optional(json.text("admin_addr", "")),
+                Addresses.parse(json.text("discovery", null)), seed(json.text("seed", null)),
                 (int) json.child("limits").number("sockets", DEFAULT_SOCKETS),
                 optional(json.text("peer_listen", "")),
                 json.texts("peers").stream().map(Addresses::parse).toList(),
