--- a/core/src/main/java/cedarrudder/Balancer.java
+++ b/core/src/main/java/cedarrudder/Balancer.java
@@ -232,6 +232,14 @@
      */
     default void copies(long now, int live) { }
 
+    /**
+     * How many of the listed endpoints are avoided now: they drain, they fail, or they are silent. It is a
+     * question, and changes nothing.
+     */
+    default int avoided(long now) {
+        return 0;
+    }
+
     /** A message from another copy of this tier. */
     void message(long now, int from, byte[] message);
 }
--- a/core/src/main/java/cedarrudder/Decide.java
+++ b/core/src/main/java/cedarrudder/Decide.java
@@ -590,6 +590,11 @@
         shares.copies(live);
     }
 
+    @Override
+    public int avoided(long now) {
+        return (int) servers.values().stream().filter(s -> !s.ready() || suspect(now, s, patience())).count();
+    }
+
     @Override
     public void message(long now, int from, byte[] message) {
         // This module sends no messages: each copy decides alone.
--- a/core/src/main/java/cedarrudder/ProbePool.java
+++ b/core/src/main/java/cedarrudder/ProbePool.java
@@ -56,13 +56,14 @@
         void look(long now, double others, double turnover) {
             double kept = Math.exp(-(now - at + tuning.nanos(Figure.REPORT_AGE_MS)) / turnover);
             // A connection to be opened counts as a request: it costs the endpoint work and one of few
-            // places. So does crossing zones, which has its price, so that it is done only to get past a
-            // queue.
-            rifNow = server.inFlight + (server.needsConnection() ? 1 : 0) + (server.far ? 1 : 0)
+            // places; but not the first since a start, which it would keep from being made at all. So does
+            // crossing zones, which has its price, so that it is done only to get past a queue.
+            int dial = server.needsConnection() && !server.untried ? 1 : 0;
+            rifNow = server.inFlight + dial + (server.far ? 1 : 0)
                     + Math.max(0, others + (rif - ownThen - others) * kept);
             // The report leaves waiting out, so the time of one request is counted for each that is there and
             // for the one to come. Guards against every copy crowding the quickest endpoint until it is hot.
-            latencyNow = latency * (1 + rifNow);
+            latencyNow = server.untried ? 0 : latency * (1 + rifNow);
         }
     }
 
@@ -71,10 +72,7 @@
     private final RandomGenerator random;
     private final Actions actions;
 
-    /**
-     * All ready endpoints, in an order that every copy agrees on and that has nothing to do with anything
-     * else.
-     */
+    /** All ready endpoints, in an order that every copy agrees on and that has to do with nothing else. */
     private final List<Server> ring = new ArrayList<>();
     private final List<Server> near = new ArrayList<>();
     private final List<Server> far = new ArrayList<>();
--- a/core/src/main/java/cedarrudder/Server.java
+++ b/core/src/main/java/cedarrudder/Server.java
@@ -68,6 +68,9 @@
 
     private long crowdedUntil;
 
+    /** Whether nothing was sent to it since it started. */
+    boolean untried;
+
     /** How many requests it may hold, and what it held for others when it last reported. */
     private final HoldLimit hold;
     private double others;
@@ -115,6 +118,7 @@
      */
     void startCold(long now, double firstDraw) {
         allowance = -firstDraw;
+        untried = true;
         allowanceAt = now;
     }
 
@@ -143,6 +147,7 @@
     }
 
     void sent(long now, double cost) {
+        untried = false;
         if (inFlight++ == 0) {
             waitingSince = now;
         }
--- /dev/null
+++ b/core/src/main/java/cedarrudder/rotation/Rotation.java
@@ -0,0 +1,109 @@
+package cedarrudder.rotation;
+
+import cedarrudder.Balancer.Endpoint;
+import cedarrudder.Balancer.ListKind;
+import cedarrudder.Balancer.State;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Which listed nodes operators have disabled: laid over what discovery lists. The module sees a disabled node
+ * as one that drains, so that every rule on drains holds for it, and nothing else knows of disabling.
+ *
+ * <p>A node that is enabled again counts as started then. Guards against a node that was restarted meanwhile
+ * being sent the load of a warm one, before discovery tells of its new start. Pure; not thread-safe.
+ */
+public final class Rotation {
+
+    /** Ids are kept this many at the most beyond those that are listed, the latest. */
+    private static final int MOST_FORMER = 4096;
+
+    /** A node under the id that operators know it by. */
+    public record Named(String name, Endpoint endpoint) { }
+
+    private final Map<String, Endpoint> listed = new HashMap<>();
+    private final Map<String, Long> returnedAt = new HashMap<>();
+    private final Set<String> former = new LinkedHashSet<>();
+    private final Set<String> disabled = new HashSet<>();
+
+    /** Takes in what discovery says, and returns it as the module is to see it. */
+    public List<Endpoint> listed(ListKind kind, List<Named> entries) {
+        if (kind != ListKind.CHANGES) {
+            Set<String> named = new HashSet<>();
+            entries.forEach(entry -> named.add(entry.name()));
+            List.copyOf(listed.keySet()).stream().filter(name -> !named.contains(name)).forEach(this::leave);
+        }
+        List<Endpoint> shown = new ArrayList<>(entries.size());
+        for (Named entry : entries) {
+            if (entry.endpoint().state() == State.GONE) {
+                leave(entry.name());
+                shown.add(entry.endpoint());
+            } else {
+                former.remove(entry.name());
+                listed.put(entry.name(), entry.endpoint());
+                shown.add(shown(entry.name()));
+            }
+        }
+        return shown;
+    }
+
+    private void leave(String name) {
+        returnedAt.remove(name);
+        if (listed.remove(name) != null) {
+            former.add(name);
+            for (Iterator<String> oldest = former.iterator(); former.size() > MOST_FORMER;) {
+                oldest.next();
+                oldest.remove();
+            }
+        }
+    }
+
+    /** A listed node as the module is to see it now; null where it is not listed. */
+    public Endpoint shown(String name) {
+        Endpoint entry = listed.get(name);
+        if (entry == null) {
+            return null;
+        }
+        State state = disabled.contains(name) ? State.DRAINING : entry.state();
+        long startedAt = Math.max(entry.startedAt(), returnedAt.getOrDefault(name, entry.startedAt()));
+        return new Endpoint(entry.id(), entry.zone(), entry.kind(), entry.cell(), state, entry.weight(),
+                startedAt);
+    }
+
+    /** Whether a node of this id was ever listed, as far as is remembered. */
+    public boolean knows(String name) {
+        return listed.containsKey(name) || former.contains(name) || disabled.contains(name);
+    }
+
+    /** From now on the node is left out, whatever discovery lists. */
+    public void disable(String name) {
+        disabled.add(name);
+    }
+
+    /** From now on the node is what discovery lists, and as if it had started at {@code now}. */
+    public void enable(String name, long now) {
+        if (disabled.remove(name)) {
+            returnedAt.put(name, now);
+            if (!listed.containsKey(name)) {
+                returnedAt.remove(name);
+                former.add(name);
+            }
+        }
+    }
+
+    /** The nodes that are disabled now. */
+    public Set<String> disabled() {
+        return Set.copyOf(disabled);
+    }
+
+    /** How many nodes discovery lists. */
+    public int size() {
+        return listed.size();
+    }
+}
--- a/core/src/main/java/cedarrudder/routing/Driver.java
+++ b/core/src/main/java/cedarrudder/routing/Driver.java
@@ -7,6 +7,8 @@
 import cedarrudder.Balancer.Outcome;
 import cedarrudder.budget.Budgets;
 import cedarrudder.budget.FromBelow;
+import cedarrudder.figures.Figures;
+import cedarrudder.figures.Figures.End;
 import cedarrudder.logging.Logger;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -31,6 +33,7 @@
     private final int maxAttempts;
     private final Balancer balancer;
     private final Budgets budgets;
+    private final Figures figures;
     private final Queue<Runnable> events = new ArrayDeque<>();
     private final Map<Long, Exchange<Q, A>> exchanges = new HashMap<>();
     private ClientSide<Q, A> client;
@@ -39,12 +42,16 @@
     private boolean delivering;
 
     public Driver(Function<Balancer.Actions, Balancer> module, int maxAttempts, Timers timers, Logger log) {
-        this(module, maxAttempts, timers, log, null);
+        this(module, maxAttempts, timers, log, null, null);
     }
 
-    /** @param budgets asked before each further attempt that the module wants; null: none */
+    /**
+     * @param budgets asked before each further attempt that the module wants; null: none
+     * @param figures where RPCs are counted; null: nowhere
+     */
     public Driver(Function<Balancer.Actions, Balancer> module, int maxAttempts, Timers timers, Logger log,
-            Budgets budgets) {
+            Budgets budgets, Figures figures) {
+        this.figures = figures;
         this.timers = timers;
         this.log = log;
         this.budgets = budgets;
@@ -64,6 +71,9 @@
     /** Takes an RPC; its reply is called exactly once unless the caller leaves. */
     public void accept(Exchange<Q, A> exchange) {
         exchanges.put(exchange.request().id(), exchange);
+        if (figures != null) {
+            figures.taken(exchange.request().classIndex());
+        }
         exchange.expiresBy(timers.at(exchange.request().deadline(), () -> expire(exchange)));
         post(() -> {
             if (budgets == null) {
@@ -77,10 +87,14 @@
 
     /** The caller has gone. */
     public void left(Exchange<Q, A> exchange) {
+        leave(exchange, End.LEFT);
+    }
+
+    private void leave(Exchange<Q, A> exchange, End how) {
         if (exchange.over()) {
             return;
         }
-        exchange.end();
+        end(exchange, how);
         forgetIfDone(exchange);
         if (exchange.budget() != null) {
             budgets.left(timers.now(), exchange.budget());
@@ -88,6 +102,14 @@
         post(() -> balancer.clientLeft(timers.now(), exchange.request().id()));
     }
 
+    /** The one place where an exchange ends. */
+    private void end(Exchange<Q, A> exchange, End how) {
+        exchange.end();
+        if (figures != null) {
+            figures.ended(exchange.request().classIndex(), how);
+        }
+    }
+
     /** A node served an attempt. */
     public void served(CallAttempt<Q, A> attempt, A answer, Load load) {
         served(attempt, answer, load, FromBelow.NOTHING);
@@ -120,7 +142,7 @@
                 budgets.ended(timers.now(), exchange.budget(), attempt.handed(), outcome, latency, below);
             }
             if (outcome == Outcome.OK && !exchange.over()) {
-                exchange.end();
+                end(exchange, End.FULFILLED);
                 exchange.result(budgets == null ? null : exchange.budget().served());
                 exchange.reply().served(answer);
             }
@@ -153,6 +175,18 @@
         post(() -> balancer.copies(timers.now(), live));
     }
 
+    /** Asks a node for its load now, beyond what the module asks; without effect where it isn't there. */
+    public void probe(long endpoint) {
+        if (client.knows(endpoint)) {
+            client.probe(endpoint);
+        }
+    }
+
+    /** How many of the listed nodes the module avoids now. */
+    public int avoided() {
+        return balancer.avoided(timers.now());
+    }
+
     /** A message came from another proxy of the tier. */
     public void message(int from, byte[] message) {
         post(() -> balancer.message(timers.now(), from, message));
@@ -202,7 +236,7 @@
         if (!exchange.over()) {
             log.warn("rpc.overdue").with("rpc", exchange.request().id()).write();
             exchange.reply().failed();
-            left(exchange);
+            leave(exchange, End.FAULTED);
         }
     }
 
@@ -257,7 +291,7 @@
 
         @Override
         public void refuse(long request, long retryAfter) {
-            Exchange<Q, A> exchange = finish(request);
+            Exchange<Q, A> exchange = finish(request, End.THROTTLED);
             if (exchange != null) {
                 exchange.result(budgets == null ? null : exchange.budget().refused());
                 exchange.reply().refused(retryAfter);
@@ -266,7 +300,7 @@
 
         @Override
         public void fail(long request) {
-            Exchange<Q, A> exchange = finish(request);
+            Exchange<Q, A> exchange = finish(request, End.FAULTED);
             if (exchange != null) {
                 exchange.result(budgets == null ? null : exchange.budget().failed());
                 exchange.reply().failed();
@@ -274,12 +308,12 @@
         }
 
         /** Marks an RPC as over; null when it was already. */
-        private Exchange<Q, A> finish(long request) {
+        private Exchange<Q, A> finish(long request, End how) {
             Exchange<Q, A> exchange = exchanges.get(request);
             if (exchange == null || exchange.over()) {
                 return null;
             }
-            exchange.end();
+            end(exchange, how);
             forgetIfDone(exchange);
             return exchange;
         }
--- a/core/src/test/java/cedarrudder/routing/DriverTest.java
+++ b/core/src/test/java/cedarrudder/routing/DriverTest.java
@@ -14,12 +14,16 @@
 import cedarrudder.budget.FromBelow;
 import cedarrudder.budget.HopPath;
 import cedarrudder.budget.Notices;
+import cedarrudder.figures.Figures;
+import cedarrudder.figures.Figures.End;
 import cedarrudder.logging.Logger;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
+import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -41,6 +45,7 @@
     private boolean refuseConnections;
     private boolean knows;
     private Budgets budgets;
+    private Figures figures;
     private long now;
     private Actions actions;
     private Driver<String, String> driver;
@@ -59,7 +64,22 @@
         build();
     }
 
+    /** Guards against an RPC that is counted twice, or not at all, however it ended. */
+    @AfterMethod
+    public void everyRpcTakenIsCountedOnce() {
+        long ended = Arrays.stream(End.values()).mapToLong(how -> figures.allEnded(0, how)).sum();
+        assertEquals(figures.allTaken(0), ended + figures.open());
+        assertEquals(figures.allEnded(0, End.FULFILLED), said("served"));
+        assertEquals(figures.allEnded(0, End.THROTTLED), said("refused"));
+        assertEquals(figures.allEnded(0, End.FAULTED), said("failed"));
+    }
+
+    private long said(String word) {
+        return seen.stream().filter(line -> line.startsWith(word)).count();
+    }
+
     private void build() {
+        figures = new Figures(1);
         driver = new Driver<>(did -> {
             actions = did;
             return new Module();
@@ -74,7 +94,7 @@
                 timers.add(task);
                 return () -> timers.remove(task);
             }
-        }, new Logger(new PrintStream(OutputStream.nullOutputStream())), budgets);
+        }, new Logger(new PrintStream(OutputStream.nullOutputStream())), budgets, figures);
         driver.connect(new Client(), null, null);
     }
 
--- a/daemon/src/main/java/cedarrudder/program/Daemon.java
+++ b/daemon/src/main/java/cedarrudder/program/Daemon.java
@@ -42,7 +42,7 @@
             Configuration configuration = read(file);
             keepNettySmall();
             Logger log = new Logger(System.err);
-            Proxy proxy = new Proxy(configuration, operator, log);
+            Proxy proxy = new Proxy(configuration, operator, log, state(configuration));
             // Before anything listens: guards against the virtual machine's own answer to SIGHUP, its end.
             Signals.onHangup(() -> reload(proxy, file, options), proxy::noHangup);
             proxy.start();
@@ -77,6 +77,17 @@
         }
     }
 
+    /**
+     * Where this proxy keeps its state, by the address at which its clients find it: guards against proxies
+     * that share a folder for temporary files taking up one another's.
+     */
+    private static Path state(Configuration configuration) {
+        String folder = System.getenv("TMPDIR");
+        return Path.of(folder == null || folder.isEmpty() ? System.getProperty("java.io.tmpdir") : folder,
+                "cedarrudder-" + configuration.listen().getAddress().getHostAddress().replace(':', '.') + "-"
+                        + configuration.listen().getPort());
+    }
+
     private static Configuration read(String file) throws IOException {
         String text;
         try {
--- /dev/null
+++ b/daemon/src/main/java/cedarrudder/program/KeptState.java
@@ -0,0 +1,90 @@
+package cedarrudder.program;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.FileAlreadyExistsException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.stream.Stream;
+
+/**
+ * What operators have asked for and what outlives the process: a folder with an empty file for each node that
+ * is disabled, and one while clients are sent away. Each change is one creation or deletion, so a kill at any
+ * moment leaves the state before it or after it, and two processes see the same.
+ */
+final class KeptState {
+
+    private static final String NODE = "disabled-";
+    private static final String DRAINED = "drained";
+
+    /** Longer names are more than a folder takes. */
+    private static final int MOST_NAME = 200;
+
+    /** What the folder says. */
+    record Told(Set<String> disabled, boolean drained) { }
+
+    private final Path folder;
+
+    KeptState(Path folder) {
+        this.folder = folder;
+    }
+
+    /** Reads the folder; one that isn't there says nothing. An IOException: it can't be read. */
+    Told read() throws IOException {
+        if (!Files.exists(folder)) {
+            return new Told(Set.of(), false);
+        }
+        Set<String> disabled = new HashSet<>();
+        boolean drained = false;
+        try (Stream<Path> files = Files.list(folder)) {
+            for (Path file : (Iterable<Path>) files::iterator) {
+                String name = file.getFileName().toString();
+                drained |= name.equals(DRAINED);
+                if (name.startsWith(NODE)) {
+                    disabled.add(URLDecoder.decode(name.substring(NODE.length()), StandardCharsets.UTF_8));
+                }
+            }
+        } catch (UncheckedIOException | IllegalArgumentException e) {
+            throw new IOException("can't read " + folder + ": " + e.getMessage(), e);
+        }
+        return new Told(disabled, drained);
+    }
+
+    void disable(String node) throws IOException {
+        create(nodeFile(node));
+    }
+
+    void enable(String node) throws IOException {
+        Files.deleteIfExists(folder.resolve(nodeFile(node)));
+    }
+
+    void drain() throws IOException {
+        create(DRAINED);
+    }
+
+    void resume() throws IOException {
+        Files.deleteIfExists(folder.resolve(DRAINED));
+    }
+
+    private static String nodeFile(String node) throws IOException {
+        String name = NODE + URLEncoder.encode(node, StandardCharsets.UTF_8);
+        if (name.length() > MOST_NAME) {
+            throw new IOException("too long an id for a file: " + name.length() + " characters");
+        }
+        return name;
+    }
+
+    private void create(String name) throws IOException {
+        Files.createDirectories(folder);
+        try {
+            Files.createFile(folder.resolve(name));
+        } catch (FileAlreadyExistsException e) {
+            // it is kept already
+        }
+    }
+}
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -1,9 +1,13 @@
 package cedarrudder.program;
 
+import cedarrudder.Balancer.Endpoint;
 import cedarrudder.Balancer.ListKind;
+import cedarrudder.Balancer.RequestClass;
+import cedarrudder.Balancer.State;
 import cedarrudder.Decide;
 import cedarrudder.budget.BudgetSettings;
 import cedarrudder.budget.Budgets;
+import cedarrudder.figures.Figures;
 import cedarrudder.logging.Logger;
 import cedarrudder.logging.TextLines;
 import cedarrudder.membership.MembershipSettings;
@@ -16,10 +20,13 @@
 import cedarrudder.operator.NodesTable;
 import cedarrudder.operator.Operator;
 import cedarrudder.protocol.BadMessageException;
+import cedarrudder.protocol.FiguresPage;
 import cedarrudder.protocol.Message;
 import cedarrudder.protocol.ResolverResult;
 import cedarrudder.protocol.ResolverResultReader;
 import cedarrudder.protocol.RpcFields;
+import cedarrudder.rotation.Rotation;
+import cedarrudder.rotation.Rotation.Named;
 import cedarrudder.routing.Driver;
 import cedarrudder.toml.BadFileException;
 import cedarrudder.transport.AdminListener;
@@ -31,6 +38,7 @@
 import cedarrudder.transport.NodeChannels;
 import cedarrudder.transport.PeerSocket;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
@@ -39,6 +47,10 @@
 /** One proxy: its parts, wired together. */
 final class Proxy {
 
+    /** How often a node that was enabled is asked for its load, in nanoseconds, and how many times. */
+    private static final long WELCOME = 1_000_000_000L;
+    private static final int WELCOMES = 5;
+
     private final Logger log;
     private final Configuration configuration;
     private final Loop loop;
@@ -49,10 +61,15 @@
     private final PeerSocket peers;
     private final Listener listener;
     private final Membership membership;
+    private final Figures figures;
+    private final Rotation rotation = new Rotation();
+    private final KeptState kept;
     private boolean resolved;
     private boolean warm;
 
-    Proxy(Configuration configuration, Operator operator, Logger log) {
+    /** @param state where what operators ask for is kept; read and written only where they can ask */
+    Proxy(Configuration configuration, Operator operator, Logger log, Path state) {
+        kept = new KeptState(state);
         this.configuration = configuration;
         this.log = log;
         var site = configuration.site();
@@ -61,9 +78,11 @@
         setLog(operator.of(LogTable.LOG));
         loop = new Loop(log);
         Budgets budgets = budgets(operator.of(BudgetTable.BUDGET));
+        figures = new Figures(site.module().classes().size());
         driver = new Driver<>(actions -> new Decide(site.module(), new SplittableRandom(configuration.seed()),
-                actions), site.module().limits().maxAttempts(), loop, log, budgets);
-        channels = new NodeChannels(loop, driver, site, nodes, nodes.mostChannels(configuration.sockets()));
+                actions), site.module().limits().maxAttempts(), loop, log, budgets, figures);
+        channels = new NodeChannels(loop, driver, site, nodes, nodes.mostChannels(configuration.sockets()),
+                figures);
         reader = new ResolverResultReader(site, loop.now() - System.currentTimeMillis() * 1_000_000);
         long version = (long) configuration.known().number("version", 0);
         discovery = new DiscoveryClient(loop, configuration.discovery(),
@@ -115,6 +134,9 @@
                 : reader.read(configuration.known());
         CountDownLatch told = new CountDownLatch(1);
         loop.run(() -> {
+            if (configuration.admin() != null) {
+                takeUp();
+            }
             if (known != null) {
                 resolved(known, ListKind.CACHED);
             } else {
@@ -158,7 +180,56 @@
     private void resolved(ResolverResult result, ListKind kind) {
         channels.resolved(result);
         resolved |= !result.nodes().isEmpty();
-        driver.resolved(kind, result.endpoints());
+        driver.resolved(kind, rotation.listed(kind, result.nodes().stream()
+                .map(node -> new Named(node.name(), node.endpoint())).toList()));
+    }
+
+    /** Takes up what operators asked for before this process began. */
+    private void takeUp() {
+        try {
+            KeptState.Told told = kept.read();
+            told.disabled().forEach(rotation::disable);
+            if (told.drained()) {
+                listener.drainByHand();
+            }
+        } catch (IOException e) {
+            // Guards against a start that fails for a folder's sake: what can't be read counts as absent.
+            log.warn("state.unreadable").with("why", e.getMessage()).write();
+        }
+    }
+
+    /** The module is to see a node anew, where it is listed. */
+    private void show(String node) {
+        Endpoint entry = rotation.shown(node);
+        if (entry != null) {
+            driver.resolved(ListKind.CHANGES, List.of(entry));
+        }
+    }
+
+    /**
+     * A node is back: asks it for its load now and each second for a while, since it may still be starting.
+     * Guards against it standing idle: the module sends mostly to nodes whose load it knows, and with few
+     * calls it asks few of them.
+     */
+    private void welcome(String node, int times) {
+        Endpoint entry = rotation.shown(node);
+        if (entry != null && entry.state() == State.READY && times > 0) {
+            driver.probe(entry.id());
+            loop.at(loop.now() + WELCOME, () -> welcome(node, times - 1));
+        }
+    }
+
+    private void leaveOut(String node) {
+        rotation.disable(node);
+        log.info("node.disabled").with("node", node).write();
+        show(node);
+    }
+
+    private void putBack(String node) {
+        rotation.enable(node, loop.now());
+        log.info("node.enabled").with("node", node).write();
+        show(node);
+        welcome(node, WELCOMES);
     }
 
     /**
@@ -211,26 +282,67 @@
         loop.run(() -> log.warn("sighup.not_handled").with("why", why).write());
     }
 
+    /** What writes what is to be kept. */
+    private interface Keeping {
+        void run() throws IOException;
+    }
+
     /** What operators ask for, carried out by the parts. */
     private final class OnDuty implements Desk {
+        private final List<String> classes = configuration.site().module().classes().stream()
+                .map(RequestClass::name).toList();
+
         @Override
         public boolean ready() {
             return resolved && warm && listener.lasts();
         }
 
         @Override
-        public Done drain() {
-            listener.drainByHand();
+        public byte[] figures() {
+            return FiguresPage.write(figures, classes, rotation.size(), driver.avoided());
+        }
+
+        @Override
+        public Done disable(String node) {
+            return !rotation.knows(node) ? Done.UNKNOWN : keep(() -> kept.disable(node), () -> {
+                if (!rotation.disabled().contains(node)) {
+                    leaveOut(node);
+                }
+            });
+        }
+
+        @Override
+        public Done enable(String node) {
+            return !rotation.knows(node) ? Done.UNKNOWN : keep(() -> kept.enable(node), () -> {
+                if (rotation.disabled().contains(node)) {
+                    putBack(node);
+                }
+            });
+        }
+
+        /** Does what was asked once it is kept. Guards against a yes that a new process knows nothing of. */
+        private Done keep(Keeping keeping, Runnable then) {
+            try {
+                keeping.run();
+            } catch (IOException e) {
+                log.warn("state.not_kept").with("why", e.toString()).write();
+                return Done.NO;
+            }
+            then.run();
             return Done.YES;
         }
 
+        @Override
+        public Done drain() {
+            return keep(kept::drain, listener::drainByHand);
+        }
+
         @Override
         public Done resume() {
             if (!listener.lasts()) {
                 return Done.NO;
             }
-            listener.resume();
-            return Done.YES;
+            return keep(kept::resume, listener::resume);
         }
     }
 
--- a/daemon/src/main/java/cedarrudder/program/Warmup.java
+++ b/daemon/src/main/java/cedarrudder/program/Warmup.java
@@ -7,6 +7,7 @@
 import cedarrudder.Balancer.Settings;
 import cedarrudder.Balancer.State;
 import cedarrudder.Decide;
+import cedarrudder.figures.Figures;
 import cedarrudder.logging.Logger;
 import cedarrudder.protocol.BadMessageException;
 import cedarrudder.protocol.LoadReport;
@@ -78,11 +79,12 @@
         request = Message.requestOf(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
         driver = new Driver<>(actions -> new Decide(settings, random, actions),
                 settings.limits().maxAttempts(), new Clock(), log);
-        channels = new NodeChannels(loop, driver, configuration.site(), NodeLimits.DEFAULT, RPCS);
+        channels = new NodeChannels(loop, driver, configuration.site(), NodeLimits.DEFAULT, RPCS,
+                new Figures(settings.classes().size()));
         driver.connect(new Self(), new NoDiscovery(), (copy, message) -> { });
         Endpoint self = new Endpoint(SELF, settings.zone(), 0, 0, State.READY, 1, 0);
         channels.resolved(new ResolverResult(0, true,
-                List.of(new ResolverResult.Node(self, configuration.listen()))));
+                List.of(new ResolverResult.Node("self", self, configuration.listen()))));
         driver.resolved(ListKind.FULL, List.of(self));
     }
 
--- a/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
+++ b/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
@@ -74,7 +74,8 @@
         if (state == State.GONE) {
             forget(entry.text("id", null));
         }
-        return new ResolverResult.Node(endpoint, Addresses.parse(entry.text("addr", null)));
+        return new ResolverResult.Node(entry.text("id", null), endpoint,
+                Addresses.parse(entry.text("addr", null)));
     }
 
     /**
--- a/daemon/src/main/java/cedarrudder/transport/AdminListener.java
+++ b/daemon/src/main/java/cedarrudder/transport/AdminListener.java
@@ -17,6 +17,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -40,6 +41,7 @@
     private static final long LAST_WORD = 1_000_000_000L;
 
     private static final String NODES = "/-/nodes/";
+    private static final Answer UNKNOWN_PATH = Answer.text(404, "unknown path");
 
     private final Loop loop;
     private final Desk desk;
@@ -91,27 +93,51 @@
         }
     }
 
-    private Answer route(String method, String target) {
+    private Answer route(String method, String target) throws BadMessageException {
         int query = target.indexOf('?');
         String path = query < 0 ? target : target.substring(0, query);
+        int verb = path.lastIndexOf('/');
+        if (path.startsWith(NODES) && verb > NODES.length()) {
+            String node = decoded(path.substring(NODES.length(), verb));
+            return node.contains("/") ? UNKNOWN_PATH : switch (path.substring(verb + 1)) {
+                case "disable" -> method.equals("POST") ? Answer.done(desk.disable(node)) : wrong("POST");
+                case "enable" -> method.equals("POST") ? Answer.done(desk.enable(node)) : wrong("POST");
+                default -> UNKNOWN_PATH;
+            };
+        }
         String allowed = switch (path) {
-            case "/-/ready" -> "GET";
+            case "/-/ready", "/-/metrics" -> "GET";
             case "/-/drain", "/-/resume" -> "POST";
             default -> null;
         };
         if (allowed == null) {
-            return Answer.text(404, "unknown path");
+            return UNKNOWN_PATH;
         }
         if (!method.equals(allowed)) {
-            return new Answer(405, "text/plain", "wrong method\n".getBytes(StandardCharsets.UTF_8), allowed);
+            return wrong(allowed);
         }
         return switch (path) {
             case "/-/ready" -> desk.ready() ? Answer.text(200, "ready") : Answer.text(503, "not ready");
+            case "/-/metrics" -> new Answer(200, "application/json", desk.figures(), null);
             case "/-/drain" -> Answer.done(desk.drain());
             default -> Answer.done(desk.resume());
         };
     }
 
+    private static Answer wrong(String allowed) {
+        return new Answer(405, "text/plain", "wrong method\n".getBytes(StandardCharsets.UTF_8), allowed);
+    }
+
+    /** Decodes what is percent-encoded, once. */
+    private static String decoded(String segment) throws BadMessageException {
+        try {
+            // A plus sign is one: the decoder is for forms, where it stands for a blank.
+            return URLDecoder.decode(segment.replace("+", "%2B"), StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            throw new BadMessageException(BadMessageException.BAD_REQUEST, "bad percent-encoding");
+        }
+    }
+
     /** Guards against callers who say nothing, or half a call, shutting out those who say all of it. */
     private void makeRoom() {
         Call least = null;
--- a/daemon/src/main/java/cedarrudder/transport/Desk.java
+++ b/daemon/src/main/java/cedarrudder/transport/Desk.java
@@ -16,6 +16,15 @@
     /** Whether this process can serve. */
     boolean ready();
 
+    /** The figures, as JSON. */
+    byte[] figures();
+
+    /** Leaves a node out until it is enabled. */
+    Done disable(String node);
+
+    /** Puts a node back. */
+    Done enable(String node);
+
     /** Sends clients away. */
     Done drain();
 
--- a/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
+++ b/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
@@ -4,6 +4,7 @@
 import cedarrudder.Balancer.State;
 import cedarrudder.budget.Carried;
 import cedarrudder.budget.FromBelow;
+import cedarrudder.figures.Figures;
 import cedarrudder.protocol.BadMessageException;
 import cedarrudder.protocol.BudgetHeaders;
 import cedarrudder.protocol.HttpDecoder;
@@ -47,6 +48,7 @@
     private final Loop loop;
     private final Driver<Message, Message> driver;
     private final SiteSettings.Reports reports;
+    private final Figures figures;
     private final Bootstrap bootstrap;
     private final long idleLimit;
     private NodeLimits limits;
@@ -56,9 +58,13 @@
     private Timers.Timer sweeping;
     private int open;
 
-    /** @param mostOpen beyond so many channels, each new one costs one that is idle */
+    /**
+     * @param mostOpen beyond so many channels, each new one costs one that is idle
+     * @param figures where attempts are counted
+     */
     public NodeChannels(Loop loop, Driver<Message, Message> driver, SiteSettings site, NodeLimits limits,
-            int mostOpen) {
+            int mostOpen, Figures figures) {
+        this.figures = figures;
         this.loop = loop;
         this.driver = driver;
         this.reports = site.reports();
@@ -228,6 +234,11 @@
 
         abstract ByteBuf encode();
 
+        /** Its last byte is written. */
+        void wrote() {
+            written = true;
+        }
+
         abstract void answered(Message answer);
 
         abstract void failed(Outcome outcome);
@@ -265,6 +276,12 @@
                     handed == null ? null : handed.after(loop.now() - attempt.startedAt()));
         }
 
+        @Override
+        void wrote() {
+            super.wrote();
+            figures.relayed(attempt.exchange().request().classIndex());
+        }
+
         @Override
         void answered(Message answer) {
             attempts.remove(attempt);
@@ -366,7 +383,7 @@
             next.channel = this;
             channel.writeAndFlush(next.encode()).addListener(wrote -> {
                 if (wrote.isSuccess()) {
-                    next.written = true;
+                    next.wrote();
                 } else {
                     fail();
                 }
--- a/daemon/src/test/java/cedarrudder/program/OperatorsCallsTest.java
+++ b/daemon/src/test/java/cedarrudder/program/OperatorsCallsTest.java
@@ -2,11 +2,17 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
 
 import cedarrudder.program.World.Caller;
 import cedarrudder.program.World.Received;
+import cedarrudder.protocol.JsonObject;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.testng.annotations.Test;
 
 /** What operators ask over their own address, and what clients see of it. */
@@ -78,6 +84,120 @@
         }
     }
 
+    /** Guards against a ban that fails to reach work which waits, or that outlives the call that ends it. */
+    @Test
+    public void aDisabledNodeGetsNothingNewUntilItIsEnabled() throws Exception {
+        try (World world = new World(2).withAdmin().start(); Caller caller = world.caller()) {
+            assertEquals(world.status("POST", "/-/nodes/n9/disable"), 404);
+            assertEquals(world.status("POST", "/-/nodes/%zz/disable"), 400);
+            assertEquals(world.operator("GET", "/-/nodes/n0/disable").field("Allow"), "POST");
+            assertEquals(world.status("POST", "/-/nodes/n0/other"), 404);
+            assertEquals(world.status("POST", "/-/nodes/%6e0/disable"), 200);
+            assertEquals(world.status("POST", "/-/nodes/n0/disable"), 200);
+            assertEquals(metric(world, "out_of_rotation"), 1);
+            assertEquals(metric(world, "registry_entries"), 2);
+            for (int i = 0; i < 30; i++) {
+                assertEquals(served(world, caller, "one-" + i), nodePort(world, 1));
+            }
+            assertEquals(world.status("POST", "/-/nodes/n1/disable"), 200);
+            caller.send(World.rpc("lookup", "/api", "").replace("id-1", "none"));
+            assertEquals(caller.read().first(), "HTTP/1.1 503 Service Unavailable");
+            world.probesWait = true;
+            assertEquals(world.status("POST", "/-/nodes/n0/enable"), 200);
+            // Asked at once, though there are no calls.
+            World.await(world.probes).reply("200 OK", "TEXT latency_ms=5, inflight=0, util=0.1");
+            assertEquals(metric(world, "out_of_rotation"), 1);
+            int answered = 0;
+            for (int i = 0; answered == 0; i++) {
+                // Cold: now and then there is no room for one yet.
+                caller.send(World.rpc("lookup", "/api", "").replace("id-1", "two-" + i));
+                Received call = world.calls.poll(300, TimeUnit.MILLISECONDS);
+                if (call != null) {
+                    assertEquals(call.socket().getLocalPort(), nodePort(world, 0));
+                    call.reply("200 OK", "x");
+                    answered++;
+                }
+                caller.read();
+            }
+        }
+    }
+
+    /** Guards against a yes that the next process knows nothing of. */
+    @Test
+    public void whatCantBeKeptIsANoAndWhatWasKeptIsTakenUp() throws Exception {
+        try (World world = new World(2).withAdmin()) {
+            Files.createDirectories(world.state);
+            Files.createFile(world.state.resolve("disabled-n0"));
+            Files.createFile(world.state.resolve("drained"));
+            world.start();
+            assertEquals(health(world), "HTTP/1.1 503 Service Unavailable");
+            assertEquals(metric(world, "out_of_rotation"), 1);
+            assertEquals(world.status("POST", "/-/resume"), 200);
+            assertEquals(health(world), "HTTP/1.1 200 OK");
+            assertEquals(world.status("POST", "/-/nodes/n0/enable"), 200);
+            assertEquals(metric(world, "out_of_rotation"), 0);
+            try (Stream<Path> left = Files.list(world.state)) {
+                assertEquals(left.filter(file -> !file.toString().endsWith("processes")).count(), 0);
+            }
+        }
+        try (World world = new World(1).withAdmin()) {
+            Files.createFile(world.state); // a folder can't be made there
+            world.start();
+            assertEquals(world.status("POST", "/-/drain"), 503);
+            assertEquals(world.status("POST", "/-/nodes/n0/disable"), 503);
+            assertEquals(health(world), "HTTP/1.1 200 OK");
+            assertEquals(metric(world, "out_of_rotation"), 0);
+        }
+    }
+
+    /** Guards against figures that tell something else than what peers saw. */
+    @Test
+    public void figuresTellWhatCallersAndNodesSaw() throws Exception {
+        try (World world = new World(1).withAdmin().start(); Caller caller = world.caller()) {
+            String before = page(world);
+            assertTrue(before.contains("\"order\":{\"fulfilled\":0"), before);
+            serveOn(world, caller, "served");
+            caller.send(World.rpc("order", "/api", "x").replace("id-1", "failed"));
+            world.call().reply("500 Broken", "");
+            assertEquals(caller.read().first(), "HTTP/1.1 502 Bad Gateway");
+            Caller leaving = world.caller();
+            leaving.send(World.rpc("order", "/api", "x").replace("id-1", "leaves"));
+            world.call();
+            assertEquals(metric(world, "open_requests"), 1);
+            leaving.close();
+            while (metric(world, "open_requests") > 0) {
+                Thread.sleep(1);
+            }
+            JsonObject operations = JsonObject.parse(page(world)).child("operations");
+            assertEquals(operations.child("lookup").whole("fulfilled"), 1);
+            assertEquals(operations.child("lookup").whole("relayed"), 1);
+            assertEquals(operations.child("order").whole("faulted"), 1);
+            assertEquals(operations.child("order").whole("relayed"), 2);
+            assertEquals(operations.child("order").whole("left"), 1);
+        }
+    }
+
+    private static String page(World world) throws Exception {
+        return world.operator("GET", "/-/metrics").body();
+    }
+
+    private static long metric(World world, String name) throws Exception {
+        return JsonObject.parse(page(world)).whole(name);
+    }
+
+    private static int nodePort(World world, int node) {
+        return world.nodes.get(node).server.getLocalPort();
+    }
+
+    /** Serves an RPC and tells at which node's port it came. */
+    private static int served(World world, Caller caller, String id) throws Exception {
+        caller.send(World.rpc("lookup", "/api", "").replace("id-1", id));
+        Received call = world.call();
+        call.reply("200 OK", id);
+        assertEquals(caller.read().body(), id);
+        return call.socket().getLocalPort();
+    }
+
     private static String health(World world) throws Exception {
         try (Caller front = world.caller()) {
             return front.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").read().first();
--- a/daemon/src/test/java/cedarrudder/program/World.java
+++ b/daemon/src/test/java/cedarrudder/program/World.java
@@ -181,6 +181,8 @@
     Peer discovery = new Peer(lookups);
     final int port;
     private final Socket held = new Socket();
+    /** Where the proxy keeps its state. */
+    final Path state = Files.createTempDirectory("world").resolve("state");
     private final Socket adminHeld = new Socket();
     private Operator operator = Operator.NONE;
     private Proxy proxy;
@@ -247,7 +249,7 @@
     /** Starts a proxy in this process. */
     World start() throws IOException, InterruptedException {
         Configuration configuration = Configuration.parse(configuration());
-        proxy = new Proxy(configuration, operator, new Logger(new PrintStream(log, true)));
+        proxy = new Proxy(configuration, operator, new Logger(new PrintStream(log, true)), state);
         proxy.start();
         return this;
     }
--- a/lab/src/main/java/cedarrudder/lab/model/Life.java
+++ b/lab/src/main/java/cedarrudder/lab/model/Life.java
@@ -96,7 +96,7 @@
         this.driver = new Driver<>(actions -> watched.around(settings, actions, limited ->
                 proxy.all.policy.create(settings, new SplittableRandom(seed), limited,
                         proxy.all.truth(tier))),
-                settings.limits().maxAttempts(), this, proxy.all.log, budgets);
+                settings.limits().maxAttempts(), this, proxy.all.log, budgets, null);
         driver.connect(this, this, this);
     }
 
