--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -19,6 +19,7 @@
 import cedarrudder.operator.MembershipTable;
 import cedarrudder.operator.NodesTable;
 import cedarrudder.operator.Operator;
+import cedarrudder.program.Handover.Others;
 import cedarrudder.protocol.BadMessageException;
 import cedarrudder.protocol.FiguresPage;
 import cedarrudder.protocol.Message;
@@ -38,11 +39,13 @@
 import cedarrudder.transport.NodeChannels;
 import cedarrudder.transport.PeerSocket;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /** One proxy: its parts, wired together. */
 final class Proxy {
@@ -51,6 +54,12 @@
     private static final long WELCOME = 1_000_000_000L;
     private static final int WELCOMES = 5;
 
+    /** How often a proxy looks for other processes of it, in nanoseconds. */
+    private static final long WATCH = 100_000_000L;
+
+    /** A successor waits so long, in nanoseconds, for discovery's list before it lets callers in. */
+    private static final long FRESH = 2_000_000_000L;
+
     private final Logger log;
     private final Configuration configuration;
     private final Loop loop;
@@ -64,12 +73,18 @@
     private final Figures figures;
     private final Rotation rotation = new Rotation();
     private final KeptState kept;
+    private final Handover handover;
+    private final CountDownLatch fresh = new CountDownLatch(1);
+    private Operator operator;
+    private Others others = Others.NONE;
     private boolean resolved;
-    private boolean warm;
+    private boolean serving;
 
     /** @param state where what operators ask for is kept; read and written only where they can ask */
     Proxy(Configuration configuration, Operator operator, Logger log, Path state) {
         kept = new KeptState(state);
+        handover = new Handover(state);
+        this.operator = operator;
         this.configuration = configuration;
         this.log = log;
         var site = configuration.site();
@@ -90,7 +105,8 @@
                 result -> resolved(result, result.full() ? ListKind.FULL : ListKind.CHANGES),
                 driver::unresolved);
         peers = new PeerSocket(loop, driver, configuration.peers(), configuration.peersAll());
-        listener = new Listener(loop, driver, new RpcFields(site.module(), budgets), () -> resolved && warm,
+        listener = new Listener(loop, driver, new RpcFields(site.module(), budgets),
+                () -> resolved && serving,
                 callers, callers.mostCallers(configuration.sockets()));
         driver.connect(channels, discovery, peers);
         membership = membership(operator.of(MembershipTable.MEMBERSHIP));
@@ -130,12 +146,21 @@
 
     /** Starts it: the module learns the list it had before, then callers are let in. */
     void start() throws IOException, InterruptedException {
+        boolean shared = configuration.admin() != null;
+        if (shared) {
+            joinOthers();
+        }
         ResolverResult known = configuration.known().list("servers", false).isEmpty() ? null
                 : reader.read(configuration.known());
         CountDownLatch told = new CountDownLatch(1);
         loop.run(() -> {
-            if (configuration.admin() != null) {
+            if (shared) {
                 takeUp();
+                setBounds();
+                watchOthers();
+            }
+            if (others.predecessor()) {
+                discovery.fetch();
             }
             if (known != null) {
                 resolved(known, ListKind.CACHED);
@@ -145,34 +170,109 @@
             told.countDown();
         });
         told.await();
-        if (configuration.admin() != null) {
+        if (shared) {
             new AdminListener(loop, new OnDuty()).listen(configuration.admin());
         }
         if (configuration.peerListen() != null) {
-            peers.listen(configuration.peerListen());
+            peers.listen(configuration.peerListen(), shared);
             if (membership != null) {
                 loop.run(membership::start);
             }
         }
-        listener.listen(configuration.listen());
+        // Not at the callers' address: guards against RPCs of the warm-up reaching another process there.
+        InetSocketAddress own = listener.listen(
+                new InetSocketAddress(configuration.listen().getAddress(), 0), false);
         CountDownLatch warmed = new CountDownLatch(1);
-        loop.run(() -> warmUp(warmed));
+        loop.run(() -> warmUp(own, warmed));
         warmed.await();
-        loop.run(() -> log.info("proxy.listens").with("name", configuration.name())
-                .with("address", configuration.listen()).write());
+        if (others.predecessor()) {
+            fresh.await(FRESH, TimeUnit.NANOSECONDS);
+        }
+        listener.listen(configuration.listen(), shared);
+        if (shared) {
+            tellReady();
+        }
+        loop.run(() -> {
+            serving = true;
+            log.info("proxy.listens").with("name", configuration.name())
+                    .with("address", configuration.listen()).write();
+        });
     }
 
-    private void warmUp(CountDownLatch warmed) {
+    /** Finds out who else runs for this proxy; one that can't find out takes itself to be alone. */
+    private void joinOthers() throws InterruptedException {
         try {
-            Warmup warmup = new Warmup(loop, configuration, log, () -> {
-                warm = true;
-                warmed.countDown();
-            });
+            handover.join();
+            others = handover.look();
+        } catch (IOException e) {
+            log.warn("state.unreadable").with("why", e.toString()).write();
+        }
+    }
+
+    /** Before operators are told: guards against a predecessor that ends as if nobody took over. */
+    private void tellReady() throws InterruptedException {
+        try {
+            handover.ready();
+        } catch (IOException e) {
+            log.warn("state.unreadable").with("why", e.toString()).write();
+        }
+    }
+
+    /** Looks who else runs, and what operators have asked of it. */
+    private void watchOthers() {
+        loop.at(loop.now() + WATCH, this::watchOthers);
+        try {
+            Others now = handover.look();
+            if (!now.equals(others)) {
+                log.info("upgrade.others").with("predecessor", now.predecessor())
+                        .with("successor", now.successor()).with("ready", now.successorReady()).write();
+            }
+            boolean alone = !now.any() && !others.any();
+            others = now;
+            if (!alone) {
+                setBounds();
+                takeOver(kept.read());
+            }
+        } catch (IOException e) {
+            log.warn("state.unreadable").with("why", e.toString()).write();
+        }
+    }
+
+    /** Does what operators asked of another process of this proxy. */
+    private void takeOver(KeptState.Told told) {
+        for (String node : told.disabled()) {
+            if (!rotation.disabled().contains(node)) {
+                leaveOut(node);
+            }
+        }
+        for (String node : rotation.disabled()) {
+            if (!told.disabled().contains(node)) {
+                putBack(node);
+            }
+        }
+        if (told.drained()) {
+            listener.drainByHand();
+        } else {
+            listener.resume();
+        }
+    }
+
+    /** Two processes of a proxy together hold no more descriptors than one may. */
+    private void setBounds() {
+        int sockets = configuration.sockets() / (others.any() ? 2 : 1);
+        var callers = operator.of(CallersTable.CALLERS);
+        listener.apply(callers, callers.mostCallers(sockets));
+        var nodes = operator.of(NodesTable.NODES);
+        channels.apply(nodes, nodes.mostChannels(sockets));
+    }
+
+    private void warmUp(InetSocketAddress at, CountDownLatch warmed) {
+        try {
+            Warmup warmup = new Warmup(loop, configuration, at, log, warmed::countDown);
             listener.setAside(warmup.answers());
             warmup.start();
         } catch (BadMessageException | RuntimeException e) {
             log.fault("proxy.not_warmed", e).write();
-            warm = true;
             warmed.countDown();
         }
     }
@@ -180,6 +280,9 @@
     private void resolved(ResolverResult result, ListKind kind) {
         channels.resolved(result);
         resolved |= !result.nodes().isEmpty();
+        if (kind != ListKind.CACHED) {
+            fresh.countDown();
+        }
         driver.resolved(kind, rotation.listed(kind, result.nodes().stream()
                 .map(node -> new Named(node.name(), node.endpoint())).toList()));
     }
@@ -254,13 +357,11 @@
     }
 
     /** Takes up what the operator's file says now, from any thread. RPCs notice nothing. */
-    void apply(Operator operator) {
+    void apply(Operator next) {
         loop.run(() -> {
+            operator = next;
             setLog(operator.of(LogTable.LOG));
-            var callers = operator.of(CallersTable.CALLERS);
-            listener.apply(callers, callers.mostCallers(configuration.sockets()));
-            var nodes = operator.of(NodesTable.NODES);
-            channels.apply(nodes, nodes.mostChannels(configuration.sockets()));
+            setBounds();
             discovery.apply(operator.of(DiscoveryTable.DISCOVERY));
             log.info("operator.read").write();
         });
@@ -282,6 +383,15 @@
         loop.run(() -> log.warn("sighup.not_handled").with("why", why).write());
     }
 
+    private boolean successorReady() {
+        try {
+            return configuration.admin() != null && handover.look().successorReady();
+        } catch (IOException e) {
+            log.warn("state.unreadable").with("why", e.toString()).write();
+            return false;
+        }
+    }
+
     /** What writes what is to be kept. */
     private interface Keeping {
         void run() throws IOException;
@@ -294,7 +404,7 @@
 
         @Override
         public boolean ready() {
-            return resolved && warm && listener.lasts();
+            return resolved && serving && listener.lasts();
         }
 
         @Override
@@ -350,11 +460,16 @@
     void drain() {
         CountDownLatch drained = new CountDownLatch(1);
         loop.run(() -> {
-            log.info("proxy.draining").write();
             if (membership != null) {
                 membership.leave();
             }
-            listener.drain(drained::countDown);
+            if (successorReady()) {
+                log.info("proxy.replaced").write();
+                listener.replace(drained::countDown);
+            } else {
+                log.info("proxy.draining").write();
+                listener.drain(drained::countDown);
+            }
         });
         try {
             drained.await();
--- a/daemon/src/main/java/cedarrudder/program/Warmup.java
+++ b/daemon/src/main/java/cedarrudder/program/Warmup.java
@@ -23,6 +23,7 @@
 import cedarrudder.transport.NodeChannels;
 import cedarrudder.transport.NodeLimits;
 import io.netty.buffer.Unpooled;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -61,7 +62,9 @@
     private int sent;
     private boolean over;
 
-    Warmup(Loop loop, Configuration configuration, Logger log, Runnable whenDone) throws BadMessageException {
+    /** @param at where the proxy listens now, and nobody else does */
+    Warmup(Loop loop, Configuration configuration, InetSocketAddress at, Logger log, Runnable whenDone)
+            throws BadMessageException {
         this.loop = loop;
         this.whenDone = whenDone;
         settings = configuration.site().module();
@@ -84,7 +87,7 @@
         driver.connect(new Self(), new NoDiscovery(), (copy, message) -> { });
         Endpoint self = new Endpoint(SELF, settings.zone(), 0, 0, State.READY, 1, 0);
         channels.resolved(new ResolverResult(0, true,
-                List.of(new ResolverResult.Node("self", self, configuration.listen()))));
+                List.of(new ResolverResult.Node("self", self, at))));
         driver.resolved(ListKind.FULL, List.of(self));
     }
 
--- a/daemon/src/main/java/cedarrudder/transport/DiscoveryClient.java
+++ b/daemon/src/main/java/cedarrudder/transport/DiscoveryClient.java
@@ -110,7 +110,8 @@
     /** One call to discovery, on a connection of its own. It fails once at the most. */
     private final class Call extends SimpleChannelInboundHandler<ByteBuf> {
         private final boolean follows;
-        private final HttpDecoder decoder = HttpDecoder.ofStreams(new Lines(this::line));
+        private final Lines lines = new Lines(this::line);
+        private final HttpDecoder decoder = HttpDecoder.ofStreams(lines);
         private final InetSocketAddress to = address;
         private Channel channel;
         private boolean over;
@@ -156,10 +157,13 @@
             heardAt = loop.now();
             try {
                 Message end = decoder.decode(in);
+                if (end != null && end.head().status() == 200) {
+                    lines.end();
+                }
                 if (end != null || decoder.head() != null && decoder.head().status() != 200) {
                     end(end == null ? decoder.head().status() : end.head().status());
                 }
-            } catch (BadMessageException | IllegalArgumentException e) {
+            } catch (BadMessageException | IllegalArgumentException | IOException e) {
                 fail(e.getMessage());
             }
         }
@@ -177,7 +181,7 @@
             if (over || text.isBlank()) {
                 return;
             }
-            if (decoder.head() == null || decoder.head().status() != 200) {
+            if (decoder.head() != null && decoder.head().status() != 200) {
                 return;
             }
             ResolverResult result = reader.read(JsonObject.parse(text));
@@ -248,6 +252,13 @@
             this.lines = lines;
         }
 
+        /** What is left is a line too: a whole list need not end in a line feed. */
+        void end() throws IOException {
+            if (line.size() > 0) {
+                write('\n');
+            }
+        }
+
         @Override
         public void write(int next) throws IOException {
             if (next != '\n') {
--- /dev/null
+++ b/daemon/src/main/java/cedarrudder/transport/Door.java
@@ -0,0 +1,54 @@
+package cedarrudder.transport;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A listening socket that can be closed without losing who waits at it. */
+final class Door extends NioServerSocketChannel {
+
+    /**
+     * Takes all connections that wait and closes the socket right behind the last. Guards against connections
+     * that the kernel has accepted being reset: it resets what is in the queue of a socket that is closed.
+     *
+     * <p>The socket leaves the selector first, which takes a turn of the loop or two. Guards against the
+     * virtual machine putting the close off until the selector has let go of it, with connections coming
+     * meanwhile.
+     *
+     * @param then runs once it is closed
+     */
+    void closeBehindLast(Runnable then) {
+        EventLoop loop = eventLoop();
+        deregister().addListener(left -> closeOnceLeft(loop, then));
+    }
+
+    private void closeOnceLeft(EventLoop loop, Runnable then) {
+        if (javaChannel().isRegistered()) {
+            loop.execute(() -> closeOnceLeft(loop, then));
+            return;
+        }
+        List<SocketChannel> waiting = new ArrayList<>();
+        try {
+            for (SocketChannel next = javaChannel().accept(); next != null; next = javaChannel().accept()) {
+                waiting.add(next);
+            }
+        } catch (IOException e) {
+            // such as no descriptor left: who waits is reset, as it would be without this
+        }
+        try {
+            javaChannel().close();
+        } catch (IOException e) {
+            // it is closed below once more, by its channel
+        }
+        for (SocketChannel accepted : waiting) {
+            pipeline().fireChannelRead(new NioSocketChannel(this, accepted));
+        }
+        pipeline().fireChannelReadComplete();
+        close();
+        then.run();
+    }
+}
--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -19,9 +19,10 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -32,6 +33,8 @@
 /** The server side: accepts callers, decodes their RPCs and answers them. */
 public final class Listener {
 
+    static final ChannelOption<Boolean> REUSE_PORT = NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT);
+
     private static final String HEALTH = "/_health";
 
     /** After SIGTERM connections still come for up to 0.4 s; they are taken for this long at the least. */
@@ -61,6 +64,10 @@
     private static final long AWAY_FROM = 500_000_000L;
     private static final long AWAY_BY = 1_800_000_000L;
 
+    /** The same, after SIGTERM, where a successor listens at the address. */
+    private static final long OVER_FROM = 300_000_000L;
+    private static final long OVER_BY = 1_500_000_000L;
+
     /** How often connections are looked over. */
     private static final long SWEEP = 100_000_000L;
 
@@ -92,7 +99,7 @@
 
     /** The ids of the RPCs that are open. */
     private final Set<String> open = new HashSet<>();
-    private Channel listening;
+    private Door listening;
     private boolean full;
     private long lastId;
     private Runnable whenEmpty;
@@ -100,6 +107,7 @@
     private boolean stopping;
     private ServiceState state = ServiceState.FIRST;
     private long drainedAt;
+    private long replacedAt;
     private long answerBy = Long.MAX_VALUE;
     private BiPredicate<Exchange<Message, Message>, Exchange.Reply<Message>> aside = (rpc, reply) -> false;
 
@@ -131,10 +139,18 @@
         aside = answers;
     }
 
-    /** Begins to listen; blocks until it does. */
-    public void listen(InetSocketAddress address) throws IOException, InterruptedException {
-        var bound = new ServerBootstrap().group(loop.group()).channel(NioServerSocketChannel.class)
+    /**
+     * Begins to listen at an address, in place of the one before; blocks until it does.
+     *
+     * @param shared whether another process of this proxy may listen there too
+     * @return where it listens: what was asked for, with a port where that left it open
+     */
+    public InetSocketAddress listen(InetSocketAddress address, boolean shared)
+            throws IOException, InterruptedException {
+        Channel before = listening;
+        var bound = new ServerBootstrap().group(loop.group()).channelFactory(Door::new)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(REUSE_PORT, shared)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator()
                         .maxMessagesPerRead(ACCEPTS))
@@ -152,8 +168,13 @@
         if (!bound.isSuccess()) {
             throw new IOException("can't listen on " + address + ": " + bound.cause().getMessage());
         }
-        listening = bound.channel();
-        loop.run(this::sweep);
+        listening = (Door) bound.channel();
+        if (before != null) {
+            before.close();
+        } else {
+            loop.run(this::sweep);
+        }
+        return listening.localAddress();
     }
 
     private void sweep() {
@@ -168,7 +189,7 @@
         }
         takeMore();
         if (sendingAway()) {
-            sendAway(now);
+            sendAway(now, replacedAt == 0 ? drainedAt + AWAY_BY : replacedAt + OVER_BY);
         }
         loop.at(now + SWEEP, this::sweep);
     }
@@ -196,16 +217,18 @@
     }
 
     private boolean sendingAway() {
-        return state.drained() && loop.now() - drainedAt >= AWAY_FROM;
+        long now = loop.now();
+        return state.drained() && now - drainedAt >= AWAY_FROM
+                || replacedAt != 0 && now - replacedAt >= OVER_FROM;
     }
 
     /**
      * Closes a part of the connections on which nothing is open, those first that have been idle longest, so
-     * that they go evenly and none is left by {@link #AWAY_BY}. Guards against clients coming all at once to
-     * the proxies beside this one.
+     * that they go evenly and none is left at the end. Guards against clients coming all at once to whoever
+     * serves them next.
      */
-    private void sendAway(long now) {
-        long left = Math.max(1, (drainedAt + AWAY_BY - now) / SWEEP);
+    private void sendAway(long now, long end) {
+        long left = Math.max(1, (end - now) / SWEEP);
         long most = (idle.size() + silent.size() + left - 1) / left;
         for (Set<Caller> from : List.of(idle, silent)) {
             for (Caller caller : List.copyOf(from)) {
@@ -283,6 +306,30 @@
         });
     }
 
+    /**
+     * Ends the service where a successor listens at the same address: who waits at the door is taken, then it
+     * is closed, and callers go over to the successor one by one. {@code whenDone} runs once no connection is
+     * left.
+     */
+    public void replace(Runnable whenDone) {
+        if (whenEmpty != null) {
+            return;
+        }
+        whenEmpty = whenDone;
+        state = state.on(ServiceState.Event.REPLACE);
+        replacedAt = loop.now();
+        answerBy = replacedAt + Math.min(LONGEST_COUNTED, fields.longestWait()) + KILLED_AFTER;
+        lingering = true;
+        listening.closeBehindLast(() -> {
+            lingering = false;
+            endIfEmpty();
+        });
+        loop.at(answerBy - WIND_UP, () -> {
+            stopping = true;
+            closeIdle();
+        });
+    }
+
     private void closeIdle() {
         for (Set<Caller> from : List.of(silent, idle)) {
             for (Caller caller : List.copyOf(from)) {
@@ -451,7 +498,7 @@
         }
 
         private boolean closes() {
-            return !keepAlive || stopping || sendingAway();
+            return !keepAlive || stopping || replacedAt != 0 || sendingAway();
         }
 
         @Override
--- a/daemon/src/main/java/cedarrudder/transport/PeerSocket.java
+++ b/daemon/src/main/java/cedarrudder/transport/PeerSocket.java
@@ -44,10 +44,15 @@
         this.all = all;
     }
 
-    /** Begins to listen; blocks until it does. */
-    public void listen(InetSocketAddress address) throws IOException, InterruptedException {
+    /**
+     * Begins to listen; blocks until it does.
+     *
+     * @param shared whether another process of this proxy may listen there too
+     */
+    public void listen(InetSocketAddress address, boolean shared) throws IOException, InterruptedException {
         var bound = new Bootstrap().group(loop.group()).channel(NioDatagramChannel.class)
                 .option(ChannelOption.ALLOCATOR, loop.buffers())
+                .option(Listener.REUSE_PORT, shared)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MOST_MESSAGE + 1))
                 .handler(new Incoming()).bind(address).await();
         if (!bound.isSuccess()) {
--- /dev/null
+++ b/daemon/src/test/java/cedarrudder/program/UpgradeIT.java
@@ -0,0 +1,214 @@
+package cedarrudder.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.program.World.Caller;
+import cedarrudder.program.World.Received;
+import cedarrudder.protocol.JsonObject;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.Test;
+
+/** A new version of the built jar, started beside the one that serves. */
+public class UpgradeIT {
+
+    private static final int TERMINATED = 128 + 15;
+    private static final int CALLERS = 6;
+
+    /** One process of the proxy, with an operators' address of its own. */
+    private static final class Version implements AutoCloseable {
+        final int admin;
+        final Process process;
+        final BufferedReader log;
+
+        Version(World world, Path state) throws IOException {
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                admin = free.getLocalPort();
+            }
+            Path file = Files.createTempFile("cedarrudder", ".json");
+            Files.writeString(file, world.configuration());
+            ProcessBuilder builder = new ProcessBuilder(
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-jar",
+                    "daemon/target/cedarrudder.jar", "serve").redirectErrorStream(true);
+            builder.environment().put("BALANCER_CONFIG", file.toString());
+            builder.environment().put("BALANCER_ADMIN_ADDR", "127.0.0.1:" + admin);
+            builder.environment().put("TMPDIR", state.toString());
+            process = builder.start();
+            log = process.inputReader(StandardCharsets.UTF_8);
+        }
+
+        void awaitLine(String part) throws IOException {
+            StringBuilder said = new StringBuilder();
+            for (String line = log.readLine(); line != null; line = log.readLine()) {
+                said.append(line).append('\n');
+                if (line.contains(part)) {
+                    return;
+                }
+            }
+            throw new AssertionError("it ended without " + part + ":\n" + said);
+        }
+
+        Received call(String method, String path) throws IOException {
+            try (Caller caller = new Caller(admin)) {
+                return caller.send(method + " " + path + " HTTP/1.1\r\nHost: ops\r\n\r\n").read();
+            }
+        }
+
+        int status(String method, String path) throws IOException {
+            return Integer.parseInt(call(method, path).first().split(" ")[1]);
+        }
+
+        long avoided() throws IOException {
+            return JsonObject.parse(call("GET", "/-/metrics").body()).whole("out_of_rotation");
+        }
+
+        void awaitAvoided(long nodes) throws Exception {
+            while (avoided() != nodes) {
+                Thread.sleep(1);
+            }
+        }
+
+        void signal(String name) throws Exception {
+            assertEquals(new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start()
+                    .waitFor(), 0);
+        }
+
+        @Override
+        public void close() {
+            process.destroyForcibly();
+        }
+    }
+
+    /** Callers that go on calling, each on its connection for as long as that stays open. */
+    private static final class Load {
+        final AtomicBoolean on = new AtomicBoolean(true);
+        final AtomicInteger served = new AtomicInteger();
+        final List<String> wrong = new ArrayList<>();
+        final List<Thread> callers = new ArrayList<>();
+
+        Load(int port) {
+            for (int i = 0; i < CALLERS; i++) {
+                String name = "caller-" + i + "-";
+                Thread caller = new Thread(() -> run(port, name));
+                callers.add(caller);
+                caller.start();
+            }
+        }
+
+        private void run(int port, String name) {
+            Caller open = null;
+            for (int i = 0; on.get(); i++) {
+                try {
+                    open = open == null ? new Caller(port) : open;
+                    open.send(World.rpc("order", "/api", "x").replace("id-1", name + i));
+                    Received answer = open.read();
+                    if (answer == null || !answer.first().contains(" 200 ")) {
+                        told(answer == null ? "closed on " + name + i : answer.first());
+                        open = null;
+                    } else {
+                        served.incrementAndGet();
+                        open = "close".equals(answer.field("Connection")) || i % 3 == 0 ? null : open;
+                    }
+                } catch (IOException e) {
+                    told(name + i + ": " + e);
+                    open = null;
+                }
+            }
+        }
+
+        private synchronized void told(String what) {
+            wrong.add(what);
+        }
+
+        void awaitMore(int more) throws InterruptedException {
+            int want = served.get() + more;
+            while (served.get() < want) {
+                Thread.sleep(1);
+            }
+        }
+
+        void end() throws InterruptedException {
+            on.set(false);
+            for (Thread caller : callers) {
+                caller.join();
+            }
+        }
+    }
+
+    /** Guards against callers, bans or requests that fall between the two processes. */
+    @Test
+    public void twoVersionsHandOverUnderLoadAndNothingIsLostOrRunTwice() throws Exception {
+        Path state = Files.createTempDirectory("upgrade");
+        Map<String, Integer> ran = new ConcurrentHashMap<>();
+        Map<Integer, Integer> at = new ConcurrentHashMap<>();
+        try (World world = new World(3); Version first = new Version(world, state)) {
+            Nodes.play(world, call -> {
+                ran.merge(call.field("Req-Id"), 1, Integer::sum);
+                at.merge(call.socket().getLocalPort(), 1, Integer::sum);
+                call.reply("200 OK", "done");
+            });
+            first.awaitLine("proxy.listens");
+            assertEquals(first.status("POST", "/-/nodes/n0/disable"), 200);
+            Load load = new Load(world.port);
+            load.awaitMore(50);
+            try (Version second = new Version(world, state)) {
+                second.awaitLine("proxy.listens");
+                load.awaitMore(50);
+                assertEquals(second.status("GET", "/-/ready"), 200);
+                assertEquals(second.avoided(), 1);
+                // A call to either counts for both.
+                assertEquals(second.status("POST", "/-/nodes/n1/disable"), 200);
+                first.awaitAvoided(2);
+                assertEquals(first.status("POST", "/-/nodes/n1/enable"), 200);
+                second.awaitAvoided(1);
+                first.signal("TERM");
+                first.awaitLine("proxy.replaced");
+                assertEquals(first.process.waitFor(), TERMINATED);
+                load.awaitMore(200);
+                load.end();
+                assertEquals(load.wrong.toString(), "[]");
+                assertEquals(ran.values().stream().filter(times -> times != 1).count(), 0);
+                assertEquals(at.get(world.nodes.get(0).server.getLocalPort()), null);
+                assertEquals(second.status("POST", "/-/nodes/n0/enable"), 200);
+                second.signal("TERM");
+                second.awaitLine("proxy.draining");
+            }
+        }
+    }
+
+    /** Guards against an old process that gives way to one that never served. */
+    @Test
+    public void aVersionThatDiesBeforeItIsReadyLeavesTheOldOneServing() throws Exception {
+        Path state = Files.createTempDirectory("upgrade");
+        try (World world = new World(1); Version first = new Version(world, state)) {
+            Nodes.play(world, call -> call.reply("200 OK", "done"));
+            first.awaitLine("proxy.listens");
+            Load load = new Load(world.port);
+            try (Version second = new Version(world, state)) {
+                first.awaitLine("successor=true ready=false");
+                second.signal("KILL");
+                second.process.waitFor();
+                first.awaitLine("successor=false");
+            }
+            load.awaitMore(100);
+            load.end();
+            assertEquals(load.wrong.toString(), "[]");
+            assertEquals(first.status("GET", "/-/ready"), 200);
+            first.signal("TERM");
+            first.awaitLine("proxy.draining");
+            assertTrue(first.process.waitFor() == TERMINATED);
+        }
+    }
+}
--- a/daemon/src/test/java/cedarrudder/transport/MembershipTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/MembershipTest.java
@@ -126,7 +126,7 @@
         }
         Driver<Message, Message> driver = new Driver<>(actions -> module(), 1, loop, new Logger(System.err));
         PeerSocket socket = new PeerSocket(loop, driver, List.of(own, address(one), address(two)), null);
-        socket.listen(own);
+        socket.listen(own, false);
         membership = new Membership(loop, socket, QUICK, 3, 0, 1_000, new SplittableRandom(3),
                 driver::copies);
         loop.run(membership::start);
--- a/daemon/src/test/java/cedarrudder/transport/PeerSocketTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/PeerSocketTest.java
@@ -59,7 +59,7 @@
                     new Logger(System.err));
             PeerSocket socket = new PeerSocket(loop, driver,
                     List.of(own, (InetSocketAddress) other.getLocalSocketAddress()), null);
-            socket.listen(own);
+            socket.listen(own, false);
             loop.run(() -> socket.tell(-1, new byte[] {1})); // there is no address for all
             loop.run(() -> socket.tell(1, "hello".getBytes(StandardCharsets.UTF_8)));
             DatagramPacket packet = new DatagramPacket(new byte[300], 300);
