--- a/core/src/main/java/cedarrudder/Balancer.java
+++ b/core/src/main/java/cedarrudder/Balancer.java
@@ -142,10 +142,17 @@
 
     /**
      * A request. {@code repeat}: its client marked it as a repeat. {@code work}: the work expected, 0 if
-     * unknown.
+     * unknown. {@code uploading}: its body still comes, and {@link Balancer#whole} tells of its end; until
+     * then no endpoint has begun it.
      */
     record Request(long id, int classIndex, int tenant, long deadline, long key, boolean repeat,
-            boolean write, long work) { }
+            boolean write, long work, boolean uploading) {
+        /** One that is there whole. */
+        public Request(long id, int classIndex, int tenant, long deadline, long key, boolean repeat,
+                boolean write, long work) {
+            this(id, classIndex, tenant, deadline, key, repeat, write, work, false);
+        }
+    }
 
     /** An endpoint's own report of its load. A figure that it does not report is NaN. */
     record Load(double inFlight, double queue, double utilisation, double latencyMillis, double perSecond,
@@ -217,6 +224,9 @@
     void outcome(long now, long request, int attempt, long endpoint, Outcome outcome, long latency,
             boolean settled, Load load);
 
+    /** The last byte of a request that was uploading has come: its client's wait begins now. */
+    default void whole(long now, long request) { }
+
     /** The client has gone; the request is over. */
     void clientLeft(long now, long request);
 
--- a/core/src/main/java/cedarrudder/Call.java
+++ b/core/src/main/java/cedarrudder/Call.java
@@ -9,7 +9,7 @@
     final long id;
     final RequestClass kind;
     final int classIndex;
-    final long arrived;
+    long arrived;
     final long deadline;
     final long work;
     final boolean overShare;
@@ -19,6 +19,7 @@
     int attempts;
     int out;
     boolean answered;
+    boolean uploading;
     boolean held;
     long holdUntil;
 
@@ -30,11 +31,21 @@
         this.deadline = request.deadline();
         this.work = request.work();
         this.overShare = overShare;
+        this.uploading = request.uploading();
         this.to = new Server[maxAttempts];
         this.sentAt = new long[maxAttempts];
         this.ended = new Outcome[maxAttempts];
     }
 
+    /** All of it has come: its time counts from here on, and what is out counts at the endpoints. */
+    void whole(long now) {
+        uploading = false;
+        arrived = now;
+        for (int i = 0; i < attempts; i++) {
+            to[i].uploads -= ended[i] == null ? 1 : 0;
+        }
+    }
+
     /** The first attempt that may have run or may be running, or -1. */
     int mayHaveRun() {
         for (int i = 0; i < attempts; i++) {
--- a/core/src/main/java/cedarrudder/Decide.java
+++ b/core/src/main/java/cedarrudder/Decide.java
@@ -330,7 +330,8 @@
         call.sentAt[attempt] = now;
         call.out++;
         call.held = false;
-        out++;
+        out += call.uploading ? 0 : 1;
+        server.uploads += call.uploading ? 1 : 0;
         server.sent(now, cost(call));
         actions.send(call.id, server.id, 0);
         long wait = lateAfter(call);
@@ -346,7 +347,8 @@
     private long lateAfter(Call call) {
         boolean known = call.work > 0 && stretch.count() >= STRETCH_KNOWN;
         double factor = tuning.get(Figure.LATE_STRETCH) * stretch.mean();
-        return known && call.kind.effect() != Effect.UNSAFE && settings.limits().parallelTries()
+        return known && !call.uploading && call.kind.effect() != Effect.UNSAFE
+                && settings.limits().parallelTries()
                 ? (long) (factor * Math.max(LEAST_WORK, call.work)) : 0;
     }
 
@@ -432,7 +434,8 @@
         }
         call.ended[attempt] = outcome;
         call.out--;
-        out--;
+        out -= call.uploading ? 0 : 1;
+        call.to[attempt].uploads -= call.uploading ? 1 : 0;
         if (outcome == Outcome.OK) {
             call.to[attempt].answered(now, settings.copies(), latency, call.work);
         }
@@ -544,6 +547,15 @@
         }
     }
 
+    @Override
+    public void whole(long now, long request) {
+        Call call = calls.get(request);
+        if (call != null && call.uploading) {
+            out += call.out;
+            call.whole(now);
+        }
+    }
+
     @Override
     public void clientLeft(long now, long request) {
         Call call = calls.get(request);
--- a/core/src/main/java/cedarrudder/ProbePool.java
+++ b/core/src/main/java/cedarrudder/ProbePool.java
@@ -245,7 +245,7 @@
         if (outcome != Outcome.OK || load == null || Double.isNaN(load.inFlight()) || !server.ready()) {
             return;
         }
-        server.reported(now, load);
+        server.hold.reported(now, load.inFlight() - server.ownAtProbe);
         expire(now);
         int at = size < entries.length ? size++ : oldest();
         Entry entry = entries[at];
--- a/core/src/main/java/cedarrudder/Server.java
+++ b/core/src/main/java/cedarrudder/Server.java
@@ -1,7 +1,6 @@
 package cedarrudder;
 
 import cedarrudder.Balancer.Endpoint;
-import cedarrudder.Balancer.Load;
 import cedarrudder.Balancer.Outcome;
 import cedarrudder.Balancer.Safety;
 import cedarrudder.Balancer.State;
@@ -25,12 +24,6 @@
     /** An endpoint that took no connection is taken to be out of them for this long. */
     private static final long CROWDED_NANOS = 300_000_000L;
 
-    /** So few copies see the same part of the calls, each. */
-    private static final int FEW_COPIES = 3;
-
-    /** For this long a report tells of what others have at an endpoint. */
-    private static final long REPORT_TELLS = 2_000_000_000L;
-
     final long id;
     Endpoint listed;
 
@@ -72,9 +65,10 @@
     boolean untried;
 
     /** How many requests it may hold, and what it held for others when it last reported. */
-    private final HoldLimit hold;
-    private double others;
-    private long othersAt;
+    final HoldLimit hold;
+
+    /** Those of the attempts out whose requests are still being written: the endpoint has not begun them. */
+    int uploads;
 
     private double latency;
 
@@ -182,29 +176,14 @@
         return failureShare(now) > FAILING;
     }
 
-    /** Takes in a load report, the answer to this copy's last probe. */
-    void reported(long now, Load load) {
-        others = Math.max(0, load.inFlight() - ownAtProbe);
-        othersAt = now;
-    }
-
-    /**
-     * Whether it may be given one more request. Where few copies send, each has an equal part of the calls,
-     * and its own figure is newer than any report. Where many do, each has one or two calls out here, and
-     * only a report tells of the others'.
-     */
+    /** Whether it may be given one more request. */
     boolean room(long now, int copies) {
-        return hold.room(held(now, copies));
-    }
-
-    private double held(long now, int copies) {
-        double told = now - othersAt < REPORT_TELLS ? others : 0;
-        return inFlight + (copies <= FEW_COPIES ? inFlight * (copies - 1) : told);
+        return hold.room(hold.held(now, inFlight - uploads, copies));
     }
 
     /** Takes in how long a good answer took, and the work that it was said to need; before {@link #ended}. */
     void answered(long now, int copies, long latency, long work) {
-        hold.answered(held(now, copies), latency, work);
+        hold.answered(hold.held(now, inFlight - uploads, copies), latency, work);
     }
 
     /** The latency it reports, smoothed: the newest has this weight. */
@@ -242,6 +221,6 @@
 
     /** Guards against endpoints that take requests and answer none, though they may still answer probes. */
     boolean silent(long now, long patience) {
-        return inFlight > 0 && now - waitingSince > patience;
+        return inFlight > uploads && now - waitingSince > patience;
     }
 }
--- /dev/null
+++ b/core/src/main/java/cedarrudder/flow/BodyFlow.java
@@ -0,0 +1,94 @@
+package cedarrudder.flow;
+
+import java.util.ArrayDeque;
+import java.util.Queue;
+
+/**
+ * The rest of a body on its way from the side that reads it to the side that writes it: a window of pieces.
+ * The reading side puts pieces and stops reading while the flow is full; the writing side takes them. Owned
+ * by the event loop; not thread-safe.
+ *
+ * <p>Guards against memory that grows with the bodies: whatever their size and number, each holds a window.
+ */
+public final class BodyFlow {
+
+    /** A flow that holds so much, in bytes, is full. */
+    public static final int WINDOW = 64 * 1024;
+
+    private static final Runnable NOBODY = () -> { };
+
+    private final Queue<byte[]> pieces = new ArrayDeque<>();
+    private final HeldBytes account;
+    private int held;
+    private boolean ended;
+    private boolean broken;
+    private Runnable whenMore = NOBODY;
+    private Runnable whenRoom = NOBODY;
+
+    public BodyFlow(HeldBytes account) {
+        this.account = account;
+    }
+
+    /** The next piece; one that is put when the flow is full is taken all the same. */
+    public void put(byte[] piece) {
+        if (!broken && piece.length > 0) {
+            pieces.add(piece);
+            held += piece.length;
+            account.add(piece.length);
+            whenMore.run();
+        }
+    }
+
+    /** Whether to put nothing more for now. While the account is used up one piece is enough. */
+    public boolean full() {
+        return held >= WINDOW || held > 0 && account.usedUp();
+    }
+
+    /** That was all. */
+    public void end() {
+        ended = true;
+        whenMore.run();
+    }
+
+    /** The rest will not come, or nobody takes it: what is held is dropped. No effect once all was taken. */
+    public void fail() {
+        if (!broken && !atEnd()) {
+            broken = true;
+            account.add(-held);
+            held = 0;
+            pieces.clear();
+            whenMore.run();
+        }
+    }
+
+    /** The next piece, or null where there is none now. */
+    public byte[] take() {
+        byte[] piece = pieces.poll();
+        if (piece != null) {
+            held -= piece.length;
+            account.add(-piece.length);
+            whenRoom.run();
+        }
+        return piece;
+    }
+
+    /** Whether all was put and taken. */
+    public boolean atEnd() {
+        return ended && pieces.isEmpty();
+    }
+
+    /** Whether the rest will not come. */
+    public boolean broken() {
+        return broken;
+    }
+
+    /** Runs at each piece, at the end and at a break. */
+    public void whenMore(Runnable task) {
+        whenMore = task;
+    }
+
+    /** Runs at each piece that is taken. */
+    public void whenRoom(Runnable task) {
+        whenRoom = task;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/flow/HeldBytes.java
@@ -0,0 +1,31 @@
+package cedarrudder.flow;
+
+/** The account of all bytes of bodies that a process holds. Owned by the event loop; not thread-safe. */
+public final class HeldBytes {
+
+    /** What counts where nothing is set: a seventh of the least memory that a proxy has, in bytes. */
+    public static final long MOST = 20L * 1024 * 1024;
+
+    private final long most;
+    private long held;
+
+    /** @param most the bound, in bytes; each flow may hold one piece beyond it */
+    public HeldBytes(long most) {
+        this.most = most;
+    }
+
+    /** So many bytes more are held, or fewer. */
+    public void add(long bytes) {
+        held += bytes;
+    }
+
+    /** How many bytes are held. */
+    public long held() {
+        return held;
+    }
+
+    /** Whether nothing new should be read. */
+    public boolean usedUp() {
+        return held >= most;
+    }
+}
--- a/core/src/main/java/cedarrudder/overload/HoldLimit.java
+++ b/core/src/main/java/cedarrudder/overload/HoldLimit.java
@@ -27,7 +27,15 @@
     /** The endpoint is at its limit when it holds no less than the limit, less this. */
     private static final double NEAR = 1;
 
+    /** So few copies see the same part of the calls, each. */
+    private static final int FEW_COPIES = 3;
+
+    /** For this long, in nanoseconds, a report tells of what others have at an endpoint. */
+    private static final long REPORT_TELLS = 2_000_000_000L;
+
     private final double start;
+    private double others;
+    private long othersAt;
     private double limit;
     private double time;
     private double work;
@@ -65,6 +73,24 @@
         return held < limit;
     }
 
+    /** Takes in how many requests of others the endpoint reported to hold at an instant. */
+    public void reported(long now, double ofOthers) {
+        others = Math.max(0, ofOthers);
+        othersAt = now;
+    }
+
+    /**
+     * How many requests the endpoint holds now. Where few copies send, each has an equal part of the calls,
+     * and its own figure is newer than any report. Where many do, each has one or two calls out here, and
+     * only a report tells of the others'.
+     *
+     * @param own how many of this copy's it holds
+     */
+    public double held(long now, int own, int copies) {
+        double told = now - othersAt < REPORT_TELLS ? others : 0;
+        return own + (copies <= FEW_COPIES ? own * (copies - 1) : told);
+    }
+
     /** Requests that the endpoint may hold. */
     public double limit() {
         return limit;
--- a/core/src/main/java/cedarrudder/routing/CallAttempt.java
+++ b/core/src/main/java/cedarrudder/routing/CallAttempt.java
@@ -10,6 +10,8 @@
     private final long endpoint;
     private final long startedAt;
     private boolean ended;
+    private long countsFrom;
+    private long begunAt;
     private Carried handed;
 
     CallAttempt(Exchange<Q, A> exchange, int number, long endpoint, long startedAt) {
@@ -17,6 +19,7 @@
         this.number = number;
         this.endpoint = endpoint;
         this.startedAt = startedAt;
+        this.countsFrom = startedAt;
     }
 
     public Exchange<Q, A> exchange() {
@@ -48,6 +51,25 @@
         return first;
     }
 
+    /** Its answer has begun to flow to the caller. */
+    void begin(long now) {
+        begunAt = now;
+    }
+
+    boolean begun() {
+        return begunAt != 0;
+    }
+
+    /** The last byte of a body that flowed is written: the node begins with it now. */
+    public void wroteAll(long now) {
+        countsFrom = now;
+    }
+
+    /** How long it took, by now: until its answer began, where that flows. */
+    long took(long now) {
+        return (begunAt == 0 ? now : begunAt) - countsFrom;
+    }
+
     /** What goes down with it; null where there are no budgets. */
     public Carried handed() {
         return handed;
--- a/core/src/main/java/cedarrudder/routing/Driver.java
+++ b/core/src/main/java/cedarrudder/routing/Driver.java
@@ -85,8 +85,23 @@
         });
     }
 
+    /** The last byte of a request has been read whose first were taken before: its time starts. */
+    public void whole(Exchange<Q, A> exchange) {
+        if (!exchange.over()) {
+            exchange.expiry(timers.now() + exchange.onceWhole());
+            exchange.forget();
+            exchange.expiresBy(timers.at(exchange.expiry(), () -> expire(exchange)));
+            post(() -> balancer.whole(timers.now(), exchange.request().id()));
+        }
+    }
+
     /** The caller has gone. */
     public void left(Exchange<Q, A> exchange) {
+        CallAttempt<Q, A> flowing = exchange.flowing();
+        if (exchange.endFlow()) {
+            count(exchange, End.LEFT);
+            giveUp(flowing, Outcome.CANCELLED);
+        }
         leave(exchange, End.LEFT);
     }
 
@@ -105,11 +120,42 @@
     /** The one place where an exchange ends. */
     private void end(Exchange<Q, A> exchange, End how) {
         exchange.end();
+        count(exchange, how);
+    }
+
+    private void count(Exchange<Q, A> exchange, End how) {
         if (figures != null) {
             figures.ended(exchange.request().classIndex(), how);
         }
     }
 
+    /**
+     * A node's answer has begun, which is too large to be held: it is the caller's from here on, and no
+     * deadline cuts it. Its end is told by {@link #ended}.
+     *
+     * <p>For the module the attempt has been served with this. Guards against nodes being taken for full, or
+     * silent, by answers that callers read slowly; it does not hear of one that breaks off later.
+     */
+    public void began(CallAttempt<Q, A> attempt, A answer, Load load) {
+        post(() -> {
+            Exchange<Q, A> exchange = attempt.exchange();
+            if (attempt.ended()) {
+                return;
+            }
+            if (exchange.over()) {
+                giveUp(attempt, Outcome.CANCELLED);
+                return;
+            }
+            attempt.begin(timers.now());
+            exchange.begin(attempt);
+            exchange.forget();
+            exchange.result(budgets == null ? null : exchange.budget().served());
+            exchange.reply().served(answer);
+            balancer.outcome(timers.now(), exchange.request().id(), attempt.number(), attempt.endpoint(),
+                    Outcome.OK, attempt.took(timers.now()), true, load);
+        });
+    }
+
     /** A node served an attempt. */
     public void served(CallAttempt<Q, A> attempt, A answer, Load load) {
         served(attempt, answer, load, FromBelow.NOTHING);
@@ -134,19 +180,25 @@
         if (!attempt.end()) {
             return;
         }
-        long latency = timers.now() - attempt.startedAt();
+        long latency = attempt.took(timers.now());
         post(() -> {
             Exchange<Q, A> exchange = attempt.exchange();
             exchange.attemptEnded();
             if (attempt.handed() != null) {
                 budgets.ended(timers.now(), exchange.budget(), attempt.handed(), outcome, latency, below);
             }
+            if (attempt.begun() && exchange.endFlow()) {
+                count(exchange, outcome == Outcome.OK ? End.FULFILLED : End.FAULTED);
+            }
             if (outcome == Outcome.OK && !exchange.over()) {
                 end(exchange, End.FULFILLED);
                 exchange.result(budgets == null ? null : exchange.budget().served());
                 exchange.reply().served(answer);
             }
             forgetIfDone(exchange);
+            if (attempt.begun()) {
+                return; // the module has heard of it
+            }
             balancer.outcome(timers.now(), exchange.request().id(), attempt.number(), attempt.endpoint(),
                     outcome, latency, exchange.over(), load);
         });
@@ -267,7 +319,8 @@
             }
             long now = timers.now();
             CallAttempt<Q, A> attempt = exchange.attempt(endpoint, now);
-            if (exchange.over() || now >= exchange.request().deadline() || attempt.number() >= maxAttempts) {
+            if (exchange.over() || exchange.spent() || now >= exchange.expiry()
+                    || attempt.number() >= maxAttempts) {
                 ended(attempt, Outcome.MOOT, null);
                 return;
             }
--- a/core/src/main/java/cedarrudder/routing/Exchange.java
+++ b/core/src/main/java/cedarrudder/routing/Exchange.java
@@ -38,6 +38,10 @@
     private Timers.Timer timer;
     private int out;
     private boolean over;
+    private CallAttempt<Q, A> flowing;
+    private long expiry;
+    private long onceWhole;
+    private boolean spent;
     private CallBudget budget;
     private FromBelow result;
 
@@ -49,6 +53,7 @@
     /** The same, with what its caller said of budgets, which counts where the driver has some. */
     public Exchange(Balancer.Request request, Q content, Reply<A> reply, Carried carried) {
         this.request = request;
+        this.expiry = request.deadline();
         this.content = content;
         this.reply = reply;
         this.carried = carried;
@@ -88,6 +93,58 @@
         return reply;
     }
 
+    /**
+     * Its content is still being read. Its deadline counts from the last byte of it, so until then it has
+     * none but that of the request.
+     *
+     * @param wait how long its caller waits from then on, in nanoseconds
+     */
+    public Exchange<Q, A> uploading(long wait) {
+        onceWhole = wait;
+        return this;
+    }
+
+    /** How long the caller waits once all of the content was read; 0 where it was from the start. */
+    public long onceWhole() {
+        return onceWhole;
+    }
+
+    /** When its time is over, by the driver's clock. */
+    public long expiry() {
+        return expiry;
+    }
+
+    void expiry(long instant) {
+        expiry = instant;
+    }
+
+    /** Content that is not held any more has gone out: no further attempt can be made. */
+    public void spend() {
+        spent = true;
+    }
+
+    boolean spent() {
+        return spent;
+    }
+
+    /** The attempt whose answer flows to the caller; null where none does. */
+    CallAttempt<Q, A> flowing() {
+        return flowing;
+    }
+
+    /** Its answer has begun; it is over but for that. */
+    void begin(CallAttempt<Q, A> attempt) {
+        flowing = attempt;
+        over = true;
+    }
+
+    /** The answer that flowed has ended, or its caller has left; true once. */
+    boolean endFlow() {
+        boolean flowed = flowing != null;
+        flowing = null;
+        return flowed;
+    }
+
     boolean over() {
         return over;
     }
--- a/daemon/src/main/java/cedarrudder/operator/Units.java
+++ b/daemon/src/main/java/cedarrudder/operator/Units.java
@@ -8,7 +8,7 @@
     private static final long NANOS_A_MILLI = 1_000_000;
     private static final int LEAST_HEAD = 1024;
     private static final int MOST_HEAD = 256 * 1024;
-    private static final int MOST_BODY = 1024 * 1024;
+    private static final int MOST_BODY = 1024 * 1024 * 1024;
     private static final double LEAST_SHARE = 0.05;
 
     static final String SHARE = "descriptors_share";
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -8,6 +8,7 @@
 import cedarrudder.budget.BudgetSettings;
 import cedarrudder.budget.Budgets;
 import cedarrudder.figures.Figures;
+import cedarrudder.flow.HeldBytes;
 import cedarrudder.logging.Logger;
 import cedarrudder.logging.TextLines;
 import cedarrudder.membership.MembershipSettings;
@@ -26,8 +27,8 @@
 import cedarrudder.protocol.ResolverResult;
 import cedarrudder.protocol.ResolverResultReader;
 import cedarrudder.protocol.RpcFields;
-import cedarrudder.rotation.Rotation;
 import cedarrudder.rotation.Rotation.Named;
+import cedarrudder.rotation.Rotation;
 import cedarrudder.routing.Driver;
 import cedarrudder.toml.BadFileException;
 import cedarrudder.transport.AdminListener;
@@ -72,6 +73,7 @@
     private final Membership membership;
     private final Figures figures;
     private final Rotation rotation = new Rotation();
+    private final HeldBytes held = new HeldBytes(HeldBytes.MOST);
     private final KeptState kept;
     private final Handover handover;
     private final CountDownLatch fresh = new CountDownLatch(1);
@@ -97,7 +99,7 @@
         driver = new Driver<>(actions -> new Decide(site.module(), new SplittableRandom(configuration.seed()),
                 actions), site.module().limits().maxAttempts(), loop, log, budgets, figures);
         channels = new NodeChannels(loop, driver, site, nodes, nodes.mostChannels(configuration.sockets()),
-                figures);
+                figures, held);
         reader = new ResolverResultReader(site, loop.now() - System.currentTimeMillis() * 1_000_000);
         long version = (long) configuration.known().number("version", 0);
         discovery = new DiscoveryClient(loop, configuration.discovery(),
@@ -107,7 +109,7 @@
         peers = new PeerSocket(loop, driver, configuration.peers(), configuration.peersAll());
         listener = new Listener(loop, driver, new RpcFields(site.module(), budgets),
                 () -> resolved && serving,
-                callers, callers.mostCallers(configuration.sockets()));
+                callers, callers.mostCallers(configuration.sockets()), held);
         driver.connect(channels, discovery, peers);
         membership = membership(operator.of(MembershipTable.MEMBERSHIP));
     }
@@ -409,7 +411,7 @@
 
         @Override
         public byte[] figures() {
-            return FiguresPage.write(figures, classes, rotation.size(), driver.avoided());
+            return FiguresPage.write(figures, classes, rotation.size(), driver.avoided(), held.held());
         }
 
         @Override
--- a/daemon/src/main/java/cedarrudder/program/Warmup.java
+++ b/daemon/src/main/java/cedarrudder/program/Warmup.java
@@ -8,6 +8,7 @@
 import cedarrudder.Balancer.State;
 import cedarrudder.Decide;
 import cedarrudder.figures.Figures;
+import cedarrudder.flow.HeldBytes;
 import cedarrudder.logging.Logger;
 import cedarrudder.protocol.BadMessageException;
 import cedarrudder.protocol.LoadReport;
@@ -83,7 +84,7 @@
         driver = new Driver<>(actions -> new Decide(settings, random, actions),
                 settings.limits().maxAttempts(), new Clock(), log);
         channels = new NodeChannels(loop, driver, configuration.site(), NodeLimits.DEFAULT, RPCS,
-                new Figures(settings.classes().size()));
+                new Figures(settings.classes().size()), new HeldBytes(HeldBytes.MOST));
         driver.connect(new Self(), new NoDiscovery(), (copy, message) -> { });
         Endpoint self = new Endpoint(SELF, settings.zone(), 0, 0, State.READY, 1, 0);
         channels.resolved(new ResolverResult(0, true,
--- a/daemon/src/main/java/cedarrudder/protocol/BadMessageException.java
+++ b/daemon/src/main/java/cedarrudder/protocol/BadMessageException.java
@@ -8,6 +8,7 @@
     public static final int URI_TOO_LONG = 414;
     public static final int FIELDS_TOO_LARGE = 431;
     public static final int NOT_IMPLEMENTED = 501;
+    public static final int UNAVAILABLE = 503;
     public static final int VERSION_NOT_SUPPORTED = 505;
 
     private static final long serialVersionUID = 1L;
--- a/daemon/src/main/java/cedarrudder/protocol/FiguresPage.java
+++ b/daemon/src/main/java/cedarrudder/protocol/FiguresPage.java
@@ -20,8 +20,9 @@
      * @param classes the names of the classes, by the index under which they are counted
      * @param listed how many nodes discovery lists
      * @param avoided how many of those get nothing new now
+     * @param held bytes of bodies that the process holds
      */
-    public static byte[] write(Figures figures, List<String> classes, int listed, int avoided) {
+    public static byte[] write(Figures figures, List<String> classes, int listed, int avoided, long held) {
         ByteArrayOutputStream page = new ByteArrayOutputStream(512);
         long relayed = 0;
         try (JsonGenerator json = new JsonFactory().createGenerator(page)) {
@@ -42,6 +43,7 @@
             json.writeNumberField("open_requests", figures.open());
             json.writeNumberField("registry_entries", listed);
             json.writeNumberField("out_of_rotation", avoided);
+            json.writeNumberField("held_bytes", held);
             json.writeEndObject();
         } catch (IOException e) {
             throw new UncheckedIOException("memory took no bytes", e);
--- a/daemon/src/main/java/cedarrudder/protocol/Head.java
+++ b/daemon/src/main/java/cedarrudder/protocol/Head.java
@@ -280,6 +280,11 @@
         return first.equals("HTTP/1.0") || third.equals("HTTP/1.0");
     }
 
+    /** Whether the sender takes bodies in chunks. */
+    public boolean takesChunks() {
+        return !isOld();
+    }
+
     /** Whether the sender keeps the connection open after this message. */
     public boolean keepsAlive() {
         return !isOld() ? !fields.lists("connection", "close") : fields.lists("connection", "keep-alive");
--- a/daemon/src/main/java/cedarrudder/protocol/HttpDecoder.java
+++ b/daemon/src/main/java/cedarrudder/protocol/HttpDecoder.java
@@ -6,6 +6,7 @@
 import java.io.OutputStream;
 import java.util.Arrays;
 import java.util.Locale;
+import java.util.function.Consumer;
 
 /**
  * Decodes the HTTP/1.1 messages of one direction of a connection. Bytes may come split or joined in any way.
@@ -19,7 +20,11 @@
     /** The largest body that is passed on where nothing else is set, by the protocol. */
     public static final int MOST_BODY = 64 * 1024;
 
+    /** The largest body that is passed on in pieces where nothing else is set: twice what occurs. */
+    public static final int MOST_FLOW = 64 * 1024 * 1024;
+
     private static final int MOST_CHUNK_LINE = 256;
+    private static final byte[] EMPTY = new byte[0];
 
     /** Interim answers (1xx) before the final one. */
     private static final int MOST_INTERIM = 16;
@@ -38,7 +43,10 @@
     private final long mostBody;
     private final OutputStream sink;
     private final ByteArrayOutputStream collected;
+    private final int window;
 
+    private Consumer<byte[]> pieces;
+    private long declared;
     private State state = State.HEAD;
     private byte[] line = new byte[FIRST_HEAD_SIZE];
     private int lineLength;
@@ -54,7 +62,8 @@
     private int interim;
 
     private HttpDecoder(boolean requests, int mostHead, long mostBody, OutputStream sink,
-            ByteArrayOutputStream collected) {
+            ByteArrayOutputStream collected, int window) {
+        this.window = window;
         this.requests = requests;
         this.mostHead = mostHead;
         this.mostBody = mostBody;
@@ -65,18 +74,31 @@
     /** Decodes whole requests, with heads and bodies of up to so many bytes. */
     public static HttpDecoder ofRequests(int mostHead, int mostBody) {
         ByteArrayOutputStream body = new ByteArrayOutputStream(0);
-        return new HttpDecoder(true, mostHead, mostBody, body, body);
+        return new HttpDecoder(true, mostHead, mostBody, body, body, Integer.MAX_VALUE);
+    }
+
+    /**
+     * Decodes messages of which so much of the body is collected, at the most. Where there is more the
+     * decoder stands until {@link #flow} says where to.
+     *
+     * @param requests whether they are requests, else answers
+     * @param mostBody the largest body that is read, collected or not
+     */
+    public static HttpDecoder ofFlows(boolean requests, int mostHead, long mostBody, int window) {
+        ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+        return new HttpDecoder(requests, mostHead, mostBody, body, body, window);
     }
 
     /** Decodes whole answers, with heads and bodies of up to so many bytes. */
     public static HttpDecoder ofAnswers(int mostHead, int mostBody) {
         ByteArrayOutputStream body = new ByteArrayOutputStream(0);
-        return new HttpDecoder(false, mostHead, mostBody, body, body);
+        return new HttpDecoder(false, mostHead, mostBody, body, body, Integer.MAX_VALUE);
     }
 
     /** Decodes answers whose bodies go to a sink as they come, without a bound. */
     public static HttpDecoder ofStreams(OutputStream sink) {
-        return new HttpDecoder(false, MOST_HEAD, Long.MAX_VALUE, sink, null);
+        return new HttpDecoder(false, MOST_HEAD, Long.MAX_VALUE, sink, null,
+                Integer.MAX_VALUE);
     }
 
     /** The head of the message at hand, or null before it is whole. */
@@ -108,9 +130,41 @@
         return state == State.HEAD && lineLength == 0;
     }
 
+    /**
+     * Whether the message at hand has more of a body than is collected, and stands until it flows. An answer
+     * that says so is large at once, since its first bytes are waited for; a request once all is collected
+     * that may be, since it can be sent again for so long.
+     */
+    public boolean large() {
+        return head != null && pieces == null && (!requests && declared > window || bodySeen >= window);
+    }
+
+    /** The length of the body at hand, by its head; -1 where that doesn't say. */
+    public long bodyLength() {
+        return declared;
+    }
+
+    /** How many bytes of a body are collected. */
+    public int collected() {
+        return collected.size();
+    }
+
+    /**
+     * From here on the body of the message at hand goes to {@code next}, piece by piece, and the message that
+     * ends it has none.
+     *
+     * @return what was collected of it so far
+     */
+    public byte[] flow(Consumer<byte[]> next) {
+        byte[] first = collected.toByteArray();
+        collected.reset();
+        pieces = next;
+        return first;
+    }
+
     /** Reads until a message is whole and returns it, or null where more bytes are wanted. */
     public Message decode(ByteBuf in) throws BadMessageException {
-        while (in.isReadable()) {
+        while (in.isReadable() && !large()) {
             boolean whole = switch (state) {
                 case HEAD -> readHead(in);
                 case FIXED -> readFixed(in) && bodyLeft == 0;
@@ -150,12 +204,14 @@
     }
 
     private Message take() {
-        Message message = new Message(head, collected == null ? new byte[0] : collected.toByteArray());
+        Message message = new Message(head, collected == null ? EMPTY : collected.toByteArray());
         if (collected != null) {
             collected.reset();
         }
         state = State.HEAD;
         head = null;
+        pieces = null;
+        declared = 0;
         continued = false;
         interim = 0;
         bodySeen = 0;
@@ -307,12 +363,14 @@
                 throw unknownCoding(coding);
             }
             trailerSeen = 0;
+            declared = -1;
             state = State.CHUNK_LINE;
             return false;
         }
         if (length == null) {
             state = requests ? State.FIXED : State.TO_END;
             bodyLeft = 0;
+            declared = requests ? 0 : -1;
             return requests;
         }
         if (length.length() > 18 || !Head.isNumber(length)) {
@@ -320,6 +378,7 @@
         }
         bodyLeft = Long.parseLong(length);
         check(bodyLeft);
+        declared = bodyLeft;
         state = State.FIXED;
         return bodyLeft == 0;
     }
@@ -342,10 +401,17 @@
     }
 
     private boolean readFixed(ByteBuf in) throws BadMessageException {
-        int count = (int) Math.min(bodyLeft, in.readableBytes());
+        long most = pieces == null ? Math.min(bodyLeft, window - bodySeen) : bodyLeft;
+        int count = (int) Math.min(most, in.readableBytes());
         check(count);
         try {
-            in.readBytes(sink, count);
+            if (pieces == null) {
+                in.readBytes(sink, count);
+            } else {
+                byte[] piece = new byte[count];
+                in.readBytes(piece);
+                pieces.accept(piece);
+            }
         } catch (IOException e) {
             throw BadMessageException.badRequest("content not taken: " + e.getMessage());
         }
--- a/daemon/src/main/java/cedarrudder/protocol/HttpEncoder.java
+++ b/daemon/src/main/java/cedarrudder/protocol/HttpEncoder.java
@@ -16,6 +16,11 @@
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n"
             .getBytes(StandardCharsets.ISO_8859_1);
 
+    private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+
+    /** What frames a chunk: its length in hexadecimal digits and two line ends. */
+    private static final int MOST_FRAME = 12;
+
     private HttpEncoder() { }
 
     /**
@@ -43,7 +48,8 @@
             field(head, BudgetFields.PATH, BudgetFields.path(handed));
         }
         boolean bodiless = request.body().length == 0 && request.head().method().equals("GET");
-        return finish(buffers, head, request.body(), !bodiless);
+        return request.rest() == null ? finish(buffers, head, request.body(), !bodiless)
+                : begin(buffers, head, request, true);
     }
 
     /** Whether a field goes further than this connection, of which {@code Connection} lists these names. */
@@ -69,9 +75,11 @@
      *
      * @param budgets whether what it says of budgets was for this proxy and goes no further
      * @param result what this proxy says of them; null: nothing
+     * @param chunks whether the caller takes a body in chunks; one that flows and has no length ends with the
+     * connection otherwise
      */
     public static ByteBuf served(ByteBufAllocator buffers, Message answer, boolean close, boolean budgets,
-            FromBelow result) {
+            FromBelow result, boolean chunks) {
         StringBuilder head = start(200, close);
         List<String> listed = answer.head().fields().ofConnection();
         List<HeaderFields.Field> fields = answer.head().fields().all();
@@ -83,7 +91,42 @@
             }
         }
         result(head, result);
-        return finish(buffers, head, answer.body(), true);
+        return answer.rest() == null ? finish(buffers, head, answer.body(), true)
+                : begin(buffers, head, answer, chunks);
+    }
+
+    /** The head and the first bytes of a message whose rest flows. */
+    private static ByteBuf begin(ByteBufAllocator buffers, StringBuilder head, Message message,
+            boolean chunks) {
+        long length = message.rest().length();
+        boolean chunked = length < 0 && chunks;
+        if (length >= 0) {
+            field(head, "Content-Length", Long.toString(length));
+        } else if (chunked) {
+            field(head, "Transfer-Encoding", "chunked");
+        }
+        byte[] start = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
+        byte[] body = message.body();
+        ByteBuf out = buffers.buffer(start.length + body.length + MOST_FRAME).writeBytes(start);
+        return body.length == 0 ? out : write(out, body, chunked);
+    }
+
+    /** A piece of a body that flows; it holds at least one byte. */
+    public static ByteBuf piece(ByteBufAllocator buffers, byte[] piece, boolean chunked) {
+        return write(buffers.buffer(piece.length + MOST_FRAME), piece, chunked);
+    }
+
+    /** The end of a body in chunks. */
+    public static ByteBuf lastChunk(ByteBufAllocator buffers) {
+        return buffers.buffer(LAST_CHUNK.length).writeBytes(LAST_CHUNK);
+    }
+
+    private static ByteBuf write(ByteBuf out, byte[] piece, boolean chunked) {
+        if (!chunked) {
+            return out.writeBytes(piece);
+        }
+        out.writeBytes((Integer.toHexString(piece.length) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        return out.writeBytes(piece).writeByte('\r').writeByte('\n');
     }
 
     /** An answer of the proxy's own; {@code retryAfterNanos} of 0 gives no advice. */
--- a/daemon/src/main/java/cedarrudder/protocol/Message.java
+++ b/daemon/src/main/java/cedarrudder/protocol/Message.java
@@ -2,8 +2,18 @@
 
 import io.netty.buffer.ByteBuf;
 
-/** A whole HTTP/1.1 message. */
-public record Message(Head head, byte[] body) {
+/**
+ * An HTTP/1.1 message.
+ *
+ * @param body the body, or the first bytes of it
+ * @param rest how the rest of it comes; null where the body is whole
+ */
+public record Message(Head head, byte[] body, Rest rest) {
+
+    /** A whole message. */
+    public Message(Head head, byte[] body) {
+        this(head, body, null);
+    }
 
     /** The request that these bytes hold. */
     public static Message requestOf(ByteBuf bytes) throws BadMessageException {
--- /dev/null
+++ b/daemon/src/main/java/cedarrudder/transport/BodyPump.java
@@ -0,0 +1,85 @@
+package cedarrudder.transport;
+
+import cedarrudder.flow.BodyFlow;
+import cedarrudder.protocol.HttpEncoder;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+
+/** Writes a flow to a channel, no faster than the channel takes it. */
+final class BodyPump {
+
+    /** What comes of it; one of these is called, once. */
+    interface End {
+        /** The last byte is written. */
+        void wrote();
+
+        /** The rest doesn't come, or the channel takes no more. */
+        void broke();
+    }
+
+    private final Loop loop;
+    private final Channel channel;
+    private final BodyFlow flow;
+    private final boolean chunked;
+    private final Runnable spending;
+    private final End end;
+    private boolean pumping;
+    private boolean over;
+
+    /** @param spending runs before each piece that is taken for good */
+    BodyPump(Loop loop, Channel channel, BodyFlow flow, boolean chunked, Runnable spending, End end) {
+        this.spending = spending;
+        this.loop = loop;
+        this.channel = channel;
+        this.flow = flow;
+        this.chunked = chunked;
+        this.end = end;
+        flow.whenMore(this::pump);
+    }
+
+    /** Writes what there is, as far as the channel takes it; to be called when it takes more again. */
+    void pump() {
+        if (pumping || over) {
+            return;
+        }
+        pumping = true;
+        boolean wrote = false;
+        while (channel.isWritable()) {
+            byte[] piece = flow.take();
+            if (piece == null) {
+                break;
+            }
+            wrote = true;
+            spending.run();
+            channel.write(HttpEncoder.piece(loop.buffers(), piece, chunked));
+        }
+        pumping = false;
+        if (flow.broken()) {
+            over = true;
+            end.broke();
+        } else if (flow.atEnd()) {
+            over = true;
+            channel.writeAndFlush(chunked ? HttpEncoder.lastChunk(loop.buffers()) : Unpooled.EMPTY_BUFFER)
+                    .addListener(last -> {
+                        if (last.isSuccess()) {
+                            end.wrote();
+                        } else {
+                            end.broke();
+                        }
+                    });
+        } else if (wrote) {
+            channel.flush();
+        }
+    }
+
+    /** Nothing more is written, and nobody is told; the flow is left for another. */
+    void halt() {
+        over = true;
+    }
+
+    /** Nothing more is written, and nobody is told; the rest is dropped. */
+    void stop() {
+        over = true;
+        flow.fail();
+    }
+}
--- a/daemon/src/main/java/cedarrudder/transport/CallerLimits.java
+++ b/daemon/src/main/java/cedarrudder/transport/CallerLimits.java
@@ -1,5 +1,6 @@
 package cedarrudder.transport;
 
+import cedarrudder.flow.BodyFlow;
 import cedarrudder.protocol.HttpDecoder;
 
 /**
@@ -14,7 +15,7 @@
  * those that ask once and stay would pile up
  * @param answerPatience a caller that hasn't read its answer for so long has given up waiting for it
  * @param mostHead the largest head of a request, in bytes
- * @param mostBody the largest body of a request, in bytes
+ * @param mostBody the largest body of a request, in bytes; what is over {@link BodyFlow#WINDOW} flows
  * @param descriptorsShare the share of the process's descriptors that callers may hold
  */
 public record CallerLimits(long requestPatience, long silentLong, long idlePatience, long answerPatience,
@@ -22,7 +23,7 @@
 
     /** What counts where nothing is set. */
     public static final CallerLimits DEFAULT = new CallerLimits(2_500_000_000L, 1_000_000_000L,
-            5_000_000_000L, 10_000_000_000L, HttpDecoder.MOST_HEAD, HttpDecoder.MOST_BODY, 0.5);
+            5_000_000_000L, 10_000_000_000L, HttpDecoder.MOST_HEAD, HttpDecoder.MOST_FLOW, 0.5);
 
     /** How many callers may be connected at once, of a process with so many descriptors. */
     public int mostCallers(int descriptors) {
--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -1,11 +1,16 @@
 package cedarrudder.transport;
 
+import cedarrudder.Balancer;
 import cedarrudder.budget.Carried;
 import cedarrudder.budget.HopPath;
+import cedarrudder.flow.BodyFlow;
+import cedarrudder.flow.HeldBytes;
 import cedarrudder.protocol.BadMessageException;
+import cedarrudder.protocol.Head;
 import cedarrudder.protocol.HttpDecoder;
 import cedarrudder.protocol.HttpEncoder;
 import cedarrudder.protocol.Message;
+import cedarrudder.protocol.Rest;
 import cedarrudder.protocol.RpcFields;
 import cedarrudder.routing.Driver;
 import cedarrudder.routing.Exchange;
@@ -17,6 +22,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
@@ -80,6 +86,15 @@
     private static final int FIRST_READ = 1024;
     private static final int ACCEPTS = 8;
 
+    /** The least and the most bytes that wait to be written to a caller while its answer flows. */
+    private static final WriteBufferWaterMark WRITE_AHEAD = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
+
+    /** A caller that sends nothing more of a body for so long, though it could, has given it up. */
+    private static final long UPLOAD_SILENCE = 5_000_000_000L;
+
+    /** A body that flows may take so long; a tenth of the largest at the least rate that is counted on. */
+    private static final long UPLOAD_MOST = 600_000_000_000L;
+
     /** The bytes of a request that is sent in one piece come sooner, even to a loop that runs late. */
     private static final long HALF_LONG = 100_000_000L;
 
@@ -110,9 +125,11 @@
     private long replacedAt;
     private long answerBy = Long.MAX_VALUE;
     private BiPredicate<Exchange<Message, Message>, Exchange.Reply<Message>> aside = (rpc, reply) -> false;
+    private final HeldBytes held;
 
     public Listener(Loop loop, Driver<Message, Message> driver, RpcFields fields, BooleanSupplier ready,
-            CallerLimits limits, int mostCallers) {
+            CallerLimits limits, int mostCallers, HeldBytes held) {
+        this.held = held;
         this.loop = loop;
         this.driver = driver;
         this.fields = fields;
@@ -158,6 +175,7 @@
                         new AdaptiveRecvByteBufAllocator(FIRST_READ, FIRST_READ, MOST_READ)
                                 .maxMessagesPerRead(READS))
                 .childOption(ChannelOption.ALLOCATOR, loop.buffers())
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_AHEAD)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -348,11 +366,17 @@
     /** One connection from a caller, on which one RPC is answered at a time. */
     private final class Caller extends ChannelInboundHandlerAdapter implements Exchange.Reply<Message> {
         private final DuplexChannel channel;
-        private final HttpDecoder decoder = HttpDecoder.ofRequests(limits.mostHead(), limits.mostBody());
+        private final HttpDecoder decoder = HttpDecoder.ofFlows(true, limits.mostHead(), limits.mostBody(),
+                BodyFlow.WINDOW);
         private ByteBuf ahead;
+        private BodyFlow upload;
+        private BodyPump download;
+        private boolean chunks;
+        private int collected;
         private Exchange<Message, Message> exchange;
         private String id;
         private boolean keepAlive;
+        private boolean inBody;
         private boolean decoding;
         private boolean writing;
         private boolean closing;
@@ -408,7 +432,12 @@
 
         /** Guards against keeping further requests without end: what comes while one is open stays unread. */
         private void readOn() {
-            channel.config().setAutoRead(ahead == null || !busy());
+            boolean more = upload != null ? !upload.full() : ahead == null || !busy();
+            channel.config().setAutoRead(more);
+            if (upload != null) {
+                // Progress, and not the time in all: a large body may take as long as it takes.
+                due = more ? loop.now() + UPLOAD_SILENCE : Long.MAX_VALUE;
+            }
         }
 
         /**
@@ -434,7 +463,14 @@
             }
             decoding = true;
             try {
-                while (ahead != null && !busy() && !closing && ahead.isReadable()) {
+                while (ahead != null && (!busy() || upload != null) && !closing && ahead.isReadable()) {
+                    if (upload != null) {
+                        if (upload.full()) {
+                            break;
+                        }
+                        uploadOn();
+                        continue;
+                    }
                     if (among == idle) {
                         enter(null, limits.requestPatience());
                     } else if (among == silent) {
@@ -443,8 +479,11 @@
                         due = connectedDue;
                     }
                     Message request = decoder.decode(ahead);
+                    count();
                     if (request != null) {
-                        take(request);
+                        take(request, 0);
+                    } else if (decoder.large()) {
+                        takeLarge();
                     } else {
                         await();
                     }
@@ -462,19 +501,68 @@
             }
         }
 
+        /** Takes what has come of a body that flows. */
+        private void uploadOn() throws BadMessageException {
+            if (decoder.decode(ahead) != null) {
+                BodyFlow whole = upload;
+                upload = null;
+                due = Long.MAX_VALUE;
+                driver.whole(exchange);
+                whole.end();
+            }
+        }
+
+        /** Enters what is held of a request that is being read in the account. */
+        private void count() {
+            int now = decoder.collected();
+            held.add(now - collected);
+            collected = now;
+        }
+
+        /** A request that is too large to be held: the rest of it flows. */
+        private void takeLarge() throws BadMessageException {
+            BodyFlow flow = new BodyFlow(held);
+            Head head = decoder.head();
+            long length = decoder.bodyLength();
+            Message request = new Message(head, decoder.flow(flow::put), new Rest(flow, length));
+            count();
+            upload = flow;
+            flow.whenRoom(() -> loop.run(this::readMore));
+            take(request, UPLOAD_MOST);
+        }
+
+        /** There is room again for what the caller sends. */
+        private void readMore() {
+            if (upload != null) {
+                decode();
+                readOn();
+            }
+        }
+
         /** Half a request is there, or what comes before one. */
-        private void await() {
+        private void await() throws BadMessageException {
             if (among != half) {
                 long begunDue = due;
                 enter(half, 0);
                 due = begunDue;
             }
+            if (decoder.head() != null && !inBody) {
+                // Guards against a body that comes slowly being cut by the patience with its head.
+                inBody = true;
+                due = loop.now() + limits.requestPatience();
+                if (held.usedUp()) {
+                    throw new BadMessageException(BadMessageException.UNAVAILABLE, "too much is held");
+                }
+            }
             if (decoder.awaitsContinue()) {
                 channel.writeAndFlush(HttpEncoder.goOn(loop.buffers()));
             }
         }
 
-        private void take(Message request) throws BadMessageException {
+        /** @param uploading how much longer its time may be while its body flows; 0: it is whole */
+        private void take(Message request, long uploading) throws BadMessageException {
+            inBody = false;
+            chunks = request.head().takesChunks();
             keepAlive = request.head().keepsAlive();
             String target = request.head().target();
             if (target.equals(HEALTH)) {
@@ -484,6 +572,11 @@
             }
             Carried carried = fields.carried(request);
             var told = fields.read(request, ++lastId, loop.now(), loop.lateness(), answerBy, carried);
+            if (uploading > 0) {
+                told = new Balancer.Request(told.id(), told.classIndex(), told.tenant(),
+                        told.deadline() + uploading, told.key(), told.repeat(), told.write(), told.work(),
+                        true);
+            }
             String name = request.head().fields().get("req-id");
             if (!open.add(name)) {
                 // Guards against one caller's answer being made for another's request of the same name.
@@ -492,18 +585,64 @@
             id = name;
             enter(null, Long.MAX_VALUE);
             exchange = new Exchange<>(told, request, this, carried);
+            if (uploading > 0) {
+                exchange.uploading(told.deadline() - uploading - loop.now());
+            }
             if (!aside.test(exchange, this)) {
                 driver.accept(exchange);
             }
         }
 
         private boolean closes() {
-            return !keepAlive || stopping || replacedAt != 0 || sendingAway();
+            return !keepAlive || upload != null || stopping || replacedAt != 0 || sendingAway();
         }
 
         @Override
         public void served(Message answer) {
-            reply(HttpEncoder.served(loop.buffers(), answer, closes(), fields.budgeted(), exchange.result()));
+            if (answer.rest() != null) {
+                download(answer);
+                return;
+            }
+            reply(HttpEncoder.served(loop.buffers(), answer, closes(), fields.budgeted(), exchange.result(),
+                    chunks));
+        }
+
+        /** Passes on an answer that flows; the RPC is open until its end. */
+        private void download(Message answer) {
+            boolean chunked = answer.rest().length() < 0 && chunks;
+            boolean closes = closes() || answer.rest().length() < 0 && !chunks;
+            keepAlive = !closes;
+            writing = true;
+            enter(null, limits.answerPatience());
+            channel.write(HttpEncoder.served(loop.buffers(), answer, closes, fields.budgeted(),
+                    exchange.result(), chunks));
+            download = new BodyPump(loop, channel, answer.rest().flow(), chunked, () -> { },
+                    new BodyPump.End() {
+                @Override
+                public void wrote() {
+                    download = null;
+                    over();
+                    closing = closes;
+                    wroteAll(true);
+                }
+
+                @Override
+                public void broke() {
+                    // A reset: guards against an answer without a length that ends early and looks whole.
+                    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                    close();
+                }
+            });
+            channel.flush();
+            download.pump();
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            if (download != null && channel.isWritable()) {
+                due = loop.now() + limits.answerPatience(); // it reads
+                download.pump();
+            }
         }
 
         @Override
@@ -542,22 +681,52 @@
             writing = true;
             closing = closes();
             enter(null, limits.answerPatience());
-            channel.writeAndFlush(answer).addListener(wrote -> {
-                writing = false;
-                if (closing || stopping || !wrote.isSuccess()) {
-                    channel.close();
-                    return;
-                }
-                // Not before it is written: closing it to make room would take an answer away.
-                enter(idle, limits.idlePatience());
-                decode();
-                readOn();
-            });
+            if (upload != null) {
+                // Guards against the answer being lost: closing with bytes unread resets a connection.
+                dropUpload();
+                enter(rejected, LAST_WORD);
+                lastDue = loop.now() + LAST_WORDS;
+                channel.config().setAutoRead(true);
+                channel.writeAndFlush(answer).addListener(wrote -> channel.shutdownOutput());
+                return;
+            }
+            channel.writeAndFlush(answer).addListener(wrote -> wroteAll(wrote.isSuccess()));
+        }
+
+        private void wroteAll(boolean success) {
+            writing = false;
+            if (closing || stopping || !success) {
+                channel.close();
+                return;
+            }
+            // Not before it is written: closing it to make room would take an answer away.
+            enter(idle, limits.idlePatience());
+            decode();
+            readOn();
+        }
+
+        private void dropUpload() {
+            if (upload != null) {
+                upload.fail();
+                upload = null;
+            }
         }
 
         /** Answers a request that can't be read, and closes once the caller may have read that. */
         private void reject(BadMessageException e) {
             closing = true;
+            dropUpload();
+            if (exchange != null) {
+                Exchange<Message, Message> spoilt = exchange;
+                over();
+                driver.left(spoilt);
+                if (download != null) {
+                    download.stop();
+                    download = null;
+                    channel.close(); // an answer is under way: another can't follow
+                    return;
+                }
+            }
             enter(rejected, LAST_WORD);
             lastDue = loop.now() + LAST_WORDS;
             channel.writeAndFlush(own(e.status(), e.getMessage(), true))
@@ -573,6 +742,13 @@
                 ahead = null;
             }
             closing = true;
+            held.add(-collected);
+            collected = 0;
+            dropUpload();
+            if (download != null) {
+                download.stop();
+                download = null;
+            }
             if (exchange != null) {
                 Exchange<Message, Message> left = exchange;
                 over();
--- a/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
+++ b/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
@@ -5,13 +5,17 @@
 import cedarrudder.budget.Carried;
 import cedarrudder.budget.FromBelow;
 import cedarrudder.figures.Figures;
+import cedarrudder.flow.BodyFlow;
+import cedarrudder.flow.HeldBytes;
 import cedarrudder.protocol.BadMessageException;
 import cedarrudder.protocol.BudgetHeaders;
+import cedarrudder.protocol.Head;
 import cedarrudder.protocol.HttpDecoder;
 import cedarrudder.protocol.HttpEncoder;
 import cedarrudder.protocol.LoadReport;
 import cedarrudder.protocol.Message;
 import cedarrudder.protocol.ResolverResult;
+import cedarrudder.protocol.Rest;
 import cedarrudder.protocol.SiteSettings;
 import cedarrudder.routing.CallAttempt;
 import cedarrudder.routing.ClientSide;
@@ -22,6 +26,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -43,12 +48,19 @@
     /** A node may close an idle channel a little early by our clock: ours goes this much earlier. */
     private static final double IDLE_SHARE = 0.8;
 
+    /** The least and the most bytes that wait to be written to a node while a body flows. */
+    private static final WriteBufferWaterMark WRITE_AHEAD = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
+
+    /** An answer that flows, and of which nothing comes for so long though it could, has been given up. */
+    private static final long FLOW_SILENCE = 10_000_000_000L;
+
     private static final long DEFAULT_CONNECT_NANOS = 1_000_000_000L;
 
     private final Loop loop;
     private final Driver<Message, Message> driver;
     private final SiteSettings.Reports reports;
     private final Figures figures;
+    private final HeldBytes held;
     private final Bootstrap bootstrap;
     private final long idleLimit;
     private NodeLimits limits;
@@ -61,9 +73,11 @@
     /**
      * @param mostOpen beyond so many channels, each new one costs one that is idle
      * @param figures where attempts are counted
+     * @param held the account of what bodies hold
      */
     public NodeChannels(Loop loop, Driver<Message, Message> driver, SiteSettings site, NodeLimits limits,
-            int mostOpen, Figures figures) {
+            int mostOpen, Figures figures, HeldBytes held) {
+        this.held = held;
         this.figures = figures;
         this.loop = loop;
         this.driver = driver;
@@ -76,6 +90,7 @@
         this.bootstrap = new Bootstrap().group(loop.group()).channelFactory(NodeSocket::new)
                 .option(ChannelOption.ALLOCATOR, loop.buffers())
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_AHEAD)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
                         (int) Math.max(1, (connect == 0 ? DEFAULT_CONNECT_NANOS : connect) / 1_000_000));
         sweeping = loop.at(loop.now() + SWEEP, this::sweep);
@@ -241,6 +256,22 @@
 
         abstract void answered(Message answer);
 
+        /** The rest of what is to be written; null where {@link #encode} gives all of it. */
+        Rest rest() {
+            return null;
+        }
+
+        /** Some of the rest is about to go out. */
+        void spend() { }
+
+        /** Whether an answer with this head may go on before it is whole. */
+        boolean mayFlow(Head head) {
+            return false;
+        }
+
+        /** The answer flows from here on; its end is told by {@link #answered}, without a body. */
+        void began(Message answer) { }
+
         abstract void failed(Outcome outcome);
 
         /** The connection never came up, or it ended without a whole answer. */
@@ -269,7 +300,8 @@
 
         @Override
         ByteBuf encode() {
-            long left = attempt.exchange().request().deadline() - loop.now();
+            long onceWhole = attempt.exchange().onceWhole();
+            long left = onceWhole > 0 ? onceWhole : attempt.exchange().expiry() - loop.now();
             Carried handed = attempt.handed();
             return HttpEncoder.request(loop.buffers(), attempt.exchange().content(),
                     Math.max(1, left / 1_000_000),
@@ -279,9 +311,33 @@
         @Override
         void wrote() {
             super.wrote();
+            if (rest() != null) {
+                attempt.wroteAll(loop.now());
+            }
             figures.relayed(attempt.exchange().request().classIndex());
         }
 
+        @Override
+        Rest rest() {
+            return attempt.exchange().content().rest();
+        }
+
+        @Override
+        void spend() {
+            attempt.exchange().spend();
+        }
+
+        @Override
+        boolean mayFlow(Head head) {
+            return head.status() == 200;
+        }
+
+        @Override
+        void began(Message answer) {
+            driver.began(attempt, answer, reports == SiteSettings.Reports.ANSWERS
+                    ? LoadReport.parse(answer.head().fields().get("srv-load")) : null);
+        }
+
         @Override
         void answered(Message answer) {
             attempts.remove(attempt);
@@ -290,6 +346,7 @@
             int status = answer.head().status();
             FromBelow below = attempt.handed() == null ? FromBelow.NOTHING : BudgetHeaders.result(answer);
             if (status == 200) {
+                // Where it flowed the exchange is over, and this only tells how the attempt ended.
                 driver.served(attempt, answer, load, below);
             } else {
                 driver.ended(attempt, declined(answer) ? Outcome.FULL : Outcome.ERROR, load, below);
@@ -352,8 +409,12 @@
     /** One connection to a node; it carries one piece of work at a time. */
     private final class NodeChannel extends SimpleChannelInboundHandler<ByteBuf> {
         private final Node node;
-        private final HttpDecoder decoder = HttpDecoder.ofAnswers(limits.mostHead(), limits.mostBody());
+        private final HttpDecoder decoder = HttpDecoder.ofFlows(false, limits.mostHead(), limits.mostBody(),
+                BodyFlow.WINDOW);
         private NodeSocket channel;
+        private BodyFlow flow;
+        private BodyPump upload;
+        private long heardAt;
         private Work work;
         private Timers.Timer patience;
         private boolean spent;
@@ -381,6 +442,10 @@
             }
             work = next;
             next.channel = this;
+            if (next.rest() != null) {
+                upload(next);
+                return;
+            }
             channel.writeAndFlush(next.encode()).addListener(wrote -> {
                 if (wrote.isSuccess()) {
                     next.wrote();
@@ -390,6 +455,35 @@
             });
         }
 
+        /** Writes a request whose body flows. */
+        private void upload(Work next) {
+            channel.writeAndFlush(next.encode());
+            Rest rest = next.rest();
+            upload = new BodyPump(loop, channel, rest.flow(), rest.length() < 0, next::spend,
+                    new BodyPump.End() {
+                        @Override
+                        public void wrote() {
+                            upload = null;
+                            next.wrote();
+                        }
+
+                        @Override
+                        public void broke() {
+                            upload = null;
+                            fail();
+                        }
+                    });
+            upload.pump();
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            if (upload != null && channel.isWritable()) {
+                upload.pump();
+            }
+            context.fireChannelWritabilityChanged();
+        }
+
         /** Closes, and tells the work on it that it ended: there may be no other news of a closed channel. */
         private void fail() {
             retire();
@@ -408,6 +502,14 @@
         void retire() {
             spent = true;
             stopWaiting();
+            if (upload != null) {
+                upload.halt();
+                upload = null;
+            }
+            if (flow != null) {
+                flow.fail();
+                flow = null;
+            }
             node.idle.remove(this);
             channel.close();
         }
@@ -433,18 +535,71 @@
                 return;
             }
             try {
+                heardAt = loop.now();
                 Message answer = decoder.decode(in);
+                while (answer == null && decoder.large()) {
+                    if (!work.mayFlow(decoder.head())) {
+                        spoilt("too long a body");
+                        return;
+                    }
+                    begin();
+                    answer = spent ? null : decoder.decode(in);
+                }
+                if (spent) {
+                    return;
+                }
                 if (answer != null) {
                     finish(answer, answer.head().keepsAlive() && !in.isReadable());
                 } else if (patience == null && !decoder.between()) {
-                    patience = loop.at(loop.now() + limits.answerPatience(),
-                            () -> spoilt("an answer without an end"));
+                    patience = loop.at(loop.now() + limits.answerPatience(), this::look);
+                }
+                if (flow != null) {
+                    channel.config().setAutoRead(!flow.full());
                 }
             } catch (BadMessageException e) {
                 spoilt(e.getMessage());
             }
         }
 
+        /** The answer goes on as it comes from here on. */
+        private void begin() {
+            if (!work.written) {
+                spoilt("an answer before the request");
+                return;
+            }
+            BodyFlow next = new BodyFlow(held);
+            flow = next;
+            Head head = decoder.head();
+            Rest rest = new Rest(next, decoder.bodyLength());
+            next.whenRoom(() -> loop.run(() -> {
+                if (flow == next && !next.full()) {
+                    heardAt = loop.now(); // silence counts from where the node may go on
+                    channel.config().setAutoRead(true);
+                }
+            }));
+            work.began(new Message(head, decoder.flow(next::put), rest));
+        }
+
+        /** An answer has begun some time ago and is not whole. */
+        private void look() {
+            patience = null;
+            long silent = loop.now() - heardAt;
+            if (flow != null) {
+                if (!flow.full() && silent >= FLOW_SILENCE) {
+                    spoilt("an answer without an end");
+                    return;
+                }
+            } else if (silent >= limits.answerPatience()) {
+                spoilt("an answer without an end");
+                return;
+            } else if (decoder.head() != null && work.mayFlow(decoder.head())) {
+                begin();
+            }
+            if (!spent) {
+                patience = loop.at(loop.now() + limits.answerPatience(), this::look);
+            }
+        }
+
         private void spoilt(String why) {
             loop.log().warn("node.spoilt").with("node", node.address).with("why", why).write();
             fail();
@@ -458,6 +613,12 @@
                 return;
             }
             work = null;
+            if (flow != null) {
+                BodyFlow whole = flow;
+                flow = null;
+                whole.end();
+                channel.config().setAutoRead(true);
+            }
             if (reusable && !node.gone) {
                 idleSince = loop.now();
                 node.idle.addLast(this);
--- a/lab/src/main/java/cedarrudder/lab/attack/OwnDaemon.java
+++ b/lab/src/main/java/cedarrudder/lab/attack/OwnDaemon.java
@@ -55,7 +55,11 @@
         List<String> command = new ArrayList<>(List.of("sh", "-c", LEASH, "leash", String.valueOf(sockets),
                 Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         command.addAll(flags);
-        command.addAll(List.of("-jar", jar.toString(), "serve"));
+        // Whole bodies alone: attacks on lengths are told from one another at a bound that they reach soon.
+        Path bounds = Files.createTempFile("attacked", ".toml");
+        bounds.toFile().deleteOnExit();
+        Files.writeString(bounds, "[callers]\nbody_bytes = 65536\n");
+        command.addAll(List.of("-jar", jar.toString(), "serve", "--operator", bounds.toString()));
         ProcessBuilder builder = new ProcessBuilder(command)
                 .redirectOutput(ProcessBuilder.Redirect.DISCARD)
                 .redirectError(ProcessBuilder.Redirect.DISCARD);
