--- /dev/null
+++ b/daemon/src/test/java/cedarrudder/program/OperationUnderLoadTest.java
@@ -0,0 +1,159 @@
+package cedarrudder.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.program.World.Caller;
+import cedarrudder.program.World.Received;
+import cedarrudder.protocol.JsonObject;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.Test;
+
+/** Figures and nodes by hand while callers call, nodes fail and callers leave. */
+public class OperationUnderLoadTest {
+
+    private static final int CALLERS = 8;
+    private static final int CALLS = 100;
+
+    /** How long a node may get something new once it counts as draining, in nanoseconds. */
+    private static final long DRAIN_GRACE = 2_000_000_000L;
+
+    private final AtomicInteger served = new AtomicInteger();
+    private final AtomicInteger refused = new AtomicInteger();
+    private final AtomicInteger failed = new AtomicInteger();
+    private final AtomicInteger left = new AtomicInteger();
+
+    private void reset() {
+        for (AtomicInteger count : List.of(served, refused, failed, left)) {
+            count.set(0);
+        }
+    }
+
+    /** Calls until told to stop, or so often; every tenth call is left before its answer. */
+    private void call(World world, String name, AtomicBoolean on, int most) throws IOException {
+        Caller open = null;
+        for (int i = 0; i < most && on.get(); i++) {
+            open = open == null ? world.caller() : open;
+            open.send(World.rpc("order", "/api", "x").replace("id-1", name + i));
+            if (i % 10 == 9) {
+                open.close();
+                open = null;
+                left.incrementAndGet();
+                continue;
+            }
+            Received answer = open.read();
+            (answer.first().contains(" 200 ") ? served : answer.first().contains(" 503 ") ? refused : failed)
+                    .incrementAndGet();
+        }
+        if (open != null) {
+            open.close();
+        }
+    }
+
+    private List<Thread> load(World world, AtomicBoolean on, int most) {
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            String name = "c" + i + "-";
+            Thread thread = new Thread(() -> {
+                try {
+                    call(world, name, on, most);
+                } catch (IOException e) {
+                    failed.addAndGet(1_000_000); // no caller's connection may break
+                }
+            });
+            thread.start();
+            threads.add(thread);
+        }
+        return threads;
+    }
+
+    /** Guards against figures that drift from what callers and nodes saw once things go wrong. */
+    @Test
+    public void figuresAreWhatPeersSawUnderLoadAndFaults() throws Exception {
+        AtomicInteger arrived = new AtomicInteger();
+        reset();
+        try (World world = new World(3).withAdmin().start()) {
+            Nodes.play(world, call -> {
+                switch (arrived.incrementAndGet() % 10) {
+                    case 3 -> call.reply("500 Broken", "");
+                    case 6 -> call.reply("503 Full", "", "Srv-Declined: 1");
+                    case 9 -> call.reset();
+                    default -> call.reply("200 OK", "done");
+                }
+            });
+            for (Thread thread : load(world, new AtomicBoolean(true), CALLS)) {
+                thread.join();
+            }
+            JsonObject page = page(world);
+            // A node may still be reading what a caller has left.
+            for (int i = 0; i < 20_000 && (page.whole("open_requests") > 0
+                    || page.whole("relayed") != arrived.get()); i++) {
+                page = page(world);
+            }
+            JsonObject orders = page.child("operations").child("order");
+            // What a caller left may stand under any count: it may have been answered already.
+            long spare = CALLERS * CALLS - served.get() - refused.get() - failed.get();
+            assertEquals(spare, left.get());
+            long counted = 0;
+            String[] names = {"fulfilled", "throttled", "faulted"};
+            int[] seen = {served.get(), refused.get(), failed.get()};
+            for (int i = 0; i < names.length; i++) {
+                long told = orders.whole(names[i]);
+                counted += told;
+                assertTrue(told >= seen[i] && told <= seen[i] + left.get(),
+                        names[i] + ": told " + told + ", seen " + seen[i]);
+            }
+            assertTrue(counted + orders.whole("left") <= CALLERS * CALLS);
+            assertEquals(page.whole("relayed"), arrived.get());
+        }
+    }
+
+    private static JsonObject page(World world) throws IOException {
+        return JsonObject.parse(world.operator("GET", "/-/metrics").body());
+    }
+
+    /** Guards against a node that is being restarted getting calls, and one that is back getting none. */
+    @Test
+    public void aNodeIsDisabledRestartedAndEnabledUnderLoad() throws Exception {
+        AtomicBoolean on = new AtomicBoolean(true);
+        ConcurrentLinkedQueue<Long> at = new ConcurrentLinkedQueue<>();
+        reset();
+        try (World world = new World(3).withAdmin().start()) {
+            int port = world.nodes.get(0).server.getLocalPort();
+            Nodes.play(world, call -> {
+                if (call.socket().getLocalPort() == port) {
+                    at.add(System.nanoTime());
+                }
+                call.reply("200 OK", "done");
+            });
+            List<Thread> threads = load(world, on, Integer.MAX_VALUE);
+            while (at.isEmpty()) {
+                Thread.sleep(1);
+            }
+            assertEquals(world.status("POST", "/-/nodes/n0/disable"), 200);
+            long yes = System.nanoTime();
+            world.nodes.get(0).close();
+            int before = served.get();
+            while (System.nanoTime() - yes < 2 * DRAIN_GRACE || served.get() < before + 100) {
+                Thread.sleep(1);
+            }
+            assertTrue(at.stream().allMatch(time -> time < yes + DRAIN_GRACE), "sent to a disabled node");
+            world.restart(0);
+            int then = at.size();
+            assertEquals(world.status("POST", "/-/nodes/n0/enable"), 200);
+            while (at.size() == then) {
+                Thread.sleep(1);
+            }
+            on.set(false);
+            for (Thread thread : threads) {
+                thread.join();
+            }
+            assertEquals(failed.get(), 0);
+        }
+    }
+}
--- a/daemon/src/test/java/cedarrudder/program/UpgradeIT.java
+++ b/daemon/src/test/java/cedarrudder/program/UpgradeIT.java
@@ -199,6 +199,23 @@
         }
     }
 
+    /** Guards against an old process that closes its door before another one can serve. */
+    @Test
+    public void whatEndsBesideOneThatIsNotReadyServesOnAsIfItWereAlone() throws Exception {
+        Path state = Files.createTempDirectory("upgrade");
+        try (World world = new World(1); Version first = new Version(world, state)) {
+            Nodes.play(world, call -> call.reply("200 OK", "done"));
+            first.awaitLine("proxy.listens");
+            // Not ready as long as discovery gives no list.
+            try (Version second = new Version(world, state)) {
+                first.awaitLine("successor=true ready=false");
+                first.signal("TERM");
+                first.awaitLine("proxy.draining");
+                second.awaitLine("proxy.listens");
+            }
+        }
+    }
+
     /** Guards against an old process that gives way to one that never served. */
     @Test
     public void aVersionThatDiesBeforeItIsReadyLeavesTheOldOneServing() throws Exception {
--- a/daemon/src/test/java/cedarrudder/program/World.java
+++ b/daemon/src/test/java/cedarrudder/program/World.java
@@ -86,10 +86,15 @@
 
     /** A server whose requests the test answers. */
     final class Peer implements Closeable {
-        final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        final ServerSocket server;
         private final BlockingQueue<Received> received;
 
         Peer(BlockingQueue<Received> received) throws IOException {
+            this(received, 0);
+        }
+
+        private Peer(BlockingQueue<Received> received, int port) throws IOException {
+            server = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
             this.received = received;
             daemon(this::accept);
         }
@@ -296,6 +301,11 @@
         return String.join(",", entries);
     }
 
+    /** A node that was closed comes back at its address. */
+    void restart(int node) throws IOException {
+        nodes.set(node, new Peer(calls, nodes.get(node).server.getLocalPort()));
+    }
+
     Caller caller() throws IOException {
         return new Caller(port);
     }
