Name the write-ahead and the reading of loads once; say what the account of bytes leaves out

Found on reading the whole change again: two equal water marks, the load of an answer read in two places, and a javadoc that claimed all bytes of bodies. No behaviour changes. BodyStoriesTest, FlowDecodingTest, LayersTest and ConventionsTest pass.

--- a/core/src/main/java/cedarrudder/flow/HeldBytes.java
+++ b/core/src/main/java/cedarrudder/flow/HeldBytes.java
@@ -1,6 +1,9 @@
 package cedarrudder.flow;
 
-/** The account of all bytes of bodies that a process holds. Owned by the event loop; not thread-safe. */
+/**
+ * The account of the bytes of bodies that flow, or are being read. Whole ones of RPCs under way are not in
+ * it: the number of callers bounds them. Owned by the event loop; not thread-safe.
+ */
 public final class HeldBytes {
 
     /** What counts where nothing is set: a seventh of the least memory that a proxy has, in bytes. */
--- a/daemon/src/main/java/cedarrudder/transport/BodyPump.java
+++ b/daemon/src/main/java/cedarrudder/transport/BodyPump.java
@@ -4,10 +4,14 @@
 import cedarrudder.protocol.HttpEncoder;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.WriteBufferWaterMark;
 
 /** Writes a flow to a channel, no faster than the channel takes it. */
 final class BodyPump {
 
+    /** The least and the most bytes that wait to be written to a peer while a body flows to it. */
+    static final WriteBufferWaterMark WRITE_AHEAD = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
+
     /** What comes of it; one of these is called, once. */
     interface End {
         /** The last byte is written. */
--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -22,7 +22,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
@@ -86,13 +85,10 @@
     private static final int FIRST_READ = 1024;
     private static final int ACCEPTS = 8;
 
-    /** The least and the most bytes that wait to be written to a caller while its answer flows. */
-    private static final WriteBufferWaterMark WRITE_AHEAD = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
-
     /** A caller that sends nothing more of a body for so long, though it could, has given it up. */
     private static final long UPLOAD_SILENCE = 5_000_000_000L;
 
-    /** A body that flows may take so long; a tenth of the largest at the least rate that is counted on. */
+    /** A body that flows may take so long: 32 MB at 64 kB a second take 500 s. */
     private static final long UPLOAD_MOST = 600_000_000_000L;
 
     /** The bytes of a request that is sent in one piece come sooner, even to a loop that runs late. */
@@ -175,7 +171,7 @@
                         new AdaptiveRecvByteBufAllocator(FIRST_READ, FIRST_READ, MOST_READ)
                                 .maxMessagesPerRead(READS))
                 .childOption(ChannelOption.ALLOCATOR, loop.buffers())
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_AHEAD)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, BodyPump.WRITE_AHEAD)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
--- a/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
+++ b/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
@@ -1,5 +1,6 @@
 package cedarrudder.transport;
 
+import cedarrudder.Balancer.Load;
 import cedarrudder.Balancer.Outcome;
 import cedarrudder.Balancer.State;
 import cedarrudder.budget.Carried;
@@ -26,7 +27,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.WriteBufferWaterMark;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -48,9 +48,6 @@
     /** A node may close an idle channel a little early by our clock: ours goes this much earlier. */
     private static final double IDLE_SHARE = 0.8;
 
-    /** The least and the most bytes that wait to be written to a node while a body flows. */
-    private static final WriteBufferWaterMark WRITE_AHEAD = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
-
     /** An answer that flows, and of which nothing comes for so long though it could, has been given up. */
     private static final long FLOW_SILENCE = 10_000_000_000L;
 
@@ -90,7 +87,7 @@
         this.bootstrap = new Bootstrap().group(loop.group()).channelFactory(NodeSocket::new)
                 .option(ChannelOption.ALLOCATOR, loop.buffers())
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_AHEAD)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, BodyPump.WRITE_AHEAD)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
                         (int) Math.max(1, (connect == 0 ? DEFAULT_CONNECT_NANOS : connect) / 1_000_000));
         sweeping = loop.at(loop.now() + SWEEP, this::sweep);
@@ -334,15 +331,19 @@
 
         @Override
         void began(Message answer) {
-            driver.began(attempt, answer, reports == SiteSettings.Reports.ANSWERS
-                    ? LoadReport.parse(answer.head().fields().get("srv-load")) : null);
+            driver.began(attempt, answer, load(answer));
+        }
+
+        /** The load that an answer reports; null where it reports none. */
+        private Load load(Message answer) {
+            return reports == SiteSettings.Reports.ANSWERS
+                    ? LoadReport.parse(answer.head().fields().get("srv-load")) : null;
         }
 
         @Override
         void answered(Message answer) {
             attempts.remove(attempt);
-            var load = reports == SiteSettings.Reports.ANSWERS
-                    ? LoadReport.parse(answer.head().fields().get("srv-load")) : null;
+            Load load = load(answer);
             int status = answer.head().status();
             FromBelow below = attempt.handed() == null ? FromBelow.NOTHING : BudgetHeaders.result(answer);
             if (status == 200) {
