Begin a new life of a restarted node in the module, and take only the answer that is awaited

Seen, by a new test on the untouched build: after a node's restart the pool goes on picking it by what it reported before (FormerLifeTest, both stories: expected 2, found 1), and an answer that was on its way from before the restart is entered as a report of the node that has just started.

Lines at fault: Server.relist cleared two of its dozen fields and ProbePool.listed forgot entries only of nodes that are not ready; ProbePool.probed counted probes instead of telling them apart, and Proxy.welcome sent probes that the pool knew nothing of, so that two could be out at once and the older answer overwrite the newer.

Change, so that it can't return: a node with another start (or zone) is another Server, nothing is cleared by hand; an answer counts only when its probe is the one that is out; the probes after an operator's enable go through the module (Balancer.returned). An answer that broke off after it had begun is told too (Balancer.brokeOff): a node that does so each time was picked for good.

Ruled out: two processes of an upgrade spending two cold budgets. The budget follows each process's own rate of calls, and the rates add up to one; ColdStartTest plays it with 1, 5 and 40 copies of two processes each and passes before and after.

--- a/core/src/main/java/cedarrudder/Balancer.java
+++ b/core/src/main/java/cedarrudder/Balancer.java
@@ -233,9 +233,23 @@
     /** A scheduled time has come. */
     void timer(long now, long token);
 
-    /** A probe came back. {@code load} is null unless it was answered with a report. */
+    /**
+     * The probe that was sent {@code latency} ago came back. {@code load} is null unless it was answered with
+     * a report.
+     */
     void probed(long now, long endpoint, Outcome outcome, long latency, Load load);
 
+    /**
+     * An answer that had begun, with which its attempt has been told as served, broke off. A module that
+     * doesn't listen never hears of it.
+     *
+     * @param sentAt when the attempt was sent
+     */
+    default void brokeOff(long now, long endpoint, long sentAt) { }
+
+    /** An operator has put an endpoint back, which should get calls soon: nothing may be known of it. */
+    default void returned(long now, long endpoint) { }
+
     /**
      * How many copies live, this one with them, from 1 to {@link Settings#copies}; until the first such event
      * all do. A module that doesn't listen goes on with all.
--- a/core/src/main/java/cedarrudder/Decide.java
+++ b/core/src/main/java/cedarrudder/Decide.java
@@ -7,10 +7,11 @@
 import cedarrudder.overload.ShareMeter;
 import cedarrudder.overload.WaitingLine;
 import cedarrudder.overload.WaitingLine.Offer;
-import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -134,15 +135,8 @@
     @Override
     public void endpoints(long now, ListKind kind, List<Endpoint> entries) {
         if (kind != ListKind.CHANGES) {
-            Map<Long, Endpoint> named = new HashMap<>();
-            for (Endpoint entry : entries) {
-                named.put(entry.id(), entry);
-            }
-            for (Server server : new ArrayList<>(servers.values())) {
-                if (!named.containsKey(server.id)) {
-                    drop(server);
-                }
-            }
+            Set<Long> named = new HashSet<>(entries.stream().map(Endpoint::id).toList());
+            servers.values().stream().filter(s -> !named.contains(s.id)).toList().forEach(this::drop);
         }
         for (Endpoint entry : entries) {
             list(now, entry);
@@ -160,27 +154,21 @@
     }
 
     private void list(long now, Endpoint entry) {
-        Server server = servers.get(entry.id());
-        if (entry.state() == State.GONE) {
-            if (server != null) {
-                drop(server);
-            }
-            return;
+        Server known = servers.get(entry.id());
+        // Guards against anything known of a former life being taken for this one's.
+        if (known != null && (entry.state() == State.GONE || known.listed.startedAt() != entry.startedAt()
+                || known.listed.zone() != entry.zone())) {
+            drop(known);
         }
-        if (server == null) {
-            server = new Server(entry, tuning.get(Figure.HELD_START));
-            server.startCold(now, random.nextDouble());
-            servers.put(server.id, server);
-        } else {
-            server.relist(entry, now, random.nextDouble());
+        if (entry.state() != State.GONE) {
+            Server server = servers.computeIfAbsent(entry.id(),
+                    id -> new Server(entry, now, tuning.get(Figure.HELD_START), random.nextDouble()));
+            server.listed = entry;
+            pool.listed(server, server.ready());
         }
-        pool.listed(server, server.ready());
     }
 
     private void drop(Server server) {
-        Endpoint was = server.listed;
-        server.listed = new Endpoint(was.id(), was.zone(), was.kind(), was.cell(), State.GONE, was.weight(),
-                was.startedAt());
         pool.listed(server, false);
         servers.remove(server.id);
     }
@@ -245,9 +233,8 @@
         double relative = call.kind.worth() / Math.max(1, byClass[call.classIndex].mean()) / best;
         Goal goal = settings.goal();
         // A goal that looks at the worst class leaves less room for preferring the best.
-        double kept = tuning.get(Figure.KEPT_FROM_LEAST);
-        double preference = kept * goal.whole() / (goal.whole() + goal.worstClass());
-        double part = 1 - preference * (1 - relative);
+        double preference = goal.whole() / (goal.whole() + goal.worstClass());
+        double part = 1 - tuning.get(Figure.KEPT_FROM_LEAST) * preference * (1 - relative);
         return limit.room(out, call.overShare ? part * Math.max(0.5, goal.overShareWorth()) : part);
     }
 
@@ -436,16 +423,11 @@
         call.out--;
         out -= call.uploading ? 0 : 1;
         call.to[attempt].uploads -= call.uploading ? 1 : 0;
-        if (outcome == Outcome.OK) {
-            call.to[attempt].answered(now, settings.copies(), latency, call.work);
-        }
-        call.to[attempt].ended(now, outcome);
-        pool.ended(outcome);
         if (outcome == Outcome.CONNECT_FAILED) {
             thriftyUntil = now + THRIFT;
         }
-        closeUnused(now, call.to[attempt]);
         if (outcome == Outcome.OK) {
+            call.to[attempt].answered(now, settings.copies(), latency, call.work);
             byClass[call.classIndex].add(latency);
             overall.add(latency);
             if (!settings.goal().worthByWork()) {
@@ -465,6 +447,9 @@
             limit.answered(now - call.arrived > aim || outcome == Outcome.FULL, out, mostOut,
                     (double) pool.ring().size() / settings.copies());
         }
+        call.to[attempt].ended(now, outcome);
+        pool.ended(outcome);
+        closeUnused(now, call.to[attempt]);
         if (call.answered) {
             forget(call);
         } else if (settled) {
@@ -540,8 +525,7 @@
      * lacks.
      */
     private void closeUnused(long now, Server server) {
-        boolean thrifty = now < thriftyUntil && !server.needsConnection();
-        if (thrifty || server.inFlight == 0 && !server.inRoster) {
+        if (now < thriftyUntil && !server.needsConnection() || server.inFlight == 0 && !server.inRoster) {
             actions.closeIdle(server.id);
             server.closed();
         }
@@ -592,7 +576,23 @@
     public void probed(long now, long endpoint, Outcome outcome, long latency, Load load) {
         Server server = servers.get(endpoint);
         if (server != null) {
-            pool.probed(now, server, outcome, load);
+            pool.probed(now, server, outcome, now - latency, load);
+        }
+    }
+
+    @Override
+    public void returned(long now, long endpoint) {
+        Server server = servers.get(endpoint);
+        if (server != null && server.ready()) {
+            pool.ask(now, server);
+        }
+    }
+
+    @Override
+    public void brokeOff(long now, long endpoint, long sentAt) {
+        Server server = servers.get(endpoint);
+        if (server != null) {
+            server.brokeOff(now, sentAt);
         }
     }
 
--- a/core/src/main/java/cedarrudder/ProbePool.java
+++ b/core/src/main/java/cedarrudder/ProbePool.java
@@ -216,7 +216,7 @@
      */
     void trim() {
         for (Server server : roster()) {
-            if (server.trim(0)) {
+            if (server.trim()) {
                 actions.closeIdle(server.id);
             }
         }
@@ -224,13 +224,16 @@
 
     private void probe(long now) {
         List<Server> from = roster();
-        if (!settings.limits().probes() || from.isEmpty()) {
-            return;
+        if (!from.isEmpty()) {
+            ask(now, from.get(random.nextInt(from.size())));
         }
-        Server server = from.get(random.nextInt(from.size()));
+    }
+
+    /** Asks an endpoint for its load, unless it has been asked and may still answer. */
+    void ask(long now, Server server) {
         // Guards against never probing an endpoint again for the sake of one answer that never came.
-        if (server.probesOut == 0 || now - server.probedAt > PROBE_LOST) {
-            server.probesOut = 1;
+        if (settings.limits().probes() && (!server.probeOut || now - server.probedAt > PROBE_LOST)) {
+            server.probeOut = true;
             server.probedAt = now;
             server.ownAtProbe = server.inFlight;
             lastProbe = now;
@@ -238,9 +241,16 @@
         }
     }
 
-    /** Takes in the answer to a probe. One that failed takes the endpoint's entry away. */
-    void probed(long now, Server server, Outcome outcome, Load load) {
-        server.probesOut = Math.max(0, server.probesOut - 1);
+    /**
+     * Takes in the answer to the probe that was sent at an instant. One that failed takes the endpoint's
+     * entry away. Guards against an old report in place of a newer one, and against one that counts twice:
+     * only the answer to the probe that is out counts.
+     */
+    void probed(long now, Server server, Outcome outcome, long sentAt, Load load) {
+        if (!server.probeOut || sentAt < server.probedAt) {
+            return;
+        }
+        server.probeOut = false;
         forget(server);
         if (outcome != Outcome.OK || load == null || Double.isNaN(load.inFlight()) || !server.ready()) {
             return;
--- a/core/src/main/java/cedarrudder/Server.java
+++ b/core/src/main/java/cedarrudder/Server.java
@@ -41,8 +41,8 @@
     /** This copy's own attempts that are out. */
     int inFlight;
 
-    /** Probes of this copy that are out. */
-    int probesOut;
+    /** Whether a probe of this copy is out. */
+    boolean probeOut;
 
     /** When this copy last probed it. */
     long probedAt;
@@ -62,7 +62,7 @@
     private long crowdedUntil;
 
     /** Whether nothing was sent to it since it started. */
-    boolean untried;
+    boolean untried = true;
 
     /** How many requests it may hold, and what it held for others when it last reported. */
     final HoldLimit hold;
@@ -79,8 +79,17 @@
     private double allowance;
     private long allowanceAt;
 
-    /** @param heldStart how many requests it may hold until more is known of it; 0: any number */
-    Server(Endpoint listed, double heldStart) {
+    /**
+     * Begins one life of an endpoint: a restart begins another. Its cold-start budget begins somewhere
+     * between nothing and one request in debt. Guards against every copy spending a first request at once:
+     * over many copies the first sends then come spread out at the budget's rate.
+     *
+     * @param heldStart how many requests it may hold until more is known of it; 0: any number
+     * @param firstDraw where its budget begins, from 0 to 1
+     */
+    Server(Endpoint listed, long now, double heldStart, double firstDraw) {
+        this.allowance = -firstDraw;
+        this.allowanceAt = now;
         this.hold = new HoldLimit(heldStart);
         this.id = listed.id();
         this.order = scramble(listed.id());
@@ -94,28 +103,6 @@
         return z ^ (z >>> 31);
     }
 
-    /** Takes in a list entry; a new start time makes a new server of it, with a clean record. */
-    void relist(Endpoint entry, long now, double firstDraw) {
-        boolean restarted = entry.startedAt() != listed.startedAt();
-        listed = entry;
-        if (restarted) {
-            failureShare = 0;
-            latency = 0;
-            startCold(now, firstDraw);
-        }
-    }
-
-    /**
-     * Begins the cold-start budget somewhere between nothing and one request in debt. Guards against every
-     * copy spending a first request at once: over many copies the first sends then come spread out at the
-     * budget's rate.
-     */
-    void startCold(long now, double firstDraw) {
-        allowance = -firstDraw;
-        untried = true;
-        allowanceAt = now;
-    }
-
     boolean ready() {
         return listed.state() == State.READY;
     }
@@ -162,11 +149,25 @@
         if (outcome != Outcome.TIMEOUT) {
             waitingSince = now;
         }
+        judge(now, outcome == Outcome.OK);
+    }
+
+    private void judge(long now, boolean good) {
         double share = failureShare(now);
-        failureShare = share + FAILURE_WEIGHT * ((outcome == Outcome.OK ? 0 : 1) - share);
+        failureShare = share + FAILURE_WEIGHT * ((good ? 0 : 1) - share);
         failureAt = now;
     }
 
+    /**
+     * An answer that had begun, and counts as good, broke off: it weighs as two, to make up for that. One of
+     * a former life says nothing of this.
+     */
+    void brokeOff(long now, long sentAt) {
+        for (int i = 0; i < 2 && sentAt >= listed.startedAt(); i++) {
+            judge(now, false);
+        }
+    }
+
     private double failureShare(long now) {
         return failureShare == 0 ? 0 : failureShare * Math.pow(2, -(now - failureAt) / FORGIVE_NANOS);
     }
@@ -205,8 +206,8 @@
     /**
      * Whether more connections are open than were of use since the last look; if so, they count as closed.
      */
-    boolean trim(int spare) {
-        boolean surplus = open > Math.max(1, peak) + spare;
+    boolean trim() {
+        boolean surplus = open > Math.max(1, peak);
         if (surplus) {
             open = inFlight;
         }
--- a/core/src/main/java/cedarrudder/routing/Driver.java
+++ b/core/src/main/java/cedarrudder/routing/Driver.java
@@ -134,7 +134,7 @@
      * deadline cuts it. Its end is told by {@link #ended}.
      *
      * <p>For the module the attempt has been served with this. Guards against nodes being taken for full, or
-     * silent, by answers that callers read slowly; it does not hear of one that breaks off later.
+     * silent, by answers that callers read slowly; of one that breaks off later it hears once more.
      */
     public void began(CallAttempt<Q, A> attempt, A answer, Load load) {
         post(() -> {
@@ -197,7 +197,10 @@
             }
             forgetIfDone(exchange);
             if (attempt.begun()) {
-                return; // the module has heard of it
+                if (outcome != Outcome.OK && outcome != Outcome.CANCELLED) {
+                    balancer.brokeOff(timers.now(), attempt.endpoint(), attempt.startedAt());
+                }
+                return; // the module has heard of the rest
             }
             balancer.outcome(timers.now(), exchange.request().id(), attempt.number(), attempt.endpoint(),
                     outcome, latency, exchange.over(), load);
@@ -227,11 +230,9 @@
         post(() -> balancer.copies(timers.now(), live));
     }
 
-    /** Asks a node for its load now, beyond what the module asks; without effect where it isn't there. */
-    public void probe(long endpoint) {
-        if (client.knows(endpoint)) {
-            client.probe(endpoint);
-        }
+    /** An operator has put a node back. */
+    public void returned(long endpoint) {
+        post(() -> balancer.returned(timers.now(), endpoint));
     }
 
     /** How many of the listed nodes the module avoids now. */
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -319,7 +319,7 @@
     private void welcome(String node, int times) {
         Endpoint entry = rotation.shown(node);
         if (entry != null && entry.state() == State.READY && times > 0) {
-            driver.probe(entry.id());
+            driver.returned(entry.id());
             loop.at(loop.now() + WELCOME, () -> welcome(node, times - 1));
         }
     }
--- a/daemon/src/main/java/cedarrudder/program/Warmup.java
+++ b/daemon/src/main/java/cedarrudder/program/Warmup.java
@@ -191,7 +191,7 @@
 
         @Override
         public void probe(long endpoint) {
-            driver.probed(endpoint, Outcome.OK, 1, LoadReport.parse("TEXT latency_ms=1, inflight=0, util=0"));
+            driver.probed(endpoint, Outcome.OK, 0, LoadReport.parse("TEXT latency_ms=1, inflight=0, util=0"));
         }
 
         @Override
