--- /dev/null
+++ b/core/src/test/java/cedarrudder/RulesModel.java
@@ -0,0 +1,275 @@
+package cedarrudder;
+
+import cedarrudder.Balancer.Effect;
+import cedarrudder.Balancer.KeyScope;
+import cedarrudder.Balancer.Outcome;
+import cedarrudder.Balancer.RequestClass;
+import cedarrudder.Balancer.Safety;
+import cedarrudder.Balancer.State;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The rules of PROTOCOL and WIRE section 10, as plainly as they can be said. It keeps all that has happened
+ * as a list, and judges each step by reading that list from its start: slow, and without any state of its own
+ * that could be wrong. It shares nothing with what it judges, and knows of decisions only what the rules say.
+ */
+final class RulesModel {
+
+    enum Answer { SERVED, REFUSED, FAILED }
+
+    /** A rule is broken; the message begins with its name. */
+    static final class Broken extends AssertionError {
+        private static final long serialVersionUID = 1;
+
+        Broken(String rule, String what) {
+            super(rule + ": " + what);
+        }
+    }
+
+    private interface Event {
+        long at();
+    }
+
+    private record Taken(long at, long rpc, RequestClass kind) implements Event { }
+
+    /** The last byte of the request came; its caller waits until then. */
+    private record Whole(long at, long rpc, long answerBy) implements Event { }
+
+    private record Sent(long at, long rpc, int attempt, String node) implements Event { }
+
+    private record Ended(long at, long rpc, int attempt, Outcome outcome) implements Event { }
+
+    private record Answered(long at, long rpc) implements Event { }
+
+    private record Left(long at, long rpc) implements Event { }
+
+    private record Told(long at, String node, State state, int zone, int cell, long startedAt)
+            implements Event { }
+
+    private record Barred(long at, String node, boolean barred) implements Event { }
+
+    private record Killed(long at) implements Event { }
+
+    private final List<Event> history = new ArrayList<>();
+    private final int maxAttempts;
+    private final boolean copies;
+    private final Safety safety;
+    private final double capacity;
+    private final long slack;
+
+    /**
+     * @param copies whether two attempts of an RPC may be out at once
+     * @param capacity requests a second that a warm node bears
+     * @param slack how much later than it should be an answer still counts
+     */
+    RulesModel(int maxAttempts, boolean copies, Safety safety, double capacity, long slack) {
+        this.maxAttempts = maxAttempts;
+        this.copies = copies;
+        this.safety = safety;
+        this.capacity = capacity;
+        this.slack = slack;
+    }
+
+    int size() {
+        return history.size();
+    }
+
+    // ---- what happens ----
+
+    void taken(long now, long rpc, RequestClass kind) {
+        history.add(new Taken(now, rpc, kind));
+    }
+
+    void whole(long now, long rpc, long answerBy) {
+        history.add(new Whole(now, rpc, answerBy));
+    }
+
+    /** The first that is known of an attempt's end. */
+    void ended(long now, long rpc, int attempt, Outcome outcome) {
+        history.add(new Ended(now, rpc, attempt, outcome));
+    }
+
+    void left(long now, long rpc) {
+        history.add(new Left(now, rpc));
+    }
+
+    void told(long now, String node, State state, int zone, int cell, long startedAt) {
+        history.add(new Told(now, node, state, zone, cell, startedAt));
+    }
+
+    /** Operators have disabled a node, or put it back. */
+    void barred(long now, String node, boolean barred) {
+        history.add(new Barred(now, node, barred));
+    }
+
+    /** The instance is killed: what it had taken is lost, and what it was told. Bans are kept. */
+    void killed(long now) {
+        history.add(new Killed(now));
+    }
+
+    // ---- what is judged ----
+
+    /** The decisions want an attempt, whether it is carried out or not. */
+    void wanted(long now, long rpc) {
+        check(open(rpc), "sent after the end", "rpc " + rpc);
+    }
+
+    /** An attempt goes out. */
+    void sent(long now, long rpc, int attempt, String node) {
+        check(open(rpc), "sent after the end", "rpc " + rpc);
+        List<Sent> before = attempts(rpc);
+        check(before.size() < maxAttempts, "too many attempts", "rpc " + rpc);
+        Told told = told(node);
+        check(told != null, "sent to a node that was never listed", node);
+        long offLimits = offLimitsSince(node);
+        check(now - offLimits <= safety.drainGrace(), "sent to a node that drains or is gone", node
+                + " is so since " + (now - offLimits) + " ns");
+        for (Sent earlier : before) {
+            check(copies || ended(earlier) != null, "a second copy where none may be", "rpc " + rpc);
+        }
+        RequestClass kind = kind(rpc);
+        Sent ran = mayHaveRun(before);
+        if (ran != null && kind.effect() != Effect.SAFE) {
+            check(kind.effect() == Effect.KEYED, "single-send sent twice", "rpc " + rpc);
+            check(now < ran.at() + kind.repeatWindow(), "sent again after its key is forgotten",
+                    "rpc " + rpc);
+            Told then = toldAt(ran);
+            check(kind.keyScope() == KeyScope.ALL || kind.keyScope() == KeyScope.ZONE
+                    && then.zone() == told.zone() || kind.keyScope() == KeyScope.CELL
+                    && then.cell() == told.cell(), "sent again outside its group", "rpc " + rpc);
+        }
+        history.add(new Sent(now, rpc, attempt, node));
+        checkCold(now, told);
+    }
+
+    /** The caller gets its answer; {@code by} is the attempt whose answer it is, where it is served. */
+    void answered(long now, long rpc, Answer how, int by) {
+        check(open(rpc), "a second answer", "rpc " + rpc);
+        Long answerBy = answerBy(rpc);
+        check(answerBy == null || now <= answerBy + slack, "answered too late", "rpc " + rpc);
+        List<Sent> attempts = attempts(rpc);
+        if (how == Answer.SERVED) {
+            check(attempts.stream().anyMatch(s -> s.attempt() == by && ended(s) == Outcome.OK),
+                    "served with what no node made", "rpc " + rpc + " by attempt " + by);
+        }
+        RequestClass kind = kind(rpc);
+        if (how == Answer.REFUSED) {
+            check(mayHaveRun(attempts) == null || kind.effect() == Effect.SAFE
+                    || kind.effect() == Effect.KEYED && kind.keyScope() == KeyScope.ALL,
+                    "refused though it may have run", "rpc " + rpc);
+        }
+        history.add(new Answered(now, rpc));
+    }
+
+    /** By now each RPC whose time is over has its answer. */
+    void checkAllAnswered(long now) {
+        for (Event event : sinceKill()) {
+            if (event instanceof Whole whole && now > whole.answerBy() + slack) {
+                check(!open(whole.rpc()), "no answer", "rpc " + whole.rpc());
+            }
+        }
+    }
+
+    // ---- reading the list ----
+
+    private static void check(boolean holds, String rule, String what) {
+        if (!holds) {
+            throw new Broken(rule, what);
+        }
+    }
+
+    private List<Event> sinceKill() {
+        int from = 0;
+        for (int i = 0; i < history.size(); i++) {
+            from = history.get(i) instanceof Killed ? i + 1 : from;
+        }
+        return history.subList(from, history.size());
+    }
+
+    private boolean open(long rpc) {
+        boolean open = false;
+        for (Event event : sinceKill()) {
+            open |= event instanceof Taken taken && taken.rpc() == rpc;
+            open &= !(event instanceof Answered answered && answered.rpc() == rpc)
+                    && !(event instanceof Left left && left.rpc() == rpc);
+        }
+        return open;
+    }
+
+    private RequestClass kind(long rpc) {
+        return history.stream().filter(e -> e instanceof Taken taken && taken.rpc() == rpc)
+                .map(e -> ((Taken) e).kind()).findFirst().orElseThrow();
+    }
+
+    private Long answerBy(long rpc) {
+        return history.stream().filter(e -> e instanceof Whole whole && whole.rpc() == rpc)
+                .map(e -> ((Whole) e).answerBy()).findFirst().orElse(null);
+    }
+
+    private List<Sent> attempts(long rpc) {
+        return history.stream().filter(e -> e instanceof Sent sent && sent.rpc() == rpc)
+                .map(e -> (Sent) e).toList();
+    }
+
+    /** How an attempt ended; null while it is out. */
+    private Outcome ended(Sent sent) {
+        return history.stream().filter(e -> e instanceof Ended ended && ended.rpc() == sent.rpc()
+                && ended.attempt() == sent.attempt()).map(e -> ((Ended) e).outcome()).findFirst()
+                .orElse(null);
+    }
+
+    private Sent mayHaveRun(List<Sent> attempts) {
+        return attempts.stream().filter(s -> ended(s) == null || !ended(s).provesNotRun()).findFirst()
+                .orElse(null);
+    }
+
+    /** What was last told of a node; null where it was never listed. */
+    private Told told(String node) {
+        Told last = null;
+        for (Event event : sinceKill()) {
+            last = event instanceof Told told && told.node().equals(node) ? told : last;
+        }
+        return last;
+    }
+
+    private Told toldAt(Sent sent) {
+        Told last = null;
+        for (Event event : history.subList(0, history.indexOf(sent))) {
+            last = event instanceof Told told && told.node().equals(sent.node()) ? told : last;
+        }
+        return last;
+    }
+
+    /** Since when a node may get nothing new; {@link Long#MAX_VALUE} where it may. */
+    private long offLimitsSince(String node) {
+        long listed = Long.MAX_VALUE;
+        long barred = Long.MAX_VALUE;
+        for (Event event : history) {
+            if (event instanceof Killed) {
+                listed = Long.MAX_VALUE; // the next instance is told anew
+            } else if (event instanceof Told told && told.node().equals(node)) {
+                listed = told.state() == State.READY ? Long.MAX_VALUE : Math.min(listed, told.at());
+            } else if (event instanceof Barred by && by.node().equals(node)) {
+                barred = by.barred() ? Math.min(barred, by.at()) : Long.MAX_VALUE;
+            }
+        }
+        return Math.min(listed, barred);
+    }
+
+    /**
+     * A node that started a short while ago has got no more within the window that ends now than the budget
+     * allows for its capacity now. Each send ends a window, so every window is looked at.
+     */
+    private void checkCold(long now, Told told) {
+        long age = now - told.startedAt();
+        if (told.startedAt() == 0 || age >= safety.rampTime()) {
+            return;
+        }
+        double part = safety.coldShare() + (1 - safety.coldShare()) * age / safety.rampTime();
+        double most = safety.fallMultiple() * part * capacity * safety.fallWindow() / 1e9;
+        long got = history.stream().filter(e -> e instanceof Sent sent && sent.node().equals(told.node())
+                && sent.at() > now - safety.fallWindow() && sent.at() >= told.startedAt()).count();
+        check(got <= most, "a cold node pushed over", told.node() + " got " + got + " of " + most);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/cedarrudder/RulesWorld.java
@@ -0,0 +1,556 @@
+package cedarrudder;
+
+import cedarrudder.Balancer.Effect;
+import cedarrudder.Balancer.Endpoint;
+import cedarrudder.Balancer.ListKind;
+import cedarrudder.Balancer.Outcome;
+import cedarrudder.Balancer.Request;
+import cedarrudder.Balancer.RequestClass;
+import cedarrudder.Balancer.Settings;
+import cedarrudder.Balancer.State;
+import cedarrudder.figures.Figures;
+import cedarrudder.figures.Figures.End;
+import cedarrudder.logging.Logger;
+import cedarrudder.rotation.Rotation;
+import cedarrudder.routing.CallAttempt;
+import cedarrudder.routing.ClientSide;
+import cedarrudder.routing.Driver;
+import cedarrudder.routing.Exchange;
+import cedarrudder.routing.Resolver;
+import cedarrudder.routing.Timers;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * A world of legal but odd events round the real driver, module and overlay of nodes by hand, with the model
+ * of the rules beside them: each step is told to both. All is drawn from one seed. A {@link Fault} makes one
+ * part wrong on purpose, which the model must catch.
+ */
+final class RulesWorld {
+
+    /** What is made wrong. */
+    enum Fault {
+        NONE(""),
+        RESENDS_SINGLE_SEND("single-send sent twice"),
+        REFUSES_WHAT_MAY_HAVE_RUN("refused though it may have run"),
+        LEAVES_THE_POD("sent again outside its group"),
+        FORGETS_THE_WINDOW("sent again after its key is forgotten"),
+        TRIES_WITHOUT_END("too many attempts"),
+        COPIES_WHERE_FORBIDDEN("a second copy where none may be"),
+        ANSWERS_TWICE("a second answer"),
+        FORGETS_TO_ANSWER("no answer"),
+        ANSWERS_LATE("answered too late"),
+        SENDS_TO_DRAINING("sent to a node that drains or is gone"),
+        IGNORES_BANS("sent to a node that drains or is gone"),
+        SENDS_TO_UNLISTED("sent to a node that was never listed"),
+        PUSHES_COLD_NODES("a cold node pushed over"),
+        SENDS_AFTER_THE_END("sent after the end"),
+        MAKES_UP_AN_ANSWER("served with what no node made");
+
+        /** The rule that it breaks. */
+        final String rule;
+
+        Fault(String rule) {
+            this.rule = rule;
+        }
+    }
+
+    private static final long MS = Site.MS;
+    private static final int NODES = 9;
+    private static final int MOST_AWAY = 3;
+    private static final long STRANGER = 999;
+
+    /** Each warm node bears so many requests a second, and so many come in all. */
+    private static final double CAPACITY = 12;
+    private static final long BETWEEN = 25 * MS;
+
+    private record Due(long at, long order, int instance, Runnable what) { }
+
+    final SplittableRandom random;
+    private final Fault fault;
+    private final Settings settings;
+    private final RulesModel model;
+    private final StringBuilder transcript = new StringBuilder();
+    private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> a.at != b.at
+            ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    /** The nodes as they are, and as they were when an old list was made. */
+    private final Map<String, Endpoint> nodes = new TreeMap<>();
+    private Map<String, Endpoint> old = Map.of();
+    private final TreeSet<String> disabled = new TreeSet<>();
+    private final Map<Long, Exchange<String, String>> uploading = new HashMap<>();
+    private Map<Long, String> known = new HashMap<>();
+    private Rotation rotation;
+    private Figures figures;
+    private Driver<String, String> driver;
+    private Balancer.Actions hands;
+    private int instance;
+    private long now = 5000 * MS;
+    private long order;
+    private long lastRpc;
+    private int served;
+
+    RulesWorld(long seed, Fault fault) {
+        this.random = new SplittableRandom(seed);
+        this.fault = fault;
+        Site site = new Site();
+        site.classes = List.of(Site.SAFE, Site.UNSAFE, Site.KEYED, Site.KEYED_IN_CELL, Site.KEYED_IN_ZONE);
+        site.parallelTries = random.nextBoolean() && fault != Fault.COPIES_WHERE_FORBIDDEN;
+        site.ask = random.nextBoolean();
+        site.tiers = 2;
+        site.tier = fault == Fault.NONE ? random.nextInt(2) : 1;
+        site.maxAttempts = 1 + random.nextInt(4);
+        if (fault.rule.startsWith("sent again") || fault == Fault.TRIES_WITHOUT_END) {
+            site.maxAttempts = 4;
+        }
+        Settings real = site.settings();
+        model = new RulesModel(site.maxAttempts, site.parallelTries, real.safety(), CAPACITY, 50 * MS);
+        if (fault == Fault.TRIES_WITHOUT_END) {
+            site.maxAttempts = 9;
+        }
+        settings = site.settings();
+    }
+
+    // ---- the run ----
+
+    /** Plays so many RPCs; an error tells the seed's prefix by the number of events. */
+    void run(int rpcs) {
+        for (int i = 1; i <= NODES; i++) {
+            nodes.put("n" + i, Site.endpoint(i, i % 2, i % 3, State.READY, 0));
+        }
+        old = new TreeMap<>(nodes);
+        begin();
+        long when = now;
+        for (int i = 0; i < rpcs; i++) {
+            when += random.nextLong(2 * BETWEEN);
+            anytime(when, this::arrive);
+        }
+        long end = when + 3000 * MS;
+        for (long t = now; t < end; t += 150 * MS) {
+            anytime(t, this::happen);
+        }
+        anytime(now + (end - now) / 2, this::killAndRestart);
+        for (int events = 0; !due.isEmpty() && due.peek().at <= end; events++) {
+            Due next = due.poll();
+            now = Math.max(now, next.at);
+            if (next.instance == 0 || next.instance == instance) {
+                next.what.run();
+            }
+            if (events % 50 == 0) {
+                model.checkAllAnswered(now);
+            }
+        }
+        model.checkAllAnswered(end);
+        long ended = 0;
+        for (int kind = 0; kind < figures.classes(); kind++) {
+            for (End how : End.values()) {
+                ended += figures.allEnded(kind, how);
+            }
+            ended -= figures.allTaken(kind);
+        }
+        if (ended + figures.open() != 0 || figures.open() != 0) {
+            throw new AssertionError("counted " + ended + " too many ends, " + figures.open() + " open");
+        }
+    }
+
+    int served() {
+        return served;
+    }
+
+    int events() {
+        return model.size();
+    }
+
+    String transcript() {
+        return transcript.toString();
+    }
+
+    /** An event of the world's, whichever instance is there then. */
+    private void anytime(long when, Runnable what) {
+        due.add(new Due(when, order++, 0, what));
+    }
+
+    /** An event of this instance's: it is gone with it. */
+    private void at(long when, Runnable what) {
+        due.add(new Due(when, order++, instance, what));
+    }
+
+    private void begin() {
+        instance++;
+        known = new HashMap<>();
+        rotation = new Rotation();
+        disabled.forEach(rotation::disable);
+        figures = new Figures(settings.classes().size());
+        uploading.clear();
+        SplittableRandom forModule = random.split();
+        driver = new Driver<>(actions -> module(actions, forModule), settings.limits().maxAttempts(),
+                new Clock(), new Logger(new PrintStream(OutputStream.nullOutputStream())), null, figures);
+        driver.connect(new Client(), new Discovery(), (copy, message) -> { });
+        tell(ListKind.CACHED, old);
+    }
+
+    private void killAndRestart() {
+        model.killed(now);
+        begin();
+    }
+
+    // ---- parts made wrong ----
+
+    private Balancer module(Balancer.Actions driverHands, SplittableRandom forModule) {
+        hands = twisted(Balancer.Actions.class, driverHands, this::act);
+        Settings toldOf = settings;
+        if (fault == Fault.FORGETS_THE_WINDOW || fault == Fault.COPIES_WHERE_FORBIDDEN) {
+            Site wrong = new Site();
+            wrong.parallelTries = fault == Fault.COPIES_WHERE_FORBIDDEN || settings.limits().parallelTries();
+            wrong.ask = settings.askForEndpoints();
+            wrong.tiers = 2;
+            wrong.tier = 1;
+            wrong.maxAttempts = settings.limits().maxAttempts();
+            wrong.classes = settings.classes().stream().map(c -> new RequestClass(c.name(), c.effect(),
+                    c.keyScope(), c.aim(), c.deadline(), c.worth(), 0, 50 * c.repeatWindow(), false))
+                    .toList();
+            toldOf = wrong.settings();
+        }
+        return twisted(Balancer.class, new Decide(toldOf, forModule, hands), this::hear);
+    }
+
+    private interface Twist {
+        /** Changes what is passed on, or does something else besides. */
+        void change(String method, Object[] arguments);
+    }
+
+    private <T> T twisted(Class<T> type, T sound, Twist twist) {
+        return type.cast(Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] {type},
+                (self, method, arguments) -> {
+                    if (arguments != null) {
+                        twist.change(method.getName(), arguments);
+                    }
+                    try {
+                        if (fault == Fault.REFUSES_WHAT_MAY_HAVE_RUN && method.getName().equals("fail")) {
+                            hands.refuse((long) arguments[0], 0);
+                            return null;
+                        }
+                        return method.invoke(sound, arguments);
+                    } catch (InvocationTargetException e) {
+                        throw e.getCause();
+                    }
+                }));
+    }
+
+    /** What the module does, before the driver sees it. */
+    private void act(String action, Object[] a) {
+        transcript.append(now).append(' ').append(action).append(' ').append(a[0]).append('\n');
+        if (action.equals("send")) {
+            model.wanted(now, (long) a[0]);
+            if (fault == Fault.LEAVES_THE_POD) {
+                List<Long> ready = nodes.values().stream().filter(n -> n.state() == State.READY)
+                        .map(Endpoint::id).toList();
+                a[1] = ready.get(random.nextInt(ready.size()));
+            } else if (fault == Fault.SENDS_TO_UNLISTED && random.nextInt(20) == 0) {
+                a[1] = STRANGER;
+            }
+        }
+    }
+
+    /** What the module hears, before it does. */
+    @SuppressWarnings("unchecked")
+    private void hear(String event, Object[] a) {
+        if (event.equals("endpoints")) {
+            boolean hides = fault == Fault.SENDS_TO_DRAINING;
+            a[2] = ((List<Endpoint>) a[2]).stream().map(e -> new Endpoint(e.id(), e.zone(), e.kind(),
+                    e.cell(), hides && e.state() == State.DRAINING ? State.READY : e.state(), e.weight(),
+                    fault == Fault.PUSHES_COLD_NODES ? 0 : e.startedAt())).toList();
+        } else if (event.equals("outcome") && a[4] == Outcome.RESET && !(boolean) a[6]
+                && fault == Fault.RESENDS_SINGLE_SEND) {
+            hands.send((long) a[1], (long) a[3], 0);
+        } else if (event.equals("outcome") && (boolean) a[6] && fault == Fault.SENDS_AFTER_THE_END) {
+            hands.send((long) a[1], (long) a[3], 0);
+        }
+    }
+
+    // ---- nodes and discovery ----
+
+    private void happen() {
+        String name = "n" + (1 + random.nextInt(NODES));
+        Endpoint node = nodes.get(name);
+        switch (random.nextInt(9)) {
+            case 0, 1 -> change(name, node, State.DRAINING, node.startedAt());
+            case 2 -> change(name, node, State.GONE, node.startedAt());
+            case 3 -> change(name, node, State.READY, now);
+            case 4 -> tell(ListKind.FULL, nodes);
+            case 5 -> tell(ListKind.FULL, old);
+            case 6 -> tell(ListKind.CHANGES, nodes);
+            case 7 -> byHand(name);
+            default -> old = new TreeMap<>(nodes);
+        }
+        for (Map.Entry<String, Endpoint> away : List.copyOf(nodes.entrySet())) {
+            if (away.getValue().state() != State.READY && random.nextInt(6) == 0) {
+                // Back after a restart, or the drain was called off.
+                boolean restarted = away.getValue().state() == State.GONE || random.nextBoolean();
+                change(away.getKey(), away.getValue(), State.READY,
+                        restarted ? now : away.getValue().startedAt());
+            }
+        }
+    }
+
+    private boolean settled(Endpoint node) {
+        return node.state() == State.READY
+                && (node.startedAt() == 0 || now - node.startedAt() > settings.safety().rampTime());
+    }
+
+    private void change(String name, Endpoint node, State state, long startedAt) {
+        // So few are away at once that the others bear what comes.
+        if (settled(node) && nodes.values().stream().filter(n -> !settled(n)).count() >= MOST_AWAY) {
+            return;
+        }
+        nodes.put(name, Site.endpoint(node.id(), node.zone(), node.cell(), state, startedAt));
+        if (random.nextInt(4) > 0) {
+            tell(ListKind.CHANGES, Map.of(name, nodes.get(name)));
+        }
+    }
+
+    /** A list reaches the instance: as {@code NodeChannels} does, and as {@code Proxy} does. */
+    private void tell(ListKind kind, Map<String, Endpoint> list) {
+        List<Rotation.Named> named = new ArrayList<>();
+        if (kind != ListKind.CHANGES) {
+            for (String name : nodes.keySet()) {
+                if (!list.containsKey(name) || list.get(name).state() == State.GONE) {
+                    model.told(now, name, State.GONE, 0, 0, 0);
+                }
+            }
+            known.clear();
+        }
+        list.forEach((name, node) -> {
+            if (kind == ListKind.CHANGES || node.state() != State.GONE) {
+                model.told(now, name, node.state(), node.zone(), node.cell(), node.startedAt());
+                named.add(new Rotation.Named(name, node));
+                if (node.state() == State.GONE) {
+                    known.remove(node.id());
+                } else {
+                    known.put(node.id(), name);
+                }
+            }
+        });
+        List<Endpoint> shown = rotation.listed(kind, named);
+        driver.resolved(kind, fault == Fault.IGNORES_BANS
+                ? named.stream().map(Rotation.Named::endpoint).toList() : shown);
+    }
+
+    private void byHand(String name) {
+        boolean bar = !disabled.contains(name);
+        if (bar && disabled.size() >= 2) {
+            return;
+        }
+        model.barred(now, name, bar);
+        if (bar) {
+            disabled.add(name);
+            rotation.disable(name);
+        } else {
+            disabled.remove(name);
+            rotation.enable(name, now);
+        }
+        Endpoint shown = rotation.shown(name);
+        if (shown != null && fault != Fault.IGNORES_BANS) {
+            driver.resolved(ListKind.CHANGES, List.of(shown));
+            if (!bar) {
+                driver.returned(shown.id());
+            }
+        }
+    }
+
+    // ---- callers ----
+
+    private void arrive() {
+        long rpc = ++lastRpc;
+        int index = random.nextInt(settings.classes().size());
+        RequestClass kind = settings.classes().get(index);
+        long wait = 50 * MS + random.nextLong(950 * MS);
+        boolean uploads = random.nextInt(12) == 0;
+        long toDriver = wait + (fault == Fault.ANSWERS_LATE ? 400 * MS : 0);
+        long work = random.nextBoolean() ? 0 : 20 * MS;
+        model.taken(now, rpc, kind);
+        var request = new Request(rpc, index, 0, now + toDriver + (uploads ? 60_000 * MS : 0), 0, false,
+                kind.effect() != Effect.SAFE, work, uploads);
+        Exchange<String, String> exchange = new Exchange<>(request, "q" + rpc, new Answers(rpc));
+        if (uploads) {
+            uploading.put(rpc, exchange.uploading(toDriver));
+            at(now + random.nextLong(150 * MS), () -> whole(rpc, wait));
+        } else {
+            model.whole(now, rpc, now + wait);
+        }
+        driver.accept(exchange);
+        if (random.nextInt(20) == 0) {
+            at(now + random.nextLong(200 * MS), () -> leave(rpc, exchange));
+        }
+    }
+
+    private void whole(long rpc, long wait) {
+        Exchange<String, String> exchange = uploading.remove(rpc);
+        if (exchange != null) {
+            model.whole(now, rpc, now + wait);
+            driver.whole(exchange);
+        }
+    }
+
+    private void leave(long rpc, Exchange<String, String> exchange) {
+        uploading.remove(rpc);
+        model.left(now, rpc);
+        driver.left(exchange);
+    }
+
+    private final class Answers implements Exchange.Reply<String> {
+        private final long rpc;
+
+        Answers(long rpc) {
+            this.rpc = rpc;
+        }
+
+        private void got(RulesModel.Answer how, int by) {
+            uploading.remove(rpc);
+            if (fault == Fault.FORGETS_TO_ANSWER && rpc % 50 == 0) {
+                return;
+            }
+            model.answered(now, rpc, how, by);
+            transcript.append(now).append(' ').append(how).append(' ').append(rpc).append('\n');
+            if (fault == Fault.ANSWERS_TWICE && rpc % 50 == 0) {
+                model.answered(now, rpc, how, by);
+            }
+        }
+
+        @Override
+        public void served(String answer) {
+            served++;
+            int by = Integer.parseInt(answer);
+            got(RulesModel.Answer.SERVED, fault == Fault.MAKES_UP_AN_ANSWER ? by + 1 : by);
+        }
+
+        @Override
+        public void refused(long retryAfter) {
+            got(RulesModel.Answer.REFUSED, -1);
+        }
+
+        @Override
+        public void failed() {
+            got(RulesModel.Answer.FAILED, -1);
+        }
+    }
+
+    // ---- the sides round the driver ----
+
+    private final class Clock implements Timers {
+        @Override
+        public long now() {
+            return now;
+        }
+
+        @Override
+        public Timer at(long instant, Runnable task) {
+            Due entry = new Due(Math.max(instant, now + 1), order++, instance, task);
+            due.add(entry);
+            return () -> due.remove(entry);
+        }
+    }
+
+    private final class Discovery implements Resolver {
+        @Override
+        public void subscribe(boolean on) {
+            if (random.nextBoolean()) {
+                at(now + 100 * MS, () -> driver.unresolved());
+            }
+        }
+
+        @Override
+        public void fetch() { }
+    }
+
+    /** Nodes, whose outcomes come late, twice, in another order, and of what was given up. */
+    private final class Client implements ClientSide<String, String> {
+        private final Map<CallAttempt<String, String>, Boolean> told = new HashMap<>();
+
+        @Override
+        public boolean knows(long endpoint) {
+            return known.containsKey(endpoint) || endpoint == STRANGER;
+        }
+
+        @Override
+        public void start(CallAttempt<String, String> attempt) {
+            long rpc = attempt.exchange().request().id();
+            model.sent(now, rpc, attempt.number(), known.getOrDefault(attempt.endpoint(), "stranger"));
+            boolean half = uploading.containsKey(rpc);
+            int draw = random.nextInt(20);
+            Outcome how = draw < 2 ? Outcome.ERROR : draw < 4 ? Outcome.FULL
+                    : draw < 6 ? Outcome.CONNECT_FAILED : draw < 8 ? Outcome.RESET : Outcome.OK;
+            Outcome outcome = half ? Outcome.CONNECT_FAILED : how;
+            long lasts = random.nextInt(10) == 0 ? random.nextLong(1500 * MS) : random.nextLong(150 * MS);
+            if (draw == 4) {
+                report(attempt, outcome); // known at once
+            } else if (draw == 19 && !half) {
+                at(now + lasts, () -> begin(attempt));
+            } else if (draw != 18) { // else it never answers
+                at(now + lasts, () -> report(attempt, outcome));
+            }
+            if (random.nextInt(10) == 0 && draw != 19) {
+                at(now + 2 * lasts, () -> report(attempt, Outcome.values()[random.nextInt(4)]));
+            }
+        }
+
+        private void begin(CallAttempt<String, String> attempt) {
+            if (told.putIfAbsent(attempt, true) == null) {
+                model.ended(now, attempt.exchange().request().id(), attempt.number(), Outcome.OK);
+                driver.began(attempt, String.valueOf(attempt.number()), null);
+                Outcome end = random.nextBoolean() ? Outcome.OK : Outcome.RESET;
+                at(now + random.nextLong(500 * MS), () -> pass(attempt, end));
+            }
+        }
+
+        private void report(CallAttempt<String, String> attempt, Outcome outcome) {
+            if (told.putIfAbsent(attempt, true) == null) {
+                model.ended(now, attempt.exchange().request().id(), attempt.number(), outcome);
+            }
+            pass(attempt, outcome);
+        }
+
+        private void pass(CallAttempt<String, String> attempt, Outcome outcome) {
+            if (outcome == Outcome.OK) {
+                driver.served(attempt, String.valueOf(attempt.number()), Site.load(random.nextInt(5), 20));
+            } else {
+                driver.ended(attempt, outcome, null);
+            }
+        }
+
+        @Override
+        public void abandon(CallAttempt<String, String> attempt) {
+            if (told.putIfAbsent(attempt, true) == null) {
+                model.ended(now, attempt.exchange().request().id(), attempt.number(), Outcome.CANCELLED);
+            }
+        }
+
+        @Override
+        public void probe(long endpoint) {
+            long lasts = random.nextLong(60 * MS);
+            Outcome outcome = random.nextInt(6) == 0 ? Outcome.TIMEOUT : Outcome.OK;
+            // A node that has just started reads empty and quick.
+            boolean fresh = nodes.values().stream().anyMatch(n -> n.id() == endpoint && !settled(n));
+            Balancer.Load load = Site.load(fresh ? 0 : 2 + random.nextInt(3),
+                    fresh ? 1 : 20 + random.nextInt(50));
+            at(now + lasts, () -> driver.probed(endpoint, outcome, lasts,
+                    outcome == Outcome.OK ? load : null));
+            if (random.nextInt(8) == 0) {
+                long again = lasts + random.nextLong(300 * MS);
+                at(now + again, () -> driver.probed(endpoint, Outcome.OK, again, Site.load(9, 900)));
+            }
+        }
+
+        @Override
+        public void closeIdle(long endpoint) { }
+    }
+}
