Place a node's start by the clocks of the moment it is told, not by those of the proxy's own start

Seen by reading: the offset between the machine's clock and the program's was measured once, in Proxy, so after months a clock that was set or has drifted misplaces each new start. An hour back at the machine makes a node that has just started an hour old: warm, with no cold budget, and pushed over; an hour forward keeps it cold for an hour.

Lines at fault: Proxy's constructor (epochNanos) and ResolverResultReader.node. Now each start is mapped when it is first told and kept with the node's number, so that the same start stays the same instant; none is placed in the future.

The new test sets the clock back by an hour and forward by two. The old constructor can't be asked that; with its arithmetic the node that is one second old comes out 3,601 s old.

--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -100,7 +100,7 @@
                 actions), site.module().limits().maxAttempts(), loop, log, budgets, figures);
         channels = new NodeChannels(loop, driver, site, nodes, nodes.mostChannels(configuration.sockets()),
                 figures, held);
-        reader = new ResolverResultReader(site, loop.now() - System.currentTimeMillis() * 1_000_000);
+        reader = new ResolverResultReader(site, loop::now, System::currentTimeMillis);
         long version = (long) configuration.known().number("version", 0);
         discovery = new DiscoveryClient(loop, configuration.discovery(),
                 operator.of(DiscoveryTable.DISCOVERY), reader, version,
--- a/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
+++ b/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongSupplier;
 
 /** Reads resolver results, and gives each node the number by which the module knows it. */
 public final class ResolverResultReader {
@@ -18,17 +19,23 @@
     private static final long ID_MASK = (1L << 52) - 1;
 
     private final SiteSettings site;
-    private final long epochNanos;
+    private final LongSupplier clock;
+    private final LongSupplier unixMillis;
     private final Map<String, Long> numbers = new HashMap<>();
+    private final Map<String, Start> starts = new HashMap<>();
     private final Map<Long, String> names = new HashMap<>();
 
+    /** A node's start as discovery tells it, and as an instant of the program's clock. */
+    private record Start(double millis, long instant) { }
+
     /**
-     * @param epochNanos the instant of the program's clock at which Unix time was 0. It is measured once:
-     * guards against a restart being seen in a start time that was mapped a little differently.
+     * @param clock the program's clock, in nanoseconds
+     * @param unixMillis the machine's own clock, which may be set at any time
      */
-    public ResolverResultReader(SiteSettings site, long epochNanos) {
+    public ResolverResultReader(SiteSettings site, LongSupplier clock, LongSupplier unixMillis) {
         this.site = site;
-        this.epochNanos = epochNanos;
+        this.clock = clock;
+        this.unixMillis = unixMillis;
     }
 
     /** How many nodes have a number. */
@@ -55,9 +62,26 @@
 
     /** Guards against keeping every id of a long day: a node that is gone needs no number any more. */
     private void forget(String id) {
+        starts.remove(id);
         names.remove(numbers.remove(id));
     }
 
+    /**
+     * The instant of a node's start; 0: long ago. It is worked out when the start is first told, by what the
+     * clocks say then, and kept. Guards against a restart being seen in a start time that was mapped a little
+     * differently, and against a cold node being taken for a warm one, or the other way round, once the
+     * machine's clock was set.
+     */
+    private long startedAt(String id, double millis) {
+        Start known = starts.get(id);
+        if (known == null || known.millis() != millis) {
+            double age = Math.max(0, unixMillis.getAsLong() - millis);
+            known = new Start(millis, millis == 0 ? 0 : clock.getAsLong() - (long) (age * 1e6));
+            starts.put(id, known);
+        }
+        return known.instant();
+    }
+
     private ResolverResult.Node node(JsonObject entry) {
         String word = entry.text("state", null);
         State state = switch (word) {
@@ -66,15 +90,15 @@
             case "terminated" -> State.GONE;
             default -> throw new IllegalArgumentException("unknown state '" + word + "'");
         };
-        double started = entry.number("started_ms", 0);
-        long startedAt = started == 0 ? 0 : (long) (started * 1e6) + epochNanos;
-        Endpoint endpoint = new Endpoint(number(entry.text("id", null)),
+        String id = entry.text("id", null);
+        Endpoint endpoint = new Endpoint(number(id),
                 site.zones().indexOf(entry.text("zone", "")), site.kinds().indexOf(entry.text("kind", "")),
-                (int) entry.number("cell", 0), state, entry.number("weight", 1), startedAt);
+                (int) entry.number("cell", 0), state, entry.number("weight", 1),
+                startedAt(id, entry.number("started_ms", 0)));
         if (state == State.GONE) {
-            forget(entry.text("id", null));
+            forget(id);
         }
-        return new ResolverResult.Node(entry.text("id", null), endpoint,
+        return new ResolverResult.Node(id, endpoint,
                 Addresses.parse(entry.text("addr", null)));
     }
 
--- a/daemon/src/test/java/cedarrudder/protocol/ResolverResultReaderTest.java
+++ b/daemon/src/test/java/cedarrudder/protocol/ResolverResultReaderTest.java
@@ -14,12 +14,44 @@
                 + "\",\"addr\":\"127.0.0.1:1\",\"state\":\"" + state + "\"}]}");
     }
 
+    private long clock = 7_000_000_000L;
+    private long unixMillis = 1_000_000L;
+
+    private ResolverResultReader reader() throws Exception {
+        JsonObject example = JsonObject.parse(Files.readString(Path.of("example", "config.json")));
+        return new ResolverResultReader(SettingsReader.read(example.child("settings")), () -> clock,
+                () -> unixMillis);
+    }
+
+    private long startedAt(ResolverResultReader reader, String id, long millis) throws Exception {
+        return reader.read(JsonObject.parse("{\"version\":1,\"full\":false,\"servers\":[{\"id\":\"" + id
+                + "\",\"addr\":\"127.0.0.1:1\",\"state\":\"in_service\",\"started_ms\":" + millis + "}]}"))
+                .nodes().get(0).endpoint().startedAt();
+    }
+
+    /**
+     * Guards against cold nodes taken for warm ones, which are then pushed over, once the machine's clock was
+     * set or has drifted since the proxy began; and against a restart seen where there was none.
+     */
+    @Test
+    public void aStartIsPlacedByTheClocksOfTheMomentAndStaysThere() throws Exception {
+        ResolverResultReader reader = reader();
+        long first = startedAt(reader, "a", unixMillis - 2000);
+        assertEquals(first, clock - 2_000_000_000L);
+        clock += 50_000_000_000L;
+        unixMillis += 50_000 - 3_600_000; // an hour back
+        assertEquals(startedAt(reader, "a", 1_000_000L - 2000), first, "no restart");
+        assertEquals(startedAt(reader, "b", unixMillis - 1000), clock - 1_000_000_000L, "a second old");
+        unixMillis += 7_200_000; // and two forward
+        assertEquals(startedAt(reader, "c", unixMillis - 1000), clock - 1_000_000_000L, "a second old");
+        assertEquals(startedAt(reader, "d", unixMillis + 5000), clock, "no start is still to come");
+        assertEquals(startedAt(reader, "e", 0), 0, "long ago");
+    }
+
     /** Guards against keeping every id of a long day. */
     @Test
     public void aNodeThatIsGoneLeavesNothingBehind() throws Exception {
-        JsonObject example = JsonObject.parse(Files.readString(Path.of("example", "config.json")));
-        SiteSettings site = SettingsReader.read(example.child("settings"));
-        ResolverResultReader reader = new ResolverResultReader(site, 0);
+        ResolverResultReader reader = reader();
         for (int i = 0; i < 100; i++) {
             reader.read(result(false, "node-" + i, "in_service"));
             reader.read(result(false, "node-" + i, "terminated"));
