Tell on the loop of every connection that fails, and take no report from a node's former address

Seen by reading Netty's Bootstrap: where a channel can't be made, as when no descriptor is left, the failure is told on GlobalEventExecutor's thread. NodeChannels.carry and DiscoveryClient.Call.open then ran the driver, the module and the callers' state on a second thread, beside the loop. All else that fails (refused, timed out, reset) is told on the loop.

Loop.connect is now the one way to connect and goes back to the loop; LoopTest, with a factory that has no descriptor, reads false for the executor without that line (seen: expected [false, true], found [false, false]).

A probe's answer that comes from an address that the node has left was entered for the node (ProxyStories, FaultStoriesTest: expected the only node with a true report, found the other). Probe.answered now asks whether its node is gone.

--- a/daemon/src/main/java/cedarrudder/transport/DiscoveryClient.java
+++ b/daemon/src/main/java/cedarrudder/transport/DiscoveryClient.java
@@ -125,7 +125,7 @@
         void open(String target) {
             heardAt = loop.now();
             watchOver();
-            bootstrap.clone().handler(this).connect(to).addListener(connected -> {
+            loop.connect(bootstrap.clone().handler(this), to, connected -> {
                 if (connected.isSuccess() && !over) {
                     channel.writeAndFlush(HttpEncoder.get(loop.buffers(), target,
                             to.getAddress().getHostAddress() + ":" + to.getPort()));
--- a/daemon/src/main/java/cedarrudder/transport/Loop.java
+++ b/daemon/src/main/java/cedarrudder/transport/Loop.java
@@ -2,13 +2,18 @@
 
 import cedarrudder.logging.Logger;
 import cedarrudder.routing.Timers;
+import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** The one event loop, which owns all that runs, and its clock. */
 public final class Loop implements Timers {
@@ -72,9 +77,28 @@
         return now() - lateAt > LATE_COUNTS ? 0 : lateBy;
     }
 
-    /** Runs a task on the loop, from any thread. */
+    /** Runs a task on the loop, from any thread; one that comes after its end is dropped. */
     public void run(Runnable task) {
-        group.execute(() -> guarded(task));
+        try {
+            group.execute(() -> guarded(task));
+        } catch (RejectedExecutionException e) {
+            // what it was to change is gone
+        }
+    }
+
+    /**
+     * Connects, and tells on the loop what came of it, or at once where it is known at once. Guards against
+     * the one case that Netty tells on a thread of its own: a socket that can't be made, for want of a
+     * descriptor.
+     */
+    void connect(Bootstrap bootstrap, InetSocketAddress to, Consumer<Future<? super Void>> then) {
+        bootstrap.connect(to).addListener(done -> {
+            if (group.next().inEventLoop()) {
+                then.accept(done);
+            } else {
+                run(() -> then.accept(done));
+            }
+        });
     }
 
     /** Ends the loop, from any thread: what it still owns is closed. */
--- a/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
+++ b/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
@@ -206,7 +206,7 @@
             closeOldest();
         }
         NodeChannel fresh = new NodeChannel(node);
-        bootstrap.clone().handler(fresh).connect(node.address).addListener(connected -> {
+        loop.connect(bootstrap.clone().handler(fresh), node.address, connected -> {
             if (connected.isSuccess()) {
                 fresh.carry(work);
             } else {
@@ -387,6 +387,10 @@
 
         @Override
         void answered(Message answer) {
+            if (node.gone) {
+                failed(Outcome.CANCELLED); // what it reports is true of nobody any more
+                return;
+            }
             patience.cancel();
             boolean ok = answer.head().status() == 200;
             var load = ok ? LoadReport.parse(new String(answer.body(), StandardCharsets.UTF_8)) : null;
