Never let the log's reader, a signal or a cleared folder stop or undo what the proxy does

Found by reading, each with a story on the built jar (ShortageIT, StopIT):

- Standard error that nobody reads.
Logger wrote to it on the event loop; a full pipe (64 KiB) stops the writer, and so the loop with every RPC.
LogWriter takes lines into a queue of 256 and writes them on a thread of its own; what finds no room is counted as left out.
It stands in for System.err, so that what libraries write can't stop the loop either.
- SIGTERM within the start.
The hook was registered after the callers' address was joined, so callers let in between were dropped.
It is registered first now; start and end agree by one compare-and-set (Proxy.phase).
- SIGHUP read the configuration file on the loop, once for each signal.
It is read on the signal's thread, and signals that come while one waits add nothing.
- $TMPDIR cleared while two processes run.
KeptState.read took a folder that is gone for one without bans, and Proxy.watchOthers then put every disabled node back.
A missing folder can't be read now; what is known stays.
- Proxy.tellReady wrote to the log from the starting thread beside the loop.

Ruled out by the same stories, passing without a change: no descriptor left (90 of them, 150 callers: each taken request had its one answer, all descriptors came back), 2 MB of direct memory under 30 slow answers of 8 MB, a folder that can't be written, silent peers, SIGKILL at eleven moments of a start, at each step of a handover, and with a request, half a head, a body under way, a ban and a drain.

--- a/core/src/main/java/cedarrudder/logging/Logger.java
+++ b/core/src/main/java/cedarrudder/logging/Logger.java
@@ -1,6 +1,7 @@
 package cedarrudder.logging;
 
 import java.io.PrintStream;
+import java.util.function.Predicate;
 
 /**
  * The project's logger: one line an event on one stream. An event has a name, such as {@code node.spoilt},
@@ -20,7 +21,7 @@
 
     private static final Entry LEFT_OUT = new Entry(null, null);
 
-    private final PrintStream out;
+    private final Predicate<String> out;
     private final long started = System.nanoTime();
     private LineWriter lines;
     private LogSettings settings = LogSettings.DEFAULT;
@@ -31,6 +32,14 @@
 
     /** A logger of {@linkplain TextLines text} with the default settings. */
     public Logger(PrintStream out) {
+        this(line -> {
+            out.println(line);
+            return true;
+        });
+    }
+
+    /** The same, to whom takes lines, or says that there is no room for one: it counts as left out. */
+    public Logger(Predicate<String> out) {
         this.out = out;
         form(new TextLines());
     }
@@ -153,7 +162,7 @@
         /** Writes the event's line. */
         public void write() {
             if (writer != null) {
-                logger.out.println(writer.end());
+                logger.suppressed += logger.out.test(writer.end()) ? 0 : 1;
             }
         }
     }
--- a/daemon/src/main/java/cedarrudder/program/Daemon.java
+++ b/daemon/src/main/java/cedarrudder/program/Daemon.java
@@ -8,12 +8,16 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /** The proxy as a process: its files, its signals, its end. */
 final class Daemon {
 
     private static final int FAILED = 1;
 
+    /** Whether a SIGHUP came that nobody has begun to read the files for. */
+    private static final AtomicBoolean HANGUP_WAITS = new AtomicBoolean();
+
     private Daemon() { }
 
     /**
@@ -41,14 +45,16 @@
             }
             Configuration configuration = read(file);
             keepNettySmall();
-            Logger log = new Logger(System.err);
-            Proxy proxy = new Proxy(configuration, operator, log, state(configuration));
-            // Before anything listens: guards against the virtual machine's own answer to SIGHUP, its end.
+            LogWriter lines = LogWriter.inPlaceOfStandardError();
+            Proxy proxy = new Proxy(configuration, operator, new Logger(lines::take), state(configuration));
+            // Before anything listens: guards against the virtual machine's own answers to signals. SIGHUP
+            // would end it, and so would SIGTERM: it ends when this hook has, and all taken is answered.
             Signals.onHangup(() -> reload(proxy, file, options), proxy::noHangup);
-            proxy.start();
-            // SIGTERM: the virtual machine ends when this hook has, so all that was taken is answered.
-            Runtime.getRuntime().addShutdownHook(new Thread(proxy::drain, "drain"));
-            return 0;
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                proxy.drain();
+                lines.end();
+            }, "drain"));
+            return start(proxy);
         } catch (IllegalArgumentException | IOException e) {
             System.err.println("cedarrudder: " + String.valueOf(e.getMessage()).replaceAll("\\R", " "));
             return FAILED;
@@ -58,15 +64,32 @@
         }
     }
 
+    private static int start(Proxy proxy) throws IOException, InterruptedException {
+        try {
+            proxy.start();
+            return 0;
+        } catch (IOException | IllegalArgumentException e) {
+            proxy.abandon();
+            throw e;
+        }
+    }
+
     /**
      * Reads both files again. Each stands for itself: one that can't be used leaves all as it was that it
      * sets, and keeps nothing from the other.
      *
-     * <p>The operator's file is read on the thread of the signal, since the loop would stand still while the
-     * reader's classes are loaded, and by one of these threads at a time, so that of two changes the later
-     * one counts.
+     * <p>They are read on the thread of the signal, since the loop would stand still meanwhile, and by one of
+     * these threads at a time, so that of two changes the later one counts. A signal that comes while another
+     * one waits to be read adds nothing: guards against a storm of them.
      */
-    private static synchronized void reload(Proxy proxy, String file, ServeOptions options) {
+    private static void reload(Proxy proxy, String file, ServeOptions options) {
+        if (!HANGUP_WAITS.getAndSet(true)) {
+            readAgain(proxy, file, options);
+        }
+    }
+
+    private static synchronized void readAgain(Proxy proxy, String file, ServeOptions options) {
+        HANGUP_WAITS.set(false); // from here on a change may be missed, so the next signal counts
         proxy.reload(() -> read(file));
         if (options.operator() != null) {
             try {
--- a/daemon/src/main/java/cedarrudder/program/KeptState.java
+++ b/daemon/src/main/java/cedarrudder/program/KeptState.java
@@ -34,11 +34,11 @@
         this.folder = folder;
     }
 
-    /** Reads the folder; one that isn't there says nothing. An IOException: it can't be read. */
+    /**
+     * Reads the folder. An IOException: it can't be read, or isn't there, though {@link Handover} has made
+     * it. Guards against bans that are taken back because somebody removed the folder.
+     */
     Told read() throws IOException {
-        if (!Files.exists(folder)) {
-            return new Told(Set.of(), false);
-        }
         Set<String> disabled = new HashSet<>();
         boolean drained = false;
         try (Stream<Path> files = Files.list(folder)) {
--- /dev/null
+++ b/daemon/src/main/java/cedarrudder/program/LogWriter.java
@@ -0,0 +1,97 @@
+package cedarrudder.program;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Writes lines on a thread of its own. Guards against a reader of standard error that has stopped reading, or
+ * reads slowly: whoever writes to a full pipe stands still until there is room, and the event loop must not.
+ *
+ * <p>Lines may come from any thread; those for which there is no room are left out. Cost: a line's reference
+ * in a queue of fixed size.
+ */
+final class LogWriter {
+
+    /** Lines that wait to be written, at the most: some 100 KB. */
+    static final int MOST = 256;
+
+    /** A longer line that the program itself did not make, such as a fault's of a library, is cut there. */
+    private static final int MOST_BYTES = 1024;
+
+    /** How long the end may wait for the last lines to be read, in milliseconds. */
+    private static final long LAST_WORD = 200;
+
+    private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(MOST);
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private final Thread thread;
+    private volatile boolean ending;
+
+    LogWriter(PrintStream out) {
+        thread = new Thread(() -> write(out), "log");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /**
+     * One that takes the place of the process's standard error, so that nothing that is written there from
+     * now on, by whomever, stands still.
+     */
+    static LogWriter inPlaceOfStandardError() {
+        LogWriter writer = new LogWriter(System.err);
+        System.setErr(new PrintStream(writer.new Lines(), true, StandardCharsets.UTF_8));
+        return writer;
+    }
+
+    /** Takes a line, or says that there is no room for it. */
+    boolean take(String line) {
+        return lines.offer(line);
+    }
+
+    /** Returns once all that was taken is written, or nobody has read it for a while. From any thread. */
+    void end() {
+        ending = true;
+        thread.interrupt();
+        try {
+            ended.await(LAST_WORD, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void write(PrintStream out) {
+        while (true) {
+            String line;
+            try {
+                line = ending ? lines.poll() : lines.take();
+            } catch (InterruptedException e) {
+                continue; // to look whether this is the end
+            }
+            if (line == null) {
+                ended.countDown();
+                return;
+            }
+            out.println(line);
+        }
+    }
+
+    /** What is written as bytes, cut into lines; the stream in front of it sees to one thread at a time. */
+    private final class Lines extends OutputStream {
+        private final byte[] line = new byte[MOST_BYTES];
+        private int length;
+
+        @Override
+        public void write(int next) {
+            if (next != '\n' && length < line.length) {
+                line[length++] = (byte) next;
+            } else if (next == '\n') {
+                take(new String(line, 0, length, StandardCharsets.UTF_8));
+                length = 0;
+            }
+        }
+    }
+}
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -47,6 +47,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 /** One proxy: its parts, wired together. */
 final class Proxy {
@@ -82,6 +83,11 @@
     private boolean resolved;
     private boolean serving;
 
+    /** How far the start has come; the start and the signal to end agree on it, from their threads. */
+    private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.STARTING);
+
+    private enum Phase { STARTING, JOINED, ENDED }
+
     /** @param state where what operators ask for is kept; read and written only where they can ask */
     Proxy(Configuration configuration, Operator operator, Logger log, Path state) {
         kept = new KeptState(state);
@@ -190,6 +196,9 @@
         if (others.predecessor()) {
             fresh.await(FRESH, TimeUnit.NANOSECONDS);
         }
+        if (!phase.compareAndSet(Phase.STARTING, Phase.JOINED)) {
+            return; // told to end before anyone could come
+        }
         listener.listen(configuration.listen(), shared);
         if (shared) {
             tellReady();
@@ -216,7 +225,7 @@
         try {
             handover.ready();
         } catch (IOException e) {
-            log.warn("state.unreadable").with("why", e.toString()).write();
+            loop.run(() -> log.warn("state.unreadable").with("why", e.toString()).write());
         }
     }
 
@@ -341,21 +350,22 @@
      * Takes up what the operator has changed, from any thread: the address of discovery. The rest of a
      * configuration counts from the next start. RPCs and callers notice nothing.
      *
-     * <p>It is read on the loop, which takes a millisecond, so that of two changes the later one counts.
+     * <p>It is read on the caller's thread: guards against a slow file making the loop stand still. Of two
+     * changes the later one counts where the caller reads one at a time.
      *
      * @param changed reads the configuration, or says in an exception why it can't
      */
     void reload(Callable<Configuration> changed) {
-        loop.run(() -> {
-            try {
-                Configuration next = changed.call();
+        try {
+            Configuration next = changed.call();
+            loop.run(() -> {
                 log.info("configuration.read").with("discovery", next.discovery()).write();
                 discovery.moveTo(next.discovery());
-            } catch (Exception e) {
-                // Guards against a file that is broken or half written ending what works.
-                log.warn("configuration.kept").with("why", e.getMessage()).write();
-            }
-        });
+            });
+        } catch (Exception e) {
+            // Guards against a file that is broken or half written ending what works.
+            loop.run(() -> log.warn("configuration.kept").with("why", e.getMessage()).write());
+        }
     }
 
     /** Takes up what the operator's file says now, from any thread. RPCs notice nothing. */
@@ -458,8 +468,21 @@
         }
     }
 
-    /** Answers all that was taken and returns when nothing is left. To be called from another thread. */
+    /** It could not start: to end it, nothing needs to be waited for. From any thread. */
+    void abandon() {
+        phase.set(Phase.ENDED);
+    }
+
+    /**
+     * Answers all that was taken and returns when nothing is left; at once where callers could not come yet.
+     * To be called from another thread.
+     */
     void drain() {
+        phase.compareAndSet(Phase.STARTING, Phase.ENDED);
+        if (phase.get() == Phase.ENDED) {
+            loop.stop();
+            return;
+        }
         CountDownLatch drained = new CountDownLatch(1);
         loop.run(() -> {
             if (membership != null) {
--- /dev/null
+++ b/daemon/src/test/java/cedarrudder/program/ShortageIT.java
@@ -0,0 +1,223 @@
+package cedarrudder.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.program.World.Caller;
+import cedarrudder.program.World.Received;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+import org.testng.annotations.Test;
+
+/** The built jar where something runs out, or nobody reads what it says; with limits of the process's own. */
+public class ShortageIT {
+
+    private static Path folder() throws IOException {
+        return Files.createTempDirectory("shortage");
+    }
+
+    private static void serveOne(World world, String id) throws Exception {
+        try (Caller caller = world.caller()) {
+            caller.send(World.rpc("order", "/api", "x").replace("id-1", id));
+            assertEquals(caller.read().body(), "done", id);
+        }
+    }
+
+    /** Has the proxy say so many lines. */
+    private static void complain(World world, int times) throws IOException {
+        for (int i = 0; i < times; i++) {
+            try (Caller caller = world.caller()) {
+                caller.send("nonsense " + "x".repeat(200) + "\r\n\r\n").read();
+            }
+        }
+    }
+
+    /** Guards against an event loop that stands still, and all RPCs with it, since nobody reads its log. */
+    @Test
+    public void aLogThatNobodyReadsStopsNothing() throws Exception {
+        Path operator = Files.createTempFile("operator", ".toml");
+        Files.writeString(operator, "[log]\nlines_per_s = 10000\n");
+        try (World world = new World(1); Version proxy = new Version(world, folder(), "", List.of(),
+                List.of("--operator", operator.toString()))) {
+            Nodes.play(world, call -> call.reply("200 OK", "done"));
+            proxy.awaitReady();
+            complain(world, 2000);
+            serveOne(world, "after");
+            proxy.signal("TERM");
+            // What it still says is read only now; it ends whether it is read or not.
+            proxy.awaitEnd(Version.TERMINATED);
+            assertTrue(proxy.rest().contains("caller.rejected"));
+        }
+    }
+
+    /** Guards against a proxy that ends with whoever read its log. */
+    @Test
+    public void aLogWhoseReaderIsGoneStopsNothing() throws Exception {
+        try (World world = new World(1); Version proxy = new Version(world, folder())) {
+            Nodes.play(world, call -> call.reply("200 OK", "done"));
+            proxy.awaitReady();
+            proxy.log.close();
+            proxy.process.getInputStream().close();
+            complain(world, 100);
+            serveOne(world, "after");
+            proxy.signal("TERM");
+            proxy.awaitEnd(Version.TERMINATED);
+        }
+    }
+
+    /**
+     * Guards against a proxy that dies, stalls or keeps anything for good once it has no descriptor left: to
+     * accept, to connect, or to keep a ban.
+     */
+    @Test
+    public void withoutADescriptorItRefusesAndGoesOnAfterwards() throws Exception {
+        try (World world = new World(3).with("\"sockets\": 1024", "\"sockets\": 4096");
+                Version proxy = new Version(world, folder(), "ulimit -n 90;", List.of(), List.of())) {
+            Nodes.play(world, call -> call.reply("200 OK", "done"));
+            proxy.awaitLine("proxy.listens");
+            serveOne(world, "before");
+            int before = proxy.descriptors();
+            List<Caller> crowd = new ArrayList<>();
+            for (int i = 0; i < 150; i++) {
+                Caller caller = world.caller();
+                crowd.add(caller);
+                caller.send(World.rpc("order", "/api", "x").replace("id-1", "crowd-" + i));
+            }
+            int served = 0;
+            int refused = 0;
+            for (int i = 0; i < 20; i++) {
+                Received answer = crowd.get(i).read();
+                served += answer.first().contains(" 200 ") ? 1 : 0;
+                refused += answer.first().contains(" 503 ") ? 1 : 0;
+            }
+            assertEquals(served + refused, 20, "each that was taken has its one answer");
+            for (Caller caller : crowd) {
+                caller.close();
+            }
+            proxy.awaitFigure("open_requests", 0);
+            for (int i = 0; i < 200; i++) {
+                serveOne(world, "after-" + i);
+            }
+            assertEquals(proxy.status("POST", "/-/nodes/n0/disable"), 200);
+            for (int i = 0; proxy.descriptors() > before + 12; i++) {
+                assertTrue(i < 20_000, "descriptors: " + before + " before, " + proxy.descriptors());
+                Thread.sleep(1);
+            }
+            proxy.signal("TERM");
+            String said = proxy.rest();
+            assertFalse(said.contains("module.failed") || said.contains("task_failed"), said);
+            proxy.awaitEnd(Version.TERMINATED);
+        }
+    }
+
+    /** Guards against a proxy that dies, stalls or sends half a body as a whole one where memory runs out. */
+    @Test
+    public void withoutDirectMemorySomeAnswersBreakOffAndOthersAreServedAfterwards() throws Exception {
+        try (World world = new World(1); Version proxy = new Version(world, folder(), "",
+                List.of("-XX:MaxDirectMemorySize=2m", "-Xmx48m"), List.of())) {
+            proxy.awaitLine("proxy.listens");
+            String body = "y".repeat(8 * 1024 * 1024);
+            Nodes.play(world, call -> call.raw("HTTP/1.1 200 OK\r\nContent-Length: " + body.length()
+                    + "\r\n\r\n" + body));
+            List<Caller> slow = new ArrayList<>();
+            for (int i = 0; i < 30; i++) {
+                Caller caller = world.caller();
+                slow.add(caller);
+                caller.send(World.rpc("lookup", "/api", "").replace("id-1", "slow-" + i));
+            }
+            int whole = 0;
+            for (Caller caller : slow) {
+                try (caller) {
+                    Received head = caller.readHead();
+                    if (head != null && head.first().contains(" 200 ")) {
+                        int length = caller.in().readNBytes(body.length()).length;
+                        whole += length == body.length() ? 1 : 0;
+                    }
+                } catch (IOException e) {
+                    // visibly not whole
+                }
+            }
+            assertTrue(whole > 0, "none was served");
+            proxy.awaitFigure("open_requests", 0);
+            proxy.awaitFigure("held_bytes", 0);
+            try (Caller caller = world.caller()) {
+                caller.send(World.rpc("lookup", "/api", "").replace("id-1", "after"));
+                assertEquals(caller.readHead().first(), "HTTP/1.1 200 OK");
+                assertEquals(caller.in().readNBytes(body.length()).length, body.length());
+            }
+            proxy.signal("TERM");
+            proxy.awaitEnd(Version.TERMINATED);
+        }
+    }
+
+    /** Guards against a yes to operators that nothing stands behind, and against a proxy that ends of it. */
+    @Test
+    public void withoutAFolderForStateItSaysNoAndServesOn() throws Exception {
+        Path none = Files.createTempFile("not-a-folder", "");
+        try (World world = new World(1); Version proxy = new Version(world, none)) {
+            Nodes.play(world, call -> call.reply("200 OK", "done"));
+            proxy.awaitLine("proxy.listens");
+            assertEquals(proxy.status("POST", "/-/nodes/n0/disable"), 503);
+            assertEquals(proxy.status("POST", "/-/drain"), 503);
+            serveOne(world, "served");
+            assertEquals(proxy.figure("out_of_rotation"), 0);
+        }
+    }
+
+    /** Guards against bans that end because somebody cleared the folder while two processes run for one. */
+    @Test
+    public void aFolderForStateThatIsClearedInAnUpgradeTakesNoBanBack() throws Exception {
+        Path state = folder();
+        try (World world = new World(2); Version first = new Version(world, state)) {
+            first.awaitLine("proxy.listens");
+            assertEquals(first.status("POST", "/-/nodes/n0/disable"), 200);
+            try (Version second = new Version(world, state)) {
+                first.awaitLine("successor=true");
+                try (Stream<Path> files = Files.walk(state)) {
+                    for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                        Files.delete(file);
+                    }
+                }
+                first.awaitLine("state.unreadable");
+                assertEquals(first.figure("out_of_rotation"), 1);
+                assertTrue(second.process.isAlive());
+            }
+        }
+    }
+
+    /** Guards against probes, attempts and callers that add up while peers are connected and silent. */
+    @Test
+    public void peersThatFallSilentLeaveNothingBehind() throws Exception {
+        try (World world = new World(2); Version proxy = new Version(world, folder())) {
+            world.probesWait = true;
+            proxy.awaitLine("proxy.listens");
+            int before = proxy.descriptors();
+            List<Caller> callers = new ArrayList<>();
+            for (int i = 0; i < 30; i++) {
+                Caller caller = world.caller();
+                callers.add(caller);
+                caller.send(World.rpc("order", "/stays-for-test", "x").replace("id-1", "silent-" + i)
+                        .replace("30000", "300"));
+            }
+            for (Caller caller : callers) {
+                String first = caller.read().first();
+                assertTrue(first.contains(" 502 ") || first.contains(" 503 "), first);
+                caller.close();
+            }
+            proxy.awaitFigure("open_requests", 0);
+            for (int i = 0; proxy.descriptors() > before + 4; i++) {
+                assertTrue(i < 20_000, "descriptors: " + before + " before, " + proxy.descriptors());
+                Thread.sleep(1);
+            }
+            assertEquals(world.calls.stream().map(Received::socket).distinct().map(Socket::getPort).count(),
+                    world.calls.size(), "each attempt had a connection of its own");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/cedarrudder/program/StopIT.java
@@ -0,0 +1,195 @@
+package cedarrudder.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.program.World.Caller;
+import cedarrudder.program.World.Received;
+import java.io.IOException;
+import java.net.SocketException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.testng.annotations.Test;
+
+/** The built jar stopped at every point, by SIGKILL and by signals, and started again with what it left. */
+public class StopIT {
+
+    /** Moments of a start, in milliseconds after it, at which it is stopped; it takes some 300. */
+    private static final int[] MOMENTS = {0, 40, 80, 120, 160, 200, 240, 280, 320, 400, 500};
+
+    private static Path folder() throws IOException {
+        return Files.createTempDirectory("stop");
+    }
+
+    private static void serveOne(World world, String id) throws Exception {
+        try (Caller caller = world.caller()) {
+            caller.send(World.rpc("order", "/api", "x").replace("id-1", id));
+            world.call().reply("200 OK", id);
+            assertEquals(caller.read().body(), id);
+        }
+    }
+
+    /** Guards against a start that leaves something behind which the next one stumbles over. */
+    @Test
+    public void aProxyKilledAtAnyMomentOfItsStartStartsAgain() throws Exception {
+        Path state = folder();
+        try (World world = new World(1)) {
+            for (int moment : MOMENTS) {
+                try (Version proxy = new Version(world, state)) {
+                    Thread.sleep(moment);
+                    proxy.kill();
+                }
+            }
+            try (Version proxy = new Version(world, state)) {
+                proxy.awaitLine("proxy.listens");
+                serveOne(world, "after");
+            }
+        }
+    }
+
+    /** Guards against a start that a SIGTERM meets: it ends in order, whatever it had begun. */
+    @Test
+    public void aProxyThatIsToldToEndWithinItsStartEnds() throws Exception {
+        try (World world = new World(1)) {
+            for (int moment : MOMENTS) {
+                try (Version proxy = new Version(world, folder())) {
+                    Thread.sleep(moment);
+                    proxy.signal("TERM");
+                    String said = proxy.rest();
+                    assertFalse(said.contains("Exception"), moment + " ms: " + said);
+                    proxy.awaitEnd(Version.TERMINATED);
+                }
+            }
+        }
+    }
+
+    /** Guards against signals that pile up, and against one that undoes another. */
+    @Test
+    public void aStormOfSignalsChangesNothingAndTheFirstToEndCounts() throws Exception {
+        try (World world = new World(1); Version proxy = new Version(world, folder())) {
+            proxy.awaitLine("proxy.listens");
+            String pid = Long.toString(proxy.process.pid());
+            Process storm = new ProcessBuilder("/bin/sh", "-c",
+                    "for i in $(seq 500); do kill -HUP " + pid + "; done").start();
+            serveOne(world, "within");
+            storm.waitFor();
+            serveOne(world, "behind");
+            for (String name : new String[] {"HUP", "TERM", "HUP", "TERM", "HUP"}) {
+                proxy.signal(name);
+            }
+            String said = proxy.rest();
+            assertFalse(said.contains("Exception"), said);
+            assertEquals(said.split("proxy.draining", -1).length - 1, 1, said);
+            proxy.awaitEnd(Version.TERMINATED);
+        }
+    }
+
+    /**
+     * Guards against a promise that dies with the process: what ran once runs once, a caller sees the break,
+     * a node sees that nobody waits, bans and a drain are kept where the folder is.
+     */
+    @Test
+    public void whatWasPromisedBeforeAKillHoldsAfterTheRestart() throws Exception {
+        Path state = folder();
+        try (World world = new World(2)) {
+            try (Version proxy = new Version(world, state)) {
+                proxy.awaitLine("proxy.listens");
+                try (Caller taken = world.caller(); Caller half = world.caller();
+                        Caller large = world.caller()) {
+                    assertEquals(proxy.status("POST", "/-/nodes/n0/disable"), 200);
+                    assertEquals(proxy.status("POST", "/-/drain"), 200);
+                    large.send(World.rpc("lookup", "/stays-for-test", "").replace("id-1", "large"));
+                    world.call().raw("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n"
+                            + "x".repeat(100_000));
+                    assertEquals(large.readHead().first(), "HTTP/1.1 200 OK");
+                    half.send("POST /api HTTP/1.1\r\nHost: a\r\nReq-Id: half\r\n");
+                    taken.send(World.rpc("order", "/stays-for-test", "x").replace("id-1", "taken"));
+                    Received running = world.call();
+                    proxy.kill();
+                    running.awaitEnd();
+                    assertBreak(taken);
+                    assertBreak(half);
+                    assertBreak(large);
+                }
+            }
+            running(world, state);
+        }
+    }
+
+    /** It ends without an answer, or without the rest of one. */
+    private static void assertBreak(Caller caller) throws IOException {
+        try {
+            assertTrue(caller.in().readAllBytes().length <= 100_000, "more than the node gave");
+        } catch (SocketException e) {
+            // a reset is a visible break too
+        }
+    }
+
+    private static void running(World world, Path state) throws Exception {
+        try (Version again = new Version(world, state)) {
+            again.awaitLine("proxy.listens");
+            assertEquals(again.figure("out_of_rotation"), 1, "the ban is kept");
+            try (Caller health = world.caller()) {
+                health.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+                assertTrue(health.read().first().contains(" 503 "), "the drain is kept");
+            }
+            assertEquals(again.status("POST", "/-/resume"), 200);
+            assertTrue(world.calls.isEmpty(), "what ran before the kill was sent again");
+            for (int i = 0; i < 5; i++) {
+                serveOne(world, "after-" + i);
+            }
+            assertEquals(again.status("POST", "/-/nodes/n0/enable"), 200);
+            again.awaitFigure("out_of_rotation", 0);
+            assertEquals(again.figure("open_requests"), 0);
+        }
+    }
+
+    /** Guards against a handover that only holds while both processes live. */
+    @Test
+    public void aKillAtEachStepOfAHandoverLeavesOneThatServes() throws Exception {
+        Path state = folder();
+        try (World world = new World(2)) {
+            Nodes.daemon(() -> {
+                while (true) {
+                    Received lookup = world.lookups.take();
+                    if (!lookup.first().contains("follow")) {
+                        lookup.reply("200 OK", "{\"version\":2,\"full\":true,\"servers\":["
+                                + world.entries("in_service") + "]}");
+                    }
+                }
+            });
+            Version old = new Version(world, state);
+            old.awaitLine("proxy.listens");
+            assertEquals(old.status("POST", "/-/nodes/n0/disable"), 200);
+            // The new one is ready and dies: the old one takes its share back, and the ban is as it was.
+            try (Version dies = new Version(world, state)) {
+                dies.awaitLine("proxy.listens");
+                assertEquals(dies.figure("out_of_rotation"), 1);
+                assertEquals(dies.status("POST", "/-/nodes/n0/enable"), 200);
+                dies.kill();
+            }
+            old.awaitLine("successor=false");
+            old.awaitFigure("out_of_rotation", 0);
+            serveOne(world, "old");
+            // The old one dies in the midst of giving way: the new one goes on alone.
+            try (Version next = new Version(world, state)) {
+                next.awaitLine("proxy.listens");
+                old.signal("TERM");
+                old.awaitLine("proxy.replaced");
+                old.kill();
+                next.awaitLine("predecessor=false");
+                serveOne(world, "next");
+                // And then the new one dies, too, right after a yes: the next start knows of it.
+                assertEquals(next.status("POST", "/-/nodes/n0/disable"), 200);
+                next.kill();
+            } finally {
+                old.close();
+            }
+            try (Version last = new Version(world, state)) {
+                last.awaitLine("proxy.listens");
+                assertEquals(last.figure("out_of_rotation"), 1);
+            }
+        }
+    }
+}
--- a/daemon/src/test/java/cedarrudder/program/UpgradeIT.java
+++ b/daemon/src/test/java/cedarrudder/program/UpgradeIT.java
@@ -5,12 +5,7 @@
 
 import cedarrudder.program.World.Caller;
 import cedarrudder.program.World.Received;
-import cedarrudder.protocol.JsonObject;
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -24,74 +19,8 @@
 /** A new version of the built jar, started beside the one that serves. */
 public class UpgradeIT {
 
-    private static final int TERMINATED = 128 + 15;
     private static final int CALLERS = 6;
 
-    /** One process of the proxy, with an operators' address of its own. */
-    private static final class Version implements AutoCloseable {
-        final int admin;
-        final Process process;
-        final BufferedReader log;
-
-        Version(World world, Path state) throws IOException {
-            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                admin = free.getLocalPort();
-            }
-            Path file = Files.createTempFile("cedarrudder", ".json");
-            Files.writeString(file, world.configuration());
-            ProcessBuilder builder = new ProcessBuilder(
-                    Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-jar",
-                    "daemon/target/cedarrudder.jar", "serve").redirectErrorStream(true);
-            builder.environment().put("BALANCER_CONFIG", file.toString());
-            builder.environment().put("BALANCER_ADMIN_ADDR", "127.0.0.1:" + admin);
-            builder.environment().put("TMPDIR", state.toString());
-            process = builder.start();
-            log = process.inputReader(StandardCharsets.UTF_8);
-        }
-
-        void awaitLine(String part) throws IOException {
-            StringBuilder said = new StringBuilder();
-            for (String line = log.readLine(); line != null; line = log.readLine()) {
-                said.append(line).append('\n');
-                assertTrue(!line.contains("discovery.failed call=list"), said.toString());
-                if (line.contains(part)) {
-                    return;
-                }
-            }
-            throw new AssertionError("it ended without " + part + ":\n" + said);
-        }
-
-        Received call(String method, String path) throws IOException {
-            try (Caller caller = new Caller(admin)) {
-                return caller.send(method + " " + path + " HTTP/1.1\r\nHost: ops\r\n\r\n").read();
-            }
-        }
-
-        int status(String method, String path) throws IOException {
-            return Integer.parseInt(call(method, path).first().split(" ")[1]);
-        }
-
-        long avoided() throws IOException {
-            return JsonObject.parse(call("GET", "/-/metrics").body()).whole("out_of_rotation");
-        }
-
-        void awaitAvoided(long nodes) throws Exception {
-            while (avoided() != nodes) {
-                Thread.sleep(1);
-            }
-        }
-
-        void signal(String name) throws Exception {
-            assertEquals(new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start()
-                    .waitFor(), 0);
-        }
-
-        @Override
-        public void close() {
-            process.destroyForcibly();
-        }
-    }
-
     /** Callers that go on calling, each on its connection for as long as that stays open. */
     private static final class Load {
         final AtomicBoolean on = new AtomicBoolean(true);
@@ -178,15 +107,15 @@
                 second.awaitLine("proxy.listens");
                 load.awaitMore(50);
                 assertEquals(second.status("GET", "/-/ready"), 200);
-                assertEquals(second.avoided(), 1);
+                assertEquals(second.figure("out_of_rotation"), 1);
                 // A call to either counts for both.
                 assertEquals(second.status("POST", "/-/nodes/n1/disable"), 200);
-                first.awaitAvoided(2);
+                first.awaitFigure("out_of_rotation", 2);
                 assertEquals(first.status("POST", "/-/nodes/n1/enable"), 200);
-                second.awaitAvoided(1);
+                second.awaitFigure("out_of_rotation", 1);
                 first.signal("TERM");
                 first.awaitLine("proxy.replaced");
-                assertEquals(first.process.waitFor(), TERMINATED);
+                assertEquals(first.process.waitFor(), Version.TERMINATED);
                 load.awaitMore(200);
                 load.end();
                 assertEquals(load.wrong.toString(), "[]");
@@ -236,7 +165,7 @@
             assertEquals(first.status("GET", "/-/ready"), 200);
             first.signal("TERM");
             first.awaitLine("proxy.draining");
-            assertTrue(first.process.waitFor() == TERMINATED);
+            assertTrue(first.process.waitFor() == Version.TERMINATED);
         }
     }
 }
