--- a/daemon/src/main/java/cedarrudder/program/Daemon.java
+++ b/daemon/src/main/java/cedarrudder/program/Daemon.java
@@ -8,15 +8,12 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 /** The proxy as a process: its files, its signals, its end. */
 final class Daemon {
 
     private static final int FAILED = 1;
 
-    /** Whether a SIGHUP came that nobody has begun to read the files for. */
-    private static final AtomicBoolean HANGUP_WAITS = new AtomicBoolean();
 
     private Daemon() { }
 
@@ -43,13 +40,14 @@
             if (file == null) {
                 throw new IllegalArgumentException("BALANCER_CONFIG is not set");
             }
+            keepNettySmall(); // first: reading addresses begins Netty
             Configuration configuration = read(file);
-            keepNettySmall();
             LogWriter lines = LogWriter.inPlaceOfStandardError();
             Proxy proxy = new Proxy(configuration, operator, new Logger(lines::take), state(configuration));
             // Before anything listens: guards against the virtual machine's own answers to signals. SIGHUP
             // would end it, and so would SIGTERM: it ends when this hook has, and all taken is answered.
-            Signals.onHangup(() -> reload(proxy, file, options), proxy::noHangup);
+            Hangups hangups = new Hangups();
+            Signals.onHangup(() -> hangups.heard(() -> reload(proxy, file, options)), proxy::noHangup);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 proxy.drain();
                 lines.end();
@@ -79,17 +77,9 @@
      * sets, and keeps nothing from the other.
      *
      * <p>They are read on the thread of the signal, since the loop would stand still meanwhile, and by one of
-     * these threads at a time, so that of two changes the later one counts. A signal that comes while another
-     * one waits to be read adds nothing: guards against a storm of them.
+     * these threads at a time ({@link Hangups}).
      */
     private static void reload(Proxy proxy, String file, ServeOptions options) {
-        if (!HANGUP_WAITS.getAndSet(true)) {
-            readAgain(proxy, file, options);
-        }
-    }
-
-    private static synchronized void readAgain(Proxy proxy, String file, ServeOptions options) {
-        HANGUP_WAITS.set(false); // from here on a change may be missed, so the next signal counts
         proxy.reload(() -> read(file));
         if (options.operator() != null) {
             try {
--- /dev/null
+++ b/daemon/src/main/java/cedarrudder/program/Hangups.java
@@ -0,0 +1,24 @@
+package cedarrudder.program;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/**
+ * Reads what SIGHUP asks for, one signal at a time, so that of two changes the later one counts. A signal
+ * that comes while another one waits to be read adds nothing: guards against a storm of them. From any
+ * thread.
+ */
+final class Hangups {
+
+    /** Whether one came that nobody has begun to read for. */
+    private final AtomicBoolean waits = new AtomicBoolean();
+
+    /** A signal came; returns once it is read, or at once where an earlier one is yet to be. */
+    void heard(Runnable reading) {
+        if (!waits.getAndSet(true)) {
+            synchronized (this) {
+                waits.set(false); // first: what changes from here on is the next signal's
+                reading.run();
+            }
+        }
+    }
+}
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -47,7 +47,6 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicReference;
 
 /** One proxy: its parts, wired together. */
 final class Proxy {
@@ -83,10 +82,7 @@
     private boolean resolved;
     private boolean serving;
 
-    /** How far the start has come; the start and the signal to end agree on it, from their threads. */
-    private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.STARTING);
-
-    private enum Phase { STARTING, JOINED, ENDED }
+    private final StartGate gate = new StartGate();
 
     /** @param state where what operators ask for is kept; read and written only where they can ask */
     Proxy(Configuration configuration, Operator operator, Logger log, Path state) {
@@ -196,7 +192,7 @@
         if (others.predecessor()) {
             fresh.await(FRESH, TimeUnit.NANOSECONDS);
         }
-        if (!phase.compareAndSet(Phase.STARTING, Phase.JOINED)) {
+        if (!gate.join()) {
             return; // told to end before anyone could come
         }
         listener.listen(configuration.listen(), shared);
@@ -470,7 +466,7 @@
 
     /** It could not start: to end it, nothing needs to be waited for. From any thread. */
     void abandon() {
-        phase.set(Phase.ENDED);
+        gate.abandon();
     }
 
     /**
@@ -478,8 +474,7 @@
      * To be called from another thread.
      */
     void drain() {
-        phase.compareAndSet(Phase.STARTING, Phase.ENDED);
-        if (phase.get() == Phase.ENDED) {
+        if (!gate.end()) {
             loop.stop();
             return;
         }
--- /dev/null
+++ b/daemon/src/main/java/cedarrudder/program/StartGate.java
@@ -0,0 +1,29 @@
+package cedarrudder.program;
+
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * Whether callers may have come: the start asks before it joins their address, the signal to end before it
+ * waits for them, each on a thread of its own. Whoever asks first decides, and the other is told.
+ */
+final class StartGate {
+
+    private enum Phase { STARTING, JOINED, ENDED }
+
+    private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.STARTING);
+
+    /** Callers are about to come; false where the process has been told to end, and none may. */
+    boolean join() {
+        return phase.compareAndSet(Phase.STARTING, Phase.JOINED);
+    }
+
+    /** The process ends; true where callers may have come, who are owed their answers. */
+    boolean end() {
+        return !phase.compareAndSet(Phase.STARTING, Phase.ENDED) && phase.get() == Phase.JOINED;
+    }
+
+    /** The start has failed: nobody is owed anything. */
+    void abandon() {
+        phase.set(Phase.ENDED);
+    }
+}
--- a/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
+++ b/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
@@ -53,6 +53,12 @@
 
     private static final long DEFAULT_CONNECT_NANOS = 1_000_000_000L;
 
+    /**
+     * Of the part that callers leave, channels that are in use may take all descriptors but these: 16 calls
+     * of operators, discovery, the log, the program's own files.
+     */
+    private static final int RESERVED = 48;
+
     private final Loop loop;
     private final Driver<Message, Message> driver;
     private final SiteSettings.Reports reports;
@@ -205,6 +211,10 @@
         if (open >= mostOpen) {
             closeOldest();
         }
+        if (open >= Math.max(mostOpen, 2 * mostOpen - RESERVED)) {
+            work.broke(); // guards against attempts that take the descriptors of operators and discovery
+            return;
+        }
         NodeChannel fresh = new NodeChannel(node);
         loop.connect(bootstrap.clone().handler(fresh), node.address, connected -> {
             if (connected.isSuccess()) {
--- a/daemon/src/test/java/cedarrudder/program/FaultStoriesTest.java
+++ b/daemon/src/test/java/cedarrudder/program/FaultStoriesTest.java
@@ -7,6 +7,11 @@
 import cedarrudder.program.World.Received;
 import cedarrudder.protocol.JsonObject;
 import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.testng.annotations.Test;
 
 /** What the review of the whole program found, as stories; see docs/audit-findings.md. */
@@ -140,6 +145,34 @@
         }
     }
 
+    /** Guards against attempts at silent nodes that take the descriptors of operators and discovery. */
+    @Test
+    public void attemptsBeyondTheBoundOnChannelsAreRefusedAndOperatorsAreHeard() throws Exception {
+        int sockets = 240;
+        int most = 2 * sockets / 4 - 48;
+        try (World world = new World(40).with("\"sockets\": 1024", "\"sockets\": " + sockets).withAdmin()
+                .start()) {
+            Set<Socket> connected = ConcurrentHashMap.newKeySet();
+            Nodes.play(world, call -> connected.add(call.socket()));
+            List<Caller> callers = new ArrayList<>();
+            for (int i = 0; i < sockets / 2; i++) {
+                Caller caller = world.caller();
+                callers.add(caller);
+                caller.send(World.rpc("order", "/api", "x").replace("id-1", "silent-" + i)
+                        .replace("30000", "1500"));
+            }
+            assertEquals(world.status("GET", "/-/ready"), 200);
+            for (Caller caller : callers) {
+                try (caller) {
+                    String first = caller.read().first();
+                    assertTrue(first.contains(" 502 ") || first.contains(" 503 "), first);
+                }
+            }
+            assertTrue(connected.size() <= most, connected.size() + " of " + most);
+            assertTrue(connected.size() > most / 2, "only " + connected.size());
+        }
+    }
+
     /** Guards against a node that is never asked again for the sake of one answer that never came. */
     @Test
     public void aProbeThatIsNeverAnsweredFreesItsPlace() throws Exception {
--- a/daemon/src/test/java/cedarrudder/program/Version.java
+++ b/daemon/src/test/java/cedarrudder/program/Version.java
@@ -15,6 +15,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 /** One process of the built proxy, with an operators' address of its own. */
@@ -25,6 +26,9 @@
 
     private static final int PATIENCE = 20_000;
 
+    /** No process of a test lives longer. */
+    private static final int LONGEST_SECONDS = 90;
+
     final int admin;
     final Process process;
     final BufferedReader log;
@@ -55,6 +59,9 @@
         builder.environment().put("BALANCER_ADMIN_ADDR", "127.0.0.1:" + admin);
         builder.environment().put("TMPDIR", state.toString());
         process = builder.start();
+        // Guards against a test that waits for good for a line that never comes.
+        CompletableFuture.delayedExecutor(LONGEST_SECONDS, TimeUnit.SECONDS)
+                .execute(process::destroyForcibly);
         log = process.inputReader(StandardCharsets.UTF_8);
     }
 
