Let the module's clock begin anywhere, as its interface says

Balancer says that an instant's zero means nothing. Below it a tenant counted as past its share (ShareMeter began at instant 0), worths became no numbers and stayed so (ClassWorth.forget: exp of a large number, times 0), a node counted as out of connections (Server.crowdedUntil).

Half of the model's seeds begin 4 s below zero now and pass it; a comparison in RulesModel itself overflowed there and is mended.

--- a/core/src/main/java/cedarrudder/Decide.java
+++ b/core/src/main/java/cedarrudder/Decide.java
@@ -626,7 +626,7 @@
     }
 
     private void countCall(long now, double cost) {
-        double kept = Math.exp(-(now - callRateAt) / RATE_NANOS);
+        double kept = Math.min(1, Math.exp(-(now - callRateAt) / RATE_NANOS));
         callRate = callRate * kept + cost * 1e9 / RATE_NANOS;
         callRateAt = now;
         callsOut = callsOut * kept + out * (1 - kept);
--- a/core/src/main/java/cedarrudder/ProbePool.java
+++ b/core/src/main/java/cedarrudder/ProbePool.java
@@ -87,7 +87,7 @@
     /** Share of this copy's recent attempts that failed. */
     private double failed;
     private double owed;
-    private long lastProbe;
+    private long lastProbe = Long.MIN_VALUE / 2;
 
     ProbePool(Settings settings, Tuning tuning, RandomGenerator random, Actions actions) {
         this.settings = settings;
--- a/core/src/main/java/cedarrudder/Server.java
+++ b/core/src/main/java/cedarrudder/Server.java
@@ -59,7 +59,7 @@
     /** Most attempts out at once since the last look at the connections. */
     private int peak;
 
-    private long crowdedUntil;
+    private long crowdedUntil = Long.MIN_VALUE;
 
     /** Whether nothing was sent to it since it started. */
     boolean untried = true;
--- a/core/src/main/java/cedarrudder/overload/ClassWorth.java
+++ b/core/src/main/java/cedarrudder/overload/ClassWorth.java
@@ -63,7 +63,7 @@
     }
 
     private void forget(long now) {
-        double kept = Math.exp(-(now - at) / WINDOW);
+        double kept = Math.min(1, Math.exp(-(now - at) / WINDOW));
         at = now;
         for (int i = 0; i < asked.length; i++) {
             asked[i] *= kept;
--- a/core/src/main/java/cedarrudder/overload/ShareMeter.java
+++ b/core/src/main/java/cedarrudder/overload/ShareMeter.java
@@ -1,5 +1,7 @@
 package cedarrudder.overload;
 
+import java.util.Arrays;
+
 /**
  * Tells which requests are past their tenant's share: a token bucket for each tenant.
  *
@@ -25,6 +27,7 @@
         this.copies = Math.max(1, copies);
         this.saved = new double[quotas.length];
         this.at = new long[quotas.length];
+        Arrays.fill(at, Long.MIN_VALUE / 2); // long ago, wherever the clock begins: all is saved up
     }
 
     /** From now on so many copies divide the shares; what was saved stays, up to what may be. */
--- /dev/null
+++ b/core/src/test/java/cedarrudder/ClockBelowZeroTest.java
@@ -0,0 +1,37 @@
+package cedarrudder;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.overload.ClassWorth;
+import cedarrudder.overload.ShareMeter;
+import org.testng.annotations.Test;
+
+/** An instant's zero means nothing: a clock may begin below it, and pass it at any time. */
+public class ClockBelowZeroTest {
+
+    private static final long BEGIN = -10 * Site.SECOND;
+
+    /** Guards against a tenant that counts as over its share until the clock has passed zero, and after. */
+    @Test
+    public void aTenantBeginsWithItsShare() {
+        assertFalse(new ShareMeter(new double[] {10}, 1).past(BEGIN, 0));
+    }
+
+    /** Guards against worths that are no numbers, by which nobody can be ordered. */
+    @Test
+    public void worthsAreNumbers() {
+        ClassWorth worth = new ClassWorth(2, 0.8, 0.2, 0.1);
+        long begin = 100_000 * BEGIN;
+        worth.asked(begin, 0, 1);
+        worth.asked(begin, 1, 1);
+        worth.served(begin, 1, 1);
+        assertTrue(worth.next(0, false) > worth.next(1, false), "who is served worst goes first");
+    }
+
+    /** Guards against endpoints that count as out of connections until the clock has passed zero. */
+    @Test
+    public void anEndpointHasRoomForConnections() {
+        assertFalse(new Server(Site.ready(1), BEGIN, 4, 0).crowded(BEGIN));
+    }
+}
--- a/core/src/test/java/cedarrudder/RulesModel.java
+++ b/core/src/test/java/cedarrudder/RulesModel.java
@@ -129,7 +129,7 @@
         Told told = told(node);
         check(told != null, "sent to a node that was never listed", node);
         long offLimits = offLimitsSince(node);
-        check(now - offLimits <= safety.drainGrace(), "sent to a node that drains or is gone", node
+        check(offLimits >= now - safety.drainGrace(), "sent to a node that drains or is gone", node
                 + " is so since " + (now - offLimits) + " ns");
         for (Sent earlier : before) {
             check(copies || ended(earlier) != null, "a second copy where none may be", "rpc " + rpc);
--- a/core/src/test/java/cedarrudder/RulesWorld.java
+++ b/core/src/test/java/cedarrudder/RulesWorld.java
@@ -94,7 +94,7 @@
     private Driver<String, String> driver;
     private Balancer.Actions hands;
     private int instance;
-    private long now = 5000 * MS;
+    private long now;
     private long order;
     private long lastRpc;
     private int served;
@@ -102,10 +102,13 @@
     RulesWorld(long seed, Fault fault) {
         this.random = new SplittableRandom(seed);
         this.fault = fault;
+        // An instant's zero means nothing: some runs begin before it.
+        this.now = seed % 2 == 0 ? 5000 * MS : -4000 * MS;
         Site site = new Site();
         site.classes = List.of(Site.SAFE, Site.UNSAFE, Site.KEYED, Site.KEYED_IN_CELL, Site.KEYED_IN_ZONE);
         site.parallelTries = random.nextBoolean() && fault != Fault.COPIES_WHERE_FORBIDDEN;
         site.ask = random.nextBoolean();
+        site.tenants = List.of(new Balancer.Tenant("a", 1, 100));
         site.tiers = 2;
         site.tier = fault == Fault.NONE ? random.nextInt(2) : 1;
         site.maxAttempts = 1 + random.nextInt(4);
