Stop an answer that flows before its caller's end is told to the driver

Found when reading the change to Listener once more: leave() now came before download.stop(), so ending the attempt would have broken off the answer by way of a channel that is closed already. A new story, a caller that leaves within an answer that flows, holds that the node sees the end and nothing is left; it was not seen to fail.

--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -625,15 +625,21 @@
 
                 @Override
                 public void broke() {
-                    // A reset: guards against an answer without a length that ends early and looks whole.
-                    channel.config().setOption(ChannelOption.SO_LINGER, 0);
-                    close();
+                    breakOff();
                 }
             });
             channel.flush();
             download.pump();
         }
 
+        /** A reset: guards against an answer without a length that ends early and looks whole. */
+        private void breakOff() {
+            download.stop();
+            download = null;
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            close();
+        }
+
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext context) {
             if (download != null && channel.isWritable()) {
@@ -745,12 +751,13 @@
         /** Answers a request that can't be read, and closes once the caller may have read that. */
         private void reject(BadMessageException e) {
             closing = true;
+            boolean answering = download != null;
+            if (answering) {
+                breakOff(); // another answer can't follow
+            }
             leave();
             dropUpload();
-            if (download != null) {
-                download.stop();
-                download = null;
-                channel.close(); // an answer is under way: another can't follow
+            if (answering) {
                 return;
             }
             enter(rejected, LAST_WORD);
@@ -770,12 +777,12 @@
             closing = true;
             held.add(-collected);
             collected = 0;
-            leave();
-            dropUpload();
             if (download != null) {
-                download.stop();
+                download.stop(); // first: what ends the attempt would break off an answer on a closed channel
                 download = null;
             }
+            leave();
+            dropUpload();
             takeMore();
             endIfEmpty();
         }
--- a/daemon/src/test/java/cedarrudder/program/FaultStoriesTest.java
+++ b/daemon/src/test/java/cedarrudder/program/FaultStoriesTest.java
@@ -1,6 +1,7 @@
 package cedarrudder.program;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import cedarrudder.program.World.Caller;
@@ -124,6 +125,24 @@
         }
     }
 
+    /** Guards against a node that goes on with an answer that nobody waits for any more. */
+    @Test
+    public void aCallerThatLeavesWithinItsAnswerEndsTheAttempt() throws Exception {
+        try (World world = new World(1).withAdmin().start()) {
+            Received call;
+            try (Caller caller = world.caller()) {
+                caller.send(World.rpc("lookup", "/stays-for-test", ""));
+                call = world.call();
+                call.raw("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + "x".repeat(100_000));
+                assertEquals(caller.readHead().first(), "HTTP/1.1 200 OK");
+            }
+            call.awaitEnd();
+            awaitFigure(world, "open_requests", 0);
+            awaitFigure(world, "held_bytes", 0);
+            assertFalse(world.log.toString().contains("failed"), world.log.toString());
+        }
+    }
+
     /** Guards against any part of an answer being served, and against a caller that waits, at every cut. */
     @Test
     public void anAnswerThatIsCutAtAnyByteIsServedWholeOrNotAtAll() throws Exception {
