--- a/daemon/src/test/java/cedarrudder/program/Nodes.java
+++ b/daemon/src/test/java/cedarrudder/program/Nodes.java
@@ -29,6 +29,19 @@
         });
     }
 
+    /** Discovery answers calls for the whole list, which need not end in a line feed; watches wait. */
+    static void list(World world) {
+        daemon(() -> {
+            while (true) {
+                Received lookup = world.lookups.take();
+                if (!lookup.first().contains("follow")) {
+                    lookup.reply("200 OK", "{\"version\":2,\"full\":true,\"servers\":["
+                            + world.entries("in_service") + "]}");
+                }
+            }
+        });
+    }
+
     /** What runs on a thread of its own. */
     interface Task {
         void run() throws Exception;
--- a/daemon/src/test/java/cedarrudder/program/StopIT.java
+++ b/daemon/src/test/java/cedarrudder/program/StopIT.java
@@ -150,15 +150,7 @@
     public void aKillAtEachStepOfAHandoverLeavesOneThatServes() throws Exception {
         Path state = folder();
         try (World world = new World(2)) {
-            Nodes.daemon(() -> {
-                while (true) {
-                    Received lookup = world.lookups.take();
-                    if (!lookup.first().contains("follow")) {
-                        lookup.reply("200 OK", "{\"version\":2,\"full\":true,\"servers\":["
-                                + world.entries("in_service") + "]}");
-                    }
-                }
-            });
+            Nodes.list(world);
             Version old = new Version(world, state);
             old.awaitLine("proxy.listens");
             assertEquals(old.status("POST", "/-/nodes/n0/disable"), 200);
--- a/daemon/src/test/java/cedarrudder/program/UpgradeIT.java
+++ b/daemon/src/test/java/cedarrudder/program/UpgradeIT.java
@@ -89,16 +89,7 @@
                 at.merge(call.socket().getLocalPort(), 1, Integer::sum);
                 call.reply("200 OK", "done");
             });
-            // Asked by the successor for the list, which it need not end in a line feed.
-            Nodes.daemon(() -> {
-                while (true) {
-                    Received lookup = world.lookups.take();
-                    if (!lookup.first().contains("follow")) {
-                        lookup.reply("200 OK", "{\"version\":2,\"full\":true,\"servers\":["
-                                + world.entries("in_service") + "]}");
-                    }
-                }
-            });
+            Nodes.list(world); // asked by the successor
             first.awaitLine("proxy.listens");
             assertEquals(first.status("POST", "/-/nodes/n0/disable"), 200);
             Load load = new Load(world.port);
