Bound channels by the descriptors that callers leave, and blame no node for want of room

Cause: the bound on channels in use was worked out from the operators' share for idle channels (NodeChannels.carry), so with the share at its least one probe took the only place; and an idle channel that had just been closed for room still counted. Ruled out: the module (it sent each).

At the bound, and where a socket can't be made, an attempt is MOOT now, not CONNECT_FAILED: nodes counted as failing and out of connections for what they never saw. A request that can't be made is MOOT at once; its caller waited until the deadline.

--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -100,8 +100,9 @@
         figures = new Figures(site.module().classes().size());
         driver = new Driver<>(actions -> new Decide(site.module(), new SplittableRandom(configuration.seed()),
                 actions), site.module().limits().maxAttempts(), loop, log, budgets, figures);
-        channels = new NodeChannels(loop, driver, site, nodes, nodes.mostChannels(configuration.sockets()),
-                figures, held);
+        int sockets = configuration.sockets();
+        channels = new NodeChannels(loop, driver, site, nodes,
+                nodes.bounds(sockets, callers.mostCallers(sockets)), figures, held);
         reader = new ResolverResultReader(site, loop::now, System::currentTimeMillis);
         long version = (long) configuration.known().number("version", 0);
         discovery = new DiscoveryClient(loop, configuration.discovery(),
@@ -111,7 +112,7 @@
         peers = new PeerSocket(loop, driver, configuration.peers(), configuration.peersAll());
         listener = new Listener(loop, driver, new RpcFields(site.module(), budgets),
                 () -> resolved && serving,
-                callers, callers.mostCallers(configuration.sockets()), held);
+                callers, callers.mostCallers(sockets), held);
         driver.connect(channels, discovery, peers);
         membership = membership(operator.of(MembershipTable.MEMBERSHIP));
     }
@@ -154,6 +155,7 @@
         if (shared) {
             joinOthers();
         }
+        boolean replacing = others.predecessor(); // before the loop has it
         ResolverResult known = configuration.known().list("servers", false).isEmpty() ? null
                 : reader.read(configuration.known());
         CountDownLatch told = new CountDownLatch(1);
@@ -163,7 +165,7 @@
                 setBounds();
                 watchOthers();
             }
-            if (others.predecessor()) {
+            if (replacing) {
                 discovery.fetch();
             }
             if (known != null) {
@@ -189,7 +191,7 @@
         CountDownLatch warmed = new CountDownLatch(1);
         loop.run(() -> warmUp(own, warmed));
         warmed.await();
-        if (others.predecessor()) {
+        if (replacing) {
             fresh.await(FRESH, TimeUnit.NANOSECONDS);
         }
         if (!gate.join()) {
@@ -270,7 +272,7 @@
         var callers = operator.of(CallersTable.CALLERS);
         listener.apply(callers, callers.mostCallers(sockets));
         var nodes = operator.of(NodesTable.NODES);
-        channels.apply(nodes, nodes.mostChannels(sockets));
+        channels.apply(nodes, nodes.bounds(sockets, callers.mostCallers(sockets)));
     }
 
     private void warmUp(InetSocketAddress at, CountDownLatch warmed) {
--- a/daemon/src/main/java/cedarrudder/program/Warmup.java
+++ b/daemon/src/main/java/cedarrudder/program/Warmup.java
@@ -83,8 +83,9 @@
         request = Message.requestOf(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
         driver = new Driver<>(actions -> new Decide(settings, random, actions),
                 settings.limits().maxAttempts(), new Clock(), log);
-        channels = new NodeChannels(loop, driver, configuration.site(), NodeLimits.DEFAULT, RPCS,
-                new Figures(settings.classes().size()), new HeldBytes(HeldBytes.MOST));
+        channels = new NodeChannels(loop, driver, configuration.site(), NodeLimits.DEFAULT,
+                new NodeLimits.Bounds(RPCS, RPCS), new Figures(settings.classes().size()),
+                new HeldBytes(HeldBytes.MOST));
         driver.connect(new Self(), new NoDiscovery(), (copy, message) -> { });
         Endpoint self = new Endpoint(SELF, settings.zone(), 0, 0, State.READY, 1, 0);
         channels.resolved(new ResolverResult(0, true,
--- a/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
+++ b/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
@@ -1,5 +1,6 @@
 package cedarrudder.transport;
 
+import cedarrudder.Balancer;
 import cedarrudder.Balancer.Load;
 import cedarrudder.Balancer.Outcome;
 import cedarrudder.Balancer.State;
@@ -24,6 +25,7 @@
 import cedarrudder.routing.Timers;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -54,10 +56,10 @@
     private static final long DEFAULT_CONNECT_NANOS = 1_000_000_000L;
 
     /**
-     * Of the part that callers leave, channels that are in use may take all descriptors but these: 16 calls
-     * of operators, discovery, the log, the program's own files.
+     * A connection is up within this share of the time that the rule on drains allows, or not at all. Guards
+     * against an attempt being written when that time is over, since its connection took so long.
      */
-    private static final int RESERVED = 48;
+    private static final double CONNECT_SHARE = 0.5;
 
     private final Loop loop;
     private final Driver<Message, Message> driver;
@@ -67,27 +69,26 @@
     private final Bootstrap bootstrap;
     private final long idleLimit;
     private NodeLimits limits;
-    private int mostOpen;
+    private NodeLimits.Bounds most;
     private final Map<Long, Node> nodes = new HashMap<>();
     private final Map<CallAttempt<Message, Message>, Work> attempts = new IdentityHashMap<>();
     private Timers.Timer sweeping;
     private int open;
 
     /**
-     * @param mostOpen beyond so many channels, each new one costs one that is idle
+     * @param most how many channels there may be
      * @param figures where attempts are counted
      * @param held the account of what bodies hold
      */
     public NodeChannels(Loop loop, Driver<Message, Message> driver, SiteSettings site, NodeLimits limits,
-            int mostOpen, Figures figures, HeldBytes held) {
+            NodeLimits.Bounds most, Figures figures, HeldBytes held) {
         this.held = held;
         this.figures = figures;
         this.loop = loop;
         this.driver = driver;
         this.reports = site.reports();
         this.limits = limits;
-        this.mostOpen = mostOpen;
-        long connect = site.module().limits().connectTimeout();
+        this.most = most;
         long idle = site.module().limits().connectionIdle();
         this.idleLimit = idle == 0 ? Long.MAX_VALUE : (long) (idle * IDLE_SHARE);
         this.bootstrap = new Bootstrap().group(loop.group()).channelFactory(NodeSocket::new)
@@ -95,18 +96,25 @@
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, BodyPump.WRITE_AHEAD)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                        (int) Math.max(1, (connect == 0 ? DEFAULT_CONNECT_NANOS : connect) / 1_000_000));
+                        (int) Math.max(1, connectNanos(site.module()) / 1_000_000));
         sweeping = loop.at(loop.now() + SWEEP, this::sweep);
     }
 
+    private static long connectNanos(Balancer.Settings settings) {
+        long set = settings.limits().connectTimeout();
+        long grace = settings.safety().drainGrace();
+        return Math.min(set == 0 ? DEFAULT_CONNECT_NANOS : set,
+                grace == 0 ? Long.MAX_VALUE : (long) (grace * CONNECT_SHARE));
+    }
+
     /**
      * From now on these limits count; channels that are open keep their bounds on bytes. Where fewer
      * channels may be there than are, idle ones are closed.
      */
-    public void apply(NodeLimits next, int most) {
+    public void apply(NodeLimits next, NodeLimits.Bounds bounds) {
         limits = next;
-        mostOpen = most;
-        for (int over = open - mostOpen; over > 0; over--) {
+        most = bounds;
+        for (int over = open - most.idle(); over > 0; over--) {
             closeOldest();
         }
     }
@@ -208,25 +216,29 @@
             }
             idle.retire();
         }
-        if (open >= mostOpen) {
-            closeOldest();
-        }
-        if (open >= Math.max(mostOpen, 2 * mostOpen - RESERVED)) {
-            work.broke(); // guards against attempts that take the descriptors of operators and discovery
+        boolean madeRoom = open >= most.idle() && closeOldest();
+        if (open >= most.all() && !madeRoom) {
+            work.unsent(); // guards against attempts that take the descriptors of operators and discovery
             return;
         }
         NodeChannel fresh = new NodeChannel(node);
         loop.connect(bootstrap.clone().handler(fresh), node.address, connected -> {
             if (connected.isSuccess()) {
                 fresh.carry(work);
+            } else if (connected.cause() instanceof ChannelException) {
+                work.unsent(); // there is no descriptor for it
             } else {
                 work.broke();
             }
         });
     }
 
-    /** Guards against idle channels to many nodes taking the descriptors that callers and discovery need. */
-    private void closeOldest() {
+    /**
+     * Guards against idle channels to many nodes taking the descriptors that callers and discovery need.
+     *
+     * @return whether there was an idle one
+     */
+    private boolean closeOldest() {
         NodeChannel oldest = null;
         for (Node node : nodes.values()) {
             NodeChannel first = node.idle.peekFirst();
@@ -237,6 +249,7 @@
         if (oldest != null) {
             oldest.retire();
         }
+        return oldest != null;
     }
 
     private void sweep() {
@@ -289,6 +302,17 @@
             }
         }
 
+        /**
+         * There is no room in this process for a connection. Guards against a node counting as failing, or
+         * as out of connections, for what it never saw.
+         */
+        final void unsent() {
+            if (!over) {
+                over = true;
+                failed(Outcome.MOOT);
+            }
+        }
+
         /** Closing the connection is how a node is told that nobody waits any more. */
         final void giveUp() {
             over = true;
@@ -455,13 +479,24 @@
                 channel.close();
                 return;
             }
+            ByteBuf request;
+            try {
+                request = next.encode();
+            } catch (RuntimeException | OutOfMemoryError e) {
+                // Guards against a caller that waits until its deadline for what was never sent.
+                loop.log().fault("node.request_not_made", e).with("node", node.address).write();
+                retire();
+                next.unsent();
+                return;
+            }
             work = next;
             next.channel = this;
             if (next.rest() != null) {
+                channel.writeAndFlush(request);
                 upload(next);
                 return;
             }
-            channel.writeAndFlush(next.encode()).addListener(wrote -> {
+            channel.writeAndFlush(request).addListener(wrote -> {
                 if (wrote.isSuccess()) {
                     next.wrote();
                 } else {
@@ -470,9 +505,8 @@
             });
         }
 
-        /** Writes a request whose body flows. */
+        /** Writes the rest of a request whose body flows. */
         private void upload(Work next) {
-            channel.writeAndFlush(next.encode());
             Rest rest = next.rest();
             upload = new BodyPump(loop, channel, rest.flow(), rest.length() < 0, next::spend,
                     new BodyPump.End() {
--- a/daemon/src/main/java/cedarrudder/transport/NodeLimits.java
+++ b/daemon/src/main/java/cedarrudder/transport/NodeLimits.java
@@ -22,8 +22,23 @@
     public static final NodeLimits DEFAULT = new NodeLimits(250_000_000L, 300_000_000L,
             HttpDecoder.MOST_HEAD, HttpDecoder.MOST_FLOW, 0.25);
 
-    /** How many channels may be open before idle ones are closed, with so many descriptors. */
-    public int mostChannels(int descriptors) {
-        return Math.max(1, (int) (descriptors * descriptorsShare));
+    /**
+     * Of what callers leave, this many descriptors are no channel's: 16 calls of operators, discovery, the
+     * log, the program's own files. Where there are few, a fifth of all.
+     */
+    private static final int RESERVED = 48;
+
+    /**
+     * How many channels there may be.
+     *
+     * @param idle beyond so many, each new one costs one that is idle
+     * @param all beyond so many, none is opened
+     */
+    public record Bounds(int idle, int all) { }
+
+    /** The bounds of a process with so many descriptors, of which callers may hold some. */
+    public Bounds bounds(int descriptors, int callers) {
+        return new Bounds(Math.max(1, (int) (descriptors * descriptorsShare)),
+                Math.max(1, descriptors - callers - Math.min(RESERVED, descriptors / 5)));
     }
 }
