Open the callers' door on the loop, and tell the module of answers that could not begin

The door was noted by the starting thread after the loop had opened it (Listener.listen). The loop opens and notes it in one turn now.

An answer that flows whose head can't be made left its caller waiting and the module without its outcome, so the node counted as silent for good (Listener.download). The caller's connection ends now, and with it the attempt. A body that was stopped tells nobody of its last write (BodyPump.pump): the news came to a caller that had been cleared away. Each test fails without its guard.

--- a/daemon/src/main/java/cedarrudder/transport/BodyPump.java
+++ b/daemon/src/main/java/cedarrudder/transport/BodyPump.java
@@ -29,6 +29,7 @@
     private final End end;
     private boolean pumping;
     private boolean over;
+    private boolean stopped;
 
     /** @param spending runs before each piece that is taken for good */
     BodyPump(Loop loop, Channel channel, BodyFlow flow, boolean chunked, Runnable spending, End end) {
@@ -74,6 +75,9 @@
             over = true;
             channel.writeAndFlush(chunked ? HttpEncoder.lastChunk(loop.buffers()) : Unpooled.EMPTY_BUFFER)
                     .addListener(last -> {
+                        if (stopped) {
+                            return; // guards against news of a body to a caller or a node that has gone
+                        }
                         if (last.isSuccess()) {
                             end.wrote();
                         } else {
@@ -88,11 +92,12 @@
     /** Nothing more is written, and nobody is told; the flow is left for another. */
     void halt() {
         over = true;
+        stopped = true;
     }
 
     /** Nothing more is written, and nobody is told; the rest is dropped. */
     void stop() {
-        over = true;
+        halt();
         flow.fail();
     }
 }
--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -17,7 +17,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
-import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -32,6 +32,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.function.BiPredicate;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -161,8 +163,7 @@
      */
     public InetSocketAddress listen(InetSocketAddress address, boolean shared)
             throws IOException, InterruptedException {
-        Channel before = listening;
-        var bound = new ServerBootstrap().group(loop.group()).channelFactory(Door::new)
+        ServerBootstrap doors = new ServerBootstrap().group(loop.group()).channelFactory(Door::new)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(REUSE_PORT, shared)
                 .option(ChannelOption.SO_BACKLOG, 1024)
@@ -179,17 +180,33 @@
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline().addLast(new Caller(channel));
                     }
-                }).bind(address).await();
+                });
+        CompletableFuture<InetSocketAddress> bound = new CompletableFuture<>();
+        loop.run(() -> doors.bind(address).addListener((ChannelFuture done) -> opened(done, bound)));
+        try {
+            return bound.get();
+        } catch (ExecutionException e) {
+            throw new IOException("can't listen on " + address + ": " + e.getCause().getMessage());
+        }
+    }
+
+    /**
+     * On the loop, before the first caller comes. Guards against callers, or the end of the service, that
+     * find no door, or the one before, until another thread has gone on.
+     */
+    private void opened(ChannelFuture bound, CompletableFuture<InetSocketAddress> told) {
         if (!bound.isSuccess()) {
-            throw new IOException("can't listen on " + address + ": " + bound.cause().getMessage());
+            told.completeExceptionally(bound.cause());
+            return;
         }
+        Door before = listening;
         listening = (Door) bound.channel();
         if (before != null) {
             before.close();
         } else {
-            loop.run(this::sweep);
+            sweep();
         }
-        return listening.localAddress();
+        told.complete(listening.localAddress());
     }
 
     private void sweep() {
@@ -611,8 +628,13 @@
             keepAlive = !closes;
             writing = true;
             enter(null, limits.answerPatience());
-            channel.write(HttpEncoder.served(loop.buffers(), answer, closes, fields.budgeted(),
+            ByteBuf head = made(() -> HttpEncoder.served(loop.buffers(), answer, closes, fields.budgeted(),
                     exchange.result(), chunks));
+            if (head == null) {
+                close(); // which ends the attempt, too
+                return;
+            }
+            channel.write(head);
             download = new BodyPump(loop, channel, answer.rest().flow(), chunked, () -> { },
                     new BodyPump.End() {
                 @Override
@@ -636,7 +658,9 @@
         private void breakOff() {
             download.stop();
             download = null;
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            if (channel.isOpen()) {
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            }
             close();
         }
 
@@ -670,12 +694,7 @@
          * memory say, and against the module missing the rest of the event: the caller sees a break.
          */
         private void reply(Supplier<ByteBuf> encoded) {
-            ByteBuf answer = null;
-            try {
-                answer = encoded.get();
-            } catch (RuntimeException | OutOfMemoryError e) {
-                loop.log().fault("caller.unanswered", e).with("caller", channel.remoteAddress()).write();
-            }
+            ByteBuf answer = made(encoded);
             over();
             if (answer == null) {
                 close();
@@ -684,6 +703,15 @@
             }
         }
 
+        private ByteBuf made(Supplier<ByteBuf> encoded) {
+            try {
+                return encoded.get();
+            } catch (RuntimeException | OutOfMemoryError e) {
+                loop.log().fault("caller.unanswered", e).with("caller", channel.remoteAddress()).write();
+                return null;
+            }
+        }
+
         private ByteBuf own(int status, String text, boolean close) {
             return decoder.wantsHeadOnly() ? HttpEncoder.answerHead(loop.buffers(), status, text, close)
                     : HttpEncoder.answer(loop.buffers(), status, text, 0, close);
--- /dev/null
+++ b/daemon/src/test/java/cedarrudder/transport/ListenerTest.java
@@ -0,0 +1,155 @@
+package cedarrudder.transport;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import cedarrudder.Balancer;
+import cedarrudder.flow.BodyFlow;
+import cedarrudder.flow.HeldBytes;
+import cedarrudder.logging.Logger;
+import cedarrudder.protocol.JsonObject;
+import cedarrudder.protocol.Message;
+import cedarrudder.protocol.Rest;
+import cedarrudder.protocol.RpcFields;
+import cedarrudder.protocol.SettingsReader;
+import cedarrudder.routing.CallAttempt;
+import cedarrudder.routing.ClientSide;
+import cedarrudder.routing.Driver;
+import cedarrudder.routing.Peers;
+import cedarrudder.routing.Resolver;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.testng.annotations.Test;
+
+/** The moment in which a listener opens its door. */
+public class ListenerTest {
+
+    private static final int TIMES = 200;
+
+    /**
+     * Guards against callers that come before the thread that opens the door has told so: for them the door
+     * was not there, or was the one before. Each opening is met by one, at a bound that lets none in.
+     */
+    @Test
+    public void aCallerThatComesAtOnceFindsTheBoundInForce() throws Exception {
+        ByteArrayOutputStream log = new ByteArrayOutputStream();
+        Loop loop = new Loop(new Logger(new PrintStream(log, true)));
+        for (int i = 0; i < TIMES; i++) {
+            try (Socket held = new Socket()) {
+                held.setReuseAddress(true);
+                held.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+                Thread caller = new Thread(() -> connect(held.getLocalPort()));
+                caller.start();
+                new Listener(loop, null, null, () -> true, CallerLimits.DEFAULT, 0, new HeldBytes(1))
+                        .listen((InetSocketAddress) held.getLocalSocketAddress(), false);
+                caller.join();
+            }
+        }
+        CountDownLatch done = new CountDownLatch(1);
+        loop.run(done::countDown);
+        done.await();
+        loop.stop();
+        assertFalse(log.toString().contains("failed"), log.toString());
+    }
+
+    /**
+     * Guards against a caller that waits for good for an answer that can't be made, for want of memory say,
+     * and against a module that never hears how the attempt ended.
+     */
+    @Test
+    public void anAnswerThatCanNotBeMadeEndsItsCallersConnection() throws Exception {
+        answered((driver, attempt) -> driver.served(attempt, new Message(null, null), null));
+    }
+
+    /** Guards against the same where the answer flows, and against a node that goes on with it for nobody. */
+    @Test
+    public void anAnswerThatFlowsAndCanNotBeginEndsItsCallersConnection() throws Exception {
+        Rest rest = new Rest(new BodyFlow(new HeldBytes(1000)), 100_000);
+        BrokenNode node = answered((driver, attempt) ->
+                driver.began(attempt, new Message(null, null, rest), null));
+        assertEquals(node.abandoned().poll(20, TimeUnit.SECONDS), Boolean.TRUE);
+    }
+
+    /** Has a node answer what can't be passed on. */
+    private static BrokenNode answered(BiConsumer<Driver<Message, Message>, CallAttempt<Message, Message>>
+            answer) throws Exception {
+        Logger log = new Logger(new PrintStream(OutputStream.nullOutputStream()));
+        Loop loop = new Loop(log);
+        BlockingQueue<Object> told = new LinkedBlockingQueue<>();
+        Driver<Message, Message> driver = new Driver<>(actions -> Played.by(Balancer.class, (event, with) -> {
+            if (event.equals("request")) {
+                actions.send(((Balancer.Request) with[1]).id(), 1, 0);
+            } else if (event.equals("outcome")) {
+                told.add(with[4]);
+            }
+        }), 1, loop, log);
+        BrokenNode node = new BrokenNode(driver, answer, new LinkedBlockingQueue<>());
+        driver.connect(node, Played.by(Resolver.class, (action, with) -> { }),
+                Played.by(Peers.class, (action, with) -> { }));
+        RpcFields fields = new RpcFields(SettingsReader.read(JsonObject.parse(Files.readString(
+                Path.of("example", "config.json"))).child("settings")).module());
+        InetSocketAddress at = new Listener(loop, driver, fields, () -> true, CallerLimits.DEFAULT, 10,
+                new HeldBytes(1000))
+                .listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), false);
+        try (Socket caller = new Socket(at.getAddress(), at.getPort())) {
+            caller.setSoTimeout(20_000);
+            caller.getOutputStream().write(("GET /api HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\n"
+                    + "Req-Kind: lookup\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 30000\r\n\r\n").getBytes());
+            assertEquals(caller.getInputStream().read(), -1);
+        }
+        assertEquals(told.poll(20, TimeUnit.SECONDS), Balancer.Outcome.OK);
+        loop.run(loop::stop);
+        return node;
+    }
+
+    /** A node whose answers can't be passed on. */
+    private record BrokenNode(Driver<Message, Message> driver,
+            BiConsumer<Driver<Message, Message>, CallAttempt<Message, Message>> answer,
+            BlockingQueue<Boolean> abandoned) implements ClientSide<Message, Message> {
+
+        @Override
+        public boolean knows(long endpoint) {
+            return true;
+        }
+
+        @Override
+        public void start(CallAttempt<Message, Message> attempt) {
+            answer.accept(driver, attempt);
+        }
+
+        @Override
+        public void abandon(CallAttempt<Message, Message> attempt) {
+            abandoned.add(true);
+        }
+
+        @Override
+        public void probe(long endpoint) { }
+
+        @Override
+        public void closeIdle(long endpoint) { }
+    }
+
+    /** Comes as soon as anybody listens there, and goes without a trace. */
+    private static void connect(int port) {
+        while (true) {
+            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                socket.setSoLinger(true, 0);
+                return;
+            } catch (IOException e) {
+                // not yet
+            }
+        }
+    }
+}
