Look at the version of a line of discovery first, and tell of a failed list call only without a watch

A line that is older than what is known was dropped after the reader had taken it in (DiscoveryClient.line): a node that it said was gone counted as restarted when it was next told, and the module lost what it knew of it.

--- a/daemon/src/main/java/cedarrudder/transport/DiscoveryClient.java
+++ b/daemon/src/main/java/cedarrudder/transport/DiscoveryClient.java
@@ -184,19 +184,22 @@
             if (decoder.head() != null && decoder.head().status() != 200) {
                 return;
             }
-            ResolverResult result = reader.read(JsonObject.parse(text));
+            JsonObject told = JsonObject.parse(text);
+            long itsVersion = told.whole("version");
             answered = true;
             if (this == watch) {
                 endFormer();
             }
-            if (!follows && result.version() < version) {
+            // Before the reader takes it in: guards against what is outdated undoing what is known of nodes.
+            if (itsVersion < version && !follows) {
                 // Guards against a late answer taking back what the watch has told since.
                 fail("older than what is known");
                 return;
             }
-            if (!result.full() && result.version() < version) {
+            if (itsVersion < version && !told.flag("full", false)) {
                 return; // a change that the watch at the former address has told already
             }
+            ResolverResult result = reader.read(told);
             version = result.version();
             loop.log().debug("discovery.told").with("version", version)
                     .with("list", result.full() ? "full" : "changes").with("nodes", result.nodes().size())
@@ -216,7 +219,9 @@
                 if (watch == this) {
                     watch = null;
                 }
-                failures.run();
+                if (follows || watch == null) {
+                    failures.run(); // else the watch stands, and tells what the call would have
+                }
             }
         }
 
