Let the timers of operators' calls go with their connections: a flood of them used up the memory

Seen by reading: each call left two timers, of 5 s and 1 s, that held its connection (AdminListener.Call). Ruled out: callers' connections and calls to nodes, whose timers are cancelled or swept.

--- a/daemon/src/main/java/cedarrudder/transport/AdminListener.java
+++ b/daemon/src/main/java/cedarrudder/transport/AdminListener.java
@@ -4,6 +4,7 @@
 import cedarrudder.protocol.HttpDecoder;
 import cedarrudder.protocol.HttpEncoder;
 import cedarrudder.protocol.Message;
+import cedarrudder.routing.Timers;
 import cedarrudder.transport.Desk.Done;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -157,6 +158,7 @@
         private final HttpDecoder decoder = HttpDecoder.ofRequests(MOST_HEAD, MOST_BODY);
         private long said;
         private boolean answered;
+        private Timers.Timer patience;
 
         Call(DuplexChannel channel) {
             this.channel = channel;
@@ -168,7 +170,20 @@
                 makeRoom();
             }
             calls.add(this);
-            loop.at(loop.now() + PATIENCE, channel::close);
+            closeIn(PATIENCE);
+        }
+
+        /** Closes it then, if it is still there. */
+        private void closeIn(long nanos) {
+            stopWaiting();
+            patience = loop.at(loop.now() + nanos, channel::close);
+        }
+
+        /** Guards against memory that grows with the rate of calls, as long as their time is not over. */
+        private void stopWaiting() {
+            if (patience != null) {
+                patience.cancel();
+            }
         }
 
         @Override
@@ -194,14 +209,17 @@
             said = Long.MAX_VALUE; // it goes last where room is needed
             channel.writeAndFlush(HttpEncoder.page(loop.buffers(), answer.status(), answer.type(),
                     answer.body(), answer.allow())).addListener(wrote -> {
-                        channel.shutdownOutput();
-                        loop.at(loop.now() + LAST_WORD, channel::close);
+                        if (channel.isOpen()) {
+                            channel.shutdownOutput();
+                            closeIn(LAST_WORD);
+                        }
                     });
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             calls.remove(this);
+            stopWaiting();
         }
 
         @Override
--- a/daemon/src/test/java/cedarrudder/program/ShortageIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ShortageIT.java
@@ -7,6 +7,7 @@
 import cedarrudder.program.World.Caller;
 import cedarrudder.program.World.Received;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -192,6 +193,25 @@
         }
     }
 
+    /** Guards against memory that grows with the rate of operators' calls: each kept its time running. */
+    @Test
+    public void aFloodOfOperatorsCallsLeavesNothingBehind() throws Exception {
+        try (World world = new World(1); Version proxy = new Version(world, folder(), "",
+                List.of("-XX:+UseSerialGC", "-Xmx16m"), List.of())) {
+            proxy.awaitLine("proxy.listens");
+            for (int i = 0; i < 25_000; i++) {
+                try (Socket call = new Socket(InetAddress.getLoopbackAddress(), proxy.admin)) {
+                    call.setSoLinger(true, 0);
+                }
+            }
+            assertEquals(proxy.status("GET", "/-/ready"), 200);
+            proxy.signal("TERM");
+            String said = proxy.rest();
+            assertFalse(said.contains("OutOfMemory"), said);
+            proxy.awaitEnd(Version.TERMINATED);
+        }
+    }
+
     /** Guards against probes, attempts and callers that add up while peers are connected and silent. */
     @Test
     public void peersThatFallSilentLeaveNothingBehind() throws Exception {
