Arm the module's timers before their work, and let no error in one event take others away

A fault within the tick, or within the line of those that wait, left its timer unarmed (Decide.timer): no probe without calls ever again, or waiting until the deadline. An error of the virtual machine's within an event passed through the driver, and what was queued behind it waited for the next event (Driver.post).

--- a/core/src/main/java/cedarrudder/Decide.java
+++ b/core/src/main/java/cedarrudder/Decide.java
@@ -553,22 +553,22 @@
         long kind = token / TOKEN_KIND;
         Call call = calls.get(token % TOKEN_KIND);
         if (kind == TOKEN_TICK) {
+            actions.schedule(now + TICK, TOKEN_TICK); // first: guards against a fault ending it
             pool.idle(now);
             if (++ticks % TRIM_TICKS == 0) {
                 pool.trim();
             }
-            actions.schedule(now + TICK, TOKEN_TICK);
         } else if (kind == TOKEN_ASK) {
             actions.subscribe(true);
         } else if (call != null && kind == TOKEN_LATE && !call.answered) {
             sendCopy(now, call);
         } else if (kind == TOKEN_LINE) {
-            release(now);
-            giveUpHeld(now);
             lineWatched = line.size() > 0;
             if (lineWatched) {
-                actions.schedule(now + HOLD, TOKEN_LINE * TOKEN_KIND);
+                actions.schedule(now + HOLD, TOKEN_LINE * TOKEN_KIND); // first, as above
             }
+            release(now);
+            giveUpHeld(now);
         }
     }
 
--- a/core/src/main/java/cedarrudder/routing/Driver.java
+++ b/core/src/main/java/cedarrudder/routing/Driver.java
@@ -263,8 +263,8 @@
     private void deliver(Runnable event) {
         try {
             event.run();
-        } catch (RuntimeException e) {
-            // Guards against one bad event ending the program; the RPC it concerns still has its timer.
+        } catch (RuntimeException | VirtualMachineError | LinkageError e) {
+            // Guards against one bad event keeping those behind it; the RPC it concerns still has its timer.
             log.fault("module.failed", e).write();
         }
     }
--- a/core/src/test/java/cedarrudder/routing/DriverTest.java
+++ b/core/src/test/java/cedarrudder/routing/DriverTest.java
@@ -250,6 +250,17 @@
         assertEquals(seen, List.of("failed", "client left"));
     }
 
+    /** Guards against an error of the virtual machine's in one event taking those behind it away. */
+    @Test
+    public void anErrorInTheModuleIsNoMoreThanAFault() {
+        onRequest = () -> {
+            throw new StackOverflowError("made on purpose");
+        };
+        Exchange<String, String> exchange = accept(Carried.NOTHING);
+        driver.left(exchange);
+        assertEquals(seen, List.of("client left"));
+    }
+
     private final class Client implements ClientSide<String, String> {
         @Override
         public boolean knows(long endpoint) {
--- a/daemon/src/main/java/cedarrudder/transport/Loop.java
+++ b/daemon/src/main/java/cedarrudder/transport/Loop.java
@@ -109,7 +109,7 @@
     private void guarded(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | VirtualMachineError | LinkageError e) {
             // Guards against a fault in one task ending what the loop does for all others.
             log.fault("loop.task_failed", e).write();
         }
