--- a/core/src/main/java/cedarrudder/flow/HeldBytes.java
+++ b/core/src/main/java/cedarrudder/flow/HeldBytes.java
@@ -1,8 +1,8 @@
 package cedarrudder.flow;
 
 /**
- * The account of the bytes of bodies that flow, or are being read. Whole ones of RPCs under way are not in
- * it: the number of callers bounds them. Owned by the event loop; not thread-safe.
+ * The account of the bytes of bodies: those that flow, are being read, or belong to a request under way.
+ * Owned by the event loop; not thread-safe.
  */
 public final class HeldBytes {
 
--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -387,6 +387,7 @@
         private BodyPump download;
         private boolean chunks;
         private int collected;
+        private int whole;
         private Exchange<Message, Message> exchange;
         private String id;
         private boolean keepAlive;
@@ -597,6 +598,8 @@
                 throw new BadMessageException(BadMessageException.BAD_REQUEST, "Req-Id is open already");
             }
             id = name;
+            whole = request.body().length;
+            held.add(whole);
             enter(null, Long.MAX_VALUE);
             exchange = new Exchange<>(told, request, this, carried);
             if (uploading > 0) {
@@ -721,6 +724,8 @@
             Rest rest = exchange.content().rest();
             exchange = null;
             open.remove(id);
+            held.add(-whole);
+            whole = 0;
             if (rest != null && upload == null) {
                 rest.flow().fail(); // nobody takes what is left of it, and the account would keep it
             }
--- a/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
+++ b/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
@@ -453,6 +453,7 @@
         private NodeSocket channel;
         private BodyFlow flow;
         private BodyPump upload;
+        private int collected;
         private long heardAt;
         private Work work;
         private Timers.Timer patience;
@@ -551,6 +552,8 @@
         void retire() {
             spent = true;
             stopWaiting();
+            held.add(-collected);
+            collected = 0;
             if (upload != null) {
                 upload.halt();
                 upload = null;
@@ -597,6 +600,7 @@
                 if (spent) {
                     return;
                 }
+                count();
                 if (answer != null) {
                     finish(answer, answer.head().keepsAlive() && !in.isReadable());
                 } else if (patience == null && !decoder.between()) {
@@ -610,6 +614,13 @@
             }
         }
 
+        /** Enters what is held of an answer that is being read in the account. */
+        private void count() {
+            int now = decoder.collected();
+            held.add(now - collected);
+            collected = now;
+        }
+
         /** The answer goes on as it comes from here on. */
         private void begin() {
             if (!work.written) {
--- a/daemon/src/test/java/cedarrudder/program/FaultStoriesTest.java
+++ b/daemon/src/test/java/cedarrudder/program/FaultStoriesTest.java
@@ -57,6 +57,19 @@
         }
     }
 
+    /** Guards against memory that nothing bounds: many requests of 64 KiB each, whole and under way. */
+    @Test
+    public void aWholeBodyIsHeldInTheAccountUntilItsAnswer() throws Exception {
+        try (World world = new World(1).withAdmin().start(); Caller caller = world.caller()) {
+            caller.send(World.rpc("order", "/api", "x".repeat(1000)));
+            Received call = world.call();
+            assertEquals(figure(world, "held_bytes"), 1000);
+            call.reply("200 OK", "done");
+            assertEquals(caller.read().body(), "done");
+            awaitFigure(world, "held_bytes", 0);
+        }
+    }
+
     /** Guards against two answers to one request: that its node lost it, and that it can't be read. */
     @Test
     public void aRequestThatIsSpoiltWithinItsBodyGetsOneAnswer() throws Exception {
--- a/daemon/src/test/java/cedarrudder/program/ShortageIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ShortageIT.java
@@ -20,6 +20,9 @@
 /** The built jar where something runs out, or nobody reads what it says; with limits of the process's own. */
 public class ShortageIT {
 
+    /** What two processes may hold of their own, in MiB: of 192, the rest is for files that both map. */
+    private static final long MOST_OF_BOTH = 165;
+
     private static Path folder() throws IOException {
         return Files.createTempDirectory("shortage");
     }
@@ -240,4 +243,79 @@
                     world.calls.size(), "each attempt had a connection of its own");
         }
     }
+
+    /** What the platform's command gives the virtual machine. */
+    private static List<String> machine() throws IOException {
+        String run = Files.readString(Path.of("deploy", "balancer.toml")).lines()
+                .filter(line -> line.startsWith("run")).findFirst().orElseThrow();
+        return List.of(run.substring(run.indexOf("java ") + 5, run.indexOf(" -jar")).split(" "));
+    }
+
+    /** Memory of its own that a process holds, in MiB. */
+    private static long resident(Version proxy) throws IOException {
+        return Files.readAllLines(Path.of("/proc", Long.toString(proxy.process.pid()), "status")).stream()
+                .filter(line -> line.startsWith("RssAnon") || line.startsWith("RssShmem"))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", ""))).sum() / 1024;
+    }
+
+    /** The most that two processes, or one, hold for some time. */
+    private static long most(Version one, Version other) throws Exception {
+        long most = 0;
+        for (int i = 0; i < 40; i++) {
+            most = Math.max(most, resident(one) + (one == other ? 0 : resident(other)));
+            Thread.sleep(100);
+        }
+        return most;
+    }
+
+    /** Callers whose bodies their nodes don't read, beside callers that don't read their answers. */
+    private static List<Caller> stuck(World world, int callers, String name) throws Exception {
+        List<Caller> all = new ArrayList<>();
+        byte[] piece = ("10000\r\n" + "x".repeat(0x10000) + "\r\n").getBytes();
+        for (int i = 0; i < callers; i++) {
+            Caller caller = world.caller();
+            all.add(caller);
+            if (i % 2 == 0) {
+                caller.send(World.rpc("lookup", "/api", "").replace("id-1", name + i));
+                continue;
+            }
+            Nodes.daemon(() -> {
+                caller.send(World.rpc("order", "/stays-for-test", "", "Transfer-Encoding: chunked")
+                        .replace("Content-Length: 0\r\n", "").replace("id-1", name + caller.hashCode()));
+                for (int j = 0; j < 400; j++) {
+                    caller.out().write(piece);
+                }
+            });
+        }
+        return all;
+    }
+
+    /** Guards against an upgrade that is killed for its memory, since both processes are full of bodies. */
+    @Test
+    public void twoProcessesFullOfBodiesStayWithinTheMemoryOfOne() throws Exception {
+        Path state = folder();
+        byte[] body = new byte[32 * 1024 * 1024];
+        try (World world = new World(8);
+                Version first = new Version(world, state, "", machine(), List.of())) {
+            Nodes.list(world);
+            Nodes.play(world, call -> {
+                if (call.first().startsWith("GET")) {
+                    call.raw("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n");
+                    call.socket().getOutputStream().write(body);
+                }
+            });
+            first.awaitReady();
+            List<Caller> callers = new ArrayList<>(stuck(world, 480, "first-"));
+            long alone = most(first, first);
+            try (Version second = new Version(world, state, "", machine(), List.of())) {
+                second.awaitReady();
+                callers.addAll(stuck(world, 480, "second-"));
+                long both = most(first, second);
+                assertTrue(both < MOST_OF_BOTH, alone + " MiB alone, " + both + " both");
+            }
+            for (Caller caller : callers) {
+                caller.close();
+            }
+        }
+    }
 }
