Never let the loop sleep for want of direct memory, and halve the account of bytes in an upgrade

Smaller reads made ShortageIT.withoutDirectMemory stall for 90 s. Thread dump: the loop sleeps in Bits.reserveMemory, half a second for each allocation. That was there before, for whoever meets the limit. Netty counts direct memory itself now (Add-Opens in the jar's manifest) and refuses at once; of a body that flows 32 KiB wait in a socket's buffer, 96 before, so that 512 callers can't use it up. Ruled out: flows that hang (figures went to 0), the operators' address (its calls waited behind the sleeps).

--- a/core/src/main/java/cedarrudder/flow/HeldBytes.java
+++ b/core/src/main/java/cedarrudder/flow/HeldBytes.java
@@ -6,10 +6,10 @@
  */
 public final class HeldBytes {
 
-    /** What counts where nothing is set: a seventh of the least memory that a proxy has, in bytes. */
-    public static final long MOST = 20L * 1024 * 1024;
+    /** What counts where nothing is set: an eighth of the least memory seen for a proxy, in bytes. */
+    public static final long MOST = 16L * 1024 * 1024;
 
-    private final long most;
+    private long most;
     private long held;
 
     /** @param most the bound, in bytes; each flow may hold one piece beyond it */
@@ -17,6 +17,11 @@
         this.most = most;
     }
 
+    /** From now on this is the bound. */
+    public void most(long bytes) {
+        most = bytes;
+    }
+
     /** So many bytes more are held, or fewer. */
     public void add(long bytes) {
         held += bytes;
--- a/daemon/src/main/java/cedarrudder/program/Daemon.java
+++ b/daemon/src/main/java/cedarrudder/program/Daemon.java
@@ -27,6 +27,9 @@
         System.setProperty("io.netty.machineId", "00:00:00:00:00:00:00:01");
         System.setProperty("io.netty.availableProcessors", "1");
         System.setProperty("io.netty.leakDetection.level", "disabled");
+        // Lets Netty count direct memory itself; the jar's manifest opens the package. Guards against a loop
+        // that stands still for half a second at each allocation where none is left: the library sleeps then.
+        System.setProperty("io.netty.tryReflectionSetAccessible", "true");
     }
 
     /**
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -266,9 +266,11 @@
         }
     }
 
-    /** Two processes of a proxy together hold no more descriptors than one may. */
+    /** Two processes of a proxy together hold no more descriptors, and bytes of bodies, than one may. */
     private void setBounds() {
-        int sockets = configuration.sockets() / (others.any() ? 2 : 1);
+        int processes = others.any() ? 2 : 1;
+        int sockets = configuration.sockets() / processes;
+        held.most(HeldBytes.MOST / processes);
         var callers = operator.of(CallersTable.CALLERS);
         listener.apply(callers, callers.mostCallers(sockets));
         var nodes = operator.of(NodesTable.NODES);
--- a/daemon/src/main/java/cedarrudder/transport/BodyPump.java
+++ b/daemon/src/main/java/cedarrudder/transport/BodyPump.java
@@ -9,8 +9,11 @@
 /** Writes a flow to a channel, no faster than the channel takes it. */
 final class BodyPump {
 
-    /** The least and the most bytes that wait to be written to a peer while a body flows to it. */
-    static final WriteBufferWaterMark WRITE_AHEAD = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
+    /**
+     * The least and the most bytes that wait to be written to a peer while a body flows to it; a piece, of
+     * 16 KiB at the most, may come on top. Guards against direct memory that callers use up who don't read.
+     */
+    static final WriteBufferWaterMark WRITE_AHEAD = new WriteBufferWaterMark(8 * 1024, 16 * 1024);
 
     /** What comes of it; one of these is called, once. */
     interface End {
--- a/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
+++ b/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
@@ -25,6 +25,7 @@
 import cedarrudder.routing.Timers;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
@@ -53,6 +54,13 @@
     /** An answer that flows, and of which nothing comes for so long though it could, has been given up. */
     private static final long FLOW_SILENCE = 10_000_000_000L;
 
+    /**
+     * Bytes that one read takes at the most: a piece of a body that flows. Guards against memory that many
+     * slow callers hold, each a piece of theirs on its way.
+     */
+    private static final int MOST_READ = 16 * 1024;
+    private static final int FIRST_READ = 1024;
+
     private static final long DEFAULT_CONNECT_NANOS = 1_000_000_000L;
 
     /**
@@ -94,6 +102,8 @@
         this.bootstrap = new Bootstrap().group(loop.group()).channelFactory(NodeSocket::new)
                 .option(ChannelOption.ALLOCATOR, loop.buffers())
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(FIRST_READ, FIRST_READ, MOST_READ))
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, BodyPump.WRITE_AHEAD)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
                         (int) Math.max(1, connectNanos(site.module()) / 1_000_000));
