--- a/daemon/src/test/java/cedarrudder/transport/DiscoveryClientTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/DiscoveryClientTest.java
@@ -19,6 +19,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.Test;
@@ -85,6 +86,18 @@
         });
     }
 
+    /** Guards against a list that stands still for good, since the network to discovery was cut. */
+    @Test
+    public void aWatchThatFallsSilentIsToldAsLost() throws Exception {
+        Semaphore failures = new Semaphore(0);
+        play(failures::release, (loop, client, discovery, watch) -> {
+            loop.run(() -> client.apply(new DiscoveryLimits(20_000_000_000L, 50_000_000L)));
+            tell(watch, 1, true, "in_service");
+            assertEquals(failures.tryAcquire(20, TimeUnit.SECONDS), true);
+            watch.getInputStream().readAllBytes(); // the proxy has closed it
+        });
+    }
+
     /**
      * Guards against a line that is older than what is known changing what is known of a node: it counted as
      * restarted with the next that told of it, and all that was learnt of it was lost.
--- a/daemon/src/test/java/cedarrudder/transport/ListenerTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/ListenerTest.java
@@ -21,6 +21,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -37,6 +38,7 @@
 public class ListenerTest {
 
     private static final int TIMES = 200;
+    private static final int WAITING = 30;
 
     /**
      * Guards against callers that come before the thread that opens the door has told so: for them the door
@@ -82,6 +84,45 @@
         assertEquals(node.abandoned().poll(20, TimeUnit.SECONDS), Boolean.TRUE);
     }
 
+    /**
+     * Guards against connections that the kernel has accepted being reset as a successor takes over: all that
+     * wait at the door when it closes are let in. The loop connects them itself, so none is accepted before.
+     */
+    @Test
+    public void whoWaitsAtTheDoorWhenASuccessorTakesOverIsAnswered() throws Exception {
+        Loop loop = new Loop(new Logger(new PrintStream(OutputStream.nullOutputStream())));
+        Listener listener = new Listener(loop, null, fields(), () -> true, CallerLimits.DEFAULT, WAITING,
+                new HeldBytes(1000));
+        InetSocketAddress at = listener.listen(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), false);
+        BlockingQueue<Socket> waiting = new LinkedBlockingQueue<>();
+        CountDownLatch replaced = new CountDownLatch(1);
+        loop.run(() -> {
+            try {
+                for (int i = 0; i < WAITING; i++) {
+                    Socket caller = new Socket(at.getAddress(), at.getPort());
+                    caller.getOutputStream().write("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n".getBytes());
+                    waiting.add(caller);
+                }
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            listener.replace(replaced::countDown);
+        });
+        for (int i = 0; i < WAITING; i++) {
+            try (Socket caller = waiting.poll(20, TimeUnit.SECONDS)) {
+                assertEquals(new String(caller.getInputStream().readNBytes(8)), "HTTP/1.1", "caller " + i);
+            }
+        }
+        replaced.await();
+        loop.stop();
+    }
+
+    private static RpcFields fields() throws IOException {
+        return new RpcFields(SettingsReader.read(JsonObject.parse(Files.readString(
+                Path.of("example", "config.json"))).child("settings")).module());
+    }
+
     /** Has a node answer what can't be passed on. */
     private static BrokenNode answered(BiConsumer<Driver<Message, Message>, CallAttempt<Message, Message>>
             answer) throws Exception {
@@ -98,9 +139,7 @@
         BrokenNode node = new BrokenNode(driver, answer, new LinkedBlockingQueue<>());
         driver.connect(node, Played.by(Resolver.class, (action, with) -> { }),
                 Played.by(Peers.class, (action, with) -> { }));
-        RpcFields fields = new RpcFields(SettingsReader.read(JsonObject.parse(Files.readString(
-                Path.of("example", "config.json"))).child("settings")).module());
-        InetSocketAddress at = new Listener(loop, driver, fields, () -> true, CallerLimits.DEFAULT, 10,
+        InetSocketAddress at = new Listener(loop, driver, fields(), () -> true, CallerLimits.DEFAULT, 10,
                 new HeldBytes(1000))
                 .listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), false);
         try (Socket caller = new Socket(at.getAddress(), at.getPort())) {
