End the former watch only once the new one has told what can be read

The new test saw no list come after an unreadable first line at the new address; now the former watch tells on. DiscoveryClientTest, FaultStoriesTest and ProxyStoriesTest pass. The queue that the tests of one class share is emptied first: a line left over made the new test pass at first.

--- a/daemon/src/main/java/cedarrudder/transport/DiscoveryClient.java
+++ b/daemon/src/main/java/cedarrudder/transport/DiscoveryClient.java
@@ -185,21 +185,20 @@
                 return;
             }
             JsonObject told = JsonObject.parse(text);
-            long itsVersion = told.whole("version");
+            boolean outdated = told.whole("version") < version && !(follows && told.flag("full", false));
+            // Not read: guards against what is outdated undoing what is known of nodes.
+            ResolverResult result = outdated ? null : reader.read(told);
             answered = true;
             if (this == watch) {
                 endFormer();
             }
-            // Before the reader takes it in: guards against what is outdated undoing what is known of nodes.
-            if (itsVersion < version && !follows) {
+            if (outdated && !follows) {
                 // Guards against a late answer taking back what the watch has told since.
                 fail("older than what is known");
-                return;
             }
-            if (itsVersion < version && !told.flag("full", false)) {
+            if (outdated) {
                 return; // a change that the watch at the former address has told already
             }
-            ResolverResult result = reader.read(told);
             version = result.version();
             loop.log().debug("discovery.told").with("version", version)
                     .with("list", result.full() ? "full" : "changes").with("nodes", result.nodes().size())
--- a/daemon/src/test/java/cedarrudder/transport/DiscoveryClientTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/DiscoveryClientTest.java
@@ -39,6 +39,7 @@
     }
 
     private void play(Runnable failed, Story story) throws Exception {
+        told.clear();
         JsonObject example = JsonObject.parse(Files.readString(Path.of("example", "config.json")));
         Loop loop = new Loop(new Logger(new PrintStream(OutputStream.nullOutputStream())));
         try (ServerSocket discovery = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
@@ -98,6 +99,25 @@
         });
     }
 
+    /** Guards against a list that stands still, since the new address began with what can't be read. */
+    @Test
+    public void theFormerWatchTellsOnUntilTheNewOneHasToldWhatCanBeRead() throws Exception {
+        play(() -> { }, (loop, client, discovery, watch) -> {
+            try (ServerSocket next = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+                tell(watch, 1, true, "in_service");
+                assertNotNull(told.poll(20, TimeUnit.SECONDS));
+                loop.run(() -> client.moveTo((InetSocketAddress) next.getLocalSocketAddress()));
+                try (Socket second = next.accept()) {
+                    second.getOutputStream().write(STREAM.getBytes());
+                    tell(second, 2, false, "nonsense");
+                    second.getInputStream().readAllBytes(); // given up by now
+                }
+                tell(watch, 3, false, "in_service");
+                assertEquals(told.poll(20, TimeUnit.SECONDS).version(), 3);
+            }
+        });
+    }
+
     /**
      * Guards against a line that is older than what is known changing what is known of a node: it counted as
      * restarted with the next that told of it, and all that was learnt of it was lost.
