Read what can be read of a list with a bad entry, and count the node of that entry as gone

Of the entry's node nobody knows whether it drains, so nothing new goes to it. A whole list of which nothing can be read is still dropped, since the one before is worth more than none.

Rejected: keeping what was known of the node, which could break the rule on drains. Test: an address and a field missing beside a drain; with the old reading it fails at "'nowhere' is not an address".

--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -289,6 +289,10 @@
     }
 
     private void resolved(ResolverResult result, ListKind kind) {
+        if (!result.unread().isEmpty()) {
+            log.warn("discovery.unread").with("entries", result.unread().size())
+                    .with("first", result.unread().get(0)).write();
+        }
         channels.resolved(result);
         resolved |= !result.nodes().isEmpty();
         if (kind != ListKind.CACHED) {
--- a/daemon/src/main/java/cedarrudder/program/Warmup.java
+++ b/daemon/src/main/java/cedarrudder/program/Warmup.java
@@ -89,7 +89,7 @@
         driver.connect(new Self(), new NoDiscovery(), (copy, message) -> { });
         Endpoint self = new Endpoint(SELF, settings.zone(), 0, 0, State.READY, 1, 0);
         channels.resolved(new ResolverResult(0, true,
-                List.of(new ResolverResult.Node("self", self, at))));
+                List.of(new ResolverResult.Node("self", self, at)), List.of()));
         driver.resolved(ListKind.FULL, List.of(self));
     }
 
--- a/daemon/src/main/java/cedarrudder/protocol/ResolverResult.java
+++ b/daemon/src/main/java/cedarrudder/protocol/ResolverResult.java
@@ -4,9 +4,13 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 
-/** Discovery's list of nodes at some version, whole or only what changed. */
-public record ResolverResult(long version, boolean full, List<Node> nodes) {
+/**
+ * Discovery's list of nodes at some version, whole or only what changed.
+ *
+ * @param unread what is wrong with each entry that could not be read
+ */
+public record ResolverResult(long version, boolean full, List<Node> nodes, List<String> unread) {
 
-    /** One node: its id, as discovery lists it, and where this proxy reaches it. */
+    /** One node: its id, as discovery lists it, and where this proxy reaches it (null: it is gone). */
     public record Node(String name, Endpoint endpoint, InetSocketAddress address) { }
 }
--- a/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
+++ b/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
@@ -2,6 +2,7 @@
 
 import cedarrudder.Balancer.Endpoint;
 import cedarrudder.Balancer.State;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -43,21 +44,44 @@
         return numbers.size();
     }
 
-    /** Reads a result; an IllegalArgumentException says what is wrong with it. */
+    /**
+     * Reads a result; an IllegalArgumentException says what is wrong with it as a whole. Of an entry that
+     * can't be read the result tells, and its node counts as gone: nobody knows whether it drains. Guards
+     * against one such entry keeping all others from being heard, drains among them, for as long as it stays.
+     */
     public ResolverResult read(JsonObject json) {
+        long version = json.whole("version");
+        boolean full = json.flag("full", false);
+        List<JsonObject> entries = json.list("servers", true);
         List<ResolverResult.Node> nodes = new ArrayList<>();
-        for (JsonObject entry : json.list("servers", true)) {
-            nodes.add(node(entry));
+        List<String> unread = new ArrayList<>();
+        for (int i = 0; i < entries.size(); i++) {
+            try {
+                nodes.add(node(entries.get(i)));
+            } catch (IllegalArgumentException e) {
+                unread.add("servers[" + i + "]: " + e.getMessage());
+                goneUnread(entries.get(i), full, nodes);
+            }
+        }
+        if (full && nodes.isEmpty() && !unread.isEmpty()) {
+            throw new IllegalArgumentException(unread.get(0)); // the list before is worth more than none
         }
-        boolean full = json.flag("full", false);
         if (full) {
             Set<String> listed = new HashSet<>();
-            for (JsonObject entry : json.list("servers", true)) {
-                listed.add(entry.text("id", null));
-            }
+            nodes.forEach(node -> listed.add(node.name()));
             List.copyOf(numbers.keySet()).stream().filter(id -> !listed.contains(id)).forEach(this::forget);
         }
-        return new ResolverResult(json.whole("version"), full, List.copyOf(nodes));
+        return new ResolverResult(version, full, List.copyOf(nodes), List.copyOf(unread));
+    }
+
+    /** A whole list needs no word of it: what it does not name is gone. */
+    private void goneUnread(JsonObject entry, boolean full, List<ResolverResult.Node> nodes) {
+        String id = entry.text("id", "");
+        if (!full && numbers.containsKey(id)) {
+            nodes.add(new ResolverResult.Node(id,
+                    new Endpoint(number(id), -1, -1, 0, State.GONE, 1, 0), null));
+            forget(id);
+        }
     }
 
     /** Guards against keeping every id of a long day: a node that is gone needs no number any more. */
@@ -88,9 +112,11 @@
             case "in_service" -> State.READY;
             case "terminating" -> State.DRAINING;
             case "terminated" -> State.GONE;
-            default -> throw new IllegalArgumentException("unknown state '" + word + "'");
+            default -> throw new IllegalArgumentException("unknown state '" + word
+                    + "'; allowed: in_service, terminating, terminated");
         };
         String id = entry.text("id", null);
+        InetSocketAddress address = Addresses.parse(entry.text("addr", null));
         Endpoint endpoint = new Endpoint(number(id),
                 site.zones().indexOf(entry.text("zone", "")), site.kinds().indexOf(entry.text("kind", "")),
                 (int) entry.number("cell", 0), state, entry.number("weight", 1),
@@ -98,8 +124,7 @@
         if (state == State.GONE) {
             forget(id);
         }
-        return new ResolverResult.Node(id, endpoint,
-                Addresses.parse(entry.text("addr", null)));
+        return new ResolverResult.Node(id, endpoint, address);
     }
 
     /**
--- a/daemon/src/test/java/cedarrudder/protocol/ResolverResultReaderTest.java
+++ b/daemon/src/test/java/cedarrudder/protocol/ResolverResultReaderTest.java
@@ -1,9 +1,11 @@
 package cedarrudder.protocol;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import org.testng.annotations.Test;
 
 /** What is kept from one resolver result to the next. */
@@ -61,4 +63,21 @@
         reader.read(result(true, "b", "in_service"));
         assertEquals(reader.size(), 1);
     }
+
+    /** Guards against one entry that can't be read keeping drains of all other nodes from being heard. */
+    @Test
+    public void anEntryThatCanNotBeReadTakesNoOtherAway() throws Exception {
+        ResolverResultReader reader = reader();
+        reader.read(result(false, "a", "in_service"));
+        ResolverResult mixed = reader.read(JsonObject.parse("{\"version\":2,\"full\":false,\"servers\":["
+                + "{\"id\":\"a\",\"addr\":\"nowhere\",\"state\":\"in_service\"},{\"addr\":7},"
+                + "{\"id\":\"b\",\"addr\":\"127.0.0.1:1\",\"state\":\"terminating\"}]}"));
+        assertEquals(mixed.nodes().stream().map(n -> n.name() + n.endpoint().state()).toList(),
+                List.of("aGONE", "bDRAINING"));
+        assertEquals(mixed.unread().toString(),
+                "[servers[0]: 'nowhere' is not an address, servers[1]: 'servers[1].state' is missing]");
+        assertEquals(reader.size(), 1);
+        assertThrows(IllegalArgumentException.class, () -> reader.read(result(true, "b", "unheard_of")));
+        assertEquals(reader.size(), 1, "a whole list of which nothing can be read changes nothing");
+    }
 }
