Let the log go on after a line that there was no memory for

The line is lost now, and the next is written. The test fails without the guard (nothing comes in 20 s).

--- a/daemon/src/main/java/cedarrudder/program/LogWriter.java
+++ b/daemon/src/main/java/cedarrudder/program/LogWriter.java
@@ -75,7 +75,11 @@
                 ended.countDown();
                 return;
             }
-            out.println(line);
+            try {
+                out.println(line);
+            } catch (OutOfMemoryError e) {
+                // This line is lost: guards against a log that is silent from then on, for months maybe.
+            }
         }
     }
 
--- /dev/null
+++ b/daemon/src/test/java/cedarrudder/program/LogWriterTest.java
@@ -0,0 +1,33 @@
+package cedarrudder.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+
+/** The thread that writes the log. */
+public class LogWriterTest {
+
+    /** Guards against a log that is silent for months after one moment without memory. */
+    @Test
+    public void itWritesOnAfterALineThatItHadNoMemoryFor() throws Exception {
+        BlockingQueue<String> written = new LinkedBlockingQueue<>();
+        LogWriter writer = new LogWriter(new PrintStream(OutputStream.nullOutputStream()) {
+            @Override
+            public void println(String line) {
+                if (line.equals("first")) {
+                    throw new OutOfMemoryError("played");
+                }
+                written.add(line);
+            }
+        });
+        assertTrue(writer.take("first") && writer.take("second"));
+        assertEquals(written.poll(20, TimeUnit.SECONDS), "second");
+        writer.end();
+    }
+}
