--- a/daemon/src/test/java/cedarrudder/program/ServeIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ServeIT.java
@@ -1,6 +1,7 @@
 package cedarrudder.program;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -192,4 +193,19 @@
             }
         }
     }
+
+    /** Guards against a start that takes time, and throws errors, over logging libraries not there. */
+    @Test
+    public void itLooksForNoLoggingLibrary() throws Exception {
+        Path loaded = Files.createTempFile("loaded", ".log");
+        List<String> watched = List.of("-Xlog:class+load:file=" + loaded);
+        Path state = Files.createTempDirectory("serve");
+        try (World world = new World(1);
+                Version proxy = new Version(world, state, "", watched, List.of())) {
+            proxy.awaitLine("proxy.listens");
+        }
+        String classes = Files.readString(loaded);
+        assertTrue(classes.contains("logging.InternalLoggerFactory "), classes);
+        assertFalse(classes.contains("logging.Slf4J"), "it has looked");
+    }
 }
--- a/daemon/src/test/java/cedarrudder/transport/ListenerTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/ListenerTest.java
@@ -2,10 +2,13 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import cedarrudder.Balancer;
 import cedarrudder.flow.BodyFlow;
 import cedarrudder.flow.HeldBytes;
+import cedarrudder.logging.Level;
+import cedarrudder.logging.LogSettings;
 import cedarrudder.logging.Logger;
 import cedarrudder.protocol.JsonObject;
 import cedarrudder.protocol.Message;
@@ -31,6 +34,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
 import org.testng.annotations.Test;
 
@@ -118,6 +122,35 @@
         loop.stop();
     }
 
+    /** Guards against a fault in one look at the connections ending all bounds on their time. */
+    @Test
+    public void connectionsAreLookedOverAfterAFaultInALook() throws Exception {
+        AtomicBoolean broken = new AtomicBoolean();
+        Logger log = new Logger(line -> {
+            if (line.contains("caller.closed_for_room") && broken.compareAndSet(false, true)) {
+                throw new IllegalStateException("broken on purpose");
+            }
+            return true;
+        });
+        log.settings(new LogSettings(Level.DEBUG, 20, 300));
+        Loop loop = new Loop(log);
+        InetSocketAddress at = new Listener(loop, null, fields(), () -> true, CallerLimits.DEFAULT, 1,
+                new HeldBytes(1000))
+                .listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), false);
+        try (Socket half = new Socket(at.getAddress(), at.getPort())) {
+            half.setSoTimeout(20_000);
+            half.getOutputStream().write(("POST /api HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+                    + "Content-Length: 5\r\n\r\n").getBytes());
+            assertEquals(new String(half.getInputStream().readNBytes(25)), "HTTP/1.1 100 Continue\r\n\r\n");
+            try (Socket next = new Socket(at.getAddress(), at.getPort())) {
+                next.setSoTimeout(20_000);
+                assertEquals(half.getInputStream().read(), -1, "it makes room, though the first look failed");
+            }
+        }
+        assertTrue(broken.get());
+        loop.stop();
+    }
+
     private static RpcFields fields() throws IOException {
         return new RpcFields(SettingsReader.read(JsonObject.parse(Files.readString(
                 Path.of("example", "config.json"))).child("settings")).module());
