Join the small pieces of a body that waits, so that a window costs what it holds

A sender that cuts a body into single bytes made a window of 64 KiB 65,536 arrays, some 2 MB, of which the account knew 64 KiB. Seen: with 24 MB of heap and 30 such uploads that a node does not take, callers had no answer in 20 s, and the collector ran without end. BodyFlowTest: 65,536 pieces a window before, 8 now, and 20,000 random puts and takes give the same bytes. Pieces of 1 KiB and more go on as they come.

--- a/core/src/main/java/cedarrudder/flow/BodyFlow.java
+++ b/core/src/main/java/cedarrudder/flow/BodyFlow.java
@@ -1,6 +1,7 @@
 package cedarrudder.flow;
 
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Queue;
 
 /**
@@ -17,7 +18,16 @@
 
     private static final Runnable NOBODY = () -> { };
 
+    /** Pieces below this size, in bytes, are joined while they wait, up to a whole one. */
+    private static final int SMALL = 1024;
+    private static final int WHOLE = 8 * 1024;
+    private static final int LEAST_JOINED = 64;
+
     private final Queue<byte[]> pieces = new ArrayDeque<>();
+
+    /** Small pieces behind the others, joined: {@code joinedLength} bytes of it. */
+    private byte[] joined;
+    private int joinedLength;
     private final HeldBytes account;
     private int held;
     private boolean ended;
@@ -32,13 +42,43 @@
     /** The next piece; one that is put when the flow is full is taken all the same. */
     public void put(byte[] piece) {
         if (!broken && piece.length > 0) {
-            pieces.add(piece);
+            if (piece.length < SMALL) {
+                join(piece);
+            } else {
+                endJoined();
+                pieces.add(piece);
+            }
             held += piece.length;
             account.add(piece.length);
             whenMore.run();
         }
     }
 
+    /** Guards against a window that costs many times its bytes, since its sender cut it into single ones. */
+    private void join(byte[] piece) {
+        if (joinedLength + piece.length > WHOLE) {
+            endJoined();
+        }
+        int length = joinedLength + piece.length;
+        if (joined == null) {
+            joined = piece; // which is enough where nothing waits
+        } else {
+            if (length > joined.length) {
+                joined = Arrays.copyOf(joined, Math.min(WHOLE, Math.max(LEAST_JOINED, 2 * length)));
+            }
+            System.arraycopy(piece, 0, joined, joinedLength, piece.length);
+        }
+        joinedLength = length;
+    }
+
+    private void endJoined() {
+        if (joined != null) {
+            pieces.add(joinedLength == joined.length ? joined : Arrays.copyOf(joined, joinedLength));
+            joined = null;
+            joinedLength = 0;
+        }
+    }
+
     /** Whether to put nothing more for now. While the account is used up one piece is enough. */
     public boolean full() {
         return held >= WINDOW || held > 0 && account.usedUp();
@@ -57,12 +97,17 @@
             account.add(-held);
             held = 0;
             pieces.clear();
+            joined = null;
+            joinedLength = 0;
             whenMore.run();
         }
     }
 
     /** The next piece, or null where there is none now. */
     public byte[] take() {
+        if (pieces.isEmpty()) {
+            endJoined();
+        }
         byte[] piece = pieces.poll();
         if (piece != null) {
             held -= piece.length;
@@ -74,7 +119,7 @@
 
     /** Whether all was put and taken. */
     public boolean atEnd() {
-        return ended && pieces.isEmpty();
+        return ended && held == 0;
     }
 
     /** Whether the rest will not come. */
--- /dev/null
+++ b/core/src/test/java/cedarrudder/flow/BodyFlowTest.java
@@ -0,0 +1,56 @@
+package cedarrudder.flow;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.util.SplittableRandom;
+import org.testng.annotations.Test;
+
+/** A window of a body, put and taken in pieces of any size. */
+public class BodyFlowTest {
+
+    /** Guards against a window that costs thirty times its bytes, since each came in a piece of its own. */
+    @Test
+    public void aWindowOfSingleBytesIsKeptInFewPieces() {
+        HeldBytes account = new HeldBytes(HeldBytes.MOST);
+        BodyFlow flow = new BodyFlow(account);
+        while (!flow.full()) {
+            flow.put(new byte[1]);
+        }
+        assertEquals(account.held(), BodyFlow.WINDOW);
+        int pieces = 0;
+        while (flow.take() != null) {
+            pieces++;
+        }
+        assertTrue(pieces <= 64, pieces + " pieces");
+        assertEquals(account.held(), 0);
+    }
+
+    /** Guards against bytes lost, doubled or out of order as small pieces are joined. */
+    @Test
+    public void whatIsTakenIsWhatWasPut() {
+        long seed = 20261201;
+        SplittableRandom random = new SplittableRandom(seed);
+        BodyFlow flow = new BodyFlow(new HeldBytes(HeldBytes.MOST));
+        ByteArrayOutputStream put = new ByteArrayOutputStream();
+        ByteArrayOutputStream taken = new ByteArrayOutputStream();
+        for (int i = 0; i < 20_000; i++) {
+            if (random.nextInt(3) > 0) {
+                byte[] piece = new byte[random.nextInt(10) > 0 ? random.nextInt(5) : random.nextInt(20_000)];
+                random.nextBytes(piece);
+                put.writeBytes(piece);
+                flow.put(piece);
+            } else {
+                byte[] piece = flow.take();
+                taken.writeBytes(piece == null ? new byte[0] : piece);
+            }
+        }
+        flow.end();
+        for (byte[] piece = flow.take(); piece != null; piece = flow.take()) {
+            taken.writeBytes(piece);
+        }
+        assertTrue(flow.atEnd());
+        assertEquals(taken.toByteArray(), put.toByteArray(), "seed " + seed);
+    }
+}
