Bound the fields of a head: 16 KiB of short ones took forty times that

One of 16 KiB holds 4,000 fields of 4 bytes, each some objects, so that 80 callers with 1.3 MB in all could fill the heap of 56 MB. Now 128, then 431 (RFC 6585 5; a node's answer counts as one that can't be read).

With it: tests for cells that were empty.

--- a/daemon/src/main/java/cedarrudder/protocol/Head.java
+++ b/daemon/src/main/java/cedarrudder/protocol/Head.java
@@ -25,10 +25,15 @@
     private static final String HOST_MARKS = "-._~%!$&'()*+,;=";
     private static final String SCHEME = "http://";
 
+    /**
+     * Fields of one head, at the most (RFC 6585 5; servers that bound them allow some 100). Guards against a
+     * head that takes forty times its bytes: each field is some objects, and a head has room for 4,000.
+     */
+    private static final int MOST_FIELDS = 128;
+
     /** What first lines mostly hold: made once, and not for each message. */
     private static final String[] USUAL = {"HTTP/1.1", "GET", "POST", "200", "OK", "503"};
 
-
     private final String first;
     private final String second;
     private final String third;
@@ -109,6 +114,10 @@
 
     /** Adds a field line, which is given without its end. */
     void addField(byte[] bytes, int from, int to) throws BadMessageException {
+        if (fields.all().size() == MOST_FIELDS) {
+            throw new BadMessageException(BadMessageException.FIELDS_TOO_LARGE,
+                    "more than " + MOST_FIELDS + " header fields");
+        }
         fields.add(field(bytes, from, to));
     }
 
--- a/daemon/src/test/java/cedarrudder/program/FaultStoriesTest.java
+++ b/daemon/src/test/java/cedarrudder/program/FaultStoriesTest.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
@@ -293,6 +294,21 @@
         }
     }
 
+    /** Guards against an answer that says no length, and that its node breaks off, looking whole. */
+    @Test
+    public void anAnswerWithoutALengthThatIsResetIsNotAWholeOne() throws Exception {
+        try (World world = new World(1).start(); Caller caller = world.caller()) {
+            caller.send(World.rpc("lookup", "/stays-for-test", ""));
+            Received call = world.call();
+            call.raw("HTTP/1.1 200 OK\r\n\r\n" + "x".repeat(100_000));
+            assertEquals(caller.readHead().first(), "HTTP/1.1 200 OK");
+            call.reset();
+            assertFalse(caller.readAll().endsWith("0\r\n\r\n"), "it ends as a whole one does");
+        } catch (SocketException e) {
+            // a reset is a visible break
+        }
+    }
+
     /**
      * Guards against a caller that waits ten minutes, and memory held as long, for a node that is silent in
      * the midst of a body: it has no deadline before its end. The bound is 30 s.
--- a/daemon/src/test/java/cedarrudder/program/ShortageIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ShortageIT.java
@@ -204,6 +204,29 @@
         }
     }
 
+    /**
+     * Expected to fail, as finding 36 is open: a folder that is cleared before a new version starts parts the
+     * two. Turns red once they find each other all the same.
+     */
+    @Test(expectedExceptions = AssertionError.class, expectedExceptionsMessageRegExp = "not replaced.*")
+    public void aFolderForStateThatIsClearedBeforeAnUpgradeHidesNobody() throws Exception {
+        Path state = folder();
+        try (World world = new World(1); Version first = new Version(world, state)) {
+            Nodes.list(world);
+            first.awaitLine("proxy.listens");
+            try (Stream<Path> files = Files.walk(state)) {
+                for (Path file : files.filter(Files::isRegularFile).toList()) {
+                    Files.delete(file);
+                }
+            }
+            try (Version second = new Version(world, state)) {
+                second.awaitReady();
+                first.signal("TERM");
+                assertTrue(first.rest().contains("proxy.replaced"), "not replaced by the one that is ready");
+            }
+        }
+    }
+
     /**
      * Guards against connections that keep, as long as they stand, the room that their largest body took: 64
      * KiB each, in no account.
@@ -234,6 +257,33 @@
         }
     }
 
+    /** Guards against heads that take forty times their size, cut into fields of a few bytes. */
+    @Test
+    public void headsOfManyFieldsAreTurnedAwayAndOthersAreServed() throws Exception {
+        List<Caller> callers = new ArrayList<>();
+        try (World world = new World(1); Version proxy = new Version(world, folder(), "",
+                List.of("-XX:+UseSerialGC", "-Xmx24m"), List.of())) {
+            proxy.awaitLine("proxy.listens");
+            Nodes.play(world, call -> call.reply("200 OK", "done"));
+            for (int i = 0; i < 200; i++) {
+                Caller caller = world.caller();
+                callers.add(caller);
+                caller.send("GET /api HTTP/1.1\r\nHost: a\r\n" + "a:\r\n".repeat(4000)); // and no end
+            }
+            for (Caller caller : callers) {
+                assertTrue(caller.read().first().contains(" 431 "));
+            }
+            serveOne(world, "other");
+            proxy.signal("TERM");
+            String said = proxy.rest();
+            assertFalse(said.contains("OutOfMemory"), said);
+        } finally {
+            for (Caller caller : callers) {
+                caller.close();
+            }
+        }
+    }
+
     /** Guards against memory that grows with the rate of operators' calls: each kept its time running. */
     @Test
     public void aFloodOfOperatorsCallsLeavesNothingBehind() throws Exception {
--- a/daemon/src/test/java/cedarrudder/transport/DiscoveryClientTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/DiscoveryClientTest.java
@@ -110,6 +110,24 @@
         broken = false;
     }
 
+    /** Guards against memory that a line of a list without an end uses up. */
+    @Test
+    public void aLineWithoutAnEndIsToldAsALostWatch() throws Exception {
+        Semaphore failures = new Semaphore(0);
+        play(failures::release, (loop, client, discovery, watch) -> {
+            loop.run(() -> client.apply(new DiscoveryLimits(600_000_000_000L, 600_000_000_000L)));
+            byte[] piece = ("100000\r\n" + "x".repeat(0x100000) + "\r\n").getBytes();
+            try {
+                for (int i = 0; i < 8; i++) {
+                    watch.getOutputStream().write(piece);
+                }
+            } catch (IOException e) {
+                // closed, as it should be
+            }
+            assertEquals(failures.tryAcquire(20, TimeUnit.SECONDS), true);
+        });
+    }
+
     /** Guards against a list that stands still for good, since the network to discovery was cut. */
     @Test
     public void aWatchThatFallsSilentIsToldAsLost() throws Exception {
