Give histories of many copies a form of their own, which a judge reads

The parts on copies that decide together are to be judged by what the copies wrote, with no knowledge of the code. An event has its time on the run's one clock, the copy's number and life, a word and fields; a line that a killed process left torn is left out. HistoryTest reads both.

--- a/core/src/test/java/cedarrudder/LayersTest.java
+++ b/core/src/test/java/cedarrudder/LayersTest.java
@@ -72,6 +72,7 @@
             entry("cedarrudder.lab.emulator", Set.of(MODULE, "cedarrudder.protocol",
                     "cedarrudder.lab.scenario", "cedarrudder.lab.trace", "cedarrudder.lab.result",
                     "cedarrudder.lab.model", "cedarrudder.lab.referee", "io.netty")),
+            entry("cedarrudder.lab.judge", Set.of()),
             entry("cedarrudder.lab.members", Set.of("cedarrudder.membership")),
             entry("cedarrudder.lab.load", Set.of(MODULE, "cedarrudder.protocol", "io.netty")),
             entry("cedarrudder.lab.command", Set.of(MODULE, "cedarrudder.budget", "cedarrudder.toml",
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/judge/Event.java
@@ -0,0 +1,44 @@
+package cedarrudder.lab.judge;
+
+import java.util.Map;
+import java.util.NoSuchElementException;
+
+/**
+ * Something that a copy says of itself, or that the world says of a copy (its start, its end, a cut of its link).
+ *
+ * @param at its instant, in nanoseconds of the one clock of the run, whatever the copy's own clock says
+ * @param copy the copy's number
+ * @param life the number of the copy's life: a later one begins when the copy comes back
+ * @param what what happened, a word
+ * @param fields what else is known of it, as text
+ */
+public record Event(long at, int copy, long life, String what, Map<String, String> fields) {
+
+    public Event {
+        fields = Map.copyOf(fields);
+    }
+
+    /**
+     * A field as text.
+     *
+     * @throws NoSuchElementException if the event has no such field
+     */
+    public String text(String name) {
+        String value = fields.get(name);
+        if (value == null) {
+            throw new NoSuchElementException("event \"" + what + "\" of copy " + copy + " has no field \"" + name
+                    + "\", only " + fields.keySet());
+        }
+        return value;
+    }
+
+    /**
+     * A field as a whole number.
+     *
+     * @throws NoSuchElementException if the event has no such field
+     * @throws NumberFormatException if it is no whole number
+     */
+    public long number(String name) {
+        return Long.parseLong(text(name));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/judge/History.java
@@ -0,0 +1,114 @@
+package cedarrudder.lab.judge;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Histories of copies, as lines of JSON: {@code {"at":12,"copy":3,"life":1,"what":"voted","term":7}}. Fields are
+ * texts or whole numbers. A last line without its end was being written when its process died, and is left out.
+ */
+public final class History {
+
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private History() { }
+
+    /** An event as one line, without its end. */
+    public static String line(Event event) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator json = JSON.createGenerator(text)) {
+            json.writeStartObject();
+            json.writeNumberField("at", event.at());
+            json.writeNumberField("copy", event.copy());
+            json.writeNumberField("life", event.life());
+            json.writeStringField("what", event.what());
+            for (Map.Entry<String, String> field : new TreeMap<>(event.fields()).entrySet()) {
+                json.writeStringField(field.getKey(), field.getValue());
+            }
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return text.toString();
+    }
+
+    /**
+     * Reads a line.
+     *
+     * @param place what a complaint calls it
+     * @throws IOException if it is no event; the message names place, found and allowed
+     */
+    public static Event event(String line, String place) throws IOException {
+        Map<String, String> fields = new TreeMap<>();
+        try (JsonParser json = JSON.createParser(line)) {
+            if (json.nextToken() != JsonToken.START_OBJECT) {
+                throw new IOException(place + ": found " + json.currentToken() + ", allowed is an object");
+            }
+            while (json.nextToken() == JsonToken.FIELD_NAME) {
+                String name = json.currentName();
+                JsonToken value = json.nextToken();
+                if (value != JsonToken.VALUE_STRING && value != JsonToken.VALUE_NUMBER_INT) {
+                    throw new IOException(place + ": \"" + name + "\" is " + value
+                            + ", allowed are texts and whole numbers");
+                }
+                fields.put(name, json.getText());
+            }
+        }
+        try {
+            return new Event(Long.parseLong(taken(fields, "at", place)),
+                    Integer.parseInt(taken(fields, "copy", place)),
+                    Long.parseLong(taken(fields, "life", place)), taken(fields, "what", place), fields);
+        } catch (NumberFormatException e) {
+            throw new IOException(place + ": at, copy and life are whole numbers; " + e.getMessage(), e);
+        }
+    }
+
+    /** Reads files, one a copy, and puts their events in the order of time; of one instant in that of the files. */
+    public static List<Event> read(List<Path> files) throws IOException {
+        List<Event> all = new ArrayList<>();
+        for (Path file : files) {
+            String text = Files.readString(file);
+            int line = 0;
+            for (int from = 0, to = text.indexOf('\n'); to >= 0; from = to + 1, to = text.indexOf('\n', from)) {
+                all.add(event(text.substring(from, to), file + ", line " + ++line));
+            }
+        }
+        all.sort(Comparator.comparingLong(Event::at));
+        return all;
+    }
+
+    /**
+     * Judges a history.
+     *
+     * @param events in the order of time
+     * @param until when the history ended
+     * @return what was broken, rule by rule in the order given
+     */
+    public static List<Breach> judged(List<Event> events, long until, List<? extends Rule> rules) {
+        for (Event event : events) {
+            rules.forEach(rule -> rule.took(event));
+        }
+        rules.forEach(rule -> rule.ended(until));
+        return rules.stream().map(Rule::breaches).<Breach>mapMulti(List::forEach).toList();
+    }
+
+    private static String taken(Map<String, String> fields, String name, String place) throws IOException {
+        String value = fields.remove(name);
+        if (value == null) {
+            throw new IOException(place + ": no \"" + name + "\", found " + fields.keySet());
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/cedarrudder/lab/judge/HistoryTest.java
@@ -0,0 +1,41 @@
+package cedarrudder.lab.judge;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.Test;
+
+/** What copies write of themselves, read again. */
+public class HistoryTest {
+
+    /** A copy that is killed within a line must not take the lines before it, or the other copies', away. */
+    @Test
+    public void aLineThatItsProcessDidNotFinishIsLeftOut() throws IOException {
+        Event first = new Event(5, 1, 9, "voted", Map.of("term", "7"));
+        Event second = new Event(3, 2, 9, "loaded", Map.of("digest", "a \"b\"\n"));
+        Path one = Files.createTempFile("copy", ".jsonl");
+        Path other = Files.createTempFile("copy", ".jsonl");
+        try {
+            Files.writeString(one, History.line(first) + "\n" + "{\"at\":6,\"cop");
+            Files.writeString(other, History.line(second) + "\n");
+            assertEquals(History.read(List.of(one, other)), List.of(second, first));
+        } finally {
+            Files.delete(one);
+            Files.delete(other);
+        }
+    }
+
+    /** A judge that reads past what it can't understand would find nothing wrong in it. */
+    @Test
+    public void aLineThatIsNoEventIsRefusedWithItsPlace() {
+        assertThrows(IOException.class, () -> History.event("{\"at\":1,\"copy\":2,\"life\":3}", "f, line 4"));
+        assertThrows(IOException.class, () -> History.event("{\"at\":\"x\",\"copy\":2,\"life\":3,\"what\":\"w\"}", "f"));
+        assertThrows(IOException.class, () -> History.event("[]", "f"));
+        assertThrows(IOException.class, () -> History.event("{\"at\":[1]}", "f"));
+    }
+}
