Link only the folders that examples read, so that none is written through a link

A folder results/ in a checkout would have been a link in the folder where examples run, and an example that writes to results/first would have left it there. Only core, daemon, deploy and the lab's src and target are links now.

--- a/lab/src/test/java/cedarrudder/lab/docs/Session.java
+++ b/lab/src/test/java/cedarrudder/lab/docs/Session.java
@@ -34,8 +34,8 @@
         this.root = root.toRealPath();
         folder = Files.createTempDirectory("examples").toRealPath();
         Files.createDirectory(folder.resolve("tmp"));
-        mirror("", List.of("lab", "example", ".git"));
-        mirror("lab", List.of("plans", "scenarios"));
+        mirror("", List.of("core", "daemon", "deploy"));
+        mirror("lab", List.of("src", "target"));
         mirror("lab/plans", List.of());
         mirror("lab/scenarios", List.of());
         try (Stream<Path> files = Files.walk(this.root.resolve("example"))) {
@@ -47,15 +47,15 @@
         }
     }
 
-    /** Links to the folders within one, but for some, and copies of its files as old as they are. */
-    private void mirror(String name, List<String> without) throws IOException {
+    /** Links to folders within one, and copies of its files that are as old as they. */
+    private void mirror(String name, List<String> links) throws IOException {
         Files.createDirectories(folder.resolve(name));
         try (Stream<Path> entries = Files.list(root.resolve(name))) {
             for (Path entry : entries.toList()) {
                 Path copy = folder.resolve(name).resolve(entry.getFileName());
                 if (!Files.isDirectory(entry)) {
                     Files.copy(entry, copy, StandardCopyOption.COPY_ATTRIBUTES);
-                } else if (!without.contains(entry.getFileName().toString())) {
+                } else if (links.contains(entry.getFileName().toString())) {
                     Files.createSymbolicLink(copy, entry);
                 }
             }
