--- a/lab/src/test/java/cedarrudder/lab/docs/ExamplesIT.java
+++ b/lab/src/test/java/cedarrudder/lab/docs/ExamplesIT.java
@@ -37,10 +37,10 @@
             return problems;
         }
         long start = System.nanoTime();
-        try (Session session = new Session(ROOT)) {
+        try (Playground playground = new Playground(ROOT)) {
             for (Block block : blocks) {
                 try {
-                    session.play(block);
+                    playground.play(block);
                 } catch (AssertionError | Exception e) {
                     String message = String.valueOf(e.getMessage());
                     problems.add(message.startsWith(block.place()) ? message : block.place() + ": " + e);
--- a/lab/src/test/java/cedarrudder/lab/docs/Session.java
+++ b/lab/src/test/java/cedarrudder/lab/docs/Playground.java
@@ -19,7 +19,7 @@
  * Plays the examples of one page, in their order, in a folder that looks like the checkout: small files are
  * copies, with other ports, and whole modules are links. What the examples write stays in the folder.
  */
-final class Session implements AutoCloseable {
+final class Playground implements AutoCloseable {
 
     private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(180);
     private static final long LOOK_MILLIS = 20;
@@ -30,7 +30,7 @@
     private final Path folder;
     private final Ports ports = new Ports();
 
-    Session(Path root) throws IOException {
+    Playground(Path root) throws IOException {
         this.root = root.toRealPath();
         folder = Files.createTempDirectory("examples").toRealPath();
         Files.createDirectory(folder.resolve("tmp"));
@@ -148,7 +148,7 @@
         shell.destroyForcibly().waitFor();
         others.forEach(ProcessHandle::destroyForcibly);
         long start = System.nanoTime();
-        while (others.stream().anyMatch(Session::runs)) {
+        while (others.stream().anyMatch(Playground::runs)) {
             assertTrue(System.nanoTime() - start < PATIENCE_NANOS, "no end of " + others);
             Thread.sleep(LOOK_MILLIS);
         }
--- a/lab/src/test/java/cedarrudder/lab/docs/Ports.java
+++ b/lab/src/test/java/cedarrudder/lab/docs/Ports.java
@@ -9,7 +9,7 @@
 
 /**
  * Free ports in place of those that examples name, which are 7000 to 7009, 7100 to 7109, 7200 to 7209 and
- * 9100 to 9109. Sessions that run at once have an offset each.
+ * 9100 to 9109. Playgrounds that are used at once have an offset each.
  */
 final class Ports {
 
