--- a/lab/src/main/java/cedarrudder/lab/judge/History.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/History.java
@@ -16,8 +16,9 @@
 import java.util.TreeMap;
 
 /**
- * Histories of copies, as lines of JSON: {@code {"at":12,"copy":3,"life":1,"what":"voted","term":7}}. Fields are
- * texts or whole numbers. A last line without its end was being written when its process died, and is left out.
+ * Histories of copies, as lines of JSON: {@code {"at":12,"copy":3,"life":1,"what":"voted","term":7}}. Fields
+ * are texts or whole numbers. A last line without its end was being written when its process died, and is
+ * left out.
  */
 public final class History {
 
@@ -75,14 +76,16 @@
         }
     }
 
-    /** Reads files, one a copy, and puts their events in the order of time; of one instant in that of the files. */
+    /** Reads files, one a copy, and puts events in the order of time; of one instant in that of the files. */
     public static List<Event> read(List<Path> files) throws IOException {
         List<Event> all = new ArrayList<>();
         for (Path file : files) {
             String text = Files.readString(file);
             int line = 0;
-            for (int from = 0, to = text.indexOf('\n'); to >= 0; from = to + 1, to = text.indexOf('\n', from)) {
+            int from = 0;
+            for (int to = text.indexOf('\n'); to >= 0; to = text.indexOf('\n', from)) {
                 all.add(event(text.substring(from, to), file + ", line " + ++line));
+                from = to + 1;
             }
         }
         all.sort(Comparator.comparingLong(Event::at));
--- a/lab/src/test/java/cedarrudder/lab/docs/Block.java
+++ b/lab/src/test/java/cedarrudder/lab/docs/Block.java
@@ -68,7 +68,8 @@
             return place() + ": found as=\"" + marks.get("as") + "\"; allowed: " + FILES;
         }
         String file = marks.get("file");
-        if (file != null && all.stream().noneMatch(block -> block.line > line && block.text.contains(Path.of(file).getFileName().toString())
+        String name = file == null ? "" : Path.of(file).getFileName().toString();
+        if (file != null && all.stream().noneMatch(block -> block.line > line && block.text.contains(name)
                 && (block.isRun() || block.marks().containsKey("file")))) {
             return place() + ": no later command or file of the page names the file " + file;
         }
--- a/lab/src/test/java/cedarrudder/lab/docs/ExamplesIT.java
+++ b/lab/src/test/java/cedarrudder/lab/docs/ExamplesIT.java
@@ -15,7 +15,7 @@
 import java.util.stream.Stream;
 import org.testng.annotations.Test;
 
-/** Every example of the docs does what its page shows, or says why it isn't run. docs/TESTING.md has the marks. */
+/** Every example of the docs does what its page shows, or says why it isn't run: see docs/TESTING.md. */
 public class ExamplesIT {
 
     private static final Path ROOT = Path.of("");
@@ -47,7 +47,8 @@
                 }
             }
         }
-        System.out.printf("%s: %d examples in %.1f s%n", page, blocks.size(), (System.nanoTime() - start) / 1e9);
+        double seconds = (System.nanoTime() - start) / 1e9;
+        System.out.printf("%s: %d examples in %.1f s%n", page, blocks.size(), seconds);
         return problems;
     }
 
--- a/lab/src/test/java/cedarrudder/lab/docs/Page.java
+++ b/lab/src/test/java/cedarrudder/lab/docs/Page.java
@@ -15,7 +15,8 @@
 /** Finds the code blocks of a page, wherever they stand in it. */
 final class Page extends AbstractVisitor {
 
-    private static final Parser PARSER = Parser.builder().includeSourceSpans(IncludeSourceSpans.BLOCKS).build();
+    private static final Parser PARSER =
+            Parser.builder().includeSourceSpans(IncludeSourceSpans.BLOCKS).build();
 
     private final Path file;
     private final List<Block> blocks = new ArrayList<>();
--- a/lab/src/test/java/cedarrudder/lab/docs/Playground.java
+++ b/lab/src/test/java/cedarrudder/lab/docs/Playground.java
@@ -89,7 +89,8 @@
         List<Step> steps = Step.of(block);
         StringBuilder script = new StringBuilder("exec 3<&0 </dev/null\n");
         for (Step step : steps) {
-            script.append(block.language().equals("sh") ? "(set -e\n" + step.command() + "\n)" : step.command())
+            boolean sh = block.language().equals("sh");
+            script.append(sh ? "(set -e\n" + step.command() + "\n)" : step.command())
                     .append("\nprintf '").append(END.replace("\001", "\\001")).append("%s\\n' $?\n");
         }
         script.append("read -r end <&3\n");
@@ -107,7 +108,8 @@
         try {
             String wrong = wrong(block, steps, said);
             if (!wrong.isEmpty()) {
-                throw new AssertionError(block.place() + ": " + wrong + "\nports " + ports.offset() + " higher");
+                throw new AssertionError(block.place() + ": " + wrong + "\nports " + ports.offset()
+                        + " higher");
             }
         } finally {
             end(shell);
--- a/lab/src/test/java/cedarrudder/lab/judge/HistoryTest.java
+++ b/lab/src/test/java/cedarrudder/lab/judge/HistoryTest.java
@@ -34,7 +34,8 @@
     @Test
     public void aLineThatIsNoEventIsRefusedWithItsPlace() {
         assertThrows(IOException.class, () -> History.event("{\"at\":1,\"copy\":2,\"life\":3}", "f, line 4"));
-        assertThrows(IOException.class, () -> History.event("{\"at\":\"x\",\"copy\":2,\"life\":3,\"what\":\"w\"}", "f"));
+        String noTime = "{\"at\":\"x\",\"copy\":2,\"life\":3,\"what\":\"w\"}";
+        assertThrows(IOException.class, () -> History.event(noTime, "f"));
         assertThrows(IOException.class, () -> History.event("[]", "f"));
         assertThrows(IOException.class, () -> History.event("{\"at\":[1]}", "f"));
     }
