--- a/core/src/test/java/cedarrudder/LayersTest.java
+++ b/core/src/test/java/cedarrudder/LayersTest.java
@@ -44,7 +44,7 @@
                     "cedarrudder.routing", "cedarrudder.protocol", "io.netty")),
             entry("cedarrudder.sim", Set.of(MODULE, "cedarrudder.protocol")),
             entry("cedarrudder.operator", Set.of("cedarrudder.membership", "cedarrudder.logging",
-                    "cedarrudder.budget",
+                    "cedarrudder.budget", "cedarrudder.routing",
                     "cedarrudder.toml", "cedarrudder.transport")),
             entry("cedarrudder.program", Set.of("cedarrudder.membership", "cedarrudder.figures",
                     "cedarrudder.rotation", "cedarrudder.flow", MODULE,
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -30,6 +30,7 @@
 import cedarrudder.rotation.Rotation.Named;
 import cedarrudder.rotation.Rotation;
 import cedarrudder.routing.Driver;
+import cedarrudder.routing.ResolverClock;
 import cedarrudder.toml.BadFileException;
 import cedarrudder.transport.AdminListener;
 import cedarrudder.transport.Desk;
@@ -106,7 +107,8 @@
         reader = new ResolverResultReader(site, loop::now, System::currentTimeMillis);
         long version = (long) configuration.known().number("version", 0);
         discovery = new DiscoveryClient(loop, configuration.discovery(),
-                operator.of(DiscoveryTable.DISCOVERY), reader, version,
+                operator.of(DiscoveryTable.DISCOVERY), ResolverClock.longest(site.module()),
+                new SplittableRandom(configuration.seed()).split().split().split(), reader, version,
                 result -> resolved(result, result.full() ? ListKind.FULL : ListKind.CHANGES),
                 driver::unresolved);
         peers = new PeerSocket(loop, driver, configuration.peers(), configuration.peersAll());
@@ -165,6 +167,9 @@
                 setBounds();
                 watchOthers();
             }
+            if (!configuration.site().module().askForEndpoints()) {
+                discovery.subscribe(true); // nobody asks for it: what was pushed counts from now on
+            }
             if (replacing) {
                 discovery.fetch();
             }
--- a/daemon/src/main/java/cedarrudder/protocol/JsonObject.java
+++ b/daemon/src/main/java/cedarrudder/protocol/JsonObject.java
@@ -122,6 +122,12 @@
         return value == null ? otherwise : value.toString();
     }
 
+    /** Whether a key has what can be read as a text. */
+    public boolean isText(String key) {
+        Object value = members.get(key);
+        return value != null && !(value instanceof Map) && !(value instanceof List);
+    }
+
     private List<?> array(String key, boolean required) {
         Object value = get(key, required);
         if (value != null && !(value instanceof List)) {
@@ -142,12 +148,19 @@
     }
 
     public List<JsonObject> list(String key, boolean required) {
+        List<JsonObject> objects = objects(key, required);
+        if (objects.contains(null)) {
+            throw wrong(key, "a list of objects");
+        }
+        return objects;
+    }
+
+    /** The objects of a list; null where an element is none. */
+    public List<JsonObject> objects(String key, boolean required) {
         List<JsonObject> objects = new ArrayList<>();
         for (Object element : array(key, required)) {
-            if (!(element instanceof Map<?, ?> object)) {
-                throw wrong(key, "a list of objects");
-            }
-            objects.add(new JsonObject(object, path + key + "[" + objects.size() + "]."));
+            objects.add(element instanceof Map<?, ?> object
+                    ? new JsonObject(object, path + key + "[" + objects.size() + "].") : null);
         }
         return objects;
     }
--- a/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
+++ b/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
@@ -52,10 +52,14 @@
     public ResolverResult read(JsonObject json) {
         long version = json.whole("version");
         boolean full = json.flag("full", false);
-        List<JsonObject> entries = json.list("servers", true);
+        List<JsonObject> entries = json.objects("servers", true);
         List<ResolverResult.Node> nodes = new ArrayList<>();
         List<String> unread = new ArrayList<>();
         for (int i = 0; i < entries.size(); i++) {
+            if (entries.get(i) == null) {
+                unread.add("servers[" + i + "] is not an object");
+                continue;
+            }
             try {
                 nodes.add(node(entries.get(i)));
             } catch (IllegalArgumentException e) {
@@ -76,7 +80,7 @@
 
     /** A whole list needs no word of it: what it does not name is gone. */
     private void goneUnread(JsonObject entry, boolean full, List<ResolverResult.Node> nodes) {
-        String id = entry.text("id", "");
+        String id = entry.isText("id") ? entry.text("id", "") : "";
         if (!full && numbers.containsKey(id)) {
             nodes.add(new ResolverResult.Node(id,
                     new Endpoint(number(id), -1, -1, 0, State.GONE, 1, 0), null));
--- a/daemon/src/test/java/cedarrudder/operator/OperatorTest.java
+++ b/daemon/src/test/java/cedarrudder/operator/OperatorTest.java
@@ -11,11 +11,11 @@
 import cedarrudder.membership.MembershipSettings;
 import cedarrudder.logging.Level;
 import cedarrudder.logging.LogSettings;
+import cedarrudder.routing.ResolverPatience;
 import cedarrudder.toml.BadFileException;
 import cedarrudder.toml.Document;
 import cedarrudder.toml.Problem;
 import cedarrudder.transport.CallerLimits;
-import cedarrudder.transport.DiscoveryLimits;
 import cedarrudder.transport.NodeLimits;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -35,7 +35,7 @@
         assertEquals(operator.of(LogTable.LOG), Log.DEFAULT);
         assertEquals(operator.of(CallersTable.CALLERS), CallerLimits.DEFAULT);
         assertEquals(operator.of(NodesTable.NODES), NodeLimits.DEFAULT);
-        assertEquals(operator.of(DiscoveryTable.DISCOVERY), DiscoveryLimits.DEFAULT);
+        assertEquals(operator.of(DiscoveryTable.DISCOVERY), ResolverPatience.DEFAULT);
     }
 
     @Test
@@ -89,7 +89,9 @@
                 descriptors_share = 0.3
                 [discovery]
                 call_patience_ms = 102
+                ask_again_ms = 103
                 watch_patience_ms = 2501
+                watch_spread_ms = 7
                 [budget]
                 hop = "core.2"
                 tries = 5
@@ -105,7 +107,8 @@
         assertEquals(operator.of(CallersTable.CALLERS), new CallerLimits(101_000_000, 51_000_000, 501_000_000,
                 502_000_000, 1025, 0, 0.6));
         assertEquals(operator.of(NodesTable.NODES), new NodeLimits(11_000_000, 12_000_000, 1026, 1, 0.3));
-        assertEquals(operator.of(DiscoveryTable.DISCOVERY), new DiscoveryLimits(102_000_000, 2_501_000_000L));
+        assertEquals(operator.of(DiscoveryTable.DISCOVERY), new ResolverPatience(102_000_000, 103_000_000,
+                2_501_000_000L, 7_000_000));
         assertEquals(operator.of(BudgetTable.BUDGET), new BudgetSettings("core.2", 5, 4, 2, 0.3, 7,
                 5_000_000_000L, 9, 0.2));
         assertEquals(operator.with(LogTable.LOG, Log.DEFAULT).of(LogTable.LOG), Log.DEFAULT);
--- a/daemon/src/test/java/cedarrudder/program/ProxyStoriesTest.java
+++ b/daemon/src/test/java/cedarrudder/program/ProxyStoriesTest.java
@@ -167,6 +167,18 @@
         }
     }
 
+    /** Guards against a proxy that hears nothing where lists are pushed, since its module asks for none. */
+    @Test
+    public void whereListsArePushedTheWatchIsHeldFromTheStart() throws Exception {
+        try (World world = new World(1).with("\"ask\"", "\"push\"").start()) {
+            for (int i = 0; i < 3; i++) {
+                Received watch = World.await(world.lookups);
+                assertEquals(watch.first(), "GET /catalog/members?follow=1&since=0 HTTP/1.1");
+                watch.reset();
+            }
+        }
+    }
+
     /** Guards against a gap in the list while the watch moves: the old one tells until then. */
     @Test
     public void aMovedDiscoveryIsWatchedAtItsNewAddressWithoutAGap() throws Exception {
--- a/daemon/src/test/java/cedarrudder/protocol/ResolverResultReaderTest.java
+++ b/daemon/src/test/java/cedarrudder/protocol/ResolverResultReaderTest.java
@@ -81,11 +81,19 @@
         assertEquals(reader.size(), 1, "a whole list of which nothing can be read changes nothing");
     }
 
-    /** Expected to fail, as finding 47 is open: turns red once such an entry takes no other away, either. */
-    @Test(expectedExceptions = IllegalArgumentException.class,
-            expectedExceptionsMessageRegExp = "'servers\\[0\\].id' is not a text")
+    /** Guards against an entry whose id is no text, or that is no object at all, doing so. */
+    @Test
     public void anEntryWhoseIdIsNoTextTakesNoOtherAway() throws Exception {
-        reader().read(JsonObject.parse("{\"version\":2,\"full\":false,\"servers\":[{\"id\":[1]},"
-                + "{\"id\":\"b\",\"addr\":\"127.0.0.1:1\",\"state\":\"terminating\"}]}"));
+        String bad = "{\"id\":[1],\"addr\":\"127.0.0.1:1\",\"state\":\"in_service\"},{\"id\":{}},7,null,";
+        for (boolean full : new boolean[] {true, false}) {
+            ResolverResult mixed = reader().read(JsonObject.parse("{\"version\":2,\"full\":" + full
+                    + ",\"servers\":[" + bad
+                    + "{\"id\":\"b\",\"addr\":\"127.0.0.1:1\",\"state\":\"terminating\"}]}"));
+            assertEquals(mixed.nodes().stream().map(n -> n.name() + n.endpoint().state()).toList(),
+                    List.of("bDRAINING"));
+            assertEquals(mixed.unread().toString(), "[servers[0]: 'servers[0].id' is not a text,"
+                    + " servers[1]: 'servers[1].state' is missing, servers[2] is not an object,"
+                    + " servers[3] is not an object]");
+        }
     }
 }
--- a/daemon/src/test/java/cedarrudder/transport/DiscoveryClientTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/DiscoveryClientTest.java
@@ -8,6 +8,7 @@
 import cedarrudder.protocol.ResolverResult;
 import cedarrudder.protocol.ResolverResultReader;
 import cedarrudder.protocol.SettingsReader;
+import cedarrudder.routing.ResolverPatience;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
@@ -15,8 +16,10 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
@@ -40,14 +43,20 @@
     }
 
     private void play(Runnable failed, Story story) throws Exception {
+        play(0, failed, story);
+    }
+
+    private void play(long longest, Runnable failed, Story story) throws Exception {
         told.clear();
         JsonObject example = JsonObject.parse(Files.readString(Path.of("example", "config.json")));
         Loop loop = new Loop(new Logger(new PrintStream(OutputStream.nullOutputStream())));
         try (ServerSocket discovery = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             DiscoveryClient client = new DiscoveryClient(loop,
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), discovery.getLocalPort()),
-                    DiscoveryLimits.DEFAULT, new ResolverResultReader(SettingsReader.read(
-                    example.child("settings")), loop::now, System::currentTimeMillis), 0, this::take, failed);
+                    ResolverPatience.DEFAULT, longest, new SplittableRandom(1),
+                    new ResolverResultReader(SettingsReader.read(example.child("settings")), loop::now,
+                            System::currentTimeMillis), 0, this::take, failed);
+            discovery.setSoTimeout(20_000);
             loop.run(() -> client.subscribe(true));
             try (Socket watch = discovery.accept()) {
                 watch.getOutputStream().write(STREAM.getBytes());
@@ -65,12 +74,20 @@
         told.add(result);
     }
 
+    private static ResolverPatience patience(long call, long again, long watch) {
+        return new ResolverPatience(call * 1_000_000, again * 1_000_000, watch * 1_000_000, 0);
+    }
+
+    private static void chunk(Socket watch, String text) throws IOException {
+        watch.getOutputStream().write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n")
+                .getBytes());
+    }
+
     private static void tell(Socket watch, long version, boolean full, String state) throws IOException {
         String line = "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[{\"id\":\"n0\","
                 + "\"addr\":\"127.0.0.1:9\",\"zone\":\"room\",\"state\":\"" + state + "\","
                 + "\"started_ms\":" + STARTED + "}]}\n";
-        watch.getOutputStream().write((Integer.toHexString(line.length()) + "\r\n" + line + "\r\n")
-                .getBytes());
+        chunk(watch, line);
     }
 
     /** Guards against a list call that fails being taken for a watch that broke, and is opened anew. */
@@ -102,7 +119,7 @@
         broken = true;
         play(failures::release, (loop, client, discovery, watch) -> {
             // So long that its silence is not what tells.
-            loop.run(() -> client.apply(new DiscoveryLimits(600_000_000_000L, 600_000_000_000L)));
+            loop.run(() -> client.apply(patience(600_000, 600_000, 600_000)));
             tell(watch, 1, true, "in_service");
             assertEquals(failures.tryAcquire(20, TimeUnit.SECONDS), true);
             watch.getInputStream().readAllBytes(); // the proxy has closed it
@@ -115,7 +132,7 @@
     public void aLineWithoutAnEndIsToldAsALostWatch() throws Exception {
         Semaphore failures = new Semaphore(0);
         play(failures::release, (loop, client, discovery, watch) -> {
-            loop.run(() -> client.apply(new DiscoveryLimits(600_000_000_000L, 600_000_000_000L)));
+            loop.run(() -> client.apply(patience(600_000, 600_000, 600_000)));
             byte[] piece = ("100000\r\n" + "x".repeat(0x100000) + "\r\n").getBytes();
             try {
                 for (int i = 0; i < 8; i++) {
@@ -128,15 +145,95 @@
         });
     }
 
-    /** Guards against a list that stands still for good, since the network to discovery was cut. */
+    /**
+     * Guards against a list that stands still for good, since the network to discovery was cut, or since the
+     * pieces of a line that never ends count as life.
+     */
+    @Test
+    public void aWatchThatFallsSilentIsOpenedAnewAtOnce() throws Exception {
+        for (boolean drips : new boolean[] {false, true}) {
+            AtomicInteger failures = new AtomicInteger();
+            play(failures::incrementAndGet, (loop, client, discovery, watch) -> {
+                loop.run(() -> client.apply(patience(600_000, 600_000, 300)));
+                tell(watch, 1, true, "in_service");
+                assertNotNull(told.poll(20, TimeUnit.SECONDS));
+                discovery.setSoTimeout(50);
+                Socket again = null;
+                for (int i = 0; i < 200 && again == null; i++) {
+                    try {
+                        if (drips) {
+                            chunk(watch, i == 0 ? "{" : "\"");
+                        }
+                        again = discovery.accept();
+                    } catch (SocketTimeoutException e) {
+                        // not yet
+                    } catch (IOException e) {
+                        again = discovery.accept(); // closed, as it should be
+                    }
+                }
+                assertNotNull(again, "asked anew");
+                again.getOutputStream().write(STREAM.getBytes());
+                tell(again, 2, false, "terminating");
+                assertEquals(told.poll(20, TimeUnit.SECONDS).version(), 2);
+                assertEquals(failures.get(), 0, "the module need not ask");
+                again.close();
+            });
+        }
+    }
+
+    /** Guards against waiting for an answer that never comes, or stops half way, until it is given up. */
     @Test
-    public void aWatchThatFallsSilentIsToldAsLost() throws Exception {
-        Semaphore failures = new Semaphore(0);
-        play(failures::release, (loop, client, discovery, watch) -> {
-            loop.run(() -> client.apply(new DiscoveryLimits(20_000_000_000L, 50_000_000L)));
+    public void aCallWithoutAWholeAnswerIsMadeASecondTimeBesideTheFirst() throws Exception {
+        play(() -> { }, (loop, client, discovery, watch) -> {
             tell(watch, 1, true, "in_service");
-            assertEquals(failures.tryAcquire(20, TimeUnit.SECONDS), true);
-            watch.getInputStream().readAllBytes(); // the proxy has closed it
+            assertNotNull(told.poll(20, TimeUnit.SECONDS));
+            loop.run(() -> client.apply(patience(600_000, 200, 600_000)));
+            loop.run(client::fetch);
+            try (Socket half = discovery.accept()) {
+                half.getOutputStream().write(STREAM.getBytes());
+                chunk(half, "{\"version\":2,\"full\":true,");
+                try (Socket second = discovery.accept()) {
+                    chunk(half, "\"servers\":[]}");
+                    assertEquals(told.poll(20, TimeUnit.SECONDS).version(), 2, "the first was waited for");
+                    second.getInputStream().readAllBytes(); // no longer needed: the proxy has closed it
+                }
+            }
+        });
+    }
+
+    /** Guards against a list that is not understood where it comes indented, on a watch or in an answer. */
+    @Test
+    public void aListMayComeIndented() throws Exception {
+        String indented = "{\n  \"version\": %d,\n  \"full\": true,\n\n  \"servers\": [\n    {\n"
+                + "      \"id\": \"a}{\\\"\",\n      \"addr\": \"127.0.0.1:9\",\n"
+                + "      \"state\": \"in_service\"\n    }\n  ]\n}";
+        play(() -> { }, (loop, client, discovery, watch) -> {
+            chunk(watch, "\n" + String.format(indented, 1) + "\n\n"
+                    + String.format(indented, 2).substring(0, 40));
+            assertEquals(told.poll(20, TimeUnit.SECONDS).nodes().get(0).name(), "a}{\"");
+            chunk(watch, String.format(indented, 2).substring(40) + "\n");
+            assertEquals(told.poll(20, TimeUnit.SECONDS).version(), 2);
+            loop.run(client::fetch);
+            try (Socket list = discovery.accept()) {
+                String text = String.format(indented, 3);
+                list.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + text.length()
+                        + "\r\n\r\n" + text).getBytes());
+                assertEquals(told.poll(20, TimeUnit.SECONDS).version(), 3);
+            }
+        });
+    }
+
+    /** Guards against a list that is late since the module, which was told of the failure, waits longer. */
+    @Test
+    public void aLostWatchIsOpenedAnewWhereTheModuleDoesNotAsk() throws Exception {
+        play(300_000_000L, () -> { }, (loop, client, discovery, watch) -> {
+            watch.setSoLinger(true, 0);
+            watch.close();
+            try (Socket again = discovery.accept()) {
+                again.getOutputStream().write(STREAM.getBytes());
+                tell(again, 1, true, "in_service");
+                assertNotNull(told.poll(20, TimeUnit.SECONDS));
+            }
         });
     }
 
