--- a/daemon/src/main/java/cedarrudder/program/Signals.java
+++ b/daemon/src/main/java/cedarrudder/program/Signals.java
@@ -26,8 +26,12 @@
                 return null;
             };
             Object handles = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, runs);
-            signal.getMethod("handle", signal, handler).invoke(null,
+            Object before = signal.getMethod("handle", signal, handler).invoke(null,
                     signal.getConstructor(String.class).newInstance("HUP"), handles);
+            if (before == handler.getField("SIG_IGN").get(null)) {
+                // The virtual machine keeps to that, as under nohup, and says so only by this.
+                otherwise.accept("it is ignored by whoever started this process");
+            }
         } catch (ReflectiveOperationException | IllegalArgumentException e) {
             otherwise.accept(e.toString());
         }
