Answer what has come by the time a connection is closed, and all that is open at the end

Callers send on every open connection until SIGKILL. A connection was closed with what had come on it unread, and the accept queue with who waited in it: the kernel reset both. What came before SIGTERM kept its deadline, up to 5 s at the site, past SIGKILL after 3.7 s. What the decisions never ended was failed though it had never been sent on.

- Listener reads a connection once more right before it closes it, in the end, a drain, an upgrade and where patience ends; a new one that has said nothing is let be for 0.1 s; the door is closed behind the last.
- At 0.2 s before SIGKILL what is open is cut off and answered (Driver.cut).
- Driver.overdue refuses what can't have run.

--- a/core/src/main/java/cedarrudder/routing/Driver.java
+++ b/core/src/main/java/cedarrudder/routing/Driver.java
@@ -183,7 +183,7 @@
         long latency = attempt.took(timers.now());
         post(() -> {
             Exchange<Q, A> exchange = attempt.exchange();
-            exchange.attemptEnded();
+            exchange.attemptEnded(outcome);
             if (attempt.handed() != null) {
                 budgets.ended(timers.now(), exchange.budget(), attempt.handed(), outcome, latency, below);
             }
@@ -285,11 +285,30 @@
         }
     }
 
-    private void overdue(Exchange<Q, A> exchange) {
+    /**
+     * Ends an RPC before its time, since this process ends. Guards against callers that get no answer at all,
+     * since their time was to be over later than this process.
+     */
+    public void cut(Exchange<Q, A> exchange) {
         if (!exchange.over()) {
-            log.warn("rpc.overdue").with("rpc", exchange.request().id()).write();
+            exchange.expiry(timers.now()); // first: guards against further attempts
+            exchange.forget();
+            expire(exchange);
+        }
+    }
+
+    /** What was never sent on, or is known not to have run, is refused: guards against no repeat of it. */
+    private void overdue(Exchange<Q, A> exchange) {
+        if (exchange.over()) {
+            return;
+        }
+        log.warn("rpc.overdue").with("rpc", exchange.request().id()).write();
+        if (exchange.mayHaveRun()) {
             exchange.reply().failed();
             leave(exchange, End.FAULTED);
+        } else {
+            exchange.reply().refused(0);
+            leave(exchange, End.THROTTLED);
         }
     }
 
--- a/core/src/main/java/cedarrudder/routing/Exchange.java
+++ b/core/src/main/java/cedarrudder/routing/Exchange.java
@@ -42,6 +42,7 @@
     private long expiry;
     private long onceWhole;
     private boolean spent;
+    private boolean mayHaveRun;
     private CallBudget budget;
     private FromBelow result;
 
@@ -177,8 +178,14 @@
     }
 
     /** Counts an attempt as ended; an exchange may be forgotten once it is over and none is out. */
-    void attemptEnded() {
+    void attemptEnded(Balancer.Outcome outcome) {
         out--;
+        mayHaveRun |= !outcome.provesNotRun();
+    }
+
+    /** Whether an attempt that has ended may have run. */
+    boolean mayHaveRun() {
+        return mayHaveRun;
     }
 
     boolean forgettable() {
--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -22,9 +22,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.DuplexChannel;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
@@ -175,9 +174,9 @@
                 .childOption(ChannelOption.ALLOCATOR, loop.buffers())
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, BodyPump.WRITE_AHEAD)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
+                .childHandler(new ChannelInitializer<NioSocketChannel>() {
                     @Override
-                    protected void initChannel(SocketChannel channel) {
+                    protected void initChannel(NioSocketChannel channel) {
                         channel.pipeline().addLast(new Caller(channel));
                     }
                 });
@@ -214,14 +213,16 @@
         loop.at(now + SWEEP, this::sweep); // first: guards against a fault below ending it for good
         for (Caller caller : List.copyOf(callers)) {
             if (now >= caller.due) {
-                caller.close();
+                caller.expire();
             }
         }
         for (int over = callers.size() - mostCallers; full && over > 0; over--) {
             makeRoom();
         }
         takeMore();
-        if (sendingAway()) {
+        if (stopping) {
+            closeIdle();
+        } else if (sendingAway()) {
             sendAway(now, replacedAt == 0 ? drainedAt + AWAY_BY : replacedAt + OVER_BY);
         }
     }
@@ -243,6 +244,11 @@
         }
     }
 
+    /** Whether operators send clients away. */
+    public boolean drained() {
+        return state.drained();
+    }
+
     /** Whether this process goes on, for all that signals have said. */
     public boolean lasts() {
         return state.lasts();
@@ -264,8 +270,8 @@
         long most = (idle.size() + silent.size() + left - 1) / left;
         for (Set<Caller> from : List.of(idle, silent)) {
             for (Caller caller : List.copyOf(from)) {
-                if (most-- > 0) {
-                    caller.close();
+                if (most-- > 0 && caller.mayGo(now)) {
+                    caller.closeIfQuiet();
                 }
             }
         }
@@ -331,11 +337,8 @@
             lingering = false;
             endIfEmpty();
         });
-        loop.at(Math.max(now + LINGER, answerBy - WIND_UP), () -> {
-            stopping = true;
-            listening.close();
-            closeIdle();
-        });
+        loop.at(Math.max(now + LINGER, answerBy - WIND_UP), this::stop);
+        loop.at(answerBy, this::cutOff);
     }
 
     /**
@@ -351,35 +354,63 @@
         state = state.on(ServiceState.Event.REPLACE);
         replacedAt = loop.now();
         answerBy = replacedAt + Math.min(LONGEST_COUNTED, fields.longestWait()) + KILLED_AFTER;
-        lingering = true;
-        listening.closeBehindLast(() -> {
-            lingering = false;
-            endIfEmpty();
-        });
-        loop.at(answerBy - WIND_UP, () -> {
-            stopping = true;
-            closeIdle();
-        });
+        shutDoor();
+        loop.at(answerBy - WIND_UP, this::stop);
+        loop.at(answerBy, this::cutOff);
+    }
+
+    /** From now on each answer is the last of its connection; those on which nothing is open are closed. */
+    private void stop() {
+        stopping = true;
+        shutDoor();
+        closeIdle();
     }
 
     private void closeIdle() {
+        long now = loop.now();
         for (Set<Caller> from : List.of(silent, idle)) {
             for (Caller caller : List.copyOf(from)) {
-                caller.close();
+                if (caller.mayGo(now)) {
+                    caller.closeIfQuiet();
+                }
             }
         }
     }
 
+    /** What is open has had its time: all get an answer while this process can still give one. */
+    private void cutOff() {
+        for (Caller caller : List.copyOf(callers)) {
+            if (caller.exchange != null) {
+                driver.cut(caller.exchange);
+            }
+        }
+    }
+
+    /** Takes who waits at the door and closes it; until that is done the service goes on. */
+    private void shutDoor() {
+        if (listening.isOpen() && !lingering) {
+            lingering = true;
+            listening.closeBehindLast(() -> {
+                lingering = false;
+                endIfEmpty();
+            });
+        }
+    }
+
     private void endIfEmpty() {
-        if (whenEmpty != null && !lingering && callers.isEmpty()) {
-            listening.close();
+        if (whenEmpty == null || lingering || !callers.isEmpty()) {
+            return;
+        }
+        if (listening.isOpen()) {
+            shutDoor(); // guards against resetting who waits there
+        } else {
             whenEmpty.run();
         }
     }
 
     /** One connection from a caller, on which one RPC is answered at a time. */
     private final class Caller extends ChannelInboundHandlerAdapter implements Exchange.Reply<Message> {
-        private final DuplexChannel channel;
+        private final NioSocketChannel channel;
         private final HttpDecoder decoder = HttpDecoder.ofFlows(true, limits.mostHead(), limits.mostBody(),
                 BodyFlow.WINDOW);
         private ByteBuf ahead;
@@ -400,7 +431,7 @@
         private long due;
         private long lastDue;
 
-        Caller(DuplexChannel channel) {
+        Caller(NioSocketChannel channel) {
             this.channel = channel;
         }
 
@@ -417,12 +448,41 @@
             due = patience == Long.MAX_VALUE ? patience : since + patience;
         }
 
+        /**
+         * Whether it may be closed as one on which nothing is open. Guards against closing a connection that
+         * has just come, whose first request is on its way and would fail.
+         */
+        private boolean mayGo(long now) {
+            return among != silent || now - since >= HALF_LONG;
+        }
+
         private void close() {
             enter(null, Long.MAX_VALUE);
             closing = true;
             channel.close();
         }
 
+        /**
+         * Closes it unless a request has come on it, or a part of one, which is taken instead. Guards against
+         * requests that the kernel has and the loop has not got round to: closing with bytes unread resets
+         * the connection, and with many to be closed the last is closed some milliseconds after the look.
+         */
+        private void closeIfQuiet() {
+            channel.unsafe().read();
+            if (among == idle || among == silent) {
+                close();
+            }
+        }
+
+        /** Patience with it is over. */
+        private void expire() {
+            if (among == idle || among == silent) {
+                closeIfQuiet();
+            } else {
+                close();
+            }
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext context) {
             callers.add(this);
@@ -771,7 +831,7 @@
 
         private void wroteAll(boolean success) {
             writing = false;
-            if (closing || stopping || !success) {
+            if (closing || !success) {
                 channel.close();
                 return;
             }
@@ -779,6 +839,9 @@
             enter(idle, limits.idlePatience());
             decode();
             readOn();
+            if (stopping && among == idle) {
+                closeIfQuiet();
+            }
         }
 
         /** Answers a request that can't be read, and closes once the caller may have read that. */
--- /dev/null
+++ b/daemon/src/test/java/cedarrudder/program/LastCallsTest.java
@@ -0,0 +1,142 @@
+package cedarrudder.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.Await;
+import cedarrudder.program.World.Caller;
+import cedarrudder.program.World.Received;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.SocketException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.testng.annotations.Test;
+
+/** What callers that go on after SIGTERM get, up to the last connection. */
+public class LastCallsTest {
+
+    private static final int CALLERS = 24;
+    private static final long KILLED_AFTER = 3_700_000_000L;
+
+    /** How each request of the storm ended. */
+    private final Map<String, Integer> ends = Collections.synchronizedMap(new TreeMap<>());
+
+    /** Calls on one connection until it is closed; the pauses between calls differ. */
+    private void call(World world, String name, Random pauses, AtomicBoolean ended) {
+        String last = "none";
+        try (Caller caller = world.caller()) {
+            for (int i = 0; last.equals("none"); i++) {
+                try {
+                    caller.send(World.rpc("order", "/api", "x").replace("id-1", name + i)
+                            .replace("30000", "900"));
+                } catch (SocketException e) {
+                    last = "closed before";
+                    continue;
+                }
+                Received answer = caller.read();
+                if (answer == null) {
+                    last = "closed before";
+                } else {
+                    ends.merge(answer.first().split(" ")[1], 1, Integer::sum);
+                    last = "close".equals(answer.field("Connection")) ? "told" : "none";
+                    Thread.sleep(pauses.nextInt(30));
+                }
+            }
+        } catch (IOException | InterruptedException e) {
+            last = e instanceof ConnectException ? "not let in" : "reset: " + e;
+        }
+        ends.merge(last, 1, Integer::sum);
+        ended.set(true);
+    }
+
+    /**
+     * Guards against requests that are lost in the last moments: each that was sent has its answer, or its
+     * connection was closed in order between two requests. Callers come anew for 0.4 s, and each goes on
+     * until its connection ends; some pause for so long that their connections are idle when they are closed.
+     */
+    @Test
+    public void eachRequestAfterSigtermIsAnsweredOrItsConnectionClosedBeforeIt() throws Exception {
+        long seed = System.nanoTime();
+        System.out.println("LastCallsTest: seed " + seed);
+        Random random = new Random(seed);
+        try (World world = new World(3).start()) {
+            Nodes.play(world, call -> {
+                Thread.sleep(5);
+                call.reply("200 OK", "done");
+            });
+            List<Thread> callers = new ArrayList<>();
+            AtomicBoolean anyEnded = new AtomicBoolean();
+            for (int i = 0; i < CALLERS; i++) {
+                callers.add(start(world, "old-" + i + "-", random, anyEnded));
+            }
+            Await.until("200 served", () -> ends.getOrDefault("200", 0) > 200);
+            assertFalse(anyEnded.get(), ends.toString());
+            long told = System.nanoTime();
+            Thread end = new Thread(world::end);
+            end.start();
+            for (int i = 0; i < CALLERS; i++) {
+                Thread.sleep(400 / CALLERS);
+                callers.add(start(world, "new-" + i + "-", random, anyEnded));
+            }
+            for (Thread caller : callers) {
+                Await.end("the end of a caller's connection", caller);
+            }
+            Await.end("the end of the service", end);
+            assertTrue(System.nanoTime() - told < KILLED_AFTER, "it ends before SIGKILL");
+            List<String> allowed = List.of("200", "503", "told", "closed before");
+            assertTrue(allowed.containsAll(ends.keySet()), ends.toString());
+            System.out.println("LastCallsTest: " + ends);
+        }
+    }
+
+    private Thread start(World world, String name, Random random, AtomicBoolean ended) {
+        Random own = new Random(random.nextLong());
+        Thread caller = new Thread(() -> call(world, name, own, ended));
+        caller.start();
+        return caller;
+    }
+
+    /**
+     * Guards against a request that was taken and never answered, since its time would be over only after the
+     * process is killed, and against half a request that becomes whole in the last moments.
+     */
+    @Test
+    public void whatIsOpenInTheLastMomentGetsItsAnswer() throws Exception {
+        try (World world = new World(1).start(); Caller taken = world.caller();
+                Caller behind = world.caller()) {
+            taken.send(World.rpc("order", "/stays-for-test", "x"));
+            world.call();
+            Thread end = new Thread(world::end);
+            long told = System.nanoTime();
+            end.start();
+            // A second request behind the first of the same connection, read ahead of its answer.
+            behind.send(World.rpc("lookup", "/api", "").replace("id-1", "behind-1")
+                    + World.rpc("lookup", "/api", "").replace("id-1", "behind-2"));
+            world.call().reply("200 OK", "first");
+            assertEquals(behind.read().body(), "first");
+            world.call().reply("200 OK", "second");
+            assertEquals(behind.read().body(), "second");
+            Thread.sleep(1500); // half a request is not waited for as long as the end takes
+            try (Caller half = world.caller()) {
+                String rpc = World.rpc("lookup", "/api", "").replace("id-1", "half");
+                half.send(rpc.substring(0, rpc.length() - 2));
+                assertEquals(behind.read(), null, "closed between requests");
+                half.send("\r\n");
+                world.call().reply("200 OK", "whole");
+                Received answer = half.read();
+                assertEquals(answer.body(), "whole");
+                assertEquals(answer.field("Connection"), "close");
+            }
+            assertEquals(taken.read().first(), "HTTP/1.1 502 Bad Gateway", "it may have run");
+            assertTrue(System.nanoTime() - told < KILLED_AFTER, "before SIGKILL");
+            Await.end("the end of the service", end);
+        }
+    }
+}
