--- a/core/src/main/java/cedarrudder/membership/Gossip.java
+++ b/core/src/main/java/cedarrudder/membership/Gossip.java
@@ -1,7 +1,12 @@
 package cedarrudder.membership;
 
+import cedarrudder.membership.Packet.News;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * The news that is to be passed on, the newest of each instance alone: what has gone out least often goes
@@ -9,59 +14,75 @@
  */
 final class Gossip {
 
-    /** One piece, and how often it went out. */
-    private static final class Piece {
-        final Packet.News news;
-        int times;
-
-        Piece(Packet.News news) {
-            this.news = news;
-        }
-    }
-
-    private final Piece[] byNumber;
-    private final List<Piece> waiting = new ArrayList<>();
+    /** What went out so many times, by the place in the list; in each the one that waits longest is first. */
+    private final List<Map<Integer, News>> byTimes = new ArrayList<>();
+    /** How often the news of each instance went out; -1 where none waits. */
+    private final int[] times;
+    private int waiting;
 
     Gossip(int instances) {
-        byNumber = new Piece[instances];
+        times = new int[instances];
+        Arrays.fill(times, -1);
+        byTimes.add(new LinkedHashMap<>());
     }
 
     /** Takes news, in place of what waits of the same instance. */
-    void add(Packet.News news) {
+    void add(News news) {
         int number = news.member().number();
-        if (byNumber[number] != null) {
-            waiting.remove(byNumber[number]);
+        if (times[number] >= 0) {
+            byTimes.get(times[number]).remove(number);
+        } else {
+            waiting++;
         }
-        byNumber[number] = new Piece(news);
-        waiting.add(0, byNumber[number]);
+        times[number] = 0;
+        byTimes.get(0).put(number, news);
     }
 
     /**
-     * Fills up what a message carries.
+     * Takes what goes into a message.
      *
-     * @param into may hold some already, which goes first
-     * @param times a piece goes out so often
+     * @param message has room for some
+     * @param most a piece goes out so often
      */
-    void fill(List<Packet.News> into, int times) {
-        waiting.sort((a, b) -> Integer.compare(a.times, b.times)); // stable: of equals the newest stays first
-        for (int i = 0; i < waiting.size() && into.size() < Packet.MOST_NEWS; i++) {
-            Piece piece = waiting.get(i);
-            if (into.stream().noneMatch(had -> had.member().number() == piece.news.member().number())) {
-                into.add(piece.news);
-                piece.times++;
+    void fill(Letter message, int most) {
+        while (byTimes.size() <= most) {
+            byTimes.add(new LinkedHashMap<>());
+        }
+        for (int sent = byTimes.size() - 1; sent >= most; sent--) {
+            forget(byTimes.get(sent)); // fewer live than before
+        }
+        List<News> taken = new ArrayList<>();
+        for (int sent = 0; sent < most && !message.full(); sent++) {
+            Iterator<News> each = byTimes.get(sent).values().iterator();
+            while (!message.full() && each.hasNext()) {
+                News piece = each.next();
+                if (message.add(piece)) {
+                    each.remove();
+                    taken.add(piece);
+                }
             }
         }
-        waiting.removeIf(piece -> {
-            if (piece.times >= times) {
-                byNumber[piece.news.member().number()] = null;
-                return true;
+        for (News piece : taken) {
+            int number = piece.member().number();
+            if (++times[number] >= most) {
+                times[number] = -1;
+                waiting--;
+            } else {
+                byTimes.get(times[number]).put(number, piece);
             }
-            return false;
-        });
+        }
+    }
+
+    private void forget(Map<Integer, News> pieces) {
+        for (int number : pieces.keySet()) {
+            times[number] = -1;
+            waiting--;
+        }
+        pieces.clear();
     }
 
     /** Pieces that wait. */
     int size() {
-        return waiting.size();
+        return waiting;
     }
 }
--- a/core/src/main/java/cedarrudder/membership/Packet.java
+++ b/core/src/main/java/cedarrudder/membership/Packet.java
@@ -1,32 +1,42 @@
 package cedarrudder.membership;
 
 import cedarrudder.membership.Member.Standing;
+import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
  * One message between instances, of at most {@value #MOST_BYTES} bytes: the platform's datagrams hold 256, of
  * which the rest is kept for what proves the sender.
  *
- * <p>Big-endian: version, kind, number of the question (4 bytes), sender (2) and its incarnation (8), subject
- * (2), count of news (1), and for each its standing (1), instance (2), incarnation (8) and who says so (2).
+ * <p>Room (1 byte, {@value #ROOM}: membership); version in the high four bits, then whether a window follows
+ * and the kind (1); question, sender, its incarnation and subject as {@link Varint}; digest of the dead (4,
+ * big-endian); the window, where there is one: its first instance, how many bytes, and those. Then the news up
+ * to the end, for each: instance times four plus standing; how far its incarnation is from the sender's,
+ * folded; of a suspicion, who says so.
  *
  * @param question the answer carries the number of the question
  * @param from the sender
  * @param incarnation the sender's own
  * @param subject whom it is about: the one to be asked, or that was
+ * @param digest of all whom the sender holds as dead
+ * @param window some of these, by which the answer can tell what the sender lacks; null where it does not ask
  * @param news what the sender passes on
  */
-record Packet(Kind kind, int question, int from, long incarnation, int subject, List<News> news) {
+record Packet(Kind kind, int question, int from, long incarnation, int subject, int digest, Window window,
+        List<News> news) {
 
     static final int MOST_BYTES = 224;
-    static final int MOST_NEWS = 15;
 
-    private static final byte VERSION = 1;
-    private static final int HEAD = 19;
-    private static final int PIECE = 13;
-    private static final int U16 = 0xffff;
+    private static final byte ROOM = 1;
+    private static final int VERSION = 2;
+    private static final int HAS_WINDOW = 4;
+    private static final int KINDS = 4;
+    /** The longest head: what comes first, varints of at most 5, 3, 9 and 3 bytes, the digest. */
+    private static final int MOST_HEAD = 2 + 5 + 3 + 9 + 3 + 4;
+    private static final Standing[] STANDINGS = Standing.values();
 
     /** What a message is for. */
     enum Kind {
@@ -40,49 +50,119 @@
         NACK
     }
 
-    /** What is said of an instance, and who said it first. */
+    /** What is said of an instance, and who said it first; of others than the suspected, the instance itself. */
     record News(Member member, int accuser) { }
 
+    /**
+     * Who of some instances is held as dead.
+     *
+     * @param first the first of them; a multiple of eight
+     * @param bits one for each of them, the lowest of a byte first; 1 for the dead
+     */
+    record Window(int first, byte[] bits) {
+
+        static final int MOST_BITS = 8 * 128;
+
+        boolean dead(int number) {
+            int at = number - first;
+            return (bits[at >> 3] >> (at & 7) & 1) != 0;
+        }
+
+        /** After the last of them. */
+        int end(int instances) {
+            return Math.min(instances, first + 8 * bits.length);
+        }
+    }
+
     byte[] encode() {
-        ByteBuffer out = ByteBuffer.allocate(HEAD + PIECE * news.size());
-        out.put(VERSION).put((byte) kind.ordinal()).putInt(question).putShort((short) from)
-                .putLong(incarnation).putShort((short) subject).put((byte) news.size());
+        ByteBuffer out = ByteBuffer.allocate(MOST_BYTES);
+        out.put(ROOM).put((byte) (VERSION << 4 | (window == null ? 0 : HAS_WINDOW) | kind.ordinal()));
+        Varint.put(out, question & 0xffffffffL);
+        Varint.put(out, from);
+        Varint.put(out, incarnation);
+        Varint.put(out, subject);
+        out.putInt(digest);
+        if (window != null) {
+            Varint.put(out, window.first());
+            Varint.put(out, window.bits().length);
+            out.put(window.bits());
+        }
         for (News piece : news) {
-            out.put((byte) piece.member().standing().ordinal()).putShort((short) piece.member().number())
-                    .putLong(piece.member().incarnation()).putShort((short) piece.accuser());
+            Member member = piece.member();
+            Varint.put(out, (long) member.number() << 2 | member.standing().ordinal());
+            Varint.put(out, Varint.folded(member.incarnation() - incarnation));
+            if (member.standing() == Standing.SUSPECT) {
+                Varint.put(out, piece.accuser());
+            }
         }
-        return out.array();
+        return Arrays.copyOf(out.array(), out.position());
+    }
+
+    /** How many bytes a piece takes in a message of a sender with this incarnation. */
+    static int size(News piece, long incarnation) {
+        Member member = piece.member();
+        return Varint.size((long) member.number() << 2)
+                + Varint.size(Varint.folded(member.incarnation() - incarnation))
+                + (member.standing() == Standing.SUSPECT ? Varint.size(piece.accuser()) : 0);
+    }
+
+    /** How many bytes are left for news beside this window. */
+    static int room(Window window) {
+        return MOST_BYTES - MOST_HEAD - (window == null ? 0 : 5 + window.bits().length);
     }
 
     /** Reads a message; null where the bytes are none, or name an instance that can't be. */
     static Packet decode(byte[] bytes, int instances) {
-        if (bytes.length < HEAD || bytes.length > MOST_BYTES || bytes[0] != VERSION || bytes[1] < 0
-                || bytes[1] >= Kind.values().length || bytes[HEAD - 1] < 0
-                || bytes.length != HEAD + PIECE * bytes[HEAD - 1]) {
+        if (bytes.length < 2 || bytes.length > MOST_BYTES || bytes[0] != ROOM || bytes[1] >> 4 != VERSION
+                || (bytes[1] & 15 & ~HAS_WINDOW) >= KINDS) {
             return null;
         }
-        ByteBuffer in = ByteBuffer.wrap(bytes, 2, bytes.length - 2);
-        int question = in.getInt();
-        int from = in.getShort() & U16;
-        long incarnation = in.getLong();
-        int subject = in.getShort() & U16;
-        int count = in.get();
-        if (from >= instances || subject >= instances || !plausible(incarnation)) {
+        try {
+            return decode(ByteBuffer.wrap(bytes, 2, bytes.length - 2), bytes[1], instances);
+        } catch (BufferUnderflowException e) {
+            return null; // it ends too soon, or has a number in another form
+        }
+    }
+
+    private static Packet decode(ByteBuffer in, int head, int instances) {
+        long question = Varint.get(in);
+        long from = Varint.get(in);
+        long incarnation = Varint.get(in);
+        long subject = Varint.get(in);
+        if (question >>> 32 != 0 || !below(from, instances) || !below(subject, instances)
+                || !plausible(incarnation)) {
             return null;
         }
-        List<News> news = new ArrayList<>(count);
-        for (int i = 0; i < count; i++) {
-            int standing = in.get();
-            int number = in.getShort() & U16;
-            long life = in.getLong();
-            int accuser = in.getShort() & U16;
-            if (standing < 0 || standing >= Standing.values().length || number >= instances
-                    || accuser >= instances || !plausible(life)) {
+        int digest = in.getInt();
+        Window window = null;
+        if ((head & HAS_WINDOW) != 0) {
+            long first = Varint.get(in);
+            long length = Varint.get(in);
+            if (!below(first, instances) || first % 8 != 0 || length < 1 || length > Window.MOST_BITS / 8
+                    || first + 8 * length > instances + 7) {
                 return null;
             }
-            news.add(new News(new Member(number, life, Standing.values()[standing]), accuser));
+            window = new Window((int) first, new byte[(int) length]);
+            in.get(window.bits());
         }
-        return new Packet(Kind.values()[bytes[1]], question, from, incarnation, subject, news);
+        List<News> news = new ArrayList<>();
+        while (in.hasRemaining()) {
+            long what = Varint.get(in);
+            long life = incarnation + Varint.unfolded(Varint.get(in)); // past the largest it is negative
+            int standing = (int) (what & 3);
+            long accuser = standing == Standing.SUSPECT.ordinal() ? Varint.get(in) : what >>> 2;
+            if (standing >= STANDINGS.length || !below(what >>> 2, instances) || !below(accuser, instances)
+                    || !plausible(life)) {
+                return null;
+            }
+            news.add(new News(new Member((int) (what >>> 2), life, STANDINGS[standing]), (int) accuser));
+        }
+        return new Packet(Kind.values()[head & 3], (int) question, (int) from, incarnation, (int) subject,
+                digest, window, news);
+    }
+
+    private static boolean below(long number, int bound) {
+        return number >= 0 && number < bound;
     }
 
     private static boolean plausible(long incarnation) {
--- a/core/src/main/java/cedarrudder/membership/Suspicion.java
+++ b/core/src/main/java/cedarrudder/membership/Suspicion.java
@@ -10,11 +10,12 @@
  */
 final class Suspicion {
 
-    private final long since;
     private final double least;
     private final double most;
     private final int confirmations;
     private final Set<Integer> accusers = new HashSet<>();
+    private long since;
+    private long deadAt;
 
     /** @param accuser the first instance that said so, which confirms nothing */
     Suspicion(long now, int accuser, double least, double most, int confirmations) {
@@ -22,17 +23,27 @@
         this.least = least;
         this.most = most;
         this.confirmations = confirmations;
-        accusers.add(accuser);
+        confirmedBy(accuser);
     }
 
     /** Another one says so too; whether that is news which is worth telling. */
     boolean confirmedBy(int accuser) {
-        return accusers.size() <= confirmations && accusers.add(accuser);
+        if (accusers.size() > confirmations || !accusers.add(accuser)) {
+            return false;
+        }
+        double share = Math.log(accusers.size()) / Math.log(confirmations + 1.0);
+        deadAt = since + (long) Math.max(least, most - (most - least) * share);
+        return true;
+    }
+
+    /** It lasts so much longer. */
+    void extend(long length) {
+        since += length;
+        deadAt += length;
     }
 
     /** When it counts as dead. */
     long deadAt() {
-        double share = Math.log(accusers.size()) / Math.log(confirmations + 1.0);
-        return since + (long) Math.max(least, most - (most - least) * share);
+        return deadAt;
     }
 }
--- a/core/src/main/java/cedarrudder/membership/Swim.java
+++ b/core/src/main/java/cedarrudder/membership/Swim.java
@@ -3,29 +3,28 @@
 import cedarrudder.membership.Member.Standing;
 import cedarrudder.membership.Packet.Kind;
 import cedarrudder.membership.Packet.News;
+import cedarrudder.membership.Packet.Window;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.NavigableMap;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 
 /**
  * Which of a fixed set of instances live, as one of them sees it: SWIM (Das, Gupta, Motivala 2002) with
  * suspicion, incarnations and indirect questions, and Lifeguard (Dadgar, Phillips, Currey 2017) against those
- * that are slow themselves.
+ * that are slow themselves. {@link Doubts} come before a suspicion, and {@link StateExchange} brings what news
+ * did not.
  *
  * <p>It has no clock, no socket and no thread. It is told of messages and of the time, which never goes back,
  * and is asked by {@link #due} when it wants to be told next. Not thread-safe: from one thread at a time.
  *
- * <p>What goes out is bounded whatever the number of instances: a question a period, one to a suspect,
- * another to one of the dead now and then, {@code helpers} and one more where one isn't answered, and one
- * answer to each that asks.
+ * <p>What goes out is bounded whatever the number of instances: a question a period, two more to those in
+ * doubt, another to one of the dead now and then, {@code helpers} and one more where one isn't answered, and
+ * one answer to each that asks.
  */
 public final class Swim {
 
@@ -47,13 +46,30 @@
     /** The one that asked for others hears that one is at it after this share of its patience. */
     private static final double NACK_SHARE = 0.8;
 
+    /** Those that did not answer, and the suspected, are asked so often a period, all together. */
+    private static final int APPEALS = 2;
+
+    /**
+     * All live instances together ask each of the suspected about so often a period. Guards against all of a
+     * large tier asking one at once.
+     */
+    private static final int ASKS_OF_A_SUSPECT = 8;
+
+    /** Suspicions for losses alone that all live instances may come to in a period, about. */
+    private static final double FALSE_SUSPICIONS = 0.1;
+
+    /** In its period a question goes out twice, besides by helpers. */
+    private static final int OWN_ASKS = 2;
+
+    /** More are never asked for. Guards against losses so high that nobody would be suspected. */
+    private static final int MOST_SILENCES = 16;
+
     /** A question that is out. */
     private static final class Question {
         final int target;
         final int number;
         final long helpAt;
         final Set<Integer> helpers = new HashSet<>();
-        final Set<Integer> heard = new HashSet<>();
         boolean asked;
         boolean answered;
 
@@ -72,11 +88,13 @@
     private final RandomGenerator random;
     private final Outlet outlet;
     private final Member[] members;
-    private final NavigableMap<Integer, Suspicion> suspicions = new TreeMap<>();
+    private final Suspicions suspicions;
+    private final Doubts doubts = new Doubts();
+    private final Loss loss = new Loss();
+    private final StateExchange exchange;
     private final Gossip gossip;
     private final int[] order;
     private final Map<Integer, Relay> relays = new HashMap<>();
-    private final Set<Integer> dead = new HashSet<>();
     private int nextInOrder;
     private Question question;
     private int questions;
@@ -84,7 +102,8 @@
     private int health;
     private long nextPeriod;
     private long nextAppeal;
-    private int lastAppeal = -1;
+    private boolean suspectsTurn;
+    private boolean heardAny;
     private boolean left;
     private long malformed;
     private long notItsSender;
@@ -114,13 +133,14 @@
         for (int i = 0; i < instances; i++) {
             members[i] = new Member(i, i == self ? life : 0, Standing.ALIVE);
         }
+        this.suspicions = new Suspicions(random.nextInt(instances));
+        this.exchange = new StateExchange(instances);
         this.gossip = new Gossip(instances);
         this.order = new int[instances - 1];
         for (int i = 0; i < order.length; i++) {
             order[i] = i < self ? i : i + 1;
         }
         shuffle();
-        tell(members[self], self);
         // Spread over a period. Guards against all that start at once asking at once for ever.
         nextPeriod = now + (long) (random.nextDouble() * settings.period());
     }
@@ -134,7 +154,7 @@
 
     /** How many count as live, this one with them. */
     public int live() {
-        return members.length - dead.size();
+        return members.length - exchange.dead();
     }
 
     /** How badly this one does, from 0: it takes that much longer over everything. */
@@ -157,8 +177,8 @@
         if (question != null && !question.answered && !question.asked) {
             due = Math.min(due, question.helpAt);
         }
-        for (Suspicion suspicion : suspicions.values()) {
-            due = Math.min(due, Math.min(suspicion.deadAt(), nextAppeal));
+        if (!suspicions.isEmpty() || !doubts.isEmpty()) {
+            due = Math.min(due, Math.min(suspicions.due(), nextAppeal));
         }
         for (Relay relay : relays.values()) {
             due = relay.nacked() ? due : Math.min(due, relay.nackAt());
@@ -171,6 +191,10 @@
         if (left) {
             return;
         }
+        long late = now - due();
+        if (late > settings.period() / 2) {
+            stoodStill(late);
+        }
         bury(now);
         appeal(now);
         sendNacks(now);
@@ -183,26 +207,55 @@
         }
     }
 
+    /**
+     * This instance did not run for so long. Guards against burying others for answers that wait unread, and
+     * for contradictions that it could not hear.
+     */
+    private void stoodStill(long late) {
+        health = Math.min(settings.worstHealth(), health + 1);
+        question = null;
+        doubts.clear();
+        suspicions.extend(late);
+    }
+
     private void bury(long now) {
-        for (int number : List.copyOf(suspicions.keySet())) {
-            if (now >= suspicions.get(number).deadAt()) {
-                learn(now, members[number].as(Standing.DEAD), self);
-            }
+        for (int number : suspicions.over(now)) {
+            learn(now, members[number].as(Standing.DEAD), self);
         }
     }
 
     /**
-     * Asks one of those that are suspected, each in turn: it hears what is said of it, and contradicts.
-     * Guards against burying the living where messages are lost. One a period, however many are suspected.
+     * Asks one of those that did not answer or that are suspected, by turns: the first is heard or suspected,
+     * the second hears what is said of it and contradicts. Guards against burying the living where messages
+     * are lost. Twice a period, however many there are.
      */
     private void appeal(long now) {
-        if (suspicions.isEmpty() || now < nextAppeal) {
+        if (now < nextAppeal || suspicions.isEmpty() && doubts.isEmpty()) {
             return;
         }
-        nextAppeal = now + settings.period();
-        Integer number = suspicions.higherKey(lastAppeal);
-        lastAppeal = number != null ? number : suspicions.firstKey();
-        send(lastAppeal, Kind.PING, ++questions, lastAppeal);
+        nextAppeal = now + settings.period() / APPEALS;
+        while (!doubts.isEmpty() && doubts.silent() >= silences()) {
+            int number = doubts.first();
+            doubts.remove(number);
+            learn(now, members[number].as(Standing.SUSPECT), self);
+        }
+        suspectsTurn = !suspicions.isEmpty() && (doubts.isEmpty() || !suspectsTurn);
+        if (suspectsTurn) {
+            if (random.nextDouble() * APPEALS * live() >= ASKS_OF_A_SUSPECT * suspicions.size()) {
+                return;
+            }
+            int number = suspicions.next();
+            send(number, Kind.PING, ++questions, number);
+        } else if (!doubts.isEmpty()) {
+            int number = doubts.first();
+            doubts.asked();
+            send(number, Kind.PING, ++questions, number);
+        }
+    }
+
+    /** So often must one stay silent that in all the tier hardly anybody is suspected for losses alone. */
+    private int silences() {
+        return Math.min(MOST_SILENCES, loss.silences(FALSE_SUSPICIONS / live()));
     }
 
     private void sendNacks(long now) {
@@ -239,12 +292,16 @@
         }
         if (question.answered) {
             health = Math.max(0, health - 1);
-        } else if (members[question.target].standing() != Standing.DEAD) {
-            // Lifeguard: helpers that stay silent as well speak against this one, not against the target.
-            int silent = question.helpers.size() - question.heard.size();
-            health = Math.min(settings.worstHealth(), health + (question.helpers.isEmpty() ? 1 : silent));
-            Member target = members[question.target];
-            learn(now, target.as(Standing.SUSPECT), self);
+        } else if (members[question.target].live()) {
+            if (!heardAny) {
+                health = Math.min(settings.worstHealth(), health + 1);
+            }
+            if (silences() <= OWN_ASKS) {
+                learn(now, members[question.target].as(Standing.SUSPECT), self);
+            } else {
+                nextAppeal = Math.max(nextAppeal, now);
+                doubts.add(question.target, OWN_ASKS);
+            }
         }
         question = null;
     }
@@ -255,17 +312,13 @@
         relays.values().removeIf(relay -> relay.nacked() && now >= relay.nackAt() + settings.period());
         int target = next();
         if (target >= 0) {
+            heardAny = false;
             question = new Question(target, ++questions, now + settings.ackPatience() * (health + 1));
             send(target, Kind.PING, question.number, target);
         }
-        if (++periods % settings.revivePeriods() == 0 && !dead.isEmpty()) {
+        if (++periods % settings.revivePeriods() == 0 && exchange.dead() > 0) {
             // Guards against two halves that were cut from one another staying apart: it contradicts.
-            int chosen = random.nextInt(dead.size());
-            Iterator<Integer> each = dead.iterator();
-            int number = each.next();
-            for (int i = 0; i < chosen; i++) {
-                number = each.next();
-            }
+            int number = exchange.any(random);
             send(number, Kind.PING, ++questions, number);
         }
     }
@@ -297,7 +350,8 @@
     // ---- messages ----
 
     /**
-     * Takes a message. One that can't be read, or that names another as its sender, is counted and dropped.
+     * Takes a message. Its first byte is 1, which tells membership's messages from those of others that share
+     * a socket. One that can't be read, or that names another as its sender, is counted and dropped.
      *
      * @param from the instance whose address it came from
      */
@@ -311,20 +365,20 @@
             notItsSender++;
             return;
         }
-        learn(now, new Member(from, packet.incarnation(), Standing.ALIVE), from);
+        heardAny = true;
+        if (doubts.remove(from)) {
+            loss.answered(false);
+        }
+        learn(now, new Member(from, packet.incarnation(), Standing.ALIVE), from, true);
         for (News piece : packet.news()) {
             learn(now, piece.member(), piece.accuser());
         }
+        exchange.heard(packet.digest());
         switch (packet.kind()) {
-            case PING -> send(from, Kind.ACK, packet.question(), self);
+            case PING -> send(from, Kind.ACK, packet.question(), self, packet.window());
             case PING_FOR -> relay(now, packet);
             case ACK -> answered(packet);
-            case NACK -> {
-                if (question != null && question.number == packet.question()
-                        && question.helpers.contains(from)) {
-                    question.heard.add(from);
-                }
-            }
+            case NACK -> { } // that it came says that this instance hears
         }
     }
 
@@ -343,8 +397,10 @@
         if (question != null && question.number == packet.question()
                 && packet.subject() == question.target
                 && (packet.from() == question.target || question.helpers.contains(packet.from()))) {
-            question.answered = true;
-            question.heard.add(packet.from());
+            if (!question.answered) {
+                question.answered = true;
+                loss.answered(!question.asked);
+            }
             return;
         }
         Relay relay = relays.get(packet.question());
@@ -355,20 +411,35 @@
     }
 
     private void send(int to, Kind kind, int number, int subject) {
-        List<News> news = new ArrayList<>(Packet.MOST_NEWS);
-        Member known = members[to];
-        if (known.standing() != Standing.ALIVE) {
+        send(to, kind, number, subject, null);
+    }
+
+    /** @param asked what the one that is answered showed; null where it showed nothing */
+    private void send(int to, Kind kind, int number, int subject, Window asked) {
+        Window shown = kind == Kind.PING ? exchange.show() : null;
+        long incarnation = members[self].incarnation();
+        Letter letter = new Letter(incarnation, Packet.room(shown));
+        if (members[to].standing() != Standing.ALIVE) {
             // Lifeguard's buddy rule: who is suspected hears of it first, and can contradict.
-            news.add(new News(known, self));
+            letter.add(new News(members[to], self));
+        }
+        if (asked != null) {
+            exchange.answer(asked, members, random.nextInt(members.length), letter);
         }
         double times = settings.spread() * Math.ceil(Math.log(live() + 1.0) / Math.log(2));
-        gossip.fill(news, (int) Math.max(1, times));
-        outlet.send(to, new Packet(kind, number, self, members[self].incarnation(), subject, news).encode());
+        gossip.fill(letter, (int) Math.max(1, times));
+        outlet.send(to, new Packet(kind, number, self, incarnation, subject, exchange.digest(), shown,
+                letter.news()).encode());
     }
 
     // ---- news ----
 
     private void learn(long now, Member news, int accuser) {
+        learn(now, news, accuser, false);
+    }
+
+    /** @param byItself whether the instance itself has just been heard */
+    private void learn(long now, Member news, int accuser, boolean byItself) {
         int number = news.number();
         if (number == self) {
             contradict(news);
@@ -376,17 +447,12 @@
         }
         Member known = members[number];
         if (news.standing() == Standing.SUSPECT && news.equals(known)) {
-            if (suspicions.get(number).confirmedBy(accuser)) {
+            if (suspicions.confirmed(number, accuser)) {
                 tell(news, accuser);
             }
             return;
         }
         if (!news.overrides(known)) {
-            if (!known.live() && accuser != number) {
-                // Whoever says so does not know yet. Guards against one that has just started, to whom all
-                // the dead are live, finding each by itself.
-                tell(known, self);
-            }
             return;
         }
         members[number] = news;
@@ -395,15 +461,18 @@
             // One that does badly itself takes longer to bury others, as over everything.
             double least = settings.suspicionLeast() * Math.max(1, Math.log10(live())) * settings.period()
                     * (health + 1);
+            nextAppeal = Math.max(nextAppeal, now);
             suspicions.put(number, new Suspicion(now, accuser, least, least * settings.suspicionMost(),
                     settings.confirmations()));
         }
-        if (news.live()) {
-            dead.remove(number);
-        } else {
-            dead.add(number);
+        exchange.set(number, !news.live());
+        if (!news.live()) {
+            doubts.remove(number);
+        }
+        // Guards against a start that nobody missed filling all messages: whom it concerns hears it itself.
+        if (!byItself || known.standing() != Standing.ALIVE) {
+            tell(news, accuser);
         }
-        tell(news, accuser);
         if (known.standing() != news.standing() || known.incarnation() != news.incarnation()) {
             outlet.changed(known, news);
         }
--- /dev/null
+++ b/core/src/main/java/cedarrudder/membership/Varint.java
@@ -0,0 +1,57 @@
+package cedarrudder.membership;
+
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+
+/** Whole numbers in as few bytes as they need: seven bits a byte, the lowest first. One number, one form. */
+final class Varint {
+
+    private static final int LONGEST = 10;
+
+    private Varint() { }
+
+    /** Writes a number; a negative one takes ten bytes. */
+    static void put(ByteBuffer out, long value) {
+        long rest = value;
+        while ((rest & ~0x7fL) != 0) {
+            out.put((byte) (rest & 0x7f | 0x80));
+            rest >>>= 7;
+        }
+        out.put((byte) rest);
+    }
+
+    /** How many bytes that takes. */
+    static int size(long value) {
+        return Math.max(1, (70 - Long.numberOfLeadingZeros(value)) / 7);
+    }
+
+    /**
+     * Reads a number.
+     *
+     * @throws BufferUnderflowException if it does not end, or has another form than {@link #put} gives it
+     */
+    static long get(ByteBuffer in) {
+        long value = 0;
+        for (int i = 0; i < LONGEST; i++) {
+            byte next = in.get();
+            if (i > 0 && next == 0 || i == LONGEST - 1 && next != 1) {
+                throw new BufferUnderflowException();
+            }
+            value |= (long) (next & 0x7f) << 7 * i;
+            if (next >= 0) {
+                return value;
+            }
+        }
+        throw new BufferUnderflowException();
+    }
+
+    /** A number that may be negative, as one that is not: small where it is near to zero. */
+    static long folded(long value) {
+        return value << 1 ^ value >> 63;
+    }
+
+    /** What was folded. */
+    static long unfolded(long value) {
+        return value >>> 1 ^ -(value & 1);
+    }
+}
--- a/core/src/test/java/cedarrudder/membership/SwimTest.java
+++ b/core/src/test/java/cedarrudder/membership/SwimTest.java
@@ -8,6 +8,7 @@
 import cedarrudder.membership.Member.Standing;
 import cedarrudder.membership.Packet.Kind;
 import cedarrudder.membership.Packet.News;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -50,7 +51,11 @@
     }
 
     private void hear(int from, Kind kind, int question, long life, int subject, News... news) {
-        swim.received(now, from, new Packet(kind, question, from, life, subject, List.of(news)).encode());
+        swim.received(now, from, packet(kind, question, from, life, subject, news).encode());
+    }
+
+    private static Packet packet(Kind kind, int question, int from, long life, int subject, News... news) {
+        return new Packet(kind, question, from, life, subject, 0, null, List.of(news));
     }
 
     private static News news(int number, long life, Standing standing, int accuser) {
@@ -124,19 +129,80 @@
     }
 
     @Test
-    public void helpersThatAreSilentTooSpeakAgainstItself() {
+    public void whoHearsNobodySlowsDown() {
         start(5);
         Sent first = await(Kind.PING);
-        await(Kind.PING_FOR);
-        Sent next = awaitAfter(first);
-        assertEquals(swim.health(), 3);
+        awaitAfter(first);
+        assertEquals(swim.health(), 1);
         long before = now;
-        while (swim.health() == 3) {
+        while (swim.health() == 1) {
+            now = swim.due();
+            swim.tick(now);
+        }
+        assertTrue(now - before >= 2 * MembershipSettings.DEFAULT.period(), "it doesn't slow down");
+    }
+
+    /** Answers each question until the next, at once or only when asked again. */
+    private Sent answerAll(int times, boolean again) {
+        Sent asked = await(Kind.PING);
+        for (int i = 0; i < times; i++) {
+            if (again) {
+                await(Kind.PING_FOR);
+            }
+            hear(asked.to, Kind.ACK, asked.packet.question(), 1, asked.to);
+            sent.clear();
+            asked = await(Kind.PING);
+        }
+        return asked;
+    }
+
+    private long silentUntilSuspected(boolean lossy) {
+        start(20);
+        Sent asked = answerAll(60, lossy);
+        long began = now;
+        while (swim.member(asked.to).standing() == Standing.ALIVE) {
+            hear(asked.to % 19 + 1, Kind.NACK, 0, 1, asked.to); // it is not deaf
+            now = swim.due();
+            swim.tick(now);
+        }
+        return now - began;
+    }
+
+    @Test
+    public void whereAnswersAreLostOneIsAskedAgainBeforeOthersAreTold() {
+        assertTrue(silentUntilSuspected(false) <= MembershipSettings.DEFAULT.period());
+        assertTrue(silentUntilSuspected(true) >= 3 * MembershipSettings.DEFAULT.period());
+    }
+
+    @Test
+    public void whoIsHeardIsDoubtedNoMore() {
+        start(20);
+        Sent asked = answerAll(60, true);
+        awaitAfter(asked);
+        hear(asked.to, Kind.PING, 1, 1, 0);
+        long until = now + 3 * SECOND;
+        int again = 0;
+        while (now < until) {
+            sent.clear();
             now = swim.due();
             swim.tick(now);
+            again += sent.stream().anyMatch(s -> s.to == asked.to) ? 1 : 0;
         }
-        assertTrue(next.to != first.to);
-        assertTrue(now - before >= 4 * MembershipSettings.DEFAULT.period(), "it doesn't slow down");
+        assertEquals(swim.member(asked.to).standing(), Standing.ALIVE);
+        assertTrue(again <= 1, "asked " + again + " times more");
+    }
+
+    /** Answers that wait unread, and contradictions, say nothing against others. */
+    @Test
+    public void whoStoodStillAccusesAndBuriesNobody() {
+        start(5);
+        await(Kind.PING);
+        hear(1, Kind.NACK, 0, 1, 1, news(2, 3, Standing.SUSPECT, 1));
+        now += 60 * SECOND;
+        swim.tick(now);
+        assertEquals(changes, List.of(new Member(1, 1, Standing.ALIVE), new Member(2, 3, Standing.SUSPECT)));
+        hear(2, Kind.PING, 1, 4, 0);
+        assertEquals(swim.member(2).standing(), Standing.ALIVE);
     }
 
     @Test
@@ -183,7 +249,7 @@
     public void anOldLifeIsNeverBelievedAgain() {
         start(4);
         hear(1, Kind.PING, 1, 10, 0);
-        hear(2, Kind.PING, 1, 5, 0, news(1, 10, Standing.DEAD, 2));
+        hear(2, Kind.PING, 1, 5, 0, news(1, 10, Standing.DEAD, 1));
         assertFalse(swim.member(1).live());
         // Late messages of the life that has ended, by itself and by others.
         hear(1, Kind.PING, 2, 10, 0);
@@ -197,17 +263,38 @@
         assertTrue(swim.member(1).live());
     }
 
+    /** One that has just started shows whom it holds as dead, and the answer says in whom it errs. */
     @Test
-    public void whoDoesNotKnowOfADeathIsTold() {
-        start(4);
-        hear(2, Kind.PING, 1, 5, 0, news(1, 10, Standing.DEAD, 2));
-        for (int i = 0; i < 100; i++) {
+    public void twoThatDifferInTheDeadTellOneAnother() {
+        start(30);
+        hear(2, Kind.PING, 1, 5, 0, news(1, 10, Standing.DEAD, 1), news(9, 20, Standing.DEAD, 9));
+        for (int i = 0; i < 200; i++) {
             hear(2, Kind.PING, 1, 5, 0); // until that news has gone out often enough
         }
         sent.clear();
-        hear(3, Kind.PING, 8, 5, 0, news(1, 0, Standing.SUSPECT, 3));
-        assertTrue(await(Kind.ACK).packet.news().stream().anyMatch(n -> n.member().number() == 1
-                && n.member().standing() == Standing.DEAD));
+        hear(2, Kind.PING, 8, 5, 0);
+        assertTrue(await(Kind.ACK).packet.news().isEmpty(), "news without end");
+        byte[] held = {0, 2, 4, 0}; // 9 and 18 are dead
+        swim.received(now, 3, new Packet(Kind.PING, 8, 3, 5, 0, 77, new Packet.Window(0, held), List.of())
+                .encode());
+        assertEquals(await(Kind.ACK).packet.news(), List.of(news(1, 10, Standing.DEAD, 1),
+                news(18, 0, Standing.ALIVE, 18)));
+        // Its own next question shows what it holds, until the digests agree.
+        Packet shown = await(Kind.PING).packet;
+        assertEquals(shown.window().bits(), new byte[] {2, 2, 0, 0});
+        swim.received(now, 3, new Packet(Kind.NACK, 0, 3, 5, 0, shown.digest(), null, List.of()).encode());
+        sent.clear();
+        assertNull(await(Kind.PING).packet.window());
+    }
+
+    @Test
+    public void anEarlierVersionIsRefused() {
+        start(4);
+        byte[] first = ByteBuffer.allocate(19).put((byte) 1).put((byte) 0).putInt(1).putShort((short) 1)
+                .putLong(5).putShort((short) 0).put((byte) 0).array();
+        swim.received(now, 1, first);
+        assertEquals(swim.counts().malformed(), 1);
+        assertTrue(sent.isEmpty());
     }
 
     @Test
@@ -256,7 +343,7 @@
     @Test
     public void aSenderThatNamesAnotherIsNotBelieved() {
         start(4);
-        byte[] forged = new Packet(Kind.PING, 1, 2, 9, 0, List.of(news(3, 9, Standing.DEAD, 2))).encode();
+        byte[] forged = packet(Kind.PING, 1, 2, 9, 0, news(3, 9, Standing.DEAD, 3)).encode();
         swim.received(now, 1, forged);
         assertTrue(swim.member(3).live());
         assertEquals(swim.counts().notItsSender(), 1);
@@ -270,8 +357,8 @@
         System.out.println("bytes: seed " + seed);
         SplittableRandom random = new SplittableRandom(seed);
         start(6);
-        byte[] good = new Packet(Kind.PING, 77, 1, 4, 2, List.of(news(3, 9, Standing.SUSPECT, 2),
-                news(4, 8, Standing.ALIVE, 4))).encode();
+        byte[] good = new Packet(Kind.PING, 77, 1, 4, 2, 9, new Packet.Window(0, new byte[] {12}), List.of(
+                news(3, 1L << 50, Standing.SUSPECT, 2), news(4, 3, Standing.ALIVE, 4))).encode();
         int read = 0;
         for (int i = 0; i < 200_000; i++) {
             byte[] bytes;
--- a/daemon/src/test/java/cedarrudder/transport/MembershipTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/MembershipTest.java
@@ -40,7 +40,22 @@
 
     private static final byte PING = 0;
     private static final byte ACK = 1;
+    private static final byte SUSPECT = 1;
     private static final byte DEAD = 2;
+    private static final byte ROOM = 1;
+    private static final byte VERSION = 2 << 4;
+    private static final byte WINDOW = 4;
+
+    private static long number(ByteBuffer in) {
+        long value = 0;
+        for (int shift = 0;; shift += 7) {
+            byte next = in.get();
+            value |= (long) (next & 127) << shift;
+            if (next >= 0) {
+                return value;
+            }
+        }
+    }
 
     /** A peer that answers each question, until it is told to be silent. */
     private static final class Peer {
@@ -65,8 +80,8 @@
                     socket.receive(in);
                     byte[] bytes = Arrays.copyOf(in.getData(), in.getLength());
                     heard.add(bytes);
-                    if (!silent && bytes[1] == PING) {
-                        byte[] answer = message(ACK, ByteBuffer.wrap(bytes).getInt(2), number);
+                    if (!silent && (bytes[1] & 3) == PING) {
+                        byte[] answer = message(ACK, number(ByteBuffer.wrap(bytes, 2, 9)), number);
                         socket.send(new DatagramPacket(answer, answer.length, in.getSocketAddress()));
                     }
                 }
@@ -75,9 +90,17 @@
             }
         }
 
-        byte[] message(byte kind, int question, int subject) {
-            return ByteBuffer.allocate(19).put((byte) 1).put(kind).putInt(question).putShort((short) number)
-                    .putLong(life).putShort((short) subject).put((byte) 0).array();
+        /** All numbers but the question's are below 128, and so take one byte. */
+        byte[] message(byte kind, long question, int subject) {
+            ByteBuffer out = ByteBuffer.allocate(30).put(ROOM).put((byte) (VERSION | kind));
+            for (long rest = question; ; rest >>>= 7) {
+                out.put((byte) (rest & 127 | (rest > 127 ? 128 : 0)));
+                if (rest <= 127) {
+                    break;
+                }
+            }
+            out.put((byte) number).put((byte) life).put((byte) subject).putInt(0);
+            return Arrays.copyOf(out.array(), out.position());
         }
 
         /** Waits for a message that says this of an instance. */
@@ -86,9 +109,22 @@
             while (true) {
                 byte[] next = heard.poll(Math.max(0, until - System.nanoTime()), TimeUnit.NANOSECONDS);
                 assertNotNull(next, "no such news came");
-                for (int i = 0; i < next[18]; i++) {
-                    ByteBuffer piece = ByteBuffer.wrap(next, 19 + 13 * i, 13);
-                    if (piece.get() == standing && piece.getShort() == instance) {
+                ByteBuffer in = ByteBuffer.wrap(next, 2, next.length - 2);
+                for (int i = 0; i < 4; i++) {
+                    number(in); // question, sender, its life, subject
+                }
+                in.getInt(); // the digest
+                if ((next[1] & WINDOW) != 0) {
+                    number(in);
+                    in.position(in.position() + 1 + in.get(in.position()));
+                }
+                while (in.hasRemaining()) {
+                    long what = number(in);
+                    number(in); // its life
+                    if ((what & 3) == SUSPECT) {
+                        number(in);
+                    }
+                    if (what == (instance << 2 | standing)) {
                         return;
                     }
                 }
@@ -195,8 +231,8 @@
                 byte[] bytes = new byte[random.nextInt(256)];
                 random.nextBytes(bytes);
                 if (bytes.length > 1 && random.nextBoolean()) {
-                    bytes[0] = 1;
-                    bytes[1] = (byte) random.nextInt(4);
+                    bytes[0] = ROOM;
+                    bytes[1] = (byte) (VERSION | random.nextInt(8));
                 }
                 (i % 2 == 0 ? stranger : one.socket).send(new DatagramPacket(bytes, bytes.length, own));
             }
--- a/lab/src/main/java/cedarrudder/lab/command/MembersCommand.java
+++ b/lab/src/main/java/cedarrudder/lab/command/MembersCommand.java
@@ -2,6 +2,7 @@
 
 import cedarrudder.lab.members.Detection;
 import cedarrudder.lab.members.Mesh;
+import cedarrudder.lab.members.Trouble;
 import cedarrudder.membership.MembershipSettings;
 import java.io.PrintWriter;
 import java.util.ArrayList;
@@ -49,6 +50,10 @@
             description = "After it; ${DEFAULT-VALUE} where not given.")
     private double after;
 
+    @Option(names = "--trouble", split = ",", paramLabel = "KIND", description = "Instead of that, what passes "
+            + "again: ${COMPLETION-CANDIDATES}. Exit code 1 where not all agree in time after it.")
+    private List<Trouble.Kind> troubles = List.of();
+
     @Override
     public Integer call() {
         check(sizes.stream().allMatch(size -> size >= 2 && size <= 5_000), "--sizes", "from 2 to 5000 each");
@@ -56,15 +61,54 @@
         check(dying >= 0 && dying < 1, "--dying", "from 0 to below 1");
         check(calm > 0 && after > 0, "--calm and --after", "over 0");
         long[] range = seeds.range(spec);
+        return troubles.isEmpty() ? detect(range) : suffer(range);
+    }
+
+    private static Mesh.Network network(double loss) {
+        return new Mesh.Network(loss, 100 * MICRO, 2_000 * MICRO);
+    }
+
+    private int suffer(long[] range) {
+        List<List<String>> rows = new ArrayList<>();
+        rows.add(List.of("trouble", "instances", "loss", "seeds", "false deaths", "of those in trouble",
+                "agreed p50 s", "max s", "never", "bytes/s", "most in 1 s"));
+        boolean all = true;
+        for (Trouble.Kind kind : troubles) {
+            for (int size : sizes) {
+                for (double loss : losses) {
+                    Trouble trouble = new Trouble(kind, size, network(loss), MembershipSettings.DEFAULT);
+                    for (long seed = range[0]; seed <= range[1]; seed++) {
+                        trouble.play(seed);
+                    }
+                    Trouble.Figures f = trouble.figures();
+                    all &= f.never() == 0;
+                    rows.add(List.of(kind.toString(), Integer.toString(size), figure(loss, 2),
+                            Integer.toString(f.seeds()), Long.toString(f.falseDeaths()),
+                            Long.toString(f.heldDead()), figure(f.p50(), 1), figure(f.worst(), 1),
+                            Integer.toString(f.never()), figure(f.bytesPerSecond(), 0),
+                            Long.toString(f.mostInSecond())));
+                }
+            }
+        }
+        return print(rows, all);
+    }
+
+    private int print(List<List<String>> rows, boolean all) {
         PrintWriter out = spec.commandLine().getOut();
+        ResultText.table(rows).forEach(out::println);
+        out.flush();
+        return all ? ExitCode.OK : ExitCode.SOFTWARE;
+    }
+
+    private int detect(long[] range) {
         List<List<String>> rows = new ArrayList<>();
         rows.add(List.of("instances", "loss", "seeds", "unseen", "p50 s", "p99 s", "max s", "false deaths",
                 "bytes/s", "messages/s", "most in 1 s"));
         boolean all = true;
         for (int size : sizes) {
             for (double loss : losses) {
-                Detection detection = new Detection(size, new Mesh.Network(loss, 100 * MICRO, 2_000 * MICRO),
-                        dying, MembershipSettings.DEFAULT, calm, after);
+                Detection detection = new Detection(size, network(loss), dying, MembershipSettings.DEFAULT, calm,
+                        after);
                 for (long seed = range[0]; seed <= range[1]; seed++) {
                     detection.play(seed);
                 }
@@ -76,9 +120,7 @@
                         figure(f.messagesPerSecond(), 1), Long.toString(f.mostInSecond())));
             }
         }
-        ResultText.table(rows).forEach(out::println);
-        out.flush();
-        return all ? ExitCode.OK : ExitCode.SOFTWARE;
+        return print(rows, all);
     }
 
     private void check(boolean allowed, String what, String range) {
--- a/lab/src/main/java/cedarrudder/lab/members/Mesh.java
+++ b/lab/src/main/java/cedarrudder/lab/members/Mesh.java
@@ -18,6 +18,13 @@
     /** Where virtual time begins; its zero means nothing. */
     public static final long START = 1_000_000_000_000L;
 
+    /** The first lives began some time within a day, in milliseconds. */
+    private static final long FIRST_LIFE = 1_700_000_000_000L;
+    private static final long DAY = 24L * 3600 * 1000;
+
+    /** A life that begins after all of the first. */
+    public static final long LATER_LIFE = FIRST_LIFE + 2 * DAY;
+
     /**
      * What the network does.
      *
@@ -123,6 +130,7 @@
             a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
     private final List<Change> changes = new ArrayList<>();
     private IntPredicate half = number -> true;
+    private IntPredicate deaf = number -> false;
     private long now = START;
     private long made;
 
@@ -134,7 +142,7 @@
         for (int i = 0; i < size; i++) {
             places.add(new Place(i));
         }
-        places.forEach(place -> place.start(1));
+        places.forEach(place -> place.start(FIRST_LIFE + random.nextLong(DAY)));
     }
 
     private void at(long instant, Runnable what) {
@@ -142,7 +150,7 @@
     }
 
     private boolean cut(int from, int to) {
-        return half.test(from) != half.test(to);
+        return half.test(from) != half.test(to) || deaf.test(to) && !deaf.test(from);
     }
 
     public long now() {
@@ -189,9 +197,15 @@
         half = ofOneHalf;
     }
 
-    /** The cut is mended. */
+    /** From now on these hear nothing of the others, which hear them. */
+    public void deafen(IntPredicate those) {
+        deaf = those;
+    }
+
+    /** What was cut is mended. */
     public void heal() {
         half = number -> true;
+        deaf = number -> false;
     }
 
     /** Gives an instance a message as if from another, whatever the network does. */
