--- a/core/src/main/java/cedarrudder/membership/Swim.java
+++ b/core/src/main/java/cedarrudder/membership/Swim.java
@@ -3,29 +3,28 @@
 import cedarrudder.membership.Member.Standing;
 import cedarrudder.membership.Packet.Kind;
 import cedarrudder.membership.Packet.News;
+import cedarrudder.membership.Packet.Window;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.NavigableMap;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 
 /**
  * Which of a fixed set of instances live, as one of them sees it: SWIM (Das, Gupta, Motivala 2002) with
  * suspicion, incarnations and indirect questions, and Lifeguard (Dadgar, Phillips, Currey 2017) against those
- * that are slow themselves.
+ * that are slow themselves. {@link Doubts} come before a suspicion, and {@link StateExchange} brings what news
+ * did not.
  *
  * <p>It has no clock, no socket and no thread. It is told of messages and of the time, which never goes back,
  * and is asked by {@link #due} when it wants to be told next. Not thread-safe: from one thread at a time.
  *
- * <p>What goes out is bounded whatever the number of instances: a question a period, one to a suspect,
- * another to one of the dead now and then, {@code helpers} and one more where one isn't answered, and one
- * answer to each that asks.
+ * <p>What goes out is bounded whatever the number of instances: a question a period, two more to those in
+ * doubt, another to one of the dead now and then, {@code helpers} and one more where one isn't answered, and
+ * one answer to each that asks, of which there is a bound too.
  */
 public final class Swim {
 
@@ -38,8 +37,12 @@
         void changed(Member before, Member now);
     }
 
-    /** What came that was none, or told nothing good; for figures. */
-    public record Counts(long malformed, long notItsSender, long refuted, long relaysRefused) { }
+    /** What came that was none, told nothing good, or was too much; for figures. */
+    public record Counts(long malformed, long notItsSender, long refuted, long relaysRefused,
+            long unanswered) { }
+
+    /** Questions answered in a period. Guards against answering all that waited while this one stood still. */
+    private static final int MOST_ANSWERS = 64;
 
     /** Questions asked on behalf of others at one time. Guards against work without end for a flood. */
     private static final int MOST_RELAYS = 64;
@@ -47,13 +50,30 @@
     /** The one that asked for others hears that one is at it after this share of its patience. */
     private static final double NACK_SHARE = 0.8;
 
+    /** Those that did not answer, and the suspected, are asked so often a period, all together. */
+    private static final int APPEALS = 2;
+
+    /**
+     * All live instances together ask each of the suspected about so often a period. Guards against all of a
+     * large tier asking one at once.
+     */
+    private static final int ASKS_OF_A_SUSPECT = 8;
+
+    /** Suspicions for losses alone that all live instances may come to in a period, about. */
+    private static final double FALSE_SUSPICIONS = 0.1;
+
+    /** In its period a question goes out twice, besides by helpers. */
+    private static final int OWN_ASKS = 2;
+
+    /** More are never asked for. Guards against losses so high that nobody would be suspected. */
+    private static final int MOST_SILENCES = 16;
+
     /** A question that is out. */
     private static final class Question {
         final int target;
         final int number;
         final long helpAt;
         final Set<Integer> helpers = new HashSet<>();
-        final Set<Integer> heard = new HashSet<>();
         boolean asked;
         boolean answered;
 
@@ -72,11 +92,13 @@
     private final RandomGenerator random;
     private final Outlet outlet;
     private final Member[] members;
-    private final NavigableMap<Integer, Suspicion> suspicions = new TreeMap<>();
+    private final Suspicions suspicions;
+    private final Doubts doubts = new Doubts();
+    private final Loss loss = new Loss();
+    private final StateExchange exchange;
     private final Gossip gossip;
     private final int[] order;
     private final Map<Integer, Relay> relays = new HashMap<>();
-    private final Set<Integer> dead = new HashSet<>();
     private int nextInOrder;
     private Question question;
     private int questions;
@@ -84,12 +106,15 @@
     private int health;
     private long nextPeriod;
     private long nextAppeal;
-    private int lastAppeal = -1;
+    private boolean suspectsTurn;
+    private boolean heardAny;
     private boolean left;
     private long malformed;
     private long notItsSender;
     private long refuted;
     private long relaysRefused;
+    private long unanswered;
+    private int answers;
 
     /**
      * All others count as live until they are found not to be.
@@ -114,13 +139,14 @@
         for (int i = 0; i < instances; i++) {
             members[i] = new Member(i, i == self ? life : 0, Standing.ALIVE);
         }
+        this.suspicions = new Suspicions(random.nextInt(instances));
+        this.exchange = new StateExchange(instances);
         this.gossip = new Gossip(instances);
         this.order = new int[instances - 1];
         for (int i = 0; i < order.length; i++) {
             order[i] = i < self ? i : i + 1;
         }
         shuffle();
-        tell(members[self], self);
         // Spread over a period. Guards against all that start at once asking at once for ever.
         nextPeriod = now + (long) (random.nextDouble() * settings.period());
     }
@@ -134,7 +160,7 @@
 
     /** How many count as live, this one with them. */
     public int live() {
-        return members.length - dead.size();
+        return members.length - exchange.dead();
     }
 
     /** How badly this one does, from 0: it takes that much longer over everything. */
@@ -143,7 +169,7 @@
     }
 
     public Counts counts() {
-        return new Counts(malformed, notItsSender, refuted, relaysRefused);
+        return new Counts(malformed, notItsSender, refuted, relaysRefused, unanswered);
     }
 
     // ---- time ----
@@ -157,8 +183,8 @@
         if (question != null && !question.answered && !question.asked) {
             due = Math.min(due, question.helpAt);
         }
-        for (Suspicion suspicion : suspicions.values()) {
-            due = Math.min(due, Math.min(suspicion.deadAt(), nextAppeal));
+        if (!suspicions.isEmpty() || !doubts.isEmpty()) {
+            due = Math.min(due, Math.min(suspicions.due(), nextAppeal));
         }
         for (Relay relay : relays.values()) {
             due = relay.nacked() ? due : Math.min(due, relay.nackAt());
@@ -171,6 +197,10 @@
         if (left) {
             return;
         }
+        long late = now - due();
+        if (late > settings.period() / 2) {
+            stoodStill(late);
+        }
         bury(now);
         appeal(now);
         sendNacks(now);
@@ -183,26 +213,55 @@
         }
     }
 
+    /**
+     * This instance did not run for so long. Guards against burying others for answers that wait unread, and
+     * for contradictions that it could not hear.
+     */
+    private void stoodStill(long late) {
+        health = Math.min(settings.worstHealth(), health + 1);
+        question = null;
+        doubts.clear();
+        suspicions.extend(late);
+    }
+
     private void bury(long now) {
-        for (int number : List.copyOf(suspicions.keySet())) {
-            if (now >= suspicions.get(number).deadAt()) {
-                learn(now, members[number].as(Standing.DEAD), self);
-            }
+        for (int number : suspicions.over(now)) {
+            learn(now, members[number].as(Standing.DEAD), self);
         }
     }
 
     /**
-     * Asks one of those that are suspected, each in turn: it hears what is said of it, and contradicts.
-     * Guards against burying the living where messages are lost. One a period, however many are suspected.
+     * Asks one of those that did not answer or that are suspected, by turns: the first is heard or suspected,
+     * the second hears what is said of it and contradicts. Guards against burying the living where messages
+     * are lost. Twice a period, however many there are.
      */
     private void appeal(long now) {
-        if (suspicions.isEmpty() || now < nextAppeal) {
+        if (now < nextAppeal || suspicions.isEmpty() && doubts.isEmpty()) {
             return;
         }
-        nextAppeal = now + settings.period();
-        Integer number = suspicions.higherKey(lastAppeal);
-        lastAppeal = number != null ? number : suspicions.firstKey();
-        send(lastAppeal, Kind.PING, ++questions, lastAppeal);
+        nextAppeal = now + settings.period() / APPEALS;
+        while (!doubts.isEmpty() && doubts.silent() >= silences()) {
+            int number = doubts.first();
+            doubts.remove(number);
+            learn(now, members[number].as(Standing.SUSPECT), self);
+        }
+        suspectsTurn = !suspicions.isEmpty() && (doubts.isEmpty() || !suspectsTurn);
+        if (suspectsTurn) {
+            if (random.nextDouble() * APPEALS * live() >= ASKS_OF_A_SUSPECT * suspicions.size()) {
+                return;
+            }
+            int number = suspicions.next();
+            send(number, Kind.PING, ++questions, number);
+        } else if (!doubts.isEmpty()) {
+            int number = doubts.first();
+            doubts.asked();
+            send(number, Kind.PING, ++questions, number);
+        }
+    }
+
+    /** So often must one stay silent that in all the tier hardly anybody is suspected for losses alone. */
+    private int silences() {
+        return Math.min(MOST_SILENCES, loss.silences(FALSE_SUSPICIONS / live()));
     }
 
     private void sendNacks(long now) {
@@ -239,33 +298,34 @@
         }
         if (question.answered) {
             health = Math.max(0, health - 1);
-        } else if (members[question.target].standing() != Standing.DEAD) {
-            // Lifeguard: helpers that stay silent as well speak against this one, not against the target.
-            int silent = question.helpers.size() - question.heard.size();
-            health = Math.min(settings.worstHealth(), health + (question.helpers.isEmpty() ? 1 : silent));
-            Member target = members[question.target];
-            learn(now, target.as(Standing.SUSPECT), self);
+        } else if (members[question.target].live()) {
+            if (!heardAny) {
+                health = Math.min(settings.worstHealth(), health + 1);
+            }
+            if (silences() <= OWN_ASKS) {
+                learn(now, members[question.target].as(Standing.SUSPECT), self);
+            } else {
+                nextAppeal = Math.max(nextAppeal, now);
+                doubts.add(question.target, OWN_ASKS);
+            }
         }
         question = null;
     }
 
     private void beginPeriod(long now) {
         nextPeriod = now + settings.period() * (health + 1);
+        answers = 0;
         // Those asked in the last period but one are not answered any more.
         relays.values().removeIf(relay -> relay.nacked() && now >= relay.nackAt() + settings.period());
         int target = next();
         if (target >= 0) {
+            heardAny = false;
             question = new Question(target, ++questions, now + settings.ackPatience() * (health + 1));
             send(target, Kind.PING, question.number, target);
         }
-        if (++periods % settings.revivePeriods() == 0 && !dead.isEmpty()) {
+        if (++periods % settings.revivePeriods() == 0 && exchange.dead() > 0) {
             // Guards against two halves that were cut from one another staying apart: it contradicts.
-            int chosen = random.nextInt(dead.size());
-            Iterator<Integer> each = dead.iterator();
-            int number = each.next();
-            for (int i = 0; i < chosen; i++) {
-                number = each.next();
-            }
+            int number = exchange.any(random);
             send(number, Kind.PING, ++questions, number);
         }
     }
@@ -297,7 +357,8 @@
     // ---- messages ----
 
     /**
-     * Takes a message. One that can't be read, or that names another as its sender, is counted and dropped.
+     * Takes a message. Its first byte is 1, which tells membership's messages from those of others that share
+     * a socket. One that can't be read, or that names another as its sender, is counted and dropped.
      *
      * @param from the instance whose address it came from
      */
@@ -311,23 +372,32 @@
             notItsSender++;
             return;
         }
-        learn(now, new Member(from, packet.incarnation(), Standing.ALIVE), from);
+        heardAny = true;
+        if (doubts.remove(from)) {
+            loss.answered(false);
+        }
+        learn(now, new Member(from, packet.incarnation(), Standing.ALIVE), from, true);
         for (News piece : packet.news()) {
             learn(now, piece.member(), piece.accuser());
         }
+        exchange.heard(packet.digest());
         switch (packet.kind()) {
-            case PING -> send(from, Kind.ACK, packet.question(), self);
+            case PING -> answer(packet);
             case PING_FOR -> relay(now, packet);
             case ACK -> answered(packet);
-            case NACK -> {
-                if (question != null && question.number == packet.question()
-                        && question.helpers.contains(from)) {
-                    question.heard.add(from);
-                }
-            }
+            case NACK -> { } // that it came says that this instance hears
         }
     }
 
+    private void answer(Packet packet) {
+        if (answers >= MOST_ANSWERS) {
+            unanswered++;
+            return;
+        }
+        answers++;
+        send(packet.from(), Kind.ACK, packet.question(), self, packet.window());
+    }
+
     private void relay(long now, Packet packet) {
         if (packet.subject() == self || packet.subject() == packet.from() || relays.size() >= MOST_RELAYS) {
             relaysRefused++;
@@ -343,8 +413,10 @@
         if (question != null && question.number == packet.question()
                 && packet.subject() == question.target
                 && (packet.from() == question.target || question.helpers.contains(packet.from()))) {
-            question.answered = true;
-            question.heard.add(packet.from());
+            if (!question.answered) {
+                question.answered = true;
+                loss.answered(!question.asked);
+            }
             return;
         }
         Relay relay = relays.get(packet.question());
@@ -355,20 +427,35 @@
     }
 
     private void send(int to, Kind kind, int number, int subject) {
-        List<News> news = new ArrayList<>(Packet.MOST_NEWS);
-        Member known = members[to];
-        if (known.standing() != Standing.ALIVE) {
+        send(to, kind, number, subject, null);
+    }
+
+    /** @param asked what the one that is answered showed; null where it showed nothing */
+    private void send(int to, Kind kind, int number, int subject, Window asked) {
+        Window shown = kind == Kind.PING ? exchange.show() : null;
+        long incarnation = members[self].incarnation();
+        Letter letter = new Letter(incarnation, Packet.room(shown));
+        if (members[to].standing() != Standing.ALIVE) {
             // Lifeguard's buddy rule: who is suspected hears of it first, and can contradict.
-            news.add(new News(known, self));
+            letter.add(new News(members[to], self));
+        }
+        if (asked != null) {
+            exchange.answer(self, asked, members, random.nextInt(members.length), letter);
         }
         double times = settings.spread() * Math.ceil(Math.log(live() + 1.0) / Math.log(2));
-        gossip.fill(news, (int) Math.max(1, times));
-        outlet.send(to, new Packet(kind, number, self, members[self].incarnation(), subject, news).encode());
+        gossip.fill(letter, (int) Math.max(1, times));
+        outlet.send(to, new Packet(kind, number, self, incarnation, subject, exchange.digest(), shown,
+                letter.news()).encode());
     }
 
     // ---- news ----
 
     private void learn(long now, Member news, int accuser) {
+        learn(now, news, accuser, false);
+    }
+
+    /** @param byItself whether the instance itself has just been heard */
+    private void learn(long now, Member news, int accuser, boolean byItself) {
         int number = news.number();
         if (number == self) {
             contradict(news);
@@ -376,37 +463,62 @@
         }
         Member known = members[number];
         if (news.standing() == Standing.SUSPECT && news.equals(known)) {
-            if (suspicions.get(number).confirmedBy(accuser)) {
+            if (suspicions.confirmed(number, accuser, now)) {
                 tell(news, accuser);
             }
             return;
         }
         if (!news.overrides(known)) {
-            if (!known.live() && accuser != number) {
-                // Whoever says so does not know yet. Guards against one that has just started, to whom all
-                // the dead are live, finding each by itself.
-                tell(known, self);
-            }
             return;
         }
-        members[number] = news;
-        suspicions.remove(number);
+        if (news.standing() == Standing.DEAD && accuser != self && accuser != number
+                && news.incarnation() == known.incarnation() && known.incarnation() > 0) {
+            claimed(now, known, accuser);
+            return;
+        }
         if (news.standing() == Standing.SUSPECT) {
-            // One that does badly itself takes longer to bury others, as over everything.
-            double least = settings.suspicionLeast() * Math.max(1, Math.log10(live())) * settings.period()
-                    * (health + 1);
-            suspicions.put(number, new Suspicion(now, accuser, least, least * settings.suspicionMost(),
-                    settings.confirmations()));
-        }
-        if (news.live()) {
-            dead.remove(number);
+            suspect(now, news, accuser);
         } else {
-            dead.add(number);
+            suspicions.remove(number);
+            hold(news);
+        }
+        // Guards against a start that nobody missed filling all messages: whom it concerns hears it itself.
+        if (!byItself || known.standing() != Standing.ALIVE) {
+            tell(news, accuser);
+        }
+    }
+
+    private void suspect(long now, Member news, int accuser) {
+        // One that does badly itself takes longer to bury others, as over everything.
+        double least = settings.suspicionLeast() * Math.max(1, Math.log10(live())) * settings.period()
+                * (health + 1);
+        nextAppeal = Math.max(nextAppeal, now);
+        suspicions.put(news.number(), new Suspicion(now, accuser, least, least * settings.suspicionMost(),
+                settings.confirmations()));
+        hold(news);
+    }
+
+    private void hold(Member news) {
+        Member known = members[news.number()];
+        members[news.number()] = news;
+        exchange.set(news.number(), !news.live());
+        if (!news.live()) {
+            doubts.remove(news.number());
         }
-        tell(news, accuser);
-        if (known.standing() != news.standing() || known.incarnation() != news.incarnation()) {
-            outlet.changed(known, news);
+        outlet.changed(known, news);
+    }
+
+    /**
+     * Another one holds a life as dead that is known here: it is suspected for the shortest time, and not
+     * buried at once. Guards against one that hears nobody, and against the halves of a cut when it heals,
+     * which would hold as dead whom they hear all the time, until these contradict.
+     */
+    private void claimed(long now, Member known, int accuser) {
+        if (known.standing() == Standing.ALIVE) {
+            suspect(now, known.as(Standing.SUSPECT), accuser);
         }
+        suspicions.shorten(known.number(), now);
+        exchange.claimed(known.number());
     }
 
     /** News of this very instance: what is wrong is contradicted by a greater incarnation. */
