Play faults between real copies, and judge what they wrote

Nothing said how copies behave together while some break, stall or lose contact: datagrams were not played. `lab cluster` starts 3 to 30 copies by the deploy file's run, with a relay socket for each copy and each of its peers. Link decides from weather and seed what becomes of a datagram: lost, late, doubled, broken, cut one way or both. Scripts are TOML (all errors at once) or drawn from a seed: SIGKILL, SIGSTOP, SIGTERM, SIGHUP, upgrades, halves, one-way cuts, loss, forged datagrams at full speed, clocks that differ, nodes that die, slow down or fall silent. The judge knows no code: one answer for each RPC, one voice for each number, true deaths, one true view after the faults. VirtualRun judges lab.members' mesh by the same rules.

Seen to fail: with rules loosened one by one JudgedTest's five broken programs pass the judge; Link without its bound and the reader without its check fail ScriptTest; ClusterIT catches two real processes whose folders are apart. The settings of OwnDaemon are ToySite's now, which copies share; Supervised can send any signal.

--- a/lab/src/main/java/cedarrudder/lab/attack/Answer.java
+++ b/lab/src/main/java/cedarrudder/lab/attack/Answer.java
@@ -10,7 +10,7 @@
  *
  * @param head its first line and fields
  */
-record Answer(int status, String head, String body) {
+public record Answer(int status, String head, String body) {
 
     private static final int MOST_HEAD = 32 * 1024;
 
@@ -28,7 +28,7 @@
      *
      * @param bodiless the request was one whose answers have no body, whatever their length says
      */
-    static Answer read(InputStream in, boolean bodiless) throws IOException {
+    public static Answer read(InputStream in, boolean bodiless) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
             int next = in.read();
--- a/lab/src/main/java/cedarrudder/lab/attack/OwnDaemon.java
+++ b/lab/src/main/java/cedarrudder/lab/attack/OwnDaemon.java
@@ -120,38 +120,16 @@
     }
 
     private String configuration(int sockets) {
-        StringBuilder servers = new StringBuilder();
-        for (InetSocketAddress node : nodes.addresses()) {
-            servers.append(servers.isEmpty() ? "" : ",").append("""
-                    {"id":"n%d","addr":"127.0.0.1:%d","zone":"here","kind":"any","cell":0,
-                     "state":"in_service","weight":1.0,"started_ms":0}""".formatted(node.getPort(),
-                    node.getPort()));
-        }
-        return CONFIGURATION.formatted(address.getPort(), silent.getLocalPort(), sockets, servers);
+        String servers = ToySite.servers(nodes.addresses());
+        return CONFIGURATION.formatted(address.getPort(), silent.getLocalPort(), sockets, servers,
+                ToySite.settings(1, 0));
     }
 
     private static final String CONFIGURATION = """
             {"name": "attacked", "listen": "127.0.0.1:%d", "discovery": "127.0.0.1:%d",
              "seed": "1f", "limits": {"sockets": %d},
              "known": {"version": 1, "full": true, "servers": [%s]},
-             "settings": {
-              "balancers": 1, "ordinal": 0, "layer": 0, "tiers": ["only"], "zone": 0, "localities": ["here"],
-              "kinds": ["any"], "discovery": "ask",
-              "tenants": [{"name": "acme", "share": 1.0, "quota-per-s": 1000.0}],
-              "request-classes": [
-               {"name": "lookup", "idempotency": "retryable", "key-scope": "all", "goal-time-ns": 300000000,
-                "give-up-ns": 3000000000, "value": 1.0, "late-worth": 0.0, "repeat-window-ns": 5000000000,
-                "stream": false},
-               {"name": "order", "idempotency": "fragile", "key-scope": "all", "goal-time-ns": 1000000000,
-                "give-up-ns": 3000000000, "value": 1.0, "late-worth": 0.0, "repeat-window-ns": 5000000000,
-                "stream": false}],
-              "limits": {"cancel": true, "parallel-tries": true, "probes": true, "retry-after": true,
-               "max-attempts": 3, "max-retry-after-ns": 2000000000, "dial-timeout-ns": 120000000,
-               "conn-idle-ns": 30000000000},
-              "report": {"fields": ["latency_ms", "inflight", "util"], "via": "probe"},
-              "safety": {"stop-sending-within-ns": 2000000000, "cold-share": 0.2, "ramp-time-ns": 1000000000,
-               "fall-multiple": 3.0, "fall-ns": 3000000000, "ask-within-ns": 10000000000},
-              "goal": {"whole": 0.7, "worst-window": 0.1, "worst-class": 0.1, "worst-tenant": 0.1}}}
+             "settings": %s}
             """;
 
     /** What the end of this process does: the shell between sees that nobody holds its input any more. */
--- a/lab/src/main/java/cedarrudder/lab/attack/Words.java
+++ b/lab/src/main/java/cedarrudder/lab/attack/Words.java
@@ -23,7 +23,7 @@
             + "\r\n";
 
     /** What the places are filled with. */
-    String fill(String text, String id) {
+    public String fill(String text, String id) {
         return text.replace("{id}", id).replace("{safe}", safe).replace("{unsafe}", unsafe)
                 .replace("{owner}", owner);
     }
@@ -34,7 +34,7 @@
     }
 
     /** A sound {@code GET} with further fields. */
-    static String get(String... fields) {
+    public static String get(String... fields) {
         return request("GET /api HTTP/1.1", HOST, SAFE, "", fields);
     }
 
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Act.java
@@ -0,0 +1,35 @@
+package cedarrudder.lab.cluster;
+
+/** What a script's step does. */
+public enum Act {
+    /** SIGKILL. */
+    KILL,
+    /** A new life for each that has none. */
+    BACK,
+    /** SIGSTOP. */
+    STOP,
+    /** SIGCONT. */
+    GO_ON,
+    /** SIGTERM, and nobody takes over. */
+    TERM,
+    /** SIGHUP. */
+    HANG_UP,
+    /** A second process beside the first, which is told to end once the second serves. */
+    UPGRADE,
+    /** The same, but the two have different folders and can't see one another: what must never be done. */
+    UPGRADE_APART,
+    /** Nothing passes between these copies and all others. */
+    CUT,
+    /** Nothing that these copies send arrives. */
+    MUTE,
+    /** Nothing that is sent to these copies arrives. */
+    DEAFEN,
+    /** All ways are whole again. */
+    HEAL,
+    /** The weather is this from now on. */
+    WEATHER,
+    /** Forged datagrams at full speed. */
+    FLOOD,
+    /** Nodes do so from now on. */
+    NODES
+}
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Callers.java
@@ -0,0 +1,101 @@
+package cedarrudder.lab.cluster;
+
+import cedarrudder.lab.attack.Answer;
+import cedarrudder.lab.attack.OwnDaemon;
+import cedarrudder.lab.attack.Words;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One caller for each copy, which asks it each so often on a connection of its own and reads to that
+ * connection's end: a second answer would be seen. All goes into the chronicle.
+ */
+final class Callers {
+
+    private static final long EACH_MILLIS = 200;
+
+    /** Longer than any copy may take: the deadline of a request is 2.5 s. */
+    static final int PATIENCE_MILLIS = 5_000;
+
+    private final Chronicle chronicle;
+    private final List<Thread> threads = new ArrayList<>();
+    private volatile boolean over;
+
+    Callers(List<InetSocketAddress> copies, Chronicle chronicle) {
+        this.chronicle = chronicle;
+        for (int i = 0; i < copies.size(); i++) {
+            int copy = i;
+            Thread thread = new Thread(() -> call(copy, copies.get(copy)), "caller-" + copy);
+            thread.setDaemon(true);
+            thread.start();
+            threads.add(thread);
+        }
+    }
+
+    private void call(int copy, InetSocketAddress to) {
+        for (int i = 0; !over; i++) {
+            ask(copy, to, "c" + copy + "-" + i);
+            try {
+                TimeUnit.MILLISECONDS.sleep(EACH_MILLIS);
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private void ask(int copy, InetSocketAddress to, String rpc) {
+        boolean asked = false;
+        boolean answered = false;
+        try (Socket socket = new Socket()) {
+            socket.setSoTimeout(PATIENCE_MILLIS);
+            socket.connect(to, PATIENCE_MILLIS);
+            byte[] request = OwnDaemon.WORDS.fill(Words.get("Connection: close"), rpc)
+                    .getBytes(StandardCharsets.ISO_8859_1);
+            // Before it is sent: guards against an answer that is told before its question.
+            tell(copy, rpc, "asked", Map.of());
+            asked = true;
+            socket.getOutputStream().write(request);
+            InputStream in = socket.getInputStream();
+            for (Answer answer = Answer.read(in, false); answer != null; answer = Answer.read(in, false)) {
+                tell(copy, rpc, "answered", Map.of("status", Integer.toString(answer.status())));
+                answered = true;
+            }
+            if (!answered) {
+                tell(copy, rpc, "broke", Map.of("why", "closed"));
+            }
+        } catch (SocketTimeoutException e) {
+            broke(copy, rpc, asked && !answered, "nothing came in time");
+        } catch (IOException e) {
+            broke(copy, rpc, asked && !answered, String.valueOf(e.getMessage()));
+        }
+    }
+
+    private void broke(int copy, String rpc, boolean owed, String why) {
+        if (owed) {
+            tell(copy, rpc, "broke", Map.of("why", why));
+        }
+    }
+
+    private void tell(int copy, String rpc, String what, Map<String, String> fields) {
+        Map<String, String> all = new HashMap<>(fields);
+        all.put("rpc", rpc);
+        chronicle.tell(copy, 0, what, all);
+    }
+
+    /** Lets each have the answer that it waits for, and ends. */
+    void end() throws InterruptedException {
+        over = true;
+        for (Thread thread : threads) {
+            thread.join(2L * PATIENCE_MILLIS);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Chronicle.java
@@ -0,0 +1,47 @@
+package cedarrudder.lab.cluster;
+
+import cedarrudder.lab.judge.Event;
+import cedarrudder.lab.judge.History;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+/**
+ * Writes down what the world does to copies and what callers see, in the same form and on the same clock as
+ * the copies' own histories: {@link System#nanoTime} is one for all processes of a machine on Linux. From
+ * any thread.
+ */
+final class Chronicle implements AutoCloseable {
+
+    /** Of events that are about no copy. */
+    static final int NOBODY = -1;
+
+    private final BufferedWriter out;
+    private boolean closed;
+
+    Chronicle(Path file) throws IOException {
+        out = Files.newBufferedWriter(file);
+    }
+
+    /** Something happens now. */
+    synchronized void tell(int copy, long life, String what, Map<String, String> fields) {
+        if (closed) {
+            return;
+        }
+        try {
+            out.write(History.line(new Event(System.nanoTime(), copy, life, what, fields)) + "\n");
+            out.flush(); // a lab that dies leaves what it saw
+        } catch (IOException e) {
+            throw new UncheckedIOException("the chronicle can't be written", e);
+        }
+    }
+
+    @Override
+    public synchronized void close() throws IOException {
+        closed = true;
+        out.close();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Cluster.java
@@ -0,0 +1,279 @@
+package cedarrudder.lab.cluster;
+
+import cedarrudder.lab.attack.ScriptedNodes;
+import cedarrudder.lab.attack.ToySite;
+import cedarrudder.lab.emulator.Place;
+import cedarrudder.lab.judge.Event;
+import cedarrudder.lab.judge.History;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/**
+ * Plays a script with real copies: processes of the built daemon with a relay between each two, nodes and a
+ * discovery behind them and callers in front. What they wrote is judged afterwards.
+ */
+public final class Cluster {
+
+    private static final long READY = 120_000_000_000L;
+    private static final long END_MILLIS = 10_000;
+
+    private final Script script;
+    private final Place place;
+    private final Chronicle chronicle;
+    private final ScriptedNodes nodes;
+    private final Discovery discovery;
+    private final List<Copy> copies = new ArrayList<>();
+    private final Relay relay;
+    private final ExecutorService beside = Executors.newCachedThreadPool(task -> {
+        Thread thread = new Thread(task, "cluster");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final List<Future<?>> begun = new ArrayList<>();
+
+    private Cluster(Script script, long seed, Place place) throws IOException, InterruptedException {
+        this.script = script;
+        this.place = place;
+        chronicle = new Chronicle(place.folder().resolve("world.jsonl"));
+        nodes = new ScriptedNodes(script.nodes());
+        String list = "{\"version\":1,\"full\":true,\"servers\":["
+                + ToySite.servers(nodes.addresses()) + "]}";
+        discovery = new Discovery(list);
+        for (int i = 0; i < script.copies(); i++) {
+            copies.add(new Copy(i, place, chronicle));
+        }
+        relay = new Relay(copies.stream().map(Copy::peers).toList(), seed);
+        for (int i = 0; i < copies.size(); i++) {
+            copies.get(i).configure(configuration(i, seed, list), operator(i));
+        }
+    }
+
+    /**
+     * Plays a run to its end and ends all processes that it started.
+     *
+     * @throws IOException if something can't be started or written
+     * @throws InterruptedException if the calling thread is interrupted; the run is given up
+     */
+    public static Verdict play(Script script, long seed, Place place)
+            throws IOException, InterruptedException {
+        Cluster cluster = new Cluster(script, seed, place);
+        try {
+            return cluster.play();
+        } finally {
+            cluster.close();
+        }
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    private String configuration(int self, long seed, String list) {
+        Copy copy = copies.get(self);
+        String peers = IntStream.range(0, copies.size())
+                .mapToObj(i -> "\"" + text(i == self ? copy.peers() : relay.address(self, i)) + "\"")
+                .collect(Collectors.joining(","));
+        return """
+                {"name": "c%d", "listen": "%s", "discovery": "%s",
+                 "seed": "%x", "limits": {"sockets": 1024}, "peer_listen": "%s", "peers": [%s],
+                 "known": %s, "settings": %s}
+                """.formatted(self, copy.listenText(), text(discovery.address()),
+                seed * Script.MOST + self, text(copy.peers()), peers, list,
+                ToySite.settings(copies.size(), self));
+    }
+
+    /** Acknowledgements keep their share of the period, whatever it is. */
+    private String operator(int self) {
+        long period = script.period() / 1_000_000;
+        return """
+                [membership]
+                period_ms = %d
+                ack_patience_ms = %d
+
+                [history]
+                file = "%%s"
+                clock_offset_ms = %d
+                """.formatted(period, period * 2 / 5, script.clockOffset(self));
+    }
+
+    private Verdict play() throws IOException, InterruptedException {
+        chronicle.tell(Chronicle.NOBODY, 0, "weather", Map.of("calm", "1"));
+        List<Path> logs = new ArrayList<>();
+        for (Copy copy : copies) {
+            logs.add(copy.start());
+        }
+        long readyBy = System.nanoTime() + READY;
+        for (int i = 0; i < logs.size(); i++) {
+            if (!copies.get(i).awaitServing(logs.get(i), readyBy)) {
+                throw new IOException("copy " + i + " does not serve; its log is " + logs.get(i));
+            }
+        }
+        long until;
+        Callers callers = new Callers(copies.stream().map(Copy::address).toList(), chronicle);
+        try {
+            long begins = System.nanoTime();
+            for (Step step : script.steps()) {
+                TimeUnit.NANOSECONDS.sleep(begins + step.at() - System.nanoTime());
+                take(step);
+            }
+            TimeUnit.NANOSECONDS.sleep(begins + script.length() - System.nanoTime());
+            mend();
+            chronicle.tell(Chronicle.NOBODY, 0, "over", Map.of());
+            TimeUnit.NANOSECONDS.sleep(script.settle());
+            until = System.nanoTime();
+        } finally {
+            callers.end();
+        }
+        List<String> found = new ArrayList<>();
+        copies.forEach(copy -> found.addAll(copy.crashes()));
+        end();
+        chronicle.close();
+        return Verdict.of(events(until), until, script.period(), script.settle(), found);
+    }
+
+    /** What all wrote until then; a rule is told of nothing that came of the end. */
+    private List<Event> events(long until) throws IOException {
+        List<Path> files = new ArrayList<>(List.of(place.folder().resolve("world.jsonl")));
+        copies.forEach(copy -> files.addAll(copy.histories()));
+        return History.read(files).stream().filter(event -> event.at() <= until).toList();
+    }
+
+    private void take(Step step) throws IOException, InterruptedException {
+        for (int number : step.copies()) {
+            Copy copy = copies.get(number);
+            switch (step.act()) {
+                case KILL -> copy.kill();
+                case BACK -> back(copy);
+                case STOP -> copy.signal("STOP", "stopped", "");
+                case GO_ON -> copy.signal("CONT", "", "continued");
+                case TERM -> copy.terminate();
+                case HANG_UP -> copy.signal("HUP", "", "");
+                case UPGRADE, UPGRADE_APART -> begun.add(beside.submit(() -> {
+                    upgrade(copy, step.act() == Act.UPGRADE);
+                    return null;
+                }));
+                case FLOOD -> begun.add(beside.submit(() -> {
+                    flood(number, step.length());
+                    return null;
+                }));
+                default -> { }
+            }
+        }
+        switch (step.act()) {
+            case CUT -> cut(step.copies(), true, true);
+            case MUTE -> cut(step.copies(), true, false);
+            case DEAFEN -> cut(step.copies(), false, true);
+            case HEAL -> heal();
+            case WEATHER -> weather(step.weather());
+            case NODES -> step.nodes().forEach(node -> nodes.mood(node, step.mood()));
+            default -> { }
+        }
+    }
+
+    private static void back(Copy copy) throws IOException, InterruptedException {
+        copy.awaitEnd(END_MILLIS);
+        if (!copy.runs()) {
+            copy.start();
+        }
+    }
+
+    private static void upgrade(Copy copy, boolean together) throws IOException, InterruptedException {
+        if (copy.runs() && copy.awaitServing(together ? copy.start() : copy.startApart(),
+                System.nanoTime() + READY)) {
+            copy.terminate();
+        }
+    }
+
+    private void flood(int copy, long length) throws InterruptedException {
+        chronicle.tell(copy, 0, "flooded", Map.of());
+        relay.flood(copy, System.nanoTime() + length);
+        TimeUnit.NANOSECONDS.sleep(length);
+        chronicle.tell(copy, 0, "drained", Map.of());
+    }
+
+    private void weather(Weather next) {
+        relay.weather(next);
+        chronicle.tell(Chronicle.NOBODY, 0, "weather", Map.of("calm", next.calm() ? "1" : "0",
+                "loss", Double.toString(next.loss())));
+    }
+
+    /** Cuts what goes out from these to all others, what comes in, or both. */
+    private void cut(List<Integer> these, boolean out, boolean in) {
+        for (int one : these) {
+            for (int other = 0; other < copies.size(); other++) {
+                if (!these.contains(other)) {
+                    cut(one, other, out);
+                    cut(other, one, in);
+                }
+            }
+        }
+    }
+
+    private void cut(int from, int to, boolean cut) {
+        if (cut) {
+            relay.cut(from, to, true);
+            chronicle.tell(from, 0, "cut", Map.of("to", Integer.toString(to)));
+        }
+    }
+
+    private void heal() {
+        for (int from = 0; from < copies.size(); from++) {
+            for (int to = 0; to < copies.size(); to++) {
+                if (from != to) {
+                    relay.cut(from, to, false);
+                    chronicle.tell(from, 0, "healed", Map.of("to", Integer.toString(to)));
+                }
+            }
+        }
+    }
+
+    /** Ends what the script has left of its faults. */
+    private void mend() throws IOException, InterruptedException {
+        for (Future<?> each : begun) {
+            try {
+                each.get();
+            } catch (ExecutionException e) {
+                throw new IOException("a step failed: " + e.getCause().getMessage(), e.getCause());
+            }
+        }
+        heal();
+        weather(Weather.CALM);
+        for (int i = 0; i < script.nodes(); i++) {
+            nodes.mood(i, ScriptedNodes.Mood.WELL);
+        }
+        for (Copy copy : copies) {
+            copy.signal("CONT", "", "continued");
+            back(copy);
+        }
+    }
+
+    private void end() throws InterruptedException {
+        copies.forEach(Copy::kill);
+        for (Copy copy : copies) {
+            copy.awaitEnd(END_MILLIS);
+        }
+    }
+
+    private void close() throws IOException, InterruptedException {
+        end();
+        beside.shutdownNow();
+        relay.end();
+        for (Copy copy : copies) {
+            copy.close();
+        }
+        discovery.close();
+        nodes.close();
+        chronicle.close();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Discovery.java
@@ -0,0 +1,88 @@
+package cedarrudder.lab.cluster;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** A discovery whose list never changes: it answers calls, and keeps watches alive. */
+final class Discovery implements Closeable {
+
+    private static final int BACKLOG = 128;
+    private static final int ALIVE_MILLIS = 2_000;
+    private static final String END_OF_HEAD = "\r\n\r\n";
+
+    private final ServerSocket server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    private final String list;
+
+    /** @param list the whole list as one line of JSON */
+    Discovery(String list) throws IOException {
+        this.list = list + "\n";
+        start(this::accept);
+    }
+
+    private static void start(Runnable task) {
+        Thread thread = new Thread(task, "discovery");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    InetSocketAddress address() {
+        return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                start(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // closed: the run is over
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            StringBuilder head = new StringBuilder();
+            InputStream in = socket.getInputStream();
+            while (head.indexOf(END_OF_HEAD) < 0) {
+                int next = in.read();
+                if (next < 0) {
+                    return;
+                }
+                head.append((char) next);
+            }
+            OutputStream out = socket.getOutputStream();
+            if (!head.toString().contains("follow=1")) {
+                write(out, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\nConnection: close"
+                        + END_OF_HEAD + list);
+                return;
+            }
+            write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked" + END_OF_HEAD);
+            for (String line = list; ; line = "\n") {
+                write(out, Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+                Thread.sleep(ALIVE_MILLIS);
+            }
+        } catch (IOException e) {
+            // the proxy ended it
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void write(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Forger.java
@@ -0,0 +1,37 @@
+package cedarrudder.lab.cluster;
+
+import java.util.random.RandomGenerator;
+
+/** Makes datagrams that no sound copy sends now: garbage, what was said long ago, and what is too long. */
+final class Forger {
+
+    private static final int KEPT = 64;
+    private static final int MOST_BYTES = 256;
+    private static final int MOST_OVERSIZED = 1_400;
+
+    private final RandomGenerator random;
+    private final byte[][] former = new byte[KEPT][];
+    private int seen;
+
+    Forger(RandomGenerator random) {
+        this.random = random;
+    }
+
+    /** Keeps one that passed, to be said again. */
+    void saw(byte[] datagram) {
+        if (seen < KEPT) {
+            former[seen++] = datagram; // the first ones: the oldest lives
+        }
+    }
+
+    byte[] next() {
+        int kind = random.nextInt(3);
+        if (kind == 0 && seen > 0) {
+            return former[random.nextInt(seen)];
+        }
+        byte[] bytes = new byte[kind == 1 ? MOST_BYTES + 1 + random.nextInt(MOST_OVERSIZED - MOST_BYTES)
+                : random.nextInt(MOST_BYTES + 1)];
+        random.nextBytes(bytes);
+        return bytes;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Relay.java
@@ -0,0 +1,143 @@
+package cedarrudder.lab.cluster;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Stands between each two copies. A copy tells its peers apart by the address that a datagram comes from,
+ * so each copy has a socket here for each of the others: to it, that socket is the other. What copy 2 sends
+ * to its socket "5" goes by a {@link Link} and leaves by the socket that is "2" to copy 5. One thread owns
+ * all of it.
+ */
+final class Relay {
+
+    private static final int MOST_BYTES = 2_048;
+
+    /** Forged datagrams between two looks at what else there is to do. */
+    private static final int AT_ONCE = 100;
+
+    /** What one copy takes another for. */
+    private final class Door extends SimpleChannelInboundHandler<DatagramPacket> {
+        final int of;
+        final int other;
+        final Link link;
+        final Forger forger;
+        Channel channel;
+
+        Door(int of, int other, SplittableRandom random) {
+            this.of = of;
+            this.other = other;
+            link = new Link(random.split());
+            forger = new Forger(random.split());
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            if (!packet.sender().equals(copies.get(of))) {
+                return; // Guards against a stranger on this machine.
+            }
+            byte[] bytes = ByteBufUtil.getBytes(packet.content());
+            Door to = doors[other][of];
+            to.forger.saw(bytes);
+            for (Link.Delivery delivery : link.sent(System.nanoTime(), bytes, weather)) {
+                group.schedule(() -> {
+                    if (link.arrived()) {
+                        to.hand(delivery.datagram());
+                    }
+                }, delivery.at() - System.nanoTime(), TimeUnit.NANOSECONDS);
+            }
+        }
+
+        /** Hands a datagram to the copy whose door this is, as if from the other. */
+        void hand(byte[] bytes) {
+            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), copies.get(of)));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            // a copy that is gone: its port is closed
+        }
+    }
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("relay", true));
+    private final List<InetSocketAddress> copies;
+    private final Door[][] doors;
+    private final SplittableRandom random;
+    private Weather weather = Weather.CALM;
+
+    /** @param copies where each copy hears its peers */
+    Relay(List<InetSocketAddress> copies, long seed) throws IOException, InterruptedException {
+        this.copies = List.copyOf(copies);
+        this.random = new SplittableRandom(seed);
+        this.doors = new Door[copies.size()][copies.size()];
+        for (int of = 0; of < doors.length; of++) {
+            for (int other = 0; other < doors.length; other++) {
+                if (of != other) {
+                    open(new Door(of, other, random));
+                }
+            }
+        }
+    }
+
+    private void open(Door door) throws IOException, InterruptedException {
+        ChannelFuture bound = new Bootstrap().group(group).channel(NioDatagramChannel.class)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MOST_BYTES))
+                .handler(door).bind(new InetSocketAddress("127.0.0.1", 0)).await();
+        if (!bound.isSuccess()) {
+            end();
+            throw new IOException("the relay has no socket for copies " + door.of + " and " + door.other,
+                    bound.cause());
+        }
+        door.channel = bound.channel();
+        doors[door.of][door.other] = door;
+    }
+
+    /** What copy {@code of} is told that the other's address is. */
+    InetSocketAddress address(int of, int other) {
+        return (InetSocketAddress) doors[of][other].channel.localAddress();
+    }
+
+    void weather(Weather next) {
+        group.execute(() -> weather = next);
+    }
+
+    /** Whether what one sends the other arrives; also what is under way now. */
+    void cut(int from, int to, boolean cut) {
+        group.execute(() -> doors[from][to].link.cut(cut));
+    }
+
+    /** Gives a copy forged datagrams, as if from all others, as fast as can be until then. */
+    void flood(int copy, long until) {
+        group.execute(() -> {
+            for (int i = 0; i < AT_ONCE && copies.size() > 1; i++) {
+                int other = random.nextInt(copies.size() - 1);
+                Door door = doors[copy][other < copy ? other : other + 1];
+                door.hand(door.forger.next());
+            }
+            if (System.nanoTime() < until) {
+                flood(copy, until);
+            }
+        });
+    }
+
+    /** Ends it with all its sockets. */
+    void end() throws InterruptedException {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Step.java
@@ -0,0 +1,30 @@
+package cedarrudder.lab.cluster;
+
+import cedarrudder.lab.attack.ScriptedNodes.Mood;
+import java.util.List;
+
+/**
+ * One step of a script.
+ *
+ * @param at after the beginning, in nanoseconds
+ * @param copies whom it is about
+ * @param weather of {@link Act#WEATHER}; else calm
+ * @param length of {@link Act#FLOOD}, in nanoseconds
+ * @param mood and {@code nodes} of {@link Act#NODES}
+ */
+public record Step(long at, Act act, List<Integer> copies, Weather weather, long length, Mood mood,
+        List<Integer> nodes) {
+
+    public Step {
+        copies = List.copyOf(copies);
+        nodes = List.copyOf(nodes);
+    }
+
+    static Step of(double seconds, Act act, List<Integer> copies) {
+        return new Step(Script.nanos(seconds), act, copies, Weather.CALM, 0, Mood.WELL, List.of());
+    }
+
+    static Step weather(double seconds, Weather weather) {
+        return new Step(Script.nanos(seconds), Act.WEATHER, List.of(), weather, 0, Mood.WELL, List.of());
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/cluster/VirtualRun.java
@@ -0,0 +1,137 @@
+package cedarrudder.lab.cluster;
+
+import cedarrudder.lab.judge.Event;
+import cedarrudder.lab.members.Mesh;
+import cedarrudder.membership.MembershipSettings;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * The same state machines in virtual time under the same judge: deaths of up to 48 % at once and their
+ * return, a cut that leaves two halves and heals, a copy that stands still, one that leaves and comes back.
+ * One seed, one history.
+ */
+public final class VirtualRun {
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final int MILLION = 1_000_000;
+    private static final double MOST_KILLED = 0.48;
+    private static final int HALT = 10;
+
+    private final Mesh mesh;
+    private final List<Event> events = new ArrayList<>();
+    private final long[] lives;
+    private int told;
+
+    private VirtualRun(int copies, Mesh.Network network, MembershipSettings settings, long seed) {
+        mesh = new Mesh(copies, network, settings, seed);
+        lives = new long[copies];
+        tell(Chronicle.NOBODY, "weather", Map.of("calm", network.loss() == 0 ? "1" : "0"));
+        for (int i = 0; i < copies; i++) {
+            begin(i);
+        }
+    }
+
+    /**
+     * Plays one seed.
+     *
+     * @param settle seconds after the faults in which all have to agree
+     */
+    public static Verdict play(int copies, Mesh.Network network, MembershipSettings settings, long seed,
+            int settle) {
+        VirtualRun run = new VirtualRun(copies, network, settings, seed);
+        run.faults(copies, new SplittableRandom(seed ^ 0x5eed));
+        run.tell(Chronicle.NOBODY, "over", Map.of());
+        run.pass(settle);
+        run.events.sort(Comparator.comparingLong(Event::at)); // of one instant: as they were told
+        return Verdict.of(run.events, run.mesh.now(), settings.period(), settle * SECOND, List.of());
+    }
+
+    private void faults(int copies, SplittableRandom random) {
+        pass(20);
+        Set<Integer> dead = new HashSet<>();
+        while (dead.size() < Math.max(1, (int) (MOST_KILLED * copies))) {
+            dead.add(random.nextInt(copies));
+        }
+        dead.forEach(copy -> {
+            end(copy);
+            mesh.kill(copy);
+        });
+        pass(80 + random.nextInt(20)); // longer than a death may take to be found
+        dead.forEach(this::back);
+        pass(60);
+        Set<Integer> half = new HashSet<>();
+        while (half.size() < copies / 2) {
+            half.add(random.nextInt(copies));
+        }
+        mesh.cut(half::contains);
+        cut(half, "cut");
+        pass(20 + random.nextInt(40));
+        mesh.heal();
+        cut(half, "healed");
+        pass(60);
+        int halts = random.nextInt(copies);
+        tell(halts, "stopped", Map.of());
+        mesh.stall(halts, HALT * SECOND);
+        pass(HALT);
+        tell(halts, "continued", Map.of());
+        pass(30);
+        int leaves = random.nextInt(copies);
+        tell(leaves, "silent", Map.of());
+        end(leaves);
+        mesh.leave(leaves);
+        pass(20);
+        back(leaves);
+    }
+
+    private void cut(Set<Integer> half, String what) {
+        for (int from = 0; from < lives.length; from++) {
+            for (int to = 0; to < lives.length; to++) {
+                if (half.contains(from) != half.contains(to)) {
+                    tell(from, what, Map.of("to", Integer.toString(to)));
+                }
+            }
+        }
+    }
+
+    private void back(int copy) {
+        mesh.restart(copy, mesh.now() / MILLION);
+        begin(copy);
+    }
+
+    private void begin(int copy) {
+        lives[copy]++;
+        tell(copy, "started", Map.of());
+        tell(copy, "speaks", Map.of());
+    }
+
+    private void end(int copy) {
+        tell(copy, "ended", Map.of());
+    }
+
+    private void tell(int copy, String what, Map<String, String> fields) {
+        events.add(new Event(mesh.now(), copy, life(copy), what, fields));
+    }
+
+    /** A number that no other life of any copy has. */
+    private long life(int copy) {
+        return copy < 0 ? 0 : (long) copy << 16 | lives[copy];
+    }
+
+    private void pass(int seconds) {
+        mesh.play(seconds * SECOND);
+        for (; told < mesh.changes().size(); told++) {
+            Mesh.Change change = mesh.changes().get(told);
+            events.add(new Event(change.at(), change.observer(), life(change.observer()),
+                    change.now().standing().name().toLowerCase(Locale.ROOT),
+                    Map.of("about", Integer.toString(change.now().number()), "number",
+                            Long.toString(change.now().incarnation()))));
+        }
+    }
+}
--- a/lab/src/main/java/cedarrudder/lab/emulator/Supervised.java
+++ b/lab/src/main/java/cedarrudder/lab/emulator/Supervised.java
@@ -67,28 +67,39 @@
         return new Supervised(shell, Long.parseLong(line.strip()));
     }
 
-    long pid() {
+    /** The process's id. */
+    public long pid() {
         return pid;
     }
 
     /** Its exit code when it has ended; 128 and the signal's number where one ended it. */
-    CompletableFuture<Integer> onExit() {
+    public CompletableFuture<Integer> onExit() {
         return shell.onExit().thenApply(Process::exitValue);
     }
 
     /** Sends SIGTERM. */
-    void terminate() {
+    public void terminate() {
         ProcessHandle.of(pid).ifPresent(ProcessHandle::destroy);
     }
 
     /** Sends SIGKILL. */
-    void kill() {
+    public void kill() {
         ProcessHandle.of(pid).ifPresent(ProcessHandle::destroyForcibly);
     }
 
     /** Sends SIGHUP. */
     void hangUp() throws IOException {
-        new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + pid).inheritIO().start();
+        signal("HUP");
+    }
+
+    /**
+     * Sends a signal that Java knows none of.
+     *
+     * @param name such as STOP
+     * @return ends once it is sent
+     */
+    public Process signal(String name) throws IOException {
+        return new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + pid).inheritIO().start();
     }
 
     /** Kills it and waits until it and its shell are gone. */
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/judge/Beliefs.java
@@ -0,0 +1,24 @@
+package cedarrudder.lab.judge;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Whom each process holds as dead, by its own words; before it says anything of a copy it holds it as live.
+ */
+final class Beliefs {
+
+    private final Map<Long, Map<Integer, Boolean>> byLife = new HashMap<>();
+
+    void took(Event event) {
+        switch (event.what()) {
+            case "alive", "suspect", "dead" -> byLife.computeIfAbsent(event.life(), l -> new HashMap<>())
+                    .put((int) event.number("about"), event.what().equals("dead"));
+            default -> { }
+        }
+    }
+
+    boolean dead(long life, int about) {
+        return byLife.getOrDefault(life, Map.of()).getOrDefault(about, false);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/cedarrudder/lab/cluster/ClusterIT.java
@@ -0,0 +1,40 @@
+package cedarrudder.lab.cluster;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.lab.emulator.Place;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Real copies with faults between them. Bounds are so wide that a busy machine changes no verdict. */
+public class ClusterIT {
+
+    private static final long SEED = 3;
+
+    private static Verdict play(Script script) throws Exception {
+        long before = ProcessHandle.current().descendants().count();
+        Verdict verdict = Cluster.play(script, SEED,
+                Place.of(Path.of(""), Files.createTempDirectory("cluster"), List.of(), 0, 0));
+        assertEquals(ProcessHandle.current().descendants().count(), before, "processes are left");
+        return verdict;
+    }
+
+    @Test
+    public void fiveCopiesKeepTheRulesThroughAShortScript() throws Exception {
+        Verdict verdict = play(ScriptReader.read(Path.of("lab", "clusters", "short.toml")));
+        assertTrue(verdict.good(), "seed " + SEED + ": " + verdict);
+        assertTrue(verdict.deaths() > 0 && verdict.rpcs() > 100, verdict.toString());
+    }
+
+    /** Two processes of one number that can't see one another both speak: the judge must see that. */
+    @Test
+    public void twoVoicesOfOneNumberAreCaught() throws Exception {
+        Verdict verdict = play(new Script(3, 1, 200_000_000L, 2_000_000_000L, 1_000_000_000L, List.of(),
+                List.of(Step.of(0.1, Act.UPGRADE_APART, List.of(1)))));
+        assertTrue(verdict.breaches().stream().anyMatch(breach -> breach.rule().equals("one voice")),
+                verdict.toString());
+    }
+}
