--- a/daemon/src/test/java/cedarrudder/program/HistoryFileTest.java
+++ b/daemon/src/test/java/cedarrudder/program/HistoryFileTest.java
@@ -59,7 +59,8 @@
 
     @Test
     public void aFileThatCannotBeWrittenIsNamed() {
-        assertThrows(IllegalArgumentException.class, () -> new HistoryFile(Path.of("no", "such", "folder"), 0));
+        assertThrows(IllegalArgumentException.class,
+                () -> new HistoryFile(Path.of("no", "such", "folder"), 0));
     }
 
     /** What is taken is written when the process ends in good order. */
