--- a/core/src/main/java/cedarrudder/membership/Packet.java
+++ b/core/src/main/java/cedarrudder/membership/Packet.java
@@ -13,9 +13,9 @@
  *
  * <p>Room (1 byte, {@value #ROOM}: membership); version in the high four bits, then whether a window follows
  * and the kind (1); question, sender, its incarnation and subject as {@link Varint}; digest of the dead (4,
- * big-endian); the window, where there is one: its first instance, how many bytes, and those. Then the news up
- * to the end, for each: instance times four plus standing, or 3 where it said itself that it leaves; how far
- * its incarnation is from the sender's, folded; of a suspicion, who says so.
+ * big-endian); the window, where there is one: its first instance, how many bytes, and those. Then the news
+ * up to the end, for each: instance times four plus standing, or 3 where it said itself that it leaves; how
+ * far its incarnation is from the sender's, folded; of a suspicion, who says so.
  *
  * @param question the answer carries the number of the question
  * @param from the sender
--- a/core/src/main/java/cedarrudder/membership/Swim.java
+++ b/core/src/main/java/cedarrudder/membership/Swim.java
@@ -16,8 +16,8 @@
 /**
  * Which of a fixed set of instances live, as one of them sees it: SWIM (Das, Gupta, Motivala 2002) with
  * suspicion, incarnations and indirect questions, and Lifeguard (Dadgar, Phillips, Currey 2017) against those
- * that are slow themselves. {@link Doubts} come before a suspicion, and {@link StateExchange} brings what news
- * did not.
+ * that are slow themselves. {@link Doubts} come before a suspicion, and {@link StateExchange} brings what
+ * news did not.
  *
  * <p>It has no clock, no socket and no thread. It is told of messages and of the time, which never goes back,
  * and is asked by {@link #due} when it wants to be told next. Not thread-safe: from one thread at a time.
@@ -41,7 +41,9 @@
     public record Counts(long malformed, long notItsSender, long refuted, long relaysRefused,
             long unanswered) { }
 
-    /** Questions answered in a period. Guards against answering all that waited while this one stood still. */
+    /**
+     * Questions answered in a period. Guards against answering all that waited while this one stood still.
+     */
     private static final int MOST_ANSWERS = 64;
 
     /** Questions asked on behalf of others at one time. Guards against work without end for a flood. */
--- a/core/src/test/java/cedarrudder/membership/SwimTest.java
+++ b/core/src/test/java/cedarrudder/membership/SwimTest.java
@@ -287,7 +287,9 @@
         assertNull(await(Kind.PING).packet.window());
     }
 
-    /** One that hears nobody, or was cut off, holds the living as dead: its word alone buries none of them. */
+    /**
+     * One that hears nobody, or was cut off, holds the living as dead: its word alone buries none of them.
+     */
     @Test
     public void aClaimOfDeathIsNotBelievedAtOnce() {
         start(30);
--- a/daemon/src/test/java/cedarrudder/program/ShortageIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ShortageIT.java
@@ -239,7 +239,7 @@
                     first.awaitLine("successor=true ready=true");
                     if (whole) {
                         first.signal("TERM");
-                        assertTrue(first.rest().contains("proxy.replaced"), "replaced by the one that is ready");
+                        assertTrue(first.rest().contains("proxy.replaced"), "replaced by the ready one");
                     } else {
                         next.kill();
                     }
--- a/lab/src/main/java/cedarrudder/lab/command/MembersCommand.java
+++ b/lab/src/main/java/cedarrudder/lab/command/MembersCommand.java
@@ -50,8 +50,8 @@
             description = "After it; ${DEFAULT-VALUE} where not given.")
     private double after;
 
-    @Option(names = "--trouble", split = ",", paramLabel = "KIND", description = "Instead of that, what passes "
-            + "again: ${COMPLETION-CANDIDATES}. Exit code 1 where not all agree in time after it.")
+    @Option(names = "--trouble", split = ",", paramLabel = "KIND",
+            description = "Instead of that, what passes again: ${COMPLETION-CANDIDATES}. Exit code 1 where not all agree in time after it.")
     private List<Trouble.Kind> troubles = List.of();
 
     @Override
@@ -107,8 +107,8 @@
         boolean all = true;
         for (int size : sizes) {
             for (double loss : losses) {
-                Detection detection = new Detection(size, network(loss), dying, MembershipSettings.DEFAULT, calm,
-                        after);
+                Detection detection = new Detection(size, network(loss), dying, MembershipSettings.DEFAULT,
+                        calm, after);
                 for (long seed = range[0]; seed <= range[1]; seed++) {
                     detection.play(seed);
                 }
--- a/lab/src/main/java/cedarrudder/lab/members/Trouble.java
+++ b/lab/src/main/java/cedarrudder/lab/members/Trouble.java
@@ -38,8 +38,8 @@
     /**
      * What came of some seeds.
      *
-     * @param falseDeaths times that an instance held one as dead that ran and was in no trouble, except by one
-     * from which it was cut off
+     * @param falseDeaths times that an instance held one as dead that ran and was in no trouble, except by
+     * one from which it was cut off
      * @param heldDead the same of those in trouble
      * @param p50 from the end until all that run held those that run as live, and no others, in seconds
      * @param never seeds in which that took longer than {@link #AFTER}
@@ -136,7 +136,8 @@
         List<Integer> order = new ArrayList<>(those);
         Collections.sort(order);
         for (int second = 0; second < LASTS; second++) {
-            List<Integer> now = order.subList(order.size() * second / LASTS, order.size() * (second + 1) / LASTS);
+            List<Integer> now = order.subList(order.size() * second / LASTS,
+                    order.size() * (second + 1) / LASTS);
             now.forEach(mesh::kill);
             mesh.play(SECOND);
             now.forEach(each -> mesh.restart(each, Mesh.LATER_LIFE));
@@ -145,8 +146,8 @@
 
     /** Whether all that run hold those that run as live, and no others. */
     private static boolean agreed(Mesh mesh) {
-        return IntStream.range(0, mesh.size()).filter(mesh::runs).allMatch(i -> IntStream.range(0, mesh.size())
-                .allMatch(j -> mesh.view(i).member(j).live() == mesh.runs(j)));
+        return IntStream.range(0, mesh.size()).filter(mesh::runs).allMatch(i -> IntStream
+                .range(0, mesh.size()).allMatch(j -> mesh.view(i).member(j).live() == mesh.runs(j)));
     }
 
     public Figures figures() {
