--- a/lab/src/main/java/cedarrudder/lab/command/MembersCommand.java
+++ b/lab/src/main/java/cedarrudder/lab/command/MembersCommand.java
@@ -51,7 +51,8 @@
     private double after;
 
     @Option(names = "--trouble", split = ",", paramLabel = "KIND",
-            description = "Instead of that, what passes again: ${COMPLETION-CANDIDATES}. Exit code 1 where not all agree in time after it.")
+            description = "Instead of that, what passes again: ${COMPLETION-CANDIDATES}. "
+                    + "Exit code 1 where not all agree in time after it.")
     private List<Trouble.Kind> troubles = List.of();
 
     @Override
