--- /dev/null
+++ b/core/src/main/java/cedarrudder/agreement/Agreement.java
@@ -0,0 +1,573 @@
+package cedarrudder.agreement;
+
+import cedarrudder.agreement.Entry.Kind;
+import cedarrudder.agreement.Message.Append;
+import cedarrudder.agreement.Message.Ask;
+import cedarrudder.agreement.Message.AskVote;
+import cedarrudder.agreement.Message.Chunk;
+import cedarrudder.agreement.Message.Digest;
+import cedarrudder.agreement.Message.Lack;
+import cedarrudder.agreement.Message.Lead;
+import cedarrudder.agreement.Message.News;
+import cedarrudder.agreement.Message.SayAppend;
+import cedarrudder.agreement.Message.SayVote;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/**
+ * What the copies of a tier agree on, as one of them takes part: a log by Raft (Ongaro and Ousterhout 2014;
+ * Ongaro's thesis 2014) among a few voters, spread to all others. Voters that forgot come back as learners
+ * (Liskov and Cowling 2012, recovery), and a group whose majority forgot stops until a new one is formed.
+ *
+ * <p>It has no clock, no socket and no thread. It is told of messages and of the time, which never goes back,
+ * and is asked by {@link #due} when it wants to be told next. Not thread-safe: from one thread at a time, and
+ * its outlet must not call it. Whatever it sends leaves at the end of an event, after all that it says is in
+ * the store.
+ */
+public final class Agreement {
+
+    /** The largest content of one entry, in bytes. */
+    public static final int MOST_CONTENT = 32_768;
+    /** The largest state of a copy, in bytes. */
+    public static final int MOST_STATE = 262_144;
+    /** Entries that a leader holds without knowing that they are committed. */
+    private static final int MOST_OPEN = 32;
+    /** Voters without which nothing is taken: a group that is just formed waits for others. */
+    private static final int LEAST_VOTERS = 3;
+
+    /** What it causes. */
+    public interface Outlet {
+        /** Sends a piece of at most 224 bytes; it may be lost. */
+        void send(int to, byte[] piece);
+
+        /** This is committed: takes effect here, after all before it. */
+        void loaded(LogNumber number, byte[] content);
+
+        /**
+         * All that was loaded, as at most {@link #MOST_STATE} bytes; the same at each copy that loaded
+         * the same.
+         */
+        byte[] state();
+
+        /** This state takes the place of all that was loaded. */
+        void restored(LogNumber number, byte[] state);
+
+        /** Something that others may want to know. */
+        void noted(Note note);
+    }
+
+    /** What came that was none, or came too late; for figures. */
+    public record Counts(long malformed, long notItsSender, long stale) { }
+
+    private record Out(int to, byte[] piece) { }
+
+    private final Outlet outlet;
+    private final AgreementSettings settings;
+    private final RandomGenerator random;
+    private final Conduct conduct;
+    private final Store store;
+    private final Tier tier;
+    private final Log log;
+    private final Pieces pieces;
+    private final Allowance allowance;
+    private final Circle circle = new Own();
+    private final Election election;
+    private final Spreading spreading;
+    private final Seats seats;
+    private final List<Out> out = new ArrayList<>();
+    private Voter self;
+    private Group group = Group.NONE;
+    private Replication replication;
+    private long applied;
+    private long waitsFrom;
+    private long wait;
+    private boolean promised;
+    private long malformed;
+    private long notItsSender;
+    private long stale;
+
+    /**
+     * Takes part as one that is in no group, or where its store remembers one, in that.
+     *
+     * @param zones the zone of each copy of the tier, from 1 to 65,535 copies
+     * @param self the number of this one
+     * @param life larger than that of any earlier life of this one, such as the time of its start in
+     * milliseconds; where it is not, the others say so and it takes the next one; of no use where the store
+     * remembers
+     * @throws IllegalArgumentException if a figure is outside its range
+     */
+    public Agreement(int[] zones, int self, long life, AgreementSettings settings, Store store,
+            RandomGenerator random, Outlet outlet, long now) {
+        this(zones, self, life, settings, store, random, outlet, now, new Conduct());
+    }
+
+    Agreement(int[] zones, int self, long life, AgreementSettings settings, Store store,
+            RandomGenerator random, Outlet outlet, long now, Conduct conduct) {
+        if (zones.length < 1 || zones.length > 0xffff || self < 0 || self >= zones.length || life < 1) {
+            throw new IllegalArgumentException("copy " + self + " of " + zones.length + ", life " + life);
+        }
+        this.self = new Voter(self, life);
+        this.settings = settings;
+        this.store = store;
+        this.random = random;
+        this.outlet = outlet;
+        this.conduct = conduct;
+        this.tier = new Tier(self, zones, now);
+        this.log = new Log(store);
+        this.pieces = new Pieces(conduct, random.nextInt());
+        this.allowance = new Allowance(settings.bytesPerSecond(), now);
+        this.election = new Election(circle, settings, conduct, random, now);
+        this.spreading = new Spreading(circle, settings, tier, random, allowance, now);
+        this.seats = new Seats(circle, settings, tier, random);
+        waitAnew(now);
+        Store.Kept kept = store.kept();
+        if (kept != null) {
+            this.self = new Voter(self, kept.promise().life());
+            group = kept.promise().group();
+            election.remember(kept.promise());
+            log.remember(kept.snapshot(), kept.entries());
+            applied = log.committed();
+            outlet.restored(new LogNumber(group, applied), kept.snapshot().state());
+        }
+    }
+
+    private final class Own implements Circle {
+        @Override
+        public Voter self() {
+            return self;
+        }
+
+        @Override
+        public Group group() {
+            return group;
+        }
+
+        @Override
+        public Log log() {
+            return log;
+        }
+
+        @Override
+        public void post(int to, Message message, long term) {
+            if (to != self.copy()) {
+                pieces.cut(group, term, self, to, message.encode())
+                        .forEach(piece -> out.add(new Out(to, piece)));
+            }
+        }
+
+        @Override
+        public long term() {
+            return election.term();
+        }
+
+        @Override
+        public void promised() {
+            promised = true;
+        }
+
+        @Override
+        public void advanced(long now) {
+            apply(now);
+        }
+
+        @Override
+        public void note(Note note) {
+            outlet.noted(note);
+        }
+    }
+
+    // ---- what is known ----
+
+    public Group group() {
+        return group;
+    }
+
+    /** This copy's life as a voter. */
+    public long life() {
+        return self.life();
+    }
+
+    /** Whether this copy leads, as far as it knows; nothing is settled by that alone. */
+    public boolean leads() {
+        return election.leads();
+    }
+
+    /** The copy that leads, as far as this one knows; -1 where it knows of none. */
+    public int leader() {
+        return election.leader();
+    }
+
+    public long term() {
+        return election.term();
+    }
+
+    /** Those who vote, as far as this copy knows. */
+    public Voters voters() {
+        return log.voters();
+    }
+
+    /** What was loaded last, or the state that stands for it. */
+    public LogNumber loaded() {
+        return new LogNumber(group, applied);
+    }
+
+    public Counts counts() {
+        return new Counts(malformed, notItsSender, stale);
+    }
+
+    // ---- events ----
+
+    /** When {@link #tick} is to be called next; it does no harm to call it sooner or later. */
+    public long due() {
+        long due = Math.min(Math.min(election.due(), spreading.due()), pieces.due());
+        if (election.leads()) {
+            due = Math.min(due, replication.due());
+        }
+        if (settings.silence() > 0 && !election.leads()) {
+            due = Math.min(due, formsAt());
+        }
+        return due;
+    }
+
+    /** Does what is due. */
+    public void tick(long now) {
+        lapse(now);
+        for (Pieces.Wanted wanted : pieces.lacks(now)) {
+            circle.post(wanted.of(), wanted.lack());
+        }
+        election.tick(now);
+        lead(now);
+        if (election.leads() && replication.tick(now)) {
+            spreading.beats(now);
+            Voters next = seats.next(now, replication);
+            if (next != null) {
+                append(now, new Entry(election.term(), Kind.VOTERS, next.encode()));
+            }
+        }
+        spreading.tick(now);
+        if (settings.silence() > 0 && !election.leads() && now >= formsAt()) {
+            waitAnew(now);
+            if (tier.living() * 2 > tier.copies()) {
+                formNext(now);
+            }
+        }
+        flush();
+    }
+
+    /**
+     * Forms a new group with this copy as its only voter and its state as the first; others join it as they
+     * hear of it. What an older group goes on to do has no effect where this one is known.
+     *
+     * @return false where no further group can be formed
+     */
+    public boolean form(long now) {
+        boolean formed = formNext(now);
+        flush();
+        return formed;
+    }
+
+    private boolean formNext(long now) {
+        if (group.era() == Integer.MAX_VALUE) {
+            return false;
+        }
+        Group next = conduct.next(group, self);
+        byte[] state = state();
+        join(now, next);
+        Snapshot first = new Snapshot(1, 1, new Voters(List.of(self)), state);
+        install(now, first);
+        return true;
+    }
+
+    /**
+     * Proposes something to be agreed on.
+     *
+     * @return its number if it comes to be committed; another may get that number if this copy loses its lead
+     * first. Null where this copy does not lead, the group has not enough voters yet, or too much is under
+     * way
+     * @throws IllegalArgumentException if the content is larger than {@link #MOST_CONTENT}
+     */
+    public LogNumber propose(long now, byte[] content) {
+        if (content.length > MOST_CONTENT) {
+            throw new IllegalArgumentException("content: found " + content.length + " bytes; allowed: up to "
+                    + MOST_CONTENT);
+        }
+        lapse(now);
+        LogNumber number = null;
+        if (election.leads() && log.voters().size() >= LEAST_VOTERS
+                && log.last() - log.committed() < MOST_OPEN) {
+            append(now, new Entry(election.term(), Kind.CONTENT, content.clone()));
+            number = new LogNumber(group, log.last());
+        }
+        flush();
+        return number;
+    }
+
+    /** Has another voter lead that has all entries, such as before this copy ends; false where none has. */
+    public boolean transfer(long now) {
+        lapse(now);
+        Voter to = null;
+        for (Voter voter : election.leads() ? log.voters().all() : List.<Voter>of()) {
+            if (!voter.equals(self) && replication.match(voter) == log.last() && tier.lives(voter.copy())) {
+                to = voter;
+            }
+        }
+        if (to != null) {
+            circle.post(to.copy(), new Lead());
+        }
+        flush();
+        return to != null;
+    }
+
+    /**
+     * Membership holds that a copy lives, or that it is dead. It guides whom this copy speaks to and makes a
+     * voter, and keeps it from forming a group by itself while it sees no more than half of the tier; no
+     * safety rests on it.
+     */
+    public void lives(int copy, boolean lives) {
+        if (copy != self.copy()) {
+            tier.lives(copy, lives);
+        }
+    }
+
+    /**
+     * Takes a piece. One that can't be read, or that names another as its sender, is counted and dropped.
+     *
+     * @param from the copy whose address it came from
+     */
+    public void received(long now, int from, byte[] bytes) {
+        lapse(now);
+        Piece piece = Piece.decode(bytes, tier.copies());
+        if (piece == null) {
+            malformed++;
+        } else if (piece.sender() != from || from == self.copy()) {
+            notItsSender++;
+        } else if (admits(now, piece)) {
+            byte[] whole = pieces.take(now, piece);
+            Message message = whole == null ? null : Message.decode(whole);
+            if (message != null) {
+                handle(now, new Voter(from, piece.life()), piece.term(), message);
+                lead(now);
+            } else if (whole != null) {
+                malformed++;
+            }
+        }
+        flush();
+    }
+
+    /** A leader that was away for long, or whom nobody answers, does nothing before it has stepped down. */
+    private void lapse(long now) {
+        if (election.leads() && conduct.lapsed(replication.sinceMajority(now), settings.electionMost())) {
+            election.follow(now, election.term());
+        }
+    }
+
+    /** Looks at what every piece says, before anything of it is kept. */
+    private boolean admits(long now, Piece piece) {
+        int from = piece.sender();
+        if (piece.group().compareTo(group) < 0 || piece.life() < tier.life(from)) {
+            stale++;
+            spreading.correct(now, from);
+            return false;
+        }
+        tier.heard(now, from, piece.life());
+        if (piece.group().compareTo(group) > 0) {
+            join(now, piece.group());
+        }
+        return true;
+    }
+
+    /** Leaves all that was, and has nothing of the other group yet. */
+    private void join(long now, Group other) {
+        group = other;
+        log.install(Snapshot.EMPTY);
+        pieces.clear();
+        election.reset(now);
+        spreading.reset(now);
+        waitAnew(now);
+        replication = null;
+        applied = 0;
+        promised = true;
+    }
+
+    /**
+     * Copies that hear of no leader don't all form a group at once, and those that have nothing come
+     * last.
+     */
+    private void waitAnew(long now) {
+        waitsFrom = now;
+        wait = settings.silence() + (long) (random.nextDouble() * settings.silence());
+    }
+
+    private long formsAt() {
+        return Math.max(spreading.beatAt(), waitsFrom) + wait + (applied == 0 ? settings.silence() : 0);
+    }
+
+    private void handle(long now, Voter from, long term, Message message) {
+        if (message instanceof AskVote m) {
+            election.asked(now, from, term, m);
+        } else if (message instanceof SayVote m) {
+            election.said(now, from, term, m);
+        } else if (message instanceof Append m) {
+            follow(now, from.copy(), term, m);
+        } else if (message instanceof SayAppend m) {
+            if (election.leads() && term == election.term()) {
+                replication.said(now, from, m);
+            } else if (term > election.term() && log.voters().has(from)) {
+                election.follow(now, term);
+            }
+        } else if (message instanceof Lead) {
+            if (term == election.term() && from.copy() == election.leader()) {
+                election.call(now);
+            }
+        } else if (message instanceof Digest m) {
+            if (m.yourLife() > self.life() && !election.sworn()) {
+                self = new Voter(self.copy(), m.yourLife() + 1);
+                promised = true;
+            }
+            spreading.told(now, from.copy(), m);
+        } else if (message instanceof Ask m) {
+            spreading.asked(now, from.copy(), m);
+        } else if (message instanceof News m) {
+            spreading.took(now, from.copy(), m);
+            if (log.term(log.committed()) > election.term()) {
+                election.follow(now, log.term(log.committed()));
+            }
+        } else if (message instanceof Chunk m) {
+            Snapshot whole = spreading.took(now, from.copy(), m);
+            if (whole != null) {
+                install(now, whole);
+                spreading.learned(now, 0);
+            }
+        } else if (message instanceof Lack m) {
+            for (byte[] piece : pieces.again(from.copy(), m)) {
+                if (allowance.spend(now, piece.length)) {
+                    out.add(new Out(from.copy(), piece));
+                }
+            }
+        }
+    }
+
+    // ---- leading and following ----
+
+    /** Begins to lead where it was just elected: its first entry commits all before it. */
+    private void lead(long now) {
+        if (!election.leads()) {
+            replication = null;
+        } else if (replication == null) {
+            replication = new Replication(circle, settings, conduct, now);
+            log.voters().all().forEach(voter -> tier.expect(now, voter.copy()));
+            append(now, new Entry(election.term(), Kind.BEGIN, new byte[0]));
+        }
+    }
+
+    private void append(long now, Entry entry) {
+        log.append(entry);
+        sync();
+        outlet.noted(new Note.Stored(group, log.last(), self, entry));
+        replication.appended(now);
+    }
+
+    private void follow(long now, int leader, long term, Append append) {
+        if (term < election.term()) {
+            circle.post(leader, new SayAppend(false, log.last()));
+            return;
+        }
+        election.heard(now, leader, term);
+        long after = append.after();
+        int skip = (int) Math.max(0, Math.min(log.committed() - after, append.entries().size()));
+        after += skip;
+        boolean behind = after < log.committed();
+        if (!behind && (after > log.last() || log.term(after) != (skip == 0 ? append.afterTerm()
+                : append.entries().get(skip - 1).term()))) {
+            circle.post(leader, new SayAppend(false, Math.max(0, Math.min(log.last(), after - 1))));
+            if (append.committed() > log.last()) {
+                spreading.ask(now, leader);
+            }
+            return;
+        }
+        if (!behind) {
+            for (Entry entry : append.entries().subList(skip, append.entries().size())) {
+                after++;
+                if (log.term(after) != entry.term()) {
+                    if (after <= log.last()) {
+                        log.cut(after);
+                    }
+                    log.append(entry);
+                    outlet.noted(new Note.Stored(group, after, self, entry));
+                }
+            }
+        }
+        sync();
+        circle.post(leader, new SayAppend(true, after));
+        long known = Math.min(append.committed(), after);
+        if (known > log.committed()) {
+            log.commit(known);
+            apply(now);
+        }
+    }
+
+    // ---- what is committed ----
+
+    private void apply(long now) {
+        sync();
+        long from = applied;
+        while (applied < log.committed()) {
+            Entry entry = log.entry(++applied);
+            if (entry.kind() == Kind.CONTENT) {
+                outlet.loaded(new LogNumber(group, applied), entry.bytes());
+            } else if (entry.kind() == Kind.VOTERS) {
+                seated(applied, Voters.decode(entry.bytes()));
+            }
+        }
+        if (log.committed() - log.snapshot().index() >= 2L * settings.keptEntries()) {
+            log.compact(state(), settings.keptEntries());
+        }
+        spreading.learned(now, from);
+    }
+
+    private byte[] state() {
+        byte[] state = outlet.state();
+        if (state.length > MOST_STATE) {
+            throw new IllegalStateException("state: found " + state.length + " bytes; allowed: up to "
+                    + MOST_STATE);
+        }
+        return state;
+    }
+
+    private void install(long now, Snapshot snapshot) {
+        log.install(snapshot);
+        applied = log.committed();
+        sync();
+        outlet.restored(new LogNumber(group, applied), snapshot.state());
+        seated(applied, snapshot.voters());
+        election.follow(now, Math.max(election.term(), snapshot.term()));
+    }
+
+    private void seated(long index, Voters voters) {
+        outlet.noted(new Note.Seated(group, index, voters));
+        if (voters.has(self)) {
+            election.swear();
+        }
+    }
+
+    // ---- the end of an event ----
+
+    /** What was written and promised is kept from here on. */
+    private void sync() {
+        if (promised) {
+            promised = false;
+            store.promise(new Store.Promise(group, self.life(), election.term(), election.vote(),
+                    election.sworn()));
+        }
+        store.sync();
+    }
+
+    private void flush() {
+        if (promised) {
+            sync();
+        }
+        out.forEach(each -> outlet.send(each.to, each.piece));
+        out.clear();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/agreement/Circle.java
@@ -0,0 +1,28 @@
+package cedarrudder.agreement;
+
+/** What the parts of one copy's agreement have of the whole. */
+interface Circle {
+
+    Voter self();
+
+    Group group();
+
+    Log log();
+
+    /** Sends a message in the copy's own term. */
+    default void post(int to, Message message) {
+        post(to, message, term());
+    }
+
+    void post(int to, Message message, long term);
+
+    long term();
+
+    /** What was promised has changed. */
+    void promised();
+
+    /** More is committed. */
+    void advanced(long now);
+
+    void note(Note note);
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/agreement/Conduct.java
@@ -0,0 +1,49 @@
+package cedarrudder.agreement;
+
+/**
+ * The rules that safety rests on, one a method, so that each can be seen, and a test can show what breaks
+ * without it.
+ */
+class Conduct {
+
+    /**
+     * Whether a copy may vote, or ask for votes: a life that the group has committed as a voter, and that has
+     * not been taken out since. One that forgot has a new life, which is not (Liskov and Cowling 2012,
+     * recovery).
+     */
+    boolean mayVote(boolean sworn, boolean seated) {
+        return sworn && seated;
+    }
+
+    /** Whether a candidate first asks if it would be voted for, and leaves the term alone (thesis, 9.6). */
+    boolean asksFirst() {
+        return true;
+    }
+
+    /** Whether counting may commit an entry: only one of the leader's own term (paper, 5.4.2). */
+    boolean counts(long entryTerm, long term) {
+        return entryTerm == term;
+    }
+
+    /** Whether a leader steps down that a majority has not answered for so long (thesis, 6.2). */
+    boolean lapsed(long sinceMajority, long most) {
+        return sinceMajority >= most;
+    }
+
+    /** The group that a copy forms: no other has had or will have it. */
+    Group next(Group known, Voter founder) {
+        return new Group(known.era() + 1, founder.copy(), founder.life());
+    }
+
+    /** Whether a piece belongs to the message of which another piece is held. */
+    boolean same(Piece held, Piece other) {
+        return held.message() == other.message() && held.life() == other.life()
+                && held.count() == other.count() && held.whole() == other.whole()
+                && held.group().equals(other.group()) && held.term() == other.term();
+    }
+
+    /** Whether what was put together is what was sent. */
+    boolean intact(Piece held, byte[] message) {
+        return Piece.checksum(message, 0, message.length) == held.whole();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/agreement/Message.java
@@ -0,0 +1,197 @@
+package cedarrudder.agreement;
+
+import cedarrudder.agreement.Entry.Kind;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What copies tell one another. The head of its pieces has group, term, sender and the sender's life. */
+sealed interface Message {
+
+    /** What the fields of any message take, without entries and parts. */
+    int MOST_FIXED = 128;
+
+    /**
+     * Asks for a vote in the term of the message, or whether there would be one.
+     *
+     * @param ahead whether it only asks if there would be
+     * @param called whether a leader told it to, so that hearing a leader is no reason to refuse
+     */
+    record AskVote(boolean ahead, boolean called, long lastIndex, long lastTerm) implements Message { }
+
+    /** The answer; the message's term is that of the one who answers. */
+    record SayVote(boolean ahead, boolean granted, long askedTerm) implements Message { }
+
+    /** A leader's entries after one that both must have. */
+    record Append(long after, long afterTerm, long committed, List<Entry> entries) implements Message { }
+
+    /** Up to where the follower's log is that of the leader, or up to where it may be. */
+    record SayAppend(boolean same, long index) implements Message { }
+
+    /** The one who gets it asks for votes at once. */
+    record Lead() implements Message { }
+
+    /**
+     * What a copy has.
+     *
+     * @param beatTerm the term of the newest sign of a leader that it heard of
+     * @param beat the number of that sign
+     * @param yourLife the largest life that it knows of the one it tells
+     */
+    record Digest(long committed, long beatTerm, long beat, long yourLife) implements Message { }
+
+    /**
+     * Asks for committed entries.
+     *
+     * @param snapshot the index of one of which it has the beginning, or 0
+     * @param offset how much of it
+     */
+    record Ask(long after, long snapshot, int offset) implements Message { }
+
+    /** Committed entries after one. */
+    record News(long after, List<Entry> entries) implements Message { }
+
+    /**
+     * Part of a snapshot.
+     *
+     * @param sum the checksum of the whole state
+     */
+    record Chunk(long index, long term, Voters voters, int sum, int total, int offset, byte[] bytes)
+            implements Message { }
+
+    /** Pieces of a message have not come; a bit each. */
+    record Lack(int message, byte[] missing) implements Message { }
+
+    default byte[] encode() {
+        ByteBuffer out = ByteBuffer.allocate(MOST_FIXED + variable());
+        if (this instanceof AskVote m) {
+            out.put((byte) 0).put(bit(m.ahead)).put(bit(m.called)).putLong(m.lastIndex).putLong(m.lastTerm);
+        } else if (this instanceof SayVote m) {
+            out.put((byte) 1).put(bit(m.ahead)).put(bit(m.granted)).putLong(m.askedTerm);
+        } else if (this instanceof Append m) {
+            out.put((byte) 2).putLong(m.after).putLong(m.afterTerm).putLong(m.committed);
+            put(out, m.entries);
+        } else if (this instanceof SayAppend m) {
+            out.put((byte) 3).put(bit(m.same)).putLong(m.index);
+        } else if (this instanceof Lead) {
+            out.put((byte) 4);
+        } else if (this instanceof Digest m) {
+            out.put((byte) 5).putLong(m.committed).putLong(m.beatTerm).putLong(m.beat).putLong(m.yourLife);
+        } else if (this instanceof Ask m) {
+            out.put((byte) 6).putLong(m.after).putLong(m.snapshot).putInt(m.offset);
+        } else if (this instanceof News m) {
+            out.put((byte) 7).putLong(m.after);
+            put(out, m.entries);
+        } else if (this instanceof Chunk m) {
+            byte[] voters = m.voters.encode();
+            out.put((byte) 8).putLong(m.index).putLong(m.term).put((byte) voters.length).put(voters)
+                    .putInt(m.sum).putInt(m.total).putInt(m.offset).put(m.bytes);
+        } else if (this instanceof Lack m) {
+            out.put((byte) 9).putInt(m.message).put(m.missing);
+        }
+        byte[] bytes = new byte[out.position()];
+        out.flip().get(bytes);
+        return bytes;
+    }
+
+    /** Reads a message; null where the bytes are none. */
+    static Message decode(byte[] bytes) {
+        ByteBuffer in = ByteBuffer.wrap(bytes);
+        try {
+            Message read = switch (in.get()) {
+                case 0 -> new AskVote(in.get() != 0, in.get() != 0, in.getLong(), in.getLong());
+                case 1 -> new SayVote(in.get() != 0, in.get() != 0, in.getLong());
+                case 2 -> {
+                    long after = in.getLong();
+                    long term = in.getLong();
+                    yield new Append(after, term, in.getLong(), entries(in));
+                }
+                case 3 -> new SayAppend(in.get() != 0, in.getLong());
+                case 4 -> new Lead();
+                case 5 -> new Digest(in.getLong(), in.getLong(), in.getLong(), in.getLong());
+                case 6 -> new Ask(in.getLong(), in.getLong(), in.getInt());
+                case 7 -> new News(in.getLong(), entries(in));
+                case 8 -> new Chunk(in.getLong(), in.getLong(), Voters.decode(take(in, in.get() & 0xff)),
+                        in.getInt(), in.getInt(), in.getInt(), take(in, in.remaining()));
+                case 9 -> new Lack(in.getInt(), take(in, in.remaining()));
+                default -> null;
+            };
+            return read != null && !in.hasRemaining() && read.plausible() ? read : null;
+        } catch (BufferUnderflowException e) {
+            return null;
+        }
+    }
+
+    private int variable() {
+        if (this instanceof Append m) {
+            return m.entries.stream().mapToInt(Message::size).sum();
+        } else if (this instanceof News m) {
+            return m.entries.stream().mapToInt(Message::size).sum();
+        } else if (this instanceof Chunk m) {
+            return m.bytes.length;
+        }
+        return this instanceof Lack m ? m.missing.length : 0;
+    }
+
+    private boolean plausible() {
+        if (this instanceof AskVote m) {
+            return m.lastIndex >= 0 && m.lastTerm >= 0;
+        } else if (this instanceof Append m) {
+            return m.entries != null && m.after >= 0 && m.after < Long.MAX_VALUE >> 1 && m.committed >= 0;
+        } else if (this instanceof SayAppend m) {
+            return m.index >= 0;
+        } else if (this instanceof Digest m) {
+            return m.committed >= 0 && m.yourLife >= 0 && m.yourLife < Long.MAX_VALUE >> 1;
+        } else if (this instanceof Ask m) {
+            return m.after >= 0 && m.offset >= 0;
+        } else if (this instanceof News m) {
+            return m.entries != null && m.after >= 0 && m.after < Long.MAX_VALUE >> 1;
+        } else if (this instanceof Chunk m) {
+            return m.voters != null && m.index > 0 && m.total >= 0 && m.total <= Agreement.MOST_STATE
+                    && m.offset >= 0 && m.offset <= m.total && m.bytes.length <= m.total - m.offset;
+        }
+        return true;
+    }
+
+    private static byte bit(boolean set) {
+        return (byte) (set ? 1 : 0);
+    }
+
+    private static byte[] take(ByteBuffer in, int length) {
+        if (length > in.remaining()) {
+            throw new BufferUnderflowException();
+        }
+        byte[] bytes = new byte[length];
+        in.get(bytes);
+        return bytes;
+    }
+
+    private static void put(ByteBuffer out, List<Entry> entries) {
+        for (Entry entry : entries) {
+            out.putLong(entry.term()).put((byte) entry.kind().ordinal())
+                    .putShort((short) entry.bytes().length).put(entry.bytes());
+        }
+    }
+
+    /** How many bytes an entry takes in a message. */
+    static int size(Entry entry) {
+        return 11 + entry.bytes().length;
+    }
+
+    /** All that is left, as entries; null where it is none. */
+    private static List<Entry> entries(ByteBuffer in) {
+        List<Entry> entries = new ArrayList<>();
+        while (in.hasRemaining()) {
+            long term = in.getLong();
+            int kind = in.get();
+            byte[] bytes = take(in, in.getShort() & 0xffff);
+            if (term <= 0 || kind < 0 || kind >= Kind.values().length
+                    || kind == Kind.VOTERS.ordinal() && Voters.decode(bytes) == null) {
+                return null;
+            }
+            entries.add(new Entry(term, Kind.values()[kind], bytes));
+        }
+        return entries;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/agreement/Pieces.java
@@ -0,0 +1,172 @@
+package cedarrudder.agreement;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+
+/**
+ * Cuts messages into pieces and puts pieces together. A message of several pieces is repeated piece by piece,
+ * where the one who gets it says which have not come. All that it holds is bounded, whatever comes.
+ */
+final class Pieces {
+
+    /** Messages that are not whole yet. Guards against work and memory without end for a flood. */
+    private static final int MOST_PARTIAL = 16;
+    /** Messages that were sent, kept to be repeated. */
+    private static final int MOST_SENT = 16;
+    private static final int MOST_DONE = 64;
+    private static final long STALE = 2_000_000_000L;
+    private static final long PATIENCE = 80_000_000L;
+    private static final int MOST_LACKS = 8;
+
+    /** A message of which some pieces have come. */
+    private static final class Partial {
+        final Piece first;
+        final byte[][] parts;
+        int got;
+        int lacks;
+        long lackAt;
+        long staleAt;
+
+        Partial(Piece first) {
+            this.first = first;
+            this.parts = new byte[first.count()][];
+        }
+    }
+
+    private record Done(int sender, long life, int message) { }
+
+    private record Sent(int to, int message, List<byte[]> pieces) { }
+
+    private final Conduct conduct;
+    private final List<Partial> partials = new ArrayList<>();
+    private final Deque<Done> done = new ArrayDeque<>();
+    private final Deque<Sent> sent = new ArrayDeque<>();
+    private int messages;
+
+    /**
+     * @param first the number of the first message; a process that goes on with a life needs others than
+     * before
+     */
+    Pieces(Conduct conduct, int first) {
+        this.conduct = conduct;
+        this.messages = first;
+    }
+
+    List<byte[]> cut(Group group, long term, Voter self, int to, byte[] message) {
+        int count = (message.length + Piece.MOST_PART - 1) / Piece.MOST_PART;
+        int whole = Piece.checksum(message, 0, message.length);
+        int number = messages++;
+        List<byte[]> pieces = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            byte[] part = Arrays.copyOfRange(message, i * Piece.MOST_PART,
+                    Math.min(message.length, (i + 1) * Piece.MOST_PART));
+            pieces.add(new Piece(group, term, self.copy(), self.life(), number, i, count, whole,
+                    part).encode());
+        }
+        if (count > 1) {
+            sent.add(new Sent(to, number, pieces));
+            if (sent.size() > MOST_SENT) {
+                sent.remove();
+            }
+        }
+        return pieces;
+    }
+
+    /** The pieces of a message that this one says it lacks. */
+    List<byte[]> again(int to, Message.Lack lack) {
+        for (Sent each : sent) {
+            if (each.to == to && each.message == lack.message()) {
+                return BitSet.valueOf(lack.missing()).stream().filter(place -> place < each.pieces.size())
+                        .mapToObj(each.pieces::get).toList();
+            }
+        }
+        return List.of();
+    }
+
+    /** Takes a piece; returns the message when it is whole, else null. */
+    byte[] take(long now, Piece piece) {
+        if (piece.count() == 1) {
+            return piece.part();
+        }
+        Done whole = new Done(piece.sender(), piece.life(), piece.message());
+        Partial partial = done.contains(whole) ? null : held(piece);
+        if (partial == null || partial.parts[piece.place()] != null) {
+            return null;
+        }
+        partial.parts[piece.place()] = piece.part();
+        partial.lackAt = now + PATIENCE;
+        partial.staleAt = now + STALE;
+        if (++partial.got < partial.parts.length) {
+            return null;
+        }
+        partials.remove(partial);
+        done.add(whole);
+        if (done.size() > MOST_DONE) {
+            done.remove();
+        }
+        byte[] message = new byte[Arrays.stream(partial.parts).mapToInt(part -> part.length).sum()];
+        int at = 0;
+        for (byte[] part : partial.parts) {
+            System.arraycopy(part, 0, message, at, part.length);
+            at += part.length;
+        }
+        return conduct.intact(partial.first, message) ? message : null;
+    }
+
+    private Partial held(Piece piece) {
+        for (Partial each : partials) {
+            if (each.first.sender() == piece.sender() && conduct.same(each.first, piece)) {
+                return each;
+            }
+        }
+        if (partials.size() == MOST_PARTIAL) {
+            partials.remove(0);
+        }
+        Partial made = new Partial(piece);
+        partials.add(made);
+        return made;
+    }
+
+    /** When {@link #lacks} is to be called next. */
+    long due() {
+        long due = Long.MAX_VALUE;
+        for (Partial each : partials) {
+            due = Math.min(due, Math.min(each.lackAt, each.staleAt));
+        }
+        return due;
+    }
+
+    /** What is to be asked for again, and of whom. */
+    record Wanted(int of, Message.Lack lack) { }
+
+    /** Drops what is stale and says what is missing of the rest. */
+    List<Wanted> lacks(long now) {
+        List<Wanted> wanted = new ArrayList<>();
+        for (Iterator<Partial> all = partials.iterator(); all.hasNext();) {
+            Partial each = all.next();
+            if (now >= each.staleAt) {
+                all.remove();
+            } else if (now >= each.lackAt) {
+                each.lackAt = ++each.lacks < MOST_LACKS ? now + PATIENCE : Long.MAX_VALUE;
+                BitSet missing = new BitSet();
+                for (int i = 0; i < each.parts.length; i++) {
+                    missing.set(i, each.parts[i] == null);
+                }
+                wanted.add(new Wanted(each.first.sender(), new Message.Lack(each.first.message(),
+                        missing.toByteArray())));
+            }
+        }
+        return wanted;
+    }
+
+    /** Forgets what is not whole yet. */
+    void clear() {
+        partials.clear();
+        sent.clear();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/agreement/Replication.java
@@ -0,0 +1,181 @@
+package cedarrudder.agreement;
+
+import cedarrudder.agreement.Message.Append;
+import cedarrudder.agreement.Message.SayAppend;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a leader does in its term: sends entries to the other voters, and counts who has them (paper,
+ * 5.3).
+ */
+final class Replication {
+
+    /** Entries in one message take at most so many bytes, or there is one. */
+    static final int MOST_BATCH = 4_096;
+
+    /**
+     * A message of entries is not repeated for so long: pieces that were lost are asked for by
+     * themselves.
+     */
+    private static final int REPEAT_HEARTBEATS = 4;
+
+    /** How far one other is. */
+    private static final class Progress {
+        long match;
+        long next;
+        long sentAt;
+        boolean underWay;
+        long answeredAt;
+
+        Progress(long next, long now) {
+            this.next = next;
+            this.answeredAt = now;
+        }
+    }
+
+    private final Circle circle;
+    private final AgreementSettings settings;
+    private final Conduct conduct;
+    private final Map<Voter, Progress> others = new HashMap<>();
+    private Voter trainee;
+    private long heartbeatAt;
+
+    Replication(Circle circle, AgreementSettings settings, Conduct conduct, long now) {
+        this.circle = circle;
+        this.settings = settings;
+        this.conduct = conduct;
+        this.heartbeatAt = now;
+        targets().forEach(voter -> progress(now, voter));
+    }
+
+    private List<Voter> targets() {
+        List<Voter> all = new ArrayList<>(circle.log().voters().all());
+        all.remove(circle.self());
+        if (trainee != null && !all.contains(trainee)) {
+            all.add(trainee);
+        }
+        return all;
+    }
+
+    private Progress progress(long now, Voter voter) {
+        return others.computeIfAbsent(voter, v -> new Progress(circle.log().last() + 1, now));
+    }
+
+    /** Sends entries to this one too, who does not vote yet; null ends that. */
+    void train(Voter voter) {
+        trainee = voter;
+    }
+
+    Voter trainee() {
+        return trainee;
+    }
+
+    /** Up to which index this one has the log. */
+    long match(Voter voter) {
+        Progress found = others.get(voter);
+        return voter.equals(circle.self()) ? circle.log().last() : found == null ? 0 : found.match;
+    }
+
+    /** How long it is since so many had answered that they are a majority. */
+    long sinceMajority(long now) {
+        List<Long> ages = circle.log().voters().all().stream().map(voter -> voter.equals(circle.self()) ? 0L
+                : now - progress(now, voter).answeredAt).sorted().toList();
+        return ages.isEmpty() ? 0 : ages.get(ages.size() / 2);
+    }
+
+    long due() {
+        return heartbeatAt;
+    }
+
+    /** Whether it was time for a heartbeat, which went out. */
+    boolean tick(long now) {
+        if (now < heartbeatAt) {
+            return false;
+        }
+        heartbeatAt = now + settings.heartbeat();
+        others.keySet().retainAll(targets());
+        for (Voter voter : targets()) {
+            send(now, voter, true);
+        }
+        return true;
+    }
+
+    /** There is more to send. */
+    void appended(long now) {
+        for (Voter voter : targets()) {
+            send(now, voter, false);
+        }
+        count(now);
+    }
+
+    private void send(long now, Voter to, boolean beats) {
+        Log log = circle.log();
+        Progress progress = progress(now, to);
+        boolean waits = progress.underWay && now - progress.sentAt < REPEAT_HEARTBEATS * settings.heartbeat();
+        if (progress.next <= log.base() || waits || progress.next > log.last()) {
+            if (beats) {
+                // What it lacks is on its way, or it has to ask for a snapshot, which it learns from this.
+                long after = progress.next > log.last() ? log.last() : Math.max(progress.match, log.base());
+                circle.post(to.copy(), new Append(after, log.term(after), log.committed(), List.of()));
+            }
+            return;
+        }
+        List<Entry> batch = new ArrayList<>();
+        int bytes = 0;
+        for (long i = progress.next; i <= log.last(); i++) {
+            Entry entry = log.entry(i);
+            bytes += Message.size(entry);
+            if (!batch.isEmpty() && bytes > MOST_BATCH) {
+                break;
+            }
+            batch.add(entry);
+        }
+        progress.underWay = true;
+        progress.sentAt = now;
+        long after = progress.next - 1;
+        circle.post(to.copy(), new Append(after, log.term(after), log.committed(), batch));
+    }
+
+    void said(long now, Voter by, SayAppend say) {
+        Progress progress = others.get(by);
+        if (progress == null) {
+            return;
+        }
+        progress.answeredAt = now;
+        Log log = circle.log();
+        if (say.same()) {
+            if (say.index() > progress.match && say.index() <= log.last()) {
+                progress.match = say.index();
+                progress.next = progress.match + 1;
+                progress.underWay = false;
+                count(now);
+            }
+        } else if (say.index() + 1 < progress.next || progress.underWay) {
+            progress.next = Math.max(progress.match, Math.min(say.index(), log.last())) + 1;
+            progress.underWay = false;
+        }
+        if (progress.next <= log.last()) {
+            send(now, by, false);
+        }
+    }
+
+    /**
+     * An entry is counted by the voters of its own index: one to be added counts from the entry that
+     * adds it.
+     */
+    private void count(long now) {
+        Log log = circle.log();
+        for (long i = log.last(); i > log.committed(); i--) {
+            long index = i;
+            if (conduct.counts(log.term(i), circle.term())
+                    && log.votersAt(i).majority(voter -> match(voter) >= index)) {
+                log.commit(i);
+                circle.advanced(now);
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/agreement/Seats.java
@@ -0,0 +1,85 @@
+package cedarrudder.agreement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/**
+ * Whom a leader makes a voter and whom it takes out, one at a time (thesis, 4.1 and 4.2): out are those that
+ * are silent or came back in another life; in come live copies, from the zones with the fewest voters, that
+ * have the whole log.
+ */
+final class Seats {
+
+    private static final int TRAINING_HEARTBEATS = 20;
+
+    private final Circle circle;
+    private final AgreementSettings settings;
+    private final Tier tier;
+    private final RandomGenerator random;
+    private long trainedUntil;
+
+    Seats(Circle circle, AgreementSettings settings, Tier tier, RandomGenerator random) {
+        this.circle = circle;
+        this.settings = settings;
+        this.tier = tier;
+        this.random = random;
+    }
+
+    /** The voters that are to follow those of now; null where they may stay or can't be changed yet. */
+    Voters next(long now, Replication replication) {
+        Log log = circle.log();
+        boolean settled = log.votersAt() <= log.committed() && log.term(log.committed()) == circle.term();
+        if (!settled) {
+            return null;
+        }
+        Voters voters = log.voters();
+        List<Voter> spare = spare(now, voters);
+        for (Voter voter : voters.all()) {
+            boolean gone = !voter.equals(circle.self()) && (tier.life(voter.copy()) > voter.life()
+                    || now - tier.heardAt(voter.copy()) > settings.voterPatience());
+            boolean back = tier.life(voter.copy()) > voter.life()
+                    && now - tier.heardAt(voter.copy()) < settings.voterPatience() / 2;
+            if (gone && (voters.size() > 3 || !spare.isEmpty() || back)) {
+                return voters.without(voter);
+            }
+        }
+        if (voters.size() >= settings.voters()) {
+            replication.train(null);
+            return null;
+        }
+        Voter trainee = replication.trainee();
+        boolean fits = trainee != null && spare.contains(trainee) && now < trainedUntil;
+        if (fits && replication.match(trainee) >= log.committed()) {
+            replication.train(null);
+            return voters.with(trainee);
+        }
+        if (!fits && !spare.isEmpty()) {
+            replication.train(spare.get(random.nextInt(spare.size())));
+            trainedUntil = now + TRAINING_HEARTBEATS * settings.heartbeat();
+        }
+        return null;
+    }
+
+    /** Those who could be voters, of the zones that have the fewest. */
+    private List<Voter> spare(long now, Voters voters) {
+        List<Voter> best = new ArrayList<>();
+        long fewest = Long.MAX_VALUE;
+        for (int copy = 0; copy < tier.copies(); copy++) {
+            if (voters.hasCopy(copy) || copy == circle.self().copy() || !tier.lives(copy)
+                    || now - tier.heardAt(copy) > settings.voterPatience() / 2) {
+                continue;
+            }
+            int zone = tier.zone(copy);
+            long there = voters.all().stream().filter(voter -> tier.zone(voter.copy()) == zone).count();
+            if (there < fewest) {
+                fewest = there;
+                best.clear();
+            }
+            if (there == fewest) {
+                best.add(new Voter(copy, tier.life(copy)));
+            }
+        }
+        return best;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/agreement/Spreading.java
@@ -0,0 +1,245 @@
+package cedarrudder.agreement;
+
+import cedarrudder.agreement.Message.Ask;
+import cedarrudder.agreement.Message.Chunk;
+import cedarrudder.agreement.Message.Digest;
+import cedarrudder.agreement.Message.News;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/**
+ * How what is committed comes to all copies: who learns something passes it on to a few at random, and each
+ * copy tells another now and then what it has, so that the one that lacks something asks for it (Demers and
+ * others 1987). What a copy sends does not depend on how many there are.
+ */
+final class Spreading {
+
+    private static final int MOST_PUSHED = 2_048;
+    private static final int MOST_NEWS = 4_096;
+    private static final int CHUNK = 4_096;
+    private static final long REPLIES = 10_000_000L;
+    private static final long PATIENCE = 250_000_000L;
+
+    /** A snapshot of which the beginning is there. */
+    private record Fetch(Chunk first, byte[] state, int got) { }
+
+    private final Circle circle;
+    private final AgreementSettings settings;
+    private final Tier tier;
+    private final RandomGenerator random;
+    private final Allowance allowance;
+    private Fetch fetch;
+    private long askedAt;
+    private long digestAt;
+    private long repliedAt;
+    private long beatTerm;
+    private long beat;
+    private long beatAt;
+
+    Spreading(Circle circle, AgreementSettings settings, Tier tier, RandomGenerator random,
+            Allowance allowance, long now) {
+        this.circle = circle;
+        this.settings = settings;
+        this.tier = tier;
+        this.random = random;
+        this.allowance = allowance;
+        this.digestAt = now + (long) (random.nextDouble() * settings.spreadPeriod());
+        this.askedAt = now - PATIENCE;
+        this.repliedAt = now - REPLIES;
+        this.beatAt = now;
+    }
+
+    /** Another group: nothing of the former counts. */
+    void reset(long now) {
+        fetch = null;
+        askedAt = now - PATIENCE;
+        beatTerm = 0;
+        beat = 0;
+        beatAt = now;
+    }
+
+    /** When it last heard that a leader leads. */
+    long beatAt() {
+        return beatAt;
+    }
+
+    /** This copy leads, and a majority answers it. */
+    void beats(long now) {
+        beatTerm = circle.term();
+        beat++;
+        beatAt = now;
+    }
+
+    long due() {
+        return digestAt;
+    }
+
+    void tick(long now) {
+        if (now >= digestAt) {
+            digestAt = now + settings.spreadPeriod();
+            tell(tier.any(random));
+        }
+    }
+
+    private void tell(int to) {
+        if (to >= 0) {
+            circle.post(to, new Digest(circle.log().committed(), beatTerm, beat, tier.life(to)));
+        }
+    }
+
+    /** Tells one that is behind in its group or life, at most one each 10 ms. */
+    void correct(long now, int to) {
+        if (now - repliedAt >= REPLIES) {
+            repliedAt = now;
+            tell(to);
+        }
+    }
+
+    /** More is committed than up to there: passes it on at once, or says that there is something. */
+    void learned(long now, long from) {
+        Log log = circle.log();
+        boolean small = from >= log.base();
+        News news = small ? news(from, MOST_PUSHED) : null;
+        small = small && from + news.entries().size() == log.committed();
+        for (int i = 0; i < settings.fanout(); i++) {
+            int to = tier.any(random);
+            if (small && to >= 0 && allowance.spend(now, size(news.entries()))) {
+                circle.post(to, news);
+            } else {
+                tell(to);
+            }
+        }
+    }
+
+    private News news(long after, int most) {
+        Log log = circle.log();
+        List<Entry> entries = new ArrayList<>();
+        int bytes = 0;
+        for (long i = after + 1; i <= log.committed(); i++) {
+            bytes += Message.size(log.entry(i));
+            if (bytes > most && !(entries.isEmpty() && most == MOST_NEWS)) {
+                break;
+            }
+            entries.add(log.entry(i));
+        }
+        return new News(after, entries);
+    }
+
+    private static int size(List<Entry> entries) {
+        return Piece.HEAD + entries.stream().mapToInt(Message::size).sum();
+    }
+
+    void told(long now, int from, Digest digest) {
+        if (digest.beatTerm() > beatTerm || digest.beatTerm() == beatTerm && digest.beat() > beat) {
+            beatTerm = digest.beatTerm();
+            beat = digest.beat();
+            beatAt = now;
+        }
+        Log log = circle.log();
+        if (digest.committed() > log.committed()) {
+            ask(now, from);
+        } else if (digest.committed() < log.committed()) {
+            if (digest.committed() >= log.base()) {
+                feed(now, from, digest.committed());
+            } else {
+                tell(from);
+            }
+        }
+    }
+
+    /** Asks this one for what is lacking, unless something was asked for just now. */
+    void ask(long now, int from) {
+        if (now - askedAt >= PATIENCE) {
+            askedAt = now;
+            circle.post(from, new Ask(circle.log().committed(), fetch == null ? 0 : fetch.first.index(),
+                    fetch == null ? 0 : fetch.got));
+        }
+    }
+
+    private void feed(long now, int to, long after) {
+        News news = news(after, MOST_NEWS);
+        if (!news.entries().isEmpty() && allowance.spend(now, size(news.entries()))) {
+            circle.post(to, news);
+        }
+    }
+
+    void asked(long now, int by, Ask ask) {
+        Log log = circle.log();
+        if (ask.after() >= log.committed()) {
+            return;
+        }
+        if (ask.after() >= log.base()) {
+            feed(now, by, ask.after());
+            return;
+        }
+        Snapshot snapshot = log.snapshot();
+        byte[] state = snapshot.state();
+        int offset = ask.snapshot() == snapshot.index() && ask.offset() <= state.length ? ask.offset() : 0;
+        int end = Math.min(state.length, offset + CHUNK);
+        if (allowance.spend(now, Piece.HEAD + end - offset)) {
+            circle.post(by, new Chunk(snapshot.index(), snapshot.term(), snapshot.voters(),
+                    Piece.checksum(state, 0, state.length), state.length, offset,
+                    Arrays.copyOfRange(state, offset, end)));
+        }
+    }
+
+    /** Takes committed entries. */
+    void took(long now, int from, News news) {
+        Log log = circle.log();
+        if (news.after() > log.committed()) {
+            ask(now, from);
+            return;
+        }
+        long end = news.after() + news.entries().size();
+        if (end <= log.committed()) {
+            return;
+        }
+        for (long i = log.committed() + 1; i <= end; i++) {
+            Entry entry = news.entries().get((int) (i - news.after() - 1));
+            if (log.term(i) != entry.term()) {
+                if (i <= log.last()) {
+                    log.cut(i);
+                }
+                log.append(entry);
+                circle.note(new Note.Stored(circle.group(), i, circle.self(), entry));
+            }
+        }
+        log.commit(end);
+        circle.advanced(now);
+        if (size(news.entries()) > MOST_NEWS / 2) {
+            askedAt = now - PATIENCE;
+            ask(now, from);
+        }
+    }
+
+    /** Takes part of a snapshot; returns it once it is whole. */
+    Snapshot took(long now, int from, Chunk chunk) {
+        if (chunk.index() <= circle.log().committed()) {
+            return null;
+        }
+        boolean goesOn = fetch != null && fetch.first.index() == chunk.index()
+                && fetch.first.sum() == chunk.sum() && fetch.state.length == chunk.total();
+        if (!goesOn) {
+            if (chunk.offset() != 0 || fetch != null && chunk.index() < fetch.first.index()) {
+                return null;
+            }
+            fetch = new Fetch(chunk, new byte[chunk.total()], 0);
+        }
+        if (chunk.offset() != fetch.got) {
+            return null;
+        }
+        System.arraycopy(chunk.bytes(), 0, fetch.state, fetch.got, chunk.bytes().length);
+        fetch = new Fetch(fetch.first, fetch.state, fetch.got + chunk.bytes().length);
+        if (fetch.got < fetch.state.length) {
+            askedAt = now - PATIENCE;
+            ask(now, from);
+            return null;
+        }
+        Fetch whole = fetch;
+        fetch = null;
+        return Piece.checksum(whole.state, 0, whole.got) != chunk.sum() ? null
+                : new Snapshot(chunk.index(), chunk.term(), chunk.voters(), whole.state);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/agreement/Store.java
@@ -0,0 +1,74 @@
+package cedarrudder.agreement;
+
+import java.util.List;
+
+/**
+ * Where a copy keeps what it must not forget. What was written counts once {@link #sync} has returned:
+ * nothing is spoken of before that. One that can't write any more has to end the process.
+ */
+public interface Store {
+
+    /**
+     * What a copy has promised.
+     *
+     * @param life of the copy as a voter; a process that remembers goes on with it
+     * @param vote whom it voted for in that term, or null
+     * @param sworn whether a committed set of voters has had this life
+     */
+    record Promise(Group group, long life, long term, Voter vote, boolean sworn) { }
+
+    /**
+     * What was read back, whole.
+     *
+     * @param entries those after the snapshot; their voters may not be committed
+     */
+    record Kept(Promise promise, Snapshot snapshot, List<Entry> entries) {
+        public Kept {
+            entries = List.copyOf(entries);
+        }
+    }
+
+    /** What an earlier process wrote and synced; null where nothing is left of it. */
+    Kept kept();
+
+    void promise(Promise promise);
+
+    /** Entries from here on are replaced by this one. */
+    void entry(long index, Entry entry);
+
+    /** Entries from here on are gone. */
+    void cut(long from);
+
+    /** Entries up to it need not be kept; those after it stay. */
+    void snapshot(Snapshot snapshot);
+
+    /**
+     * Returns when all that was written since the last time will be read back. Where the process ends before
+     * that, all of it is read back or none: a promise of another group without its log would be one of the
+     * former's.
+     */
+    void sync();
+
+    /** That of a copy without a lasting disk: it forgets all with its life. */
+    Store NONE = new Store() {
+        @Override
+        public Kept kept() {
+            return null;
+        }
+
+        @Override
+        public void promise(Promise promise) { }
+
+        @Override
+        public void entry(long index, Entry entry) { }
+
+        @Override
+        public void cut(long from) { }
+
+        @Override
+        public void snapshot(Snapshot snapshot) { }
+
+        @Override
+        public void sync() { }
+    };
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/agreement/Voters.java
@@ -0,0 +1,71 @@
+package cedarrudder.agreement;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+
+/**
+ * Those who vote, at most {@value #MOST}; a change adds one or takes one away, so that majorities
+ * overlap.
+ */
+public record Voters(List<Voter> all) {
+
+    /** One more than the most that are asked for: a change may pass through it. */
+    public static final int MOST = 8;
+
+    static final Voters NOBODY = new Voters(List.of());
+
+    private static final int BYTES = 10;
+
+    public Voters {
+        all = List.copyOf(all);
+    }
+
+    public boolean has(Voter voter) {
+        return all.contains(voter);
+    }
+
+    boolean hasCopy(int copy) {
+        return all.stream().anyMatch(voter -> voter.copy() == copy);
+    }
+
+    public int size() {
+        return all.size();
+    }
+
+    /** Whether more than half of them do. */
+    public boolean majority(Predicate<Voter> does) {
+        return all.stream().filter(does).count() * 2 > all.size();
+    }
+
+    Voters with(Voter voter) {
+        List<Voter> more = new ArrayList<>(all);
+        more.add(voter);
+        return new Voters(more);
+    }
+
+    Voters without(Voter voter) {
+        return new Voters(all.stream().filter(each -> !each.equals(voter)).toList());
+    }
+
+    byte[] encode() {
+        ByteBuffer out = ByteBuffer.allocate(1 + BYTES * all.size());
+        out.put((byte) all.size());
+        all.forEach(voter -> out.putShort((short) voter.copy()).putLong(voter.life()));
+        return out.array();
+    }
+
+    /** Reads them; null where the bytes are none. */
+    public static Voters decode(byte[] bytes) {
+        if (bytes.length == 0 || bytes[0] < 0 || bytes[0] > MOST || bytes.length != 1 + BYTES * bytes[0]) {
+            return null;
+        }
+        ByteBuffer in = ByteBuffer.wrap(bytes, 1, bytes.length - 1);
+        List<Voter> all = new ArrayList<>(bytes[0]);
+        while (in.hasRemaining()) {
+            all.add(new Voter(in.getShort() & 0xffff, in.getLong()));
+        }
+        return new Voters(all);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/cedarrudder/agreement/PiecesTest.java
@@ -0,0 +1,224 @@
+package cedarrudder.agreement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.SplittableRandom;
+import org.testng.annotations.Test;
+
+/** Bytes of peers: pieces, what they are put together to, and what is none. */
+public class PiecesTest {
+
+    private static final long MILLI = 1_000_000L;
+    private static final Group GROUP = new Group(3, 1, 77);
+    private static final Voter SENDER = new Voter(2, 9);
+
+    private static byte[] bytes(int length, long seed) {
+        byte[] bytes = new byte[length];
+        new Random(seed).nextBytes(bytes);
+        return bytes;
+    }
+
+    private static List<byte[]> cut(Pieces pieces, byte[] message) {
+        return pieces.cut(GROUP, 5, SENDER, 1, message);
+    }
+
+    private static byte[] take(Pieces pieces, long now, byte[] piece) {
+        return pieces.take(now, Piece.decode(piece, 10));
+    }
+
+    @Test
+    public void piecesFitTheWireAndBeginAsNoMessageOfMembership() {
+        for (byte[] piece : cut(new Pieces(new Conduct(), 0), bytes(1_000, 1))) {
+            assertTrue(piece.length <= 224);
+            // Membership's begin with its version, a small number.
+            assertTrue(piece[0] < 0);
+        }
+    }
+
+    @Test
+    public void shuffledDoubledAndMixedPiecesGiveEachMessageOnce() {
+        Pieces sender = new Pieces(new Conduct(), 7);
+        Pieces receiver = new Pieces(new Conduct(), 0);
+        List<byte[]> messages = new ArrayList<>();
+        List<byte[]> wire = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            messages.add(bytes(2_000, i));
+            wire.addAll(cut(sender, messages.get(i)));
+        }
+        wire.addAll(List.copyOf(wire));
+        Collections.shuffle(wire, new Random(4));
+        List<byte[]> came = new ArrayList<>();
+        for (byte[] piece : wire) {
+            byte[] whole = take(receiver, 0, piece);
+            if (whole != null) {
+                came.add(whole);
+            }
+        }
+        assertEquals(came.size(), 8);
+        messages.forEach(message -> assertTrue(came.stream().anyMatch(c -> ByteBuffer.wrap(c)
+                .equals(ByteBuffer.wrap(message)))));
+    }
+
+    @Test
+    public void whatWasLostIsAskedForAndRepeatedAndInTheEndForgotten() {
+        Pieces sender = new Pieces(new Conduct(), 7);
+        Pieces receiver = new Pieces(new Conduct(), 0);
+        byte[] message = bytes(2_000, 3);
+        List<byte[]> wire = cut(sender, message);
+        for (int i = 0; i < wire.size(); i++) {
+            assertNull(i == 2 || i == 5 ? null : take(receiver, 0, wire.get(i)));
+        }
+        assertEquals(receiver.lacks(receiver.due() - 1), List.of());
+        List<Pieces.Wanted> wanted = receiver.lacks(receiver.due());
+        assertEquals(wanted.get(0).of(), SENDER.copy());
+        List<byte[]> again = sender.again(1, wanted.get(0).lack());
+        assertEquals(again, List.of(wire.get(2), wire.get(5)));
+        assertEquals(sender.again(3, wanted.get(0).lack()), List.of());
+        assertNull(take(receiver, 100 * MILLI, again.get(0)));
+        assertEquals(take(receiver, 100 * MILLI, again.get(1)), message);
+        take(receiver, 200 * MILLI, cut(sender, message).get(0));
+        int asked = 0;
+        while (receiver.due() != Long.MAX_VALUE) {
+            asked += receiver.lacks(receiver.due()).size();
+        }
+        assertEquals(asked, 8);
+    }
+
+    /** A store that knows whether something was written since the last sync. */
+    private static final class Unsynced implements Store {
+        private boolean unsynced;
+        private long term;
+
+        @Override
+        public Kept kept() {
+            return null;
+        }
+
+        @Override
+        public void promise(Promise promise) {
+            term = promise.term();
+            unsynced = true;
+        }
+
+        @Override
+        public void entry(long index, Entry entry) {
+            unsynced = true;
+        }
+
+        @Override
+        public void cut(long from) {
+            unsynced = true;
+        }
+
+        @Override
+        public void snapshot(Snapshot snapshot) {
+            unsynced = true;
+        }
+
+        @Override
+        public void sync() {
+            unsynced = false;
+        }
+    }
+
+    /**
+     * Random bytes, and good pieces with wrong bytes whose checksums are put right: all is dropped or read,
+     * and what is said of it is synced before.
+     */
+    @Test
+    public void garbageIsDroppedWithoutAWord() {
+        SplittableRandom random = new SplittableRandom(11);
+        Unsynced store = new Unsynced();
+        int[] zones = new int[10];
+        Agreement copy = new Agreement(zones, 0, 5, AgreementSettings.DEFAULT, store, random.split(),
+                new Agreement.Outlet() {
+                    @Override
+                    public void send(int to, byte[] piece) {
+                        assertFalse(store.unsynced, "spoken of before it was synced");
+                        assertTrue(Piece.decode(piece, 10).term() <= store.term, "a term that is not kept");
+                    }
+
+                    @Override
+                    public void loaded(LogNumber number, byte[] content) {
+                        assertFalse(store.unsynced, "loaded before it was synced");
+                    }
+
+                    @Override
+                    public byte[] state() {
+                        return new byte[500];
+                    }
+
+                    @Override
+                    public void restored(LogNumber number, byte[] state) { }
+
+                    @Override
+                    public void noted(Note note) { }
+                }, 0);
+        copy.form(0);
+        long now = 0;
+        for (int i = 0; i < 20_000; i++) {
+            now = Math.max(now + 1, Math.min(copy.due(), now + MILLI));
+            copy.tick(now);
+        }
+        assertTrue(copy.leads());
+        long began = System.nanoTime();
+        for (int i = 0; i < 200_000; i++) {
+            byte[] noise = new byte[random.nextInt(260)];
+            random.nextBytes(noise);
+            if (i % 2 == 0 && noise.length > 0) {
+                noise[0] = Piece.FIRST;
+            }
+            copy.received(now, 1, noise);
+        }
+        assertEquals(copy.counts().malformed(), 200_000);
+        Message[] kinds = {new Message.AskVote(false, true, 4, 2), new Message.SayVote(false, true, 2),
+            new Message.Append(2, 2, 1, List.of(new Entry(3, Entry.Kind.CONTENT, new byte[20]))),
+            new Message.SayAppend(true, 2), new Message.Lead(), new Message.Digest(3, 2, 1, 4),
+            new Message.Ask(0, 0, 0), new Message.News(1, List.of(new Entry(2, Entry.Kind.BEGIN,
+                    new byte[0]))),
+            new Message.Chunk(9, 2, new Voters(List.of(SENDER)), 1, 900, 0, new byte[100]),
+            new Message.Lack(3, new byte[] {7})};
+        for (int i = 0; i < 200_000; i++) {
+            byte[] body = kinds[i % kinds.length].encode();
+            for (int wrong = random.nextInt(3); wrong >= 0; wrong--) {
+                body[random.nextInt(body.length)] = (byte) random.nextInt(256);
+            }
+            Piece piece = new Piece(copy.group(), random.nextInt(4), 1, 9, i, 0, 1, 0, body);
+            copy.received(now, 1, piece.encode());
+            now += MILLI;
+            copy.tick(now);
+        }
+        long took = System.nanoTime() - began;
+        assertTrue(took < 30_000L * MILLI, "400,000 messages took " + took + " ns");
+    }
+
+    @Test
+    public void oneWrongBitIsNoPiece() {
+        byte[] piece = cut(new Pieces(new Conduct(), 0), bytes(100, 1)).get(0);
+        assertNotNull(Piece.decode(piece, 10));
+        for (int bit = 0; bit < piece.length * 8; bit++) {
+            byte[] wrong = piece.clone();
+            wrong[bit / 8] ^= (byte) (1 << bit % 8);
+            assertNull(Piece.decode(wrong, 10));
+        }
+    }
+
+    @Test
+    public void aFloodOfBeginningsHoldsLittle() {
+        Pieces receiver = new Pieces(new Conduct(), 0);
+        Pieces sender = new Pieces(new Conduct(), 0);
+        for (int i = 0; i < 1_000; i++) {
+            assertNull(take(receiver, i, cut(sender, bytes(40_000, i)).get(0)));
+        }
+        assertFalse(receiver.lacks(100 * MILLI).size() > 16);
+    }
+}
