Play agreement in virtual time under a judge, with programs broken on purpose

lab.agreement has the copies (loss, delay, doubling, corruption, cuts both and one way, stalls, clocks an hour apart that drift, disks), storms of faults from a seed, and trials of bytes, commits and leaders; lab agreement plays them. The judge's OneTable (A1) and OneLeader (A2) read events only.

--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/agreement/Copies.java
@@ -0,0 +1,483 @@
+package cedarrudder.lab.agreement;
+
+import cedarrudder.agreement.Agreement;
+import cedarrudder.agreement.AgreementSettings;
+import cedarrudder.agreement.Entry;
+import cedarrudder.agreement.Group;
+import cedarrudder.agreement.LogNumber;
+import cedarrudder.agreement.Note;
+import cedarrudder.agreement.Store;
+import cedarrudder.agreement.Voter;
+import cedarrudder.agreement.Voters;
+import cedarrudder.lab.judge.Event;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import java.util.zip.CRC32C;
+
+/**
+ * Copies of a tier that agree, in virtual time, with a network that loses, delays, doubles, corrupts and
+ * cuts, and with clocks that differ and drift. What a copy loads is a running sum of all that was loaded. One
+ * seed gives one history.
+ */
+public final class Copies {
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final long HOUR = 3_600 * SECOND;
+    private static final int ZONES = 3;
+    private static final int MOST_WAITING = 2_000;
+
+    /**
+     * What the network does.
+     *
+     * @param loss the share of datagrams that are lost, from 0 to 1
+     * @param doubled the share that comes twice
+     * @param corrupt the share of which one bit is wrong
+     * @param leastDelay of those that come, in nanoseconds
+     * @param mostDelay the longest; delays are even between the two, so datagrams overtake one another
+     */
+    public record Network(double loss, double doubled, double corrupt, long leastDelay, long mostDelay) { }
+
+    /** What makes a copy's part, so that a broken one can be put in its place. */
+    public interface Maker {
+        Agreement make(int[] zones, int self, long life, AgreementSettings settings, Store store,
+                RandomGenerator random, Agreement.Outlet outlet, long now);
+    }
+
+    /** What happens at an instant; of those at one instant the one made first comes first. */
+    private record Due(long at, long number, Runnable what) { }
+
+    /** One place in the tier, and the process that runs there. */
+    private final class Place implements Agreement.Outlet {
+        final int number;
+        final long offset;
+        final double drift;
+        final Deque<Runnable> waiting = new ArrayDeque<>();
+        Store store = Store.NONE;
+        Agreement agreement;
+        long process;
+        long stalledUntil;
+        long ticksAt = Long.MAX_VALUE;
+        long sum;
+        long messages;
+        long bytes;
+
+        Place(int number) {
+            this.number = number;
+            this.offset = (long) (random.nextDouble(-1, 1) * HOUR);
+            this.drift = 1 + random.nextDouble(-1, 1) / 1_000;
+        }
+
+        long own() {
+            return offset + (long) (now * drift);
+        }
+
+        void start(long life, Store on, boolean keeps) {
+            process++;
+            sum = 0;
+            store = on;
+            stalledUntil = 0;
+            waiting.clear();
+            say("started", Map.of("kept", keeps ? "1" : "0"));
+            agreement = maker.make(zones, number, life, settings, on, random.split(), this, own());
+            ticksAt = Long.MAX_VALUE;
+            wake();
+        }
+
+        /** Does it now, or where it stands still, as soon as it goes on. */
+        void run(long of, Runnable what) {
+            if (of != process || agreement == null) {
+                return;
+            }
+            if (now < stalledUntil) {
+                if (waiting.size() < MOST_WAITING) {
+                    waiting.add(what);
+                }
+                return;
+            }
+            what.run();
+            wake();
+        }
+
+        void resume(long of) {
+            if (of == process && agreement != null && now >= stalledUntil) {
+                while (!waiting.isEmpty()) {
+                    waiting.remove().run();
+                }
+                wake();
+            }
+        }
+
+        private void wake() {
+            long due = agreement.due();
+            if (due == Long.MAX_VALUE) {
+                return;
+            }
+            long at = Math.max(now + 1, (long) Math.ceil((due - offset) / drift) + 1);
+            if (at < ticksAt || ticksAt <= now) {
+                ticksAt = at;
+                long of = process;
+                at(at, () -> {
+                    if (of == process && ticksAt == at) {
+                        ticksAt = Long.MAX_VALUE;
+                        run(of, () -> agreement.tick(own()));
+                    }
+                });
+            }
+        }
+
+        private void say(String what, Map<String, String> fields) {
+            if (listener != null) {
+                listener.accept(new Event(now, number, process, what, fields));
+            }
+        }
+
+        @Override
+        public void send(int to, byte[] piece) {
+            messages++;
+            bytes += piece.length;
+            if (random.nextDouble() < network.loss || blocked(number, to)) {
+                return;
+            }
+            int times = random.nextDouble() < network.doubled ? 2 : 1;
+            for (int i = 0; i < times; i++) {
+                byte[] sent = piece;
+                if (random.nextDouble() < network.corrupt) {
+                    sent = piece.clone();
+                    sent[random.nextInt(sent.length)] ^= (byte) (1 << random.nextInt(8));
+                }
+                byte[] comes = sent;
+                Place target = places.get(to);
+                at(now + random.nextLong(network.leastDelay, network.mostDelay + 1), () -> {
+                    if (!blocked(number, to)) {
+                        target.run(target.process,
+                                () -> target.agreement.received(target.own(), number, comes));
+                    }
+                });
+            }
+        }
+
+        @Override
+        public void loaded(LogNumber at, byte[] content) {
+            sum = sum * 31 + checksum(content) + at.index();
+            if (listener == null) {
+                return;
+            }
+            say("loaded", Map.of("group", text(at.group()), "index", Long.toString(at.index()),
+                    "sum", Integer.toHexString(checksum(content)), "state", Long.toHexString(sum)));
+        }
+
+        @Override
+        public byte[] state() {
+            // As long as a table is, so that it takes pieces; what counts are the first bytes.
+            return ByteBuffer.allocate(stateBytes).putLong(sum).array();
+        }
+
+        @Override
+        public void restored(LogNumber at, byte[] state) {
+            sum = state.length < 8 ? 0 : ByteBuffer.wrap(state).getLong();
+            if (at.index() > 0 && listener != null) {
+                say("restored", Map.of("group", text(at.group()), "index", Long.toString(at.index()),
+                        "state", Long.toHexString(sum), "as", Long.toString(agreement == null
+                                ? store.kept().promise().life() : agreement.life())));
+            }
+        }
+
+        @Override
+        public void noted(Note note) {
+            if (note instanceof Note.Leads) {
+                leadsSince = now;
+            }
+            if (listener == null) {
+                return;
+            }
+            String group = text(note.group());
+            if (note instanceof Note.Voted n) {
+                say("voted", Map.of("group", group, "term", Long.toString(n.term()),
+                        "as", Long.toString(n.by().life()), "for", text(n.candidate())));
+            } else if (note instanceof Note.Leads n) {
+                say("leads", Map.of("group", group, "term", Long.toString(n.term()),
+                        "as", Long.toString(n.by().life())));
+            } else if (note instanceof Note.Stored n) {
+                Map<String, String> fields = new HashMap<>(Map.of("group", group, "index",
+                        Long.toString(n.index()), "as", Long.toString(n.by().life()),
+                        "sum", Integer.toHexString(checksum(n.entry().bytes()))));
+                if (n.entry().kind() == Entry.Kind.VOTERS) {
+                    fields.put("voters", text(Voters.decode(n.entry().bytes())));
+                }
+                say("stored", fields);
+            } else if (note instanceof Note.Seated n) {
+                say("seated", Map.of("group", group, "index", Long.toString(n.index()),
+                        "voters", text(n.voters())));
+            }
+        }
+    }
+
+    private final AgreementSettings settings;
+    private final Maker maker;
+    private final Consumer<Event> listener;
+    private final SplittableRandom random;
+    private final int[] zones;
+    private final int stateBytes;
+    private final List<Place> places = new ArrayList<>();
+    private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) ->
+            a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
+    private final boolean[][] cut;
+    private final Map<Group, String> groups = new HashMap<>();
+    private Network network;
+    private long now = 1_000 * SECOND;
+    private long made;
+    private long lives = 1;
+    private long leadsSince = -1;
+
+    /**
+     * Starts so many at once, in no group.
+     *
+     * @param disks whether each has a lasting disk
+     * @param stateBytes the size of what a copy has loaded, 8 or more
+     * @param listener hears all that happens; or null
+     */
+    public Copies(int size, Network network, AgreementSettings settings, boolean disks, int stateBytes,
+            long seed, Maker maker, Consumer<Event> listener) {
+        this.network = network;
+        this.settings = settings;
+        this.maker = maker;
+        this.listener = listener;
+        this.random = new SplittableRandom(seed);
+        this.stateBytes = stateBytes;
+        this.zones = new int[size];
+        this.cut = new boolean[size][size];
+        for (int i = 0; i < size; i++) {
+            zones[i] = i % ZONES;
+            places.add(new Place(i));
+        }
+        places.forEach(place -> place.start(lives++, disks ? new Disk() : Store.NONE, false));
+    }
+
+    private void at(long instant, Runnable what) {
+        due.add(new Due(instant, made++, what));
+    }
+
+    private boolean blocked(int from, int to) {
+        return cut[from][to];
+    }
+
+    private static int checksum(byte[] bytes) {
+        CRC32C sum = new CRC32C();
+        sum.update(bytes);
+        return (int) sum.getValue();
+    }
+
+    /** As texts that sort as the groups do. */
+    private String text(Group group) {
+        return groups.computeIfAbsent(group, g -> String.format(Locale.ROOT, "%08x.%04x.%012x", g.era(),
+                g.founder(), g.life()));
+    }
+
+    private static String text(Voter voter) {
+        return voter.copy() + ":" + voter.life();
+    }
+
+    private static String text(Voters voters) {
+        return voters.all().stream().map(Copies::text).collect(Collectors.joining(","));
+    }
+
+    // ---- time ----
+
+    public long now() {
+        return now;
+    }
+
+    /** Plays on for so long, in nanoseconds. */
+    public void play(long length) {
+        long until = now + length;
+        while (!due.isEmpty() && due.peek().at <= until) {
+            Due next = due.poll();
+            now = next.at;
+            next.what.run();
+        }
+        now = until;
+    }
+
+    // ---- faults ----
+
+    /** From now on the network does this. */
+    public void network(Network other) {
+        network = other;
+    }
+
+    /** This one is gone without a word. */
+    public void kill(int number) {
+        Place place = places.get(number);
+        place.agreement = null;
+        place.process++;
+        if (place.store instanceof Disk disk) {
+            disk.crash();
+        }
+        tellLives();
+    }
+
+    /** It starts again, in a new life, with its disk where it has one. */
+    public void restart(int number) {
+        Place place = places.get(number);
+        place.start(lives++, place.store, place.store.kept() != null);
+        tellLives();
+    }
+
+    /** It starts again and says that it has this life and this store, though it kept nothing. */
+    public void pretend(int number, long life, Store with) {
+        places.get(number).start(life, with, false);
+        tellLives();
+    }
+
+    /** For so long it does nothing; what comes meanwhile waits. */
+    public void stall(int number, long length) {
+        Place place = places.get(number);
+        place.stalledUntil = now + length;
+        long of = place.process;
+        at(now + length, () -> place.resume(of));
+    }
+
+    /**
+     * Nothing comes from this one to that one from now on, what is on its way included; or all does
+     * again.
+     */
+    public void cut(int from, int to, boolean cuts) {
+        cut[from][to] = cuts;
+    }
+
+    /** No link is cut. */
+    public void heal() {
+        for (boolean[] row : cut) {
+            Arrays.fill(row, false);
+        }
+        tellLives();
+    }
+
+    /** Membership, which knows at once what can be known. */
+    public void tellLives() {
+        for (Place place : places) {
+            for (Place other : places) {
+                if (place != other && place.agreement != null) {
+                    place.agreement.lives(other.number, other.agreement != null
+                            && !cut[place.number][other.number] && !cut[other.number][place.number]);
+                }
+            }
+        }
+    }
+
+    // ---- calls ----
+
+    /** An operator has it form a group. */
+    public void form(int number) {
+        Place place = places.get(number);
+        place.run(place.process, () -> place.agreement.form(place.own()));
+    }
+
+    /**
+     * Something is proposed at this copy; its number, or null where the copy doesn't run or takes
+     * nothing.
+     */
+    public LogNumber propose(int number, byte[] content) {
+        Place place = places.get(number);
+        LogNumber[] taken = new LogNumber[1];
+        place.run(place.process, () -> taken[0] = place.agreement.propose(place.own(), content));
+        return taken[0];
+    }
+
+    /** It hands over its lead. */
+    public void transfer(int number) {
+        Place place = places.get(number);
+        place.run(place.process, () -> place.agreement.transfer(place.own()));
+    }
+
+    /** Gives a copy bytes as if from another. */
+    public void inject(int to, int from, byte[] bytes) {
+        Place place = places.get(to);
+        place.run(place.process, () -> place.agreement.received(place.own(), from, bytes));
+    }
+
+    // ---- what is seen ----
+
+    public int size() {
+        return places.size();
+    }
+
+    public boolean runs(int number) {
+        return places.get(number).agreement != null;
+    }
+
+    /** A copy's part; null where it doesn't run. */
+    public Agreement view(int number) {
+        return places.get(number).agreement;
+    }
+
+    /** The sum of all that a copy has loaded. */
+    public long sum(int number) {
+        return places.get(number).sum;
+    }
+
+    /**
+     * The copy that leads the newest term of the newest group, of those that run and don't stand still;
+     * or -1.
+     */
+    public int leader() {
+        int found = -1;
+        for (Place place : places) {
+            if (place.agreement != null && now >= place.stalledUntil && place.agreement.leads()
+                    && (found < 0 || newer(place.agreement, places.get(found).agreement))) {
+                found = place.number;
+            }
+        }
+        return found;
+    }
+
+    private static boolean newer(Agreement one, Agreement other) {
+        int byGroup = one.group().compareTo(other.group());
+        return byGroup > 0 || byGroup == 0 && one.term() > other.term();
+    }
+
+    /** When a copy last began to lead; -1 where none did. */
+    public long leadsSince() {
+        return leadsSince;
+    }
+
+    /** All datagrams that were sent. */
+    public long messages() {
+        return places.stream().mapToLong(place -> place.messages).sum();
+    }
+
+    /** All bytes that were sent, without the headers of lower layers. */
+    public long bytes() {
+        return places.stream().mapToLong(place -> place.bytes).sum();
+    }
+
+    /** The bytes that one copy's place sent. */
+    public long bytes(int number) {
+        return places.get(number).bytes;
+    }
+
+    /** Whether all that run have loaded this, or what came after it. */
+    public boolean allLoaded(LogNumber number) {
+        return places.stream().allMatch(place -> place.agreement == null
+                || place.agreement.loaded().compareTo(number) >= 0);
+    }
+
+    /** Whether all that run hold the same of the same group. */
+    public boolean agree() {
+        List<Place> running = places.stream().filter(place -> place.agreement != null).toList();
+        return running.stream().allMatch(place -> place.sum == running.get(0).sum
+                && place.agreement.loaded().equals(running.get(0).agreement.loaded()));
+    }
+}
--- a/lab/src/main/java/cedarrudder/lab/command/Lab.java
+++ b/lab/src/main/java/cedarrudder/lab/command/Lab.java
@@ -18,8 +18,8 @@
         subcommands = {CheckCommand.class, ModelCommand.class, ExperimentCommand.class, ReportCommand.class,
             CorrelateCommand.class, PoliciesCommand.class, AttackCommand.class, BenchmarkCommand.class,
             MemoryCommand.class, LoadCommand.class, RelayCommand.class, EmulateCommand.class,
-            MembersCommand.class, JudgeCommand.class, DemoCommand.class, OverheadCommand.class,
-            VersionCommand.class})
+            MembersCommand.class, AgreementCommand.class, JudgeCommand.class, DemoCommand.class,
+            OverheadCommand.class, VersionCommand.class})
 public final class Lab implements Runnable {
 
     @Spec
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/judge/OneLeader.java
@@ -0,0 +1,81 @@
+package cedarrudder.lab.judge;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * A2: one leader a term; a copy that forgot voted in nothing before its new life was committed.
+ *
+ * <p>It reads {@code started} (kept: 1 where the life begins with what the last one had stored),
+ * {@code seated} (group, voters), {@code voted} (group, term, as: its life as a voter, for) and {@code leads}
+ * (group, term, as).
+ */
+public final class OneLeader implements Rule {
+
+    private final List<Breach> breaches = new ArrayList<>();
+    private final Map<String, String> leaders = new HashMap<>();
+    private final Map<String, String> votes = new HashMap<>();
+    private final Set<String> seated = new HashSet<>();
+    /** The process in which a voter first spoke, or the last one that began with all that it had stored. */
+    private final Map<String, Long> remembers = new HashMap<>();
+    private final Map<Integer, Long> lastLife = new HashMap<>();
+
+    @Override
+    public void took(Event event) {
+        switch (event.what()) {
+            case "started" -> {
+                boolean keeps = event.number("kept") == 1;
+                Long before = lastLife.put(event.copy(), event.life());
+                if (keeps && before != null) {
+                    remembers.replaceAll((who, life) -> who.startsWith(event.copy() + ":")
+                            && life.equals(before) ? Long.valueOf(event.life()) : life);
+                }
+            }
+            case "seated" -> {
+                for (String voter : event.text("voters").split(",")) {
+                    seated.add(event.text("group") + " " + voter);
+                }
+            }
+            case "voted" -> voted(event);
+            case "leads" -> {
+                String who = event.copy() + ":" + event.text("as");
+                String other = leaders.putIfAbsent(term(event), who);
+                if (other != null && !other.equals(who)) {
+                    breach(event, "leads " + term(event) + ", which " + other + " led");
+                }
+            }
+            default -> { }
+        }
+    }
+
+    private void voted(Event event) {
+        String who = event.copy() + ":" + event.text("as");
+        if (remembers.computeIfAbsent(who, w -> event.life()) != event.life()) {
+            breach(event, "votes as " + who + ", of which it remembers nothing");
+        }
+        if (!seated.contains(event.text("group") + " " + who)) {
+            breach(event, "votes as " + who + " before that was committed as a voter");
+        }
+        String other = votes.putIfAbsent(term(event) + " " + who, event.text("for"));
+        if (other != null && !other.equals(event.text("for"))) {
+            breach(event, "votes for " + event.text("for") + " and " + other + " in " + term(event));
+        }
+    }
+
+    private static String term(Event event) {
+        return event.text("group") + " term " + event.text("term");
+    }
+
+    private void breach(Event event, String why) {
+        breaches.add(new Breach("A2", event.at(), "copy " + event.copy() + ": " + why));
+    }
+
+    @Override
+    public List<Breach> breaches() {
+        return breaches;
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/cedarrudder/lab/agreement/CopiesTest.java
@@ -0,0 +1,222 @@
+package cedarrudder.lab.agreement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.agreement.Agreement;
+import cedarrudder.agreement.AgreementSettings;
+import cedarrudder.agreement.LogNumber;
+import cedarrudder.agreement.Store;
+import cedarrudder.agreement.Voter;
+import cedarrudder.lab.judge.Event;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.testng.annotations.Test;
+
+/** Copies that agree, with what goes wrong made to go wrong. Seeds are fixed: the verdict is the same. */
+public class CopiesTest {
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final long MILLI = 1_000_000L;
+    private static final Copies.Network CALM = new Copies.Network(0, 0, 0, 2 * MILLI, 21 * MILLI);
+    private static final AgreementSettings SETTINGS = AgreementSettings.DEFAULT;
+
+    private static Copies started(int size, AgreementSettings settings, int stateBytes) {
+        Copies copies = new Copies(size, CALM, settings, false, stateBytes, 7, Agreement::new, null);
+        copies.form(0);
+        copies.play(15 * SECOND);
+        assertEquals(copies.view(copies.leader()).voters().size(), 5);
+        return copies;
+    }
+
+    private static LogNumber commit(Copies copies) {
+        LogNumber number = copies.propose(copies.leader(), new byte[100]);
+        assertNotNull(number);
+        copies.play(2 * SECOND);
+        assertTrue(copies.allLoaded(number));
+        return number;
+    }
+
+    private static void forgetAll(Copies copies) {
+        for (Voter voter : copies.view(copies.leader()).voters().all()) {
+            copies.kill(voter.copy());
+            copies.restart(voter.copy());
+        }
+    }
+
+    @Test
+    public void oneSeedGivesOneHistory() {
+        List<List<Event>> histories = new ArrayList<>();
+        for (int time = 0; time < 2; time++) {
+            List<Event> events = new ArrayList<>();
+            Copies copies = new Copies(9, new Copies.Network(0.1, 0.1, 0.1, MILLI, 20 * MILLI), SETTINGS,
+                    true, 600, 5, Agreement::new, events::add);
+            copies.form(2);
+            copies.play(15 * SECOND);
+            copies.propose(copies.leader(), new byte[700]);
+            copies.kill(copies.leader());
+            copies.play(10 * SECOND);
+            histories.add(events);
+        }
+        assertEquals(histories.get(0), histories.get(1));
+        assertTrue(histories.get(0).stream().anyMatch(event -> event.what().equals("loaded")));
+    }
+
+    @Test
+    public void stormsBreakNoRuleAndEnd() {
+        for (long seed = 1; seed <= 100; seed++) {
+            Storm.Result result = Storm.play(seed, Agreement::new);
+            assertEquals(result.breaches(), List.of(), "seed " + seed);
+            assertTrue(result.settled() >= 0, "seed " + seed + " did not settle");
+        }
+    }
+
+    @Test
+    public void whatALeaderSaysThatStoodStillHasNoEffect() {
+        Copies copies = started(7, SETTINGS, 8);
+        int stalled = copies.leader();
+        long term = copies.view(stalled).term();
+        copies.stall(stalled, 5 * SECOND);
+        assertNull(copies.propose(stalled, new byte[8]));
+        copies.play(4 * SECOND);
+        int other = copies.leader();
+        assertNotEquals(other, stalled);
+        assertTrue(copies.view(stalled).leads(), "it believes that it leads");
+        LogNumber number = commit(copies);
+        copies.play(100 * MILLI);
+        assertEquals(copies.leader(), other);
+        assertFalse(copies.view(stalled).leads());
+        assertTrue(copies.view(other).term() > term);
+        assertEquals(copies.view(stalled).loaded(), number);
+    }
+
+    @Test
+    public void aVoterThatForgotVotesAgainUnderItsNewLife() {
+        Copies copies = started(5, SETTINGS, 8);
+        int leader = copies.leader();
+        int voter = (leader + 1) % 5;
+        long before = copies.view(voter).life();
+        copies.kill(voter);
+        copies.restart(voter);
+        copies.play(8 * SECOND);
+        assertFalse(copies.view(leader).voters().has(new Voter(voter, before)));
+        assertTrue(copies.view(leader).voters().has(new Voter(voter, copies.view(voter).life())));
+    }
+
+    @Test
+    public void aSilentVoterIsReplacedByOneOfItsZone() {
+        Copies copies = started(12, SETTINGS, 8);
+        int leader = copies.leader();
+        Voter gone = copies.view(leader).voters().all().stream()
+                .filter(v -> v.copy() != leader).findFirst().get();
+        copies.kill(gone.copy());
+        copies.play(15 * SECOND);
+        List<Voter> voters = copies.view(copies.leader()).voters().all();
+        assertEquals(voters.size(), 5);
+        assertFalse(voters.contains(gone));
+        for (int zone = 0; zone < 3; zone++) {
+            int wanted = zone;
+            long there = voters.stream().filter(v -> v.copy() % 3 == wanted).count();
+            assertTrue(there == 1 || there == 2, voters.toString());
+        }
+    }
+
+    @Test
+    public void aGroupWhoseMajorityForgotStopsUntilAnOperatorFormsAnother() {
+        Copies copies = started(9, SETTINGS, 8);
+        LogNumber before = commit(copies);
+        forgetAll(copies);
+        copies.play(30 * SECOND);
+        assertEquals(copies.leader(), -1);
+        assertTrue(copies.agree(), "learners have it still");
+        copies.form(3);
+        copies.play(15 * SECOND);
+        LogNumber after = commit(copies);
+        assertTrue(after.compareTo(before) > 0);
+        assertTrue(copies.agree());
+    }
+
+    @Test
+    public void afterTheStatedSilenceAMajorityOfCopiesFormsAGroupAndAMinorityDoesNot() {
+        Copies copies = started(9, SETTINGS.silence(6 * SECOND), 8);
+        LogNumber before = commit(copies);
+        List<Integer> voters = copies.view(copies.leader()).voters().all().stream().map(Voter::copy).toList();
+        for (int i = 0; i < 9; i++) {
+            for (int j = 0; j < 9; j++) {
+                copies.cut(i, j, voters.contains(i) != voters.contains(j));
+            }
+        }
+        copies.tellLives();
+        copies.play(30 * SECOND);
+        IntStream.range(0, 9).forEach(i -> assertEquals(copies.view(i).group(), before.group()));
+        copies.heal();
+        copies.play(10 * SECOND);
+        forgetAll(copies);
+        copies.play(40 * SECOND);
+        assertTrue(copies.leader() >= 0);
+        assertTrue(commit(copies).compareTo(before) > 0);
+    }
+
+    @Test
+    public void oneThatWasAwayGetsASnapshotInPieces() {
+        Copies copies = started(8, SETTINGS, 30_000);
+        int away = (copies.leader() + 1) % 8;
+        copies.kill(away);
+        for (int i = 0; i < 100; i++) {
+            copies.propose(copies.leader(), new byte[200]);
+            copies.play(100 * MILLI);
+        }
+        copies.network(new Copies.Network(0.3, 0.02, 0.01, 2 * MILLI, 21 * MILLI));
+        copies.restart(away);
+        copies.play(15 * SECOND);
+        assertTrue(copies.agree());
+        assertNotEquals(copies.sum(away), 0);
+    }
+
+    @Test
+    public void aLeaderHandsOverAtOnce() {
+        Copies copies = started(5, SETTINGS, 8);
+        int leader = copies.leader();
+        copies.transfer(leader);
+        copies.play(150 * MILLI);
+        assertNotEquals(copies.leader(), leader);
+        commit(copies);
+    }
+
+    /**
+     * Its clock went back, so that its life is smaller than the one before: it takes a larger one and is
+     * heard.
+     */
+    @Test
+    public void aLifeThatIsTooSmallIsMended() {
+        Copies copies = started(7, SETTINGS, 8);
+        int back = (copies.leader() + 1) % 7;
+        long before = copies.view(back).life();
+        copies.kill(back);
+        copies.pretend(back, 1, Store.NONE);
+        copies.play(5 * SECOND);
+        commit(copies);
+        assertTrue(copies.view(back).life() > before);
+    }
+
+    /** What a copy sends does not grow with the number of copies. */
+    @Test
+    public void oneOfManySendsNoMoreThanOneOfFew() {
+        double[] sent = new double[2];
+        int[] sizes = {10, 200};
+        for (int i = 0; i < 2; i++) {
+            Trial trial = new Trial(sizes[i], CALM, SETTINGS, 300, 1);
+            trial.play(1);
+            Trial.Figures figures = trial.figures();
+            assertEquals(figures.missed(), 0);
+            assertTrue(figures.commitMost() < 1.5 && figures.leaderMost() < 3, figures.toString());
+            sent[i] = figures.busy();
+        }
+        assertTrue(sent[1] <= sent[0], sent[0] + ", " + sent[1]);
+    }
+}
--- a/lab/src/test/java/cedarrudder/lab/command/LabTest.java
+++ b/lab/src/test/java/cedarrudder/lab/command/LabTest.java
@@ -178,6 +178,8 @@
             {"model GOOD --seed 1 --seeds 1..3", "mutually exclusive"},
             {"model GOOD --seeds 1..3 --trace t.json", "--trace: found several seeds"},
             {"model GOOD --threads 0", "--threads: found 0"},
+            {"agreement --sizes 4", "--sizes: allowed is from 5 to 5000 each"},
+            {"agreement --bytes 40000", "--bytes: allowed is from 8 to 32768"},
             {"model BAD", "bad.toml:11: tier[0].nodes: found -5"},
         };
     }
@@ -194,6 +196,18 @@
         assertTrue(said.err.contains(message), said.err);
     }
 
+    @Test
+    public void agreementTellsOfStormsAndOfFigures() {
+        Said storms = lab("agreement", "--storms", "--seeds", "3..4");
+        assertEquals(storms.code, 0, storms.err);
+        assertTrue(storms.out.startsWith("2 seeds, ") && storms.out.endsWith("broken 0, not settled 0\n"),
+                storms.out);
+        Said figures = lab("agreement", "--sizes", "5,7", "--deaths", "1");
+        assertEquals(figures.code, 0, figures.err);
+        assertEquals(figures.out.lines().map(line -> line.split(" ")[0]).toList(),
+                List.of("copies", "5", "7"));
+    }
+
     @Test
     public void policiesAndVersionAreListed() {
         Said policies = lab("policies");
--- /dev/null
+++ b/lab/src/test/java/cedarrudder/lab/judge/AgreementRulesTest.java
@@ -0,0 +1,66 @@
+package cedarrudder.lab.judge;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.Test;
+
+/** A1 and A2 on histories written by hand: a good one, and one thing wrong in each other. */
+public class AgreementRulesTest {
+
+    private static Event event(int copy, long life, String what, String... fields) {
+        Map<String, String> all = new HashMap<>();
+        for (int i = 0; i < fields.length; i += 2) {
+            all.put(fields[i], fields[i + 1]);
+        }
+        return new Event(0, copy, life, what, all);
+    }
+
+    private static Event stored(int copy, long as, long index, String sum) {
+        return event(copy, as, "stored", "group", "1", "as", "" + as, "index", "" + index, "sum", sum);
+    }
+
+    private static Event loaded(int copy, long index, String sum, String state) {
+        return event(copy, 1, "loaded", "group", "1", "index", "" + index, "sum", sum, "state", state);
+    }
+
+    private static Event voted(int copy, long life, long as, String by) {
+        return event(copy, life, "voted", "group", "1", "term", "4", "as", "" + as, "for", by);
+    }
+
+    private static final Event SEATED = event(0, 1, "seated", "group", "1", "index", "1", "voters",
+            "0:1,1:1,2:1");
+    private static final List<Event> GOOD = List.of(event(0, 1, "started", "kept", "0"), SEATED,
+            stored(0, 1, 2, "a"), stored(1, 1, 2, "a"), loaded(0, 2, "a", "s"), loaded(3, 2, "a", "s"),
+            voted(0, 1, 1, "0:1"),
+            voted(0, 1, 1, "0:1"), event(0, 1, "leads", "group", "1", "term", "4", "as", "1"));
+
+    private static List<String> judged(Event... more) {
+        List<Event> events = new ArrayList<>(GOOD);
+        events.addAll(List.of(more));
+        return History.judged(events, 1, List.of(new OneTable(), new OneLeader())).stream()
+                .map(Breach::rule).toList();
+    }
+
+    @Test
+    public void eachWrongIsSeenAndNothingElse() {
+        assertEquals(judged(), List.of());
+        assertEquals(judged(loaded(4, 2, "a", "other")), List.of("A1"));
+        assertEquals(judged(loaded(0, 2, "a", "s")), List.of("A1"), "the same number again in one life");
+        assertEquals(judged(stored(0, 1, 3, "b"), loaded(0, 3, "b", "t")), List.of("A1"), "one of three");
+        assertEquals(judged(stored(0, 1, 3, "b"), stored(1, 2, 3, "b"), loaded(0, 3, "b", "t")),
+                List.of("A1"),
+                "a life that is no voter does not count");
+        assertEquals(judged(stored(0, 1, 3, "b"), stored(2, 1, 3, "b"), loaded(0, 3, "b", "t")), List.of());
+        assertEquals(judged(event(1, 1, "leads", "group", "1", "term", "4", "as", "1")), List.of("A2"));
+        assertEquals(judged(voted(0, 1, 1, "1:1")), List.of("A2"), "twice in a term");
+        assertEquals(judged(voted(3, 1, 1, "0:1")), List.of("A2"), "no voter");
+        assertEquals(judged(event(0, 2, "started", "kept", "0"), voted(0, 2, 1, "0:1")), List.of("A2"),
+                "forgot");
+        assertEquals(judged(event(0, 2, "started", "kept", "1"), voted(0, 2, 1, "0:1")), List.of(),
+                "remembers");
+    }
+}
