Give the judge broken programs that the mended membership does not heal by itself

Two of the judge's broken programs passed once membership compared whole states: one that never asks the dead again healed through those that both halves held as live, one with no patience was saved by asking again.

--- a/lab/src/test/java/cedarrudder/lab/cluster/JudgedTest.java
+++ b/lab/src/test/java/cedarrudder/lab/cluster/JudgedTest.java
@@ -60,7 +60,8 @@
     public void oneThatNeverAsksTheDeadAgainIsCaught() {
         MembershipSettings never = new MembershipSettings(SOUND.period(), SOUND.ackPatience(), 3, 4, 4, 3,
                 3, 8, 1_000_000);
-        Verdict verdict = VirtualRun.play(12, network(0), never, 1, SETTLE);
+        // A world whose two halves end up without anyone that both hold as live.
+        Verdict verdict = VirtualRun.play(12, network(0), never, 5, SETTLE);
         assertCaught(verdict, "views", "as dead, which runs");
         assertCaught(verdict, "true deaths", "as dead, which ran and could be reached");
     }
@@ -76,7 +77,7 @@
     @Test
     public void oneThatTakesTheLivingForDeadIsCaught() {
         MembershipSettings hasty = new MembershipSettings(SOUND.period(), 10_000, 0, 0.001, 1, 1, 1, 0, 10);
-        Mesh.Network slow = new Mesh.Network(0, 100 * MILLI, 300 * MILLI);
+        Mesh.Network slow = new Mesh.Network(0, 500 * MILLI, 1_500 * MILLI);
         assertCaught(VirtualRun.play(12, slow, hasty, 1, SETTLE), "true deaths",
                 "for dead, and nothing had happened");
     }
