--- a/core/src/main/java/cedarrudder/membership/Packet.java
+++ b/core/src/main/java/cedarrudder/membership/Packet.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.zip.CRC32C;
 
 /**
  * One message between instances, of at most {@value #MOST_BYTES} bytes: the platform's datagrams hold 256, of
@@ -15,7 +16,9 @@
  * and the kind (1); question, sender, its incarnation and subject as {@link Varint}; digest of the dead (4,
  * big-endian); the window, where there is one: its first instance, how many bytes, and those. Then the news
  * up to the end, for each: instance times four plus standing, or 3 where it said itself that it leaves; how
- * far its incarnation is from the sender's, folded; of a suspicion, who says so.
+ * far its incarnation is from the sender's, folded; of a suspicion, who says so. The last four bytes are the
+ * CRC32C of all before them, big-endian. Guards against a turned bit setting the number of a life to one that
+ * nobody ever had, which all others then believe.
  *
  * @param question the answer carries the number of the question
  * @param from the sender
@@ -34,8 +37,10 @@
     private static final int VERSION = 2;
     private static final int HAS_WINDOW = 4;
     private static final int KINDS = 4;
-    /** The longest head: what comes first, varints of at most 5, 3, 9 and 3 bytes, the digest. */
-    private static final int MOST_HEAD = 2 + 5 + 3 + 9 + 3 + 4;
+    /** Bytes of the checksum at the end. */
+    private static final int CHECK = 4;
+    /** The longest head and the end: the first two, varints of at most 5, 3, 9 and 3 bytes, the digest. */
+    private static final int MOST_HEAD = 2 + 5 + 3 + 9 + 3 + 4 + CHECK;
     private static final int LEFT = 3;
     private static final Standing[] STANDINGS = Standing.values();
 
@@ -105,9 +110,17 @@
                 Varint.put(out, piece.accuser());
             }
         }
+        out.putInt(checksum(out.array(), out.position()));
         return Arrays.copyOf(out.array(), out.position());
     }
 
+    /** What the end of a message says of the bytes before it. */
+    static int checksum(byte[] bytes, int length) {
+        CRC32C sum = new CRC32C();
+        sum.update(bytes, 0, length);
+        return (int) sum.getValue();
+    }
+
     /** How many bytes a piece takes in a message of a sender with this incarnation. */
     static int size(News piece, long incarnation) {
         Member member = piece.member();
@@ -123,12 +136,14 @@
 
     /** Reads a message; null where the bytes are none, or name an instance that can't be. */
     static Packet decode(byte[] bytes, int instances) {
-        if (bytes.length < 2 || bytes.length > MOST_BYTES || bytes[0] != ROOM || bytes[1] >> 4 != VERSION
-                || (bytes[1] & 15 & ~HAS_WINDOW) >= KINDS) {
+        int end = bytes.length - CHECK;
+        if (end < 2 || bytes.length > MOST_BYTES || bytes[0] != ROOM || bytes[1] >> 4 != VERSION
+                || (bytes[1] & 15 & ~HAS_WINDOW) >= KINDS
+                || ByteBuffer.wrap(bytes).getInt(end) != checksum(bytes, end)) {
             return null;
         }
         try {
-            return decode(ByteBuffer.wrap(bytes, 2, bytes.length - 2), bytes[1], instances);
+            return decode(ByteBuffer.wrap(bytes, 2, end - 2), bytes[1], instances);
         } catch (BufferUnderflowException e) {
             return null; // it ends too soon, or has a number in another form
         }
--- a/core/src/test/java/cedarrudder/membership/SwimTest.java
+++ b/core/src/test/java/cedarrudder/membership/SwimTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
@@ -383,6 +384,19 @@
         assertTrue(sent.isEmpty());
     }
 
+    /** Guards against a life's number that nobody ever had: a turned bit once set one that all believed. */
+    @Test
+    public void aTurnedBitAnywhereIsNoMessage() {
+        start(6);
+        byte[] good = packet(Kind.PING, 1, 2, 9, 0, news(3, 9, Standing.ALIVE, 3)).encode();
+        assertNotNull(Packet.decode(good, 6));
+        for (int bit = 0; bit < 8 * good.length; bit++) {
+            byte[] turned = good.clone();
+            turned[bit / 8] ^= (byte) (1 << bit % 8);
+            assertNull(Packet.decode(turned, 6), "bit " + bit);
+        }
+    }
+
     /** Any bytes are read or dropped; what is read is written back to the same bytes. */
     @Test
     public void anyBytesAreReadOrDropped() {
@@ -405,6 +419,10 @@
                     bytes[random.nextInt(bytes.length)] ^= (byte) (1 << random.nextInt(8));
                 }
             }
+            if (bytes.length > 4) { // else hardly one would get past its checksum
+                java.nio.ByteBuffer.wrap(bytes).putInt(bytes.length - 4,
+                        Packet.checksum(bytes, bytes.length - 4));
+            }
             Packet packet = Packet.decode(bytes, 6);
             if (packet != null) {
                 read++;
