Look twice at what an operator took back from a process that then died

A node put back at a new version that is killed right after its yes stayed out at the old one: what is gone has to be gone at two looks at the folder, and with nobody else left the second look never came (Proxy.watchOthers).

--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -64,6 +64,9 @@
     /** So many looks a successor leaves it to its predecessor to write anew what was cleared. */
     private static final int MOST_WAITED = 10;
 
+    /** Looks at the folder after the last other process has gone: what it took back is to be seen twice. */
+    private static final int LOOKS = 2;
+
     /** A successor waits so long, in nanoseconds, for discovery's list before it lets callers in. */
     private static final long FRESH = 2_000_000_000L;
 
@@ -87,6 +90,9 @@
     private final CountDownLatch fresh = new CountDownLatch(1);
     private Operator operator;
     private Others others = Others.NONE;
+
+    /** So many looks at what operators asked of others are still to come. */
+    private int looks;
     private int waited;
     private KeptState.Told lastTold;
     private boolean resolved;
@@ -294,13 +300,13 @@
                 log.info("upgrade.others").with("predecessor", now.predecessor())
                         .with("successor", now.successor()).with("ready", now.successorReady()).write();
             }
-            boolean alone = !now.any() && !others.any();
+            looks = now.any() || others.any() ? LOOKS : Math.max(0, looks - 1);
             others = now;
             if (hushed && handover.speak()) {
                 hushed = false;
                 peers.takeOver(configuration.peerListen(), membership::start);
             }
-            if (!alone) {
+            if (looks > 0) {
                 setBounds();
                 takeOver(kept.read());
             }
