--- /dev/null
+++ b/core/src/main/java/cedarrudder/table/RouteTable.java
@@ -0,0 +1,116 @@
+package cedarrudder.table;
+
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * What the copies of a tier have agreed on, whole: where each zone's callers are served, which nodes are
+ * being removed, and what each class may get while it holds. Immutable; equal contents are equal, in whatever
+ * order they were given, and have the same {@linkplain TableCodec bytes}.
+ *
+ * @param number the table's own; it only rises, over all groups; at least 1
+ * @param group the group of copies that agreed on it; at least 0
+ * @param term the term in which they did; at least 0
+ * @param lease how long a copy that hears nothing more may use it, in nanoseconds; over 0
+ * @param shares which part of a zone's calls which zone serves, ordered by both zones
+ * @param leaving the nodes being removed, ordered by node
+ * @param limits what classes may get, ordered by class; a class without one is not limited
+ */
+public record RouteTable(long number, long group, long term, long lease, List<Share> shares,
+        List<Leaving> leaving, List<Limit> limits) {
+
+    /** A zone's whole: shares are whole parts of it. */
+    public static final int WHOLE = 10_000;
+
+    /** Zones, classes and waves are numbered from 0 to one less than this. */
+    public static final int MOST_ZONES = 64;
+    public static final int MOST_CLASSES = 256;
+    public static final int MOST_WAVES = 1 << 16;
+
+    /** Nodes that are being removed at once. */
+    public static final int MOST_LEAVING = 1 << 14;
+
+    /** Nodes have numbers below this, as the module knows them. */
+    public static final long MOST_NODE = 1L << 52;
+
+    /** Why a zone serves the callers of another, or its own. */
+    public enum Way {
+        /** It is the one that they belong to. */
+        NEAR,
+        /** Theirs can't serve this part. */
+        SPILLED,
+        /** Theirs has been left. */
+        MOVED
+    }
+
+    /**
+     * A part of one zone's calls.
+     *
+     * @param from the zone of the callers
+     * @param to the zone that serves them
+     * @param parts of {@link #WHOLE}, so many; from 1
+     * @param perSecond it gets no more calls a second from there; 0: no bound
+     */
+    public record Share(int from, int to, Way way, int parts, int perSecond) {
+        public Share {
+            check(from >= 0 && from < MOST_ZONES, "share.from", from, "0 to " + (MOST_ZONES - 1));
+            check(to >= 0 && to < MOST_ZONES, "share.to", to, "0 to " + (MOST_ZONES - 1));
+            check(way != null, "share.way", null, "near, spilled, moved");
+            check(parts >= 1 && parts <= WHOLE, "share.parts", parts, "1 to " + WHOLE);
+            check(perSecond >= 0, "share.perSecond", perSecond, "0 or more");
+        }
+    }
+
+    /** A node that is being removed, and the wave in which it is. */
+    public record Leaving(long node, int wave) {
+        public Leaving {
+            check(node >= 0 && node < MOST_NODE, "leaving.node", node, "0 to 2^52 - 1");
+            check(wave >= 0 && wave < MOST_WAVES, "leaving.wave", wave, "0 to " + (MOST_WAVES - 1));
+        }
+    }
+
+    /** What a class may get a second while the table holds. */
+    public record Limit(int classIndex, int perSecond) {
+        public Limit {
+            check(classIndex >= 0 && classIndex < MOST_CLASSES, "limit.class", classIndex,
+                    "0 to " + (MOST_CLASSES - 1));
+            check(perSecond >= 0, "limit.perSecond", perSecond, "0 or more");
+        }
+    }
+
+    /** Checks all that is said above; what is wrong is an IllegalArgumentException that names it. */
+    public RouteTable {
+        check(number >= 1, "number", number, "1 or more");
+        check(group >= 0, "group", group, "0 or more");
+        check(term >= 0, "term", term, "0 or more");
+        check(lease > 0, "lease", lease, "over 0");
+        check(leaving.size() <= MOST_LEAVING, "leaving", leaving.size() + " nodes", "up to " + MOST_LEAVING);
+        shares = shares.stream().sorted(Comparator.comparingInt(Share::from).thenComparing(Share::to))
+                .toList();
+        leaving = leaving.stream().sorted(Comparator.comparingLong(Leaving::node)).toList();
+        limits = limits.stream().sorted(Comparator.comparingInt(Limit::classIndex)).toList();
+        long parts = 0;
+        for (int i = 0; i < shares.size(); i++) {
+            Share share = shares.get(i);
+            boolean same = i > 0 && shares.get(i - 1).from() == share.from();
+            check(!same || shares.get(i - 1).to() != share.to(), "share", "zone " + share.from()
+                    + " to zone " + share.to() + " twice", "once");
+            parts = share.parts() + (same ? parts : 0);
+            check(parts <= WHOLE, "share.parts", parts + " of zone " + share.from(), "up to " + WHOLE);
+        }
+        for (int i = 1; i < leaving.size(); i++) {
+            check(leaving.get(i - 1).node() != leaving.get(i).node(), "leaving",
+                    "node " + leaving.get(i).node() + " twice", "once");
+        }
+        for (int i = 1; i < limits.size(); i++) {
+            check(limits.get(i - 1).classIndex() != limits.get(i).classIndex(), "limit",
+                    "class " + limits.get(i).classIndex() + " twice", "once");
+        }
+    }
+
+    private static void check(boolean allowed, String name, Object found, String range) {
+        if (!allowed) {
+            throw new IllegalArgumentException(name + ": found " + found + "; allowed: " + range);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/table/Tables.java
@@ -0,0 +1,32 @@
+package cedarrudder.table;
+
+/** The table that a copy uses. It loads one whole or not at all, and numbers only rise. Not thread-safe. */
+public final class Tables {
+
+    /** What came of loading one; {@code why} is null where it counts. */
+    public record Loaded(boolean counts, String why) {
+        private static final Loaded YES = new Loaded(true, null);
+    }
+
+    private RouteTable current;
+
+    /** Null where none was ever loaded. */
+    public RouteTable current() {
+        return current;
+    }
+
+    /** Loads a table. The one that is loaded already may come again; it changes nothing. */
+    public Loaded load(RouteTable next) {
+        if (current != null && next.number() < current.number()) {
+            return new Loaded(false, "number: found " + next.number() + " with " + current.number()
+                    + " loaded; allowed: no lower one");
+        }
+        if (current != null && next.number() == current.number() && !next.equals(current)) {
+            return new Loaded(false, "number: found " + next.number() + " of group " + next.group()
+                    + ", term " + next.term() + " with other contents than the one loaded, of group "
+                    + current.group() + ", term " + current.term() + "; allowed: one table a number");
+        }
+        current = next;
+        return Loaded.YES;
+    }
+}
--- a/core/src/test/java/cedarrudder/LayersTest.java
+++ b/core/src/test/java/cedarrudder/LayersTest.java
@@ -28,6 +28,7 @@
             entry("cedarrudder.overload", Set.of()),
             entry("cedarrudder.logging", Set.of()),
             entry("cedarrudder.membership", Set.of()),
+            entry("cedarrudder.table", Set.of()),
             entry("cedarrudder.figures", Set.of()),
             entry("cedarrudder.flow", Set.of()),
             entry("cedarrudder.rotation", Set.of(MODULE)),
