--- /dev/null
+++ b/core/src/main/java/cedarrudder/footprint/ListShape.java
@@ -0,0 +1,26 @@
+package cedarrudder.footprint;
+
+/**
+ * What a resolver result is like, as far as it costs anything. Zones, kinds and cells cost nothing by
+ * themselves: nodes hold their numbers.
+ *
+ * @param nodes how many it lists
+ * @param textBytes its text as it came
+ * @param idChars what the ids take together, in characters
+ * @param valueChars the other texts of its entries together: addresses, zones, kinds, states
+ */
+public record ListShape(int nodes, long textBytes, long idChars, long valueChars) {
+
+    public static final ListShape NONE = new ListShape(0, 0, 0, 0);
+
+    /** Of ids and values alike, the mean length; halves count up. */
+    static long mean(long chars, long texts) {
+        return texts == 0 ? 0 : (chars + texts / 2) / texts;
+    }
+
+    /** The part of it with so many nodes. */
+    ListShape part(int some) {
+        return nodes == 0 ? this : new ListShape(some, textBytes * some / nodes, idChars * some / nodes,
+                valueChars * some / nodes);
+    }
+}
--- a/core/src/test/java/cedarrudder/LayersTest.java
+++ b/core/src/test/java/cedarrudder/LayersTest.java
@@ -29,6 +29,7 @@
             entry("cedarrudder.logging", Set.of()),
             entry("cedarrudder.membership", Set.of()),
             entry("cedarrudder.table", Set.of()),
+            entry("cedarrudder.footprint", Set.of()),
             entry("cedarrudder.figures", Set.of()),
             entry("cedarrudder.flow", Set.of()),
             entry("cedarrudder.rotation", Set.of(MODULE)),
