--- a/daemon/src/main/java/cedarrudder/program/Handover.java
+++ b/daemon/src/main/java/cedarrudder/program/Handover.java
@@ -12,8 +12,8 @@
 
 /**
  * Which other processes run for this proxy, told by locks on bytes of one file: each process claims a place,
- * writes there since when it runs, holds a byte as long as it lives, and another once it is ready. The kernel
- * frees them when it dies, however it does.
+ * writes there since when it runs, holds a byte as long as it lives, and another once it is ready; one more
+ * byte is held by the one that speaks to the peers. The kernel frees them when it dies, however it does.
  *
  * <p>The file is open once in a process: closing any descriptor of it would free the locks of all. Where
  * somebody has removed it, {@link #renew} takes a place in the one that is there now.
@@ -30,6 +30,9 @@
     /** Held while what the folder said is written anew. */
     private static final int RESTORING = 3 * SLOTS;
 
+    /** Held by the process that speaks to the peers. */
+    private static final int SPEAKING = RESTORING + 1;
+
     /** What the file holds: a byte that says whether that was done, and then since when each process runs. */
     private static final int RESTORED = 0;
     private static final int SINCE = 8;
@@ -66,6 +69,10 @@
     private Object identity;
     private int own = -1;
     private boolean ready;
+    private FileLock speaks;
+
+    /** Whether this process is the one that speaks, also while the file is another one. */
+    private boolean spoke;
 
     Handover(Path folder) {
         this.folder = folder;
@@ -79,8 +86,9 @@
 
     /**
      * Takes a place in the file that is there now where it is another than the one it was, since somebody has
-     * removed that. Of the processes that had a place before one has what the folder said written anew, before
-     * any of them can be seen again. Guards against those that start afterwards finding nobody and no ban.
+     * removed that. Of the processes that had a place before one has what the folder said written anew,
+     * before any of them can be seen again. Guards against those that start afterwards finding nobody and no
+     * ban.
      *
      * @param may whether this process may be the one; else an IOException says that it is to come again
      * @return whether it was another file
@@ -97,6 +105,9 @@
             throw new IOException("another process writes " + folder + " anew");
         }
         try {
+            if (spoke) {
+                speaks = lock(SPEAKING); // before others can: see the flag below
+            }
             ByteBuffer flag = ByteBuffer.allocate(1);
             if (file.read(flag, RESTORED) < 1 || flag.get(0) == 0) {
                 if (!may) {
@@ -182,6 +193,28 @@
         ready = ready || own >= 0 && lock((long) READY + own) != null;
     }
 
+    /**
+     * Takes the right to speak to the peers, which one process has at a time; false where another has it.
+     * Guards against two lives under one number, of which each hears half of the answers and contradicts
+     * the other.
+     */
+    boolean speak() throws IOException {
+        if (own >= 0 && !spoke) {
+            speaks = file.tryLock(SPEAKING, 1, false);
+            spoke = speaks != null;
+        }
+        return own < 0 || spoke;
+    }
+
+    /** Gives that right away. */
+    void hush() throws IOException {
+        spoke = false;
+        if (speaks != null && speaks.isValid()) {
+            speaks.release();
+        }
+        speaks = null;
+    }
+
     /** Looks who else runs now: some microseconds. */
     Others look() throws IOException {
         if (own < 0) {
@@ -211,7 +244,9 @@
         return new Others(predecessor, successor, successorReady);
     }
 
-    /** Whether the process at a place began before this one; one that writes nothing is of a version before. */
+    /**
+     * Whether the process at a place began before this one; one that writes nothing is of a version before.
+     */
     private boolean ranBefore(int slot) throws IOException {
         ByteBuffer told = ByteBuffer.allocate(Long.BYTES);
         return file.read(told, at(slot)) < Long.BYTES || told.getLong(0) - since < 0;
--- a/daemon/src/test/java/cedarrudder/program/ServeIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ServeIT.java
@@ -183,7 +183,7 @@
             for (String configuration : new String[] {"{", "{}", taken}) {
                 Process process = serve(configuration);
                 String said = Await.all("its end", process);
-                // A machine that is short of cores makes the loop say so, too, and nohup that SIGHUP is ignored.
+                // Short of cores the loop says so, too, and under nohup that SIGHUP is ignored.
                 List<String> lines = said.lines().filter(line -> !line.contains(" loop.late ")
                         && !line.contains(" sighup.not_handled ")).toList();
                 assertEquals(lines.size(), 1, said);
--- a/daemon/src/test/java/cedarrudder/transport/ListenerTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/ListenerTest.java
@@ -165,7 +165,8 @@
                 late.setSoTimeout(20_000);
                 for (Socket caller : List.of(idle, late)) {
                     String answer = new String(caller.getInputStream().readAllBytes());
-                    assertTrue(answer.contains("HTTP/1.1 503") && answer.contains("Connection: close"), answer);
+                    assertTrue(answer.contains("HTTP/1.1 503"), answer);
+                    assertTrue(answer.contains("Connection: close"), answer);
                 }
             }
         }
