Load of a list of nodes what fits the heap, and all that leaves, with [footprint]

A list that the heap can't hold ended the process, or stalled it: with 56 MB and 28,002 nodes in 3.9 MB of text it says OutOfMemoryError. Discovery bounds nothing but the text.

With the table a list is looked through by the streaming parser before it is read. What does not fit waits, in the list's order; what the list says of nodes that are held counts, drains first of all. The version from which the watch is asked stays where nothing waited, and the whole list is asked for after ask_again_ms. The log and the operators' address name the bound.

The verdict now says how many nodes may be added; the one that spoke of steps read the whole list in any case. Ruled out: to refuse such a list whole (its drains are lost), and to take its version for known (the rest is never told again).

--- a/core/src/main/java/cedarrudder/footprint/Footprint.java
+++ b/core/src/main/java/cedarrudder/footprint/Footprint.java
@@ -26,9 +26,6 @@
     private static final int FIXED = 256;
     private static final int FIXED_TEXT = 1024;
 
-    /** A step of fewer nodes is none. */
-    private static final int LEAST_STEP = 16;
-
     /** What binds. */
     public enum Bound {
         /** What is held once it is loaded. */
@@ -40,12 +37,12 @@
     /**
      * What comes of a list.
      *
-     * @param fits whether it may be loaded, at once or in steps
-     * @param step so many nodes may be added at once; 0 where it does not fit
+     * @param fits whether all that it adds may be added now
+     * @param step so many of the nodes that it adds may be added now
      * @param bound the one that is nearest, or that binds
-     * @param spare bytes left under it; below 0: so many too few
+     * @param needed bytes that the whole list takes under it
      */
-    public record Verdict(boolean fits, int step, Bound bound, long spare) { }
+    public record Verdict(boolean fits, int step, Bound bound, long needed) { }
 
     private final Layout layout;
 
@@ -78,8 +75,12 @@
                 + layout.array(buffer(list.textBytes()), 1);
     }
 
-    /** What reading a list takes beside what is kept of it. */
-    public long reading(ListShape list) {
+    /**
+     * What reading a list takes beside what is kept of it.
+     *
+     * @param taken so many of its entries are kept until it has been read; the others go as they are read
+     */
+    public long reading(ListShape list, int taken) {
         long members = layout.object(6, 3 * 4 + 4 + 1) + layout.hashTable(MEMBERS)
                 + MEMBERS * layout.entry(true)
                 + VALUES * layout.text(ListShape.mean(list.valueChars(), (long) VALUES * list.nodes()))
@@ -90,7 +91,7 @@
         // The sets by which what is gone is found, and the list as it is handed on.
         long handed = layout.object(2, 0) + layout.reference() + layout.entry(false) + layout.boxed();
         return FIXED_TEXT + layout.text(list.textBytes())
-                + list.nodes() * (members + told + handed) + layout.hashTable(list.nodes());
+                + taken * (members + told + handed) + layout.hashTable(taken);
     }
 
     /** The buffer in which a text gathers, which doubles, and which a watch keeps. */
@@ -99,36 +100,53 @@
     }
 
     /**
-     * What is held at the most, from the moment at which a list comes until it, told again, has been read
-     * once more: then all of it is there twice, as nodes and as text.
+     * What is held at the most while a list is read: what was held, what is added, and the text.
      *
-     * @param held what is loaded
-     * @param stays how many of its nodes the list names again
+     * @param taken so many of the list's entries are kept until it has been read
+     * @param added so many of those are new
      */
-    public long atPeak(ListShape held, ListShape list, int stays) {
-        return atRest(held) + atRest(list.part(list.nodes() - stays)) + reading(list);
+    public long atPeak(ListShape held, ListShape list, int taken, int added) {
+        return atRest(held.plus(list, added)) + reading(list, taken);
+    }
+
+    /** The same once a list of changes was loaded, and all that is held is told again as a whole. */
+    private long toldAgain(ListShape held, ListShape changes, int added) {
+        ListShape after = held.plus(changes, added);
+        ListShape whole = changes.nodes() == 0 ? after : changes.of(after.nodes());
+        return atPeak(after, whole, whole.nodes(), 0);
+    }
+
+    private long atPeak(ListShape held, ListShape told, int added, int some, boolean full) {
+        long now = atPeak(held, told, told.nodes() - added + some, some);
+        return full ? now : Math.max(now, toldAgain(held, told, some));
     }
 
     /**
-     * Whether a list may be loaded.
+     * Whether a list may be loaded, or how much of it. A list is told again and again, so there must be room
+     * to read what is held once more: else the copy would never again hear of a drain.
      *
+     * @param told the list, or changes
+     * @param added how many of the nodes that it names are not held
+     * @param full whether what it does not name goes, once it is loaded
      * @param room bytes of heap for nodes and their lists, beside all else
      */
-    public Verdict judge(ListShape held, ListShape list, int stays, long room) {
-        long rest = room - atRest(list);
-        long again = room - atPeak(list, list, list.nodes());
-        long peak = room - atPeak(held, list, stays);
-        int added = list.nodes() - stays;
-        if (rest < 0) {
-            return new Verdict(false, 0, Bound.HEAP_AT_REST, rest);
-        }
-        if (peak >= 0) {
+    public Verdict judge(ListShape held, ListShape told, int added, boolean full, long room) {
+        long rest = atRest(full ? told : held.plus(told, added));
+        long peak = atPeak(held, told, added, added, full);
+        if (peak <= room || added == 0) {
             return new Verdict(true, added, Bound.HEAP_AT_PEAK, peak);
         }
-        // What leaves has gone before a step is added, and the text with it.
-        int step = (int) Math.min(added, again / Math.max(1, node(ListShape.mean(list.idChars(),
-                list.nodes()))));
-        return step >= Math.min(added, LEAST_STEP) ? new Verdict(true, step, Bound.HEAP_AT_PEAK, again)
-                : new Verdict(false, 0, Bound.HEAP_AT_PEAK, peak);
+        int fits = 0;
+        int beyond = added;
+        while (fits + 1 < beyond) {
+            int some = (fits + beyond) >>> 1;
+            if (atPeak(held, told, added, some, full) <= room) {
+                fits = some;
+            } else {
+                beyond = some;
+            }
+        }
+        return rest > room ? new Verdict(false, fits, Bound.HEAP_AT_REST, rest)
+                : new Verdict(false, fits, Bound.HEAP_AT_PEAK, peak);
     }
 }
--- a/core/src/main/java/cedarrudder/footprint/ListShape.java
+++ b/core/src/main/java/cedarrudder/footprint/ListShape.java
@@ -18,9 +18,16 @@
         return texts == 0 ? 0 : (chars + texts / 2) / texts;
     }
 
-    /** The part of it with so many nodes. */
-    ListShape part(int some) {
+    /** A list of so many nodes like those of this one. */
+    ListShape of(int some) {
         return nodes == 0 ? this : new ListShape(some, textBytes * some / nodes, idChars * some / nodes,
                 valueChars * some / nodes);
     }
+
+    /** What is held once so many of another list's nodes were added: the larger text's buffer stays. */
+    ListShape plus(ListShape other, int some) {
+        ListShape added = other.of(some);
+        return new ListShape(nodes + added.nodes, Math.max(textBytes, other.textBytes),
+                idChars + added.idChars, valueChars + added.valueChars);
+    }
 }
--- a/core/src/test/java/cedarrudder/footprint/FootprintTest.java
+++ b/core/src/test/java/cedarrudder/footprint/FootprintTest.java
@@ -21,25 +21,36 @@
     public void whatFitsAtRestAndNotWhileItIsReadIsRefused() {
         ListShape list = list(5_000);
         long rest = FOOTPRINT.atRest(list);
-        Verdict verdict = FOOTPRINT.judge(ListShape.NONE, list, 0, rest + 1000);
+        Verdict verdict = FOOTPRINT.judge(ListShape.NONE, list, 5_000, true, rest + 1000);
         assertFalse(verdict.fits());
         assertEquals(verdict.bound(), Bound.HEAP_AT_PEAK);
-        assertEquals(verdict.spare(), 1000 - FOOTPRINT.reading(list));
-        assertEquals(FOOTPRINT.judge(ListShape.NONE, list, 0, rest - 7),
-                new Verdict(false, 0, Bound.HEAP_AT_REST, -7));
+        assertEquals(verdict.needed(), rest + FOOTPRINT.reading(list, 5_000));
+        assertEquals(FOOTPRINT.judge(ListShape.NONE, list, 5_000, true, rest - 7).bound(),
+                Bound.HEAP_AT_REST);
+        assertTrue(FOOTPRINT.judge(ListShape.NONE, list, 5_000, true, verdict.needed()).fits());
     }
 
     /** Guards against old and new nodes side by side where there is room for either alone. */
     @Test
     public void anotherListOfTheSameSizeFitsInSteps() {
         ListShape list = list(5_000);
-        long room = FOOTPRINT.atRest(list) + FOOTPRINT.reading(list) + 1_000_000;
-        Verdict same = FOOTPRINT.judge(list, list, list.nodes(), room);
-        assertTrue(same.fits() && same.spare() == 1_000_000, same.toString());
-        Verdict other = FOOTPRINT.judge(list, list, 0, room);
-        assertTrue(other.fits() && other.step() > 500 && other.step() < 1_500, other.toString());
-        assertFalse(FOOTPRINT.judge(list, list, 0, room - 999_000).fits());
-        assertEquals(FOOTPRINT.judge(list, list, 0, room + FOOTPRINT.atRest(list)).step(), 5_000);
+        long room = FOOTPRINT.atRest(list) + FOOTPRINT.reading(list, 5_000) + 1_000_000;
+        assertTrue(FOOTPRINT.judge(list, list, 0, true, room).fits());
+        Verdict other = FOOTPRINT.judge(list, list, 5_000, true, room);
+        assertFalse(other.fits());
+        assertTrue(other.step() > 1_000 && other.step() < 5_000, other.toString());
+        assertTrue(FOOTPRINT.atPeak(list, list, other.step(), other.step()) <= room);
+        assertTrue(FOOTPRINT.atPeak(list, list, other.step() + 1, other.step() + 1) > room);
+    }
+
+    /** Guards against changes that are held and can't be told again: of a drain nothing would be heard. */
+    @Test
+    public void changesLeaveRoomForTheWholeListToBeReadAgain() {
+        ListShape held = list(4_000);
+        long room = FOOTPRINT.atRest(list(5_000)) + FOOTPRINT.reading(list(5_000), 5_000);
+        Verdict verdict = FOOTPRINT.judge(held, list(2_000), 2_000, false, room);
+        assertEquals(verdict.step(), 1_000, 10);
+        assertTrue(FOOTPRINT.atPeak(held, list(2_000), 2_000, 2_000) < room, "while the changes are read");
     }
 
     /** Guards against an estimate that takes time by the node. */
@@ -49,7 +60,7 @@
         long best = Long.MAX_VALUE;
         for (int i = 0; i < 20; i++) {
             long from = System.nanoTime();
-            FOOTPRINT.judge(list, list, 500, 50_000_000);
+            assertFalse(FOOTPRINT.judge(list, list, 500, true, 1_500_000).fits());
             best = Math.min(best, System.nanoTime() - from);
         }
         assertTrue(best < 1_000_000, best + " ns");
--- /dev/null
+++ b/daemon/src/main/java/cedarrudder/operator/FootprintSettings.java
@@ -0,0 +1,13 @@
+package cedarrudder.operator;
+
+/**
+ * How much of the heap lists of nodes may take.
+ *
+ * @param heapShare of the heap's maximum, for nodes and their lists at the peak of loading
+ * @param fromNodes with fewer nodes than that, nothing is left out
+ * @param again so long after nodes were left out the whole list is asked for anew; nanoseconds
+ */
+public record FootprintSettings(double heapShare, int fromNodes, long again) {
+
+    public static final FootprintSettings DEFAULT = new FootprintSettings(0.5, 1_000, 30_000_000_000L);
+}
--- /dev/null
+++ b/daemon/src/main/java/cedarrudder/operator/FootprintTable.java
@@ -0,0 +1,26 @@
+package cedarrudder.operator;
+
+import cedarrudder.toml.Table;
+
+/** The table {@code [footprint]}: what lists of nodes may take. Absent, every list is loaded. */
+public final class FootprintTable extends Section<FootprintSettings> {
+
+    public static final FootprintTable FOOTPRINT = new FootprintTable();
+
+    private static final double LEAST_SHARE = 0.05;
+    private static final double MOST_SHARE = 0.9;
+    private static final int MOST_NODES = 1_000_000;
+
+    private FootprintTable() {
+        super("footprint", FootprintSettings.class, null);
+    }
+
+    @Override
+    FootprintSettings read(Table table) {
+        FootprintSettings usual = FootprintSettings.DEFAULT;
+        return new FootprintSettings(
+                table.number("heap_share", LEAST_SHARE, MOST_SHARE, usual.heapShare()),
+                (int) table.whole("from_nodes", 0, MOST_NODES, usual.fromNodes()),
+                Units.millis(table, "ask_again_ms", 1_000, 600_000, usual.again()));
+    }
+}
--- a/daemon/src/main/java/cedarrudder/operator/Operator.java
+++ b/daemon/src/main/java/cedarrudder/operator/Operator.java
@@ -30,7 +30,8 @@
     /** All tables that a file may have. */
     private static List<Section<?>> sections() {
         return List.of(LogTable.LOG, CallersTable.CALLERS, NodesTable.NODES, DiscoveryTable.DISCOVERY,
-                BudgetTable.BUDGET, MembershipTable.MEMBERSHIP, HistoryTable.HISTORY);
+                BudgetTable.BUDGET, MembershipTable.MEMBERSHIP, HistoryTable.HISTORY,
+                FootprintTable.FOOTPRINT);
     }
 
     /**
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -9,12 +9,15 @@
 import cedarrudder.budget.Budgets;
 import cedarrudder.figures.Figures;
 import cedarrudder.flow.HeldBytes;
+import cedarrudder.footprint.Footprint;
 import cedarrudder.logging.Logger;
 import cedarrudder.logging.TextLines;
 import cedarrudder.membership.MembershipSettings;
 import cedarrudder.operator.BudgetTable;
 import cedarrudder.operator.CallersTable;
 import cedarrudder.operator.DiscoveryTable;
+import cedarrudder.operator.FootprintSettings;
+import cedarrudder.operator.FootprintTable;
 import cedarrudder.operator.HistorySettings;
 import cedarrudder.operator.HistoryTable;
 import cedarrudder.operator.Log;
@@ -25,6 +28,7 @@
 import cedarrudder.program.Handover.Others;
 import cedarrudder.protocol.BadMessageException;
 import cedarrudder.protocol.FiguresPage;
+import cedarrudder.protocol.ListGate;
 import cedarrudder.protocol.Message;
 import cedarrudder.protocol.ResolverResult;
 import cedarrudder.protocol.ResolverResultReader;
@@ -73,6 +77,7 @@
     private final Driver<Message, Message> driver;
     private final NodeChannels channels;
     private final ResolverResultReader reader;
+    private final ListGate footprint;
     private final DiscoveryClient discovery;
     private final PeerSocket peers;
     private final Listener listener;
@@ -120,11 +125,14 @@
         clockOffset = recorded == null ? 0 : recorded.clockOffset();
         reader = new ResolverResultReader(site, loop::now, this::wallClock);
         long version = (long) configuration.known().number("version", 0);
+        FootprintSettings lists = operator.of(FootprintTable.FOOTPRINT);
+        footprint = lists == null ? null : new ListGate(new Footprint(MachineLayout.read()), reader,
+                (long) (lists.heapShare() * Runtime.getRuntime().maxMemory()), lists.fromNodes());
         discovery = new DiscoveryClient(loop, configuration.discovery(),
                 operator.of(DiscoveryTable.DISCOVERY), ResolverClock.longest(site.module()),
                 new SplittableRandom(configuration.seed()).split().split().split(), reader, version,
                 result -> resolved(result, result.full() ? ListKind.FULL : ListKind.CHANGES),
-                driver::unresolved);
+                driver::unresolved, footprint, lists == null ? 0 : lists.again());
         peers = new PeerSocket(loop, driver, configuration.peers(), configuration.peersAll());
         listener = new Listener(loop, driver, new RpcFields(site.module(), budgets),
                 () -> resolved && serving,
@@ -521,7 +529,8 @@
 
         @Override
         public byte[] figures() {
-            return FiguresPage.write(figures, classes, rotation.size(), driver.avoided(), held.held());
+            return FiguresPage.write(figures, classes, rotation.size(), driver.avoided(), held.held(),
+                    footprint == null ? null : footprint.last());
         }
 
         @Override
--- a/daemon/src/main/java/cedarrudder/protocol/FiguresPage.java
+++ b/daemon/src/main/java/cedarrudder/protocol/FiguresPage.java
@@ -21,8 +21,10 @@
      * @param listed how many nodes discovery lists
      * @param avoided how many of those get nothing new now
      * @param held bytes of bodies that the process holds
+     * @param list what came of the last list; null: none was judged
      */
-    public static byte[] write(Figures figures, List<String> classes, int listed, int avoided, long held) {
+    public static byte[] write(Figures figures, List<String> classes, int listed, int avoided, long held,
+            ListGate.Judged list) {
         ByteArrayOutputStream page = new ByteArrayOutputStream(512);
         long relayed = 0;
         try (JsonGenerator json = new JsonFactory().createGenerator(page)) {
@@ -44,6 +46,16 @@
             json.writeNumberField("registry_entries", listed);
             json.writeNumberField("out_of_rotation", avoided);
             json.writeNumberField("held_bytes", held);
+            if (list != null) {
+                json.writeObjectFieldStart("footprint");
+                json.writeStringField("bound", list.bound());
+                json.writeNumberField("needed", list.needed());
+                json.writeNumberField("room", list.room());
+                json.writeNumberField("held", list.held());
+                json.writeNumberField("wanted", list.wanted());
+                json.writeNumberField("waits", list.waits());
+                json.writeEndObject();
+            }
             json.writeEndObject();
         } catch (IOException e) {
             throw new UncheckedIOException("memory took no bytes", e);
--- a/daemon/src/main/java/cedarrudder/protocol/JsonObject.java
+++ b/daemon/src/main/java/cedarrudder/protocol/JsonObject.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * A JSON object, read with the streaming parser, and its name for messages. Its readers throw an
@@ -16,7 +17,7 @@
  */
 public final class JsonObject {
 
-    private static final JsonFactory JSON = new JsonFactory();
+    static final JsonFactory JSON = new JsonFactory();
 
     private final Map<?, ?> members;
     private final String path;
@@ -28,10 +29,18 @@
 
     /** Reads a text that holds one object. */
     public static JsonObject parse(String text) {
+        return parse(text, null, null);
+    }
+
+    /**
+     * The same, but of a list under this key those elements go as soon as they are read that are not taken;
+     * an element that is no object is asked for as null. Messages count the elements that are left.
+     */
+    static JsonObject parse(String text, String list, Predicate<JsonObject> taken) {
         Object value;
         try (JsonParser parser = JSON.createParser(text)) {
             parser.nextToken();
-            value = value(parser);
+            value = value(parser, list, taken);
             if (parser.nextToken() != null) {
                 throw new IllegalArgumentException("not JSON");
             }
@@ -45,23 +54,21 @@
     }
 
     /** The value that begins at the parser's token. The parser itself bounds how deep values may nest. */
-    private static Object value(JsonParser parser) throws IOException {
+    private static Object value(JsonParser parser, String list, Predicate<JsonObject> taken)
+            throws IOException {
         JsonToken token = parser.currentToken();
         if (token == JsonToken.START_OBJECT) {
             Map<String, Object> members = new LinkedHashMap<>();
             while (parser.nextToken() != JsonToken.END_OBJECT) {
                 String name = parser.currentName();
                 parser.nextToken();
-                members.put(name, value(parser));
+                members.put(name, name.equals(list) && parser.currentToken() == JsonToken.START_ARRAY
+                        ? elements(parser, taken) : value(parser, null, null));
             }
             return members;
         }
         if (token == JsonToken.START_ARRAY) {
-            List<Object> elements = new ArrayList<>();
-            while (parser.nextToken() != JsonToken.END_ARRAY) {
-                elements.add(value(parser));
-            }
-            return elements;
+            return elements(parser, null);
         }
         if (token == null) {
             throw new IllegalArgumentException("not JSON");
@@ -76,6 +83,18 @@
         };
     }
 
+    private static List<Object> elements(JsonParser parser, Predicate<JsonObject> taken) throws IOException {
+        List<Object> elements = new ArrayList<>();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            Object element = value(parser, null, null);
+            if (taken == null
+                    || taken.test(element instanceof Map<?, ?> object ? new JsonObject(object, "") : null)) {
+                elements.add(element);
+            }
+        }
+        return elements;
+    }
+
     private Object get(String key, boolean required) {
         Object value = members.get(key);
         if (value == null && required) {
--- a/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
+++ b/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
@@ -25,6 +25,7 @@
     private final Map<String, Long> numbers = new HashMap<>();
     private final Map<String, Start> starts = new HashMap<>();
     private final Map<Long, String> names = new HashMap<>();
+    private long idChars;
 
     /** A node's start as discovery tells it, and as an instant of the program's clock. */
     private record Start(double millis, long instant) { }
@@ -88,10 +89,22 @@
         }
     }
 
+    /** Whether this node has a number. */
+    boolean knows(String id) {
+        return numbers.containsKey(id);
+    }
+
+    /** Characters of all ids that have a number. */
+    long idChars() {
+        return idChars;
+    }
+
     /** Guards against keeping every id of a long day: a node that is gone needs no number any more. */
     private void forget(String id) {
         starts.remove(id);
-        names.remove(numbers.remove(id));
+        Long number = numbers.remove(id);
+        idChars -= number == null ? 0 : id.length();
+        names.remove(number);
     }
 
     /**
@@ -149,6 +162,7 @@
             number = number + 1 & ID_MASK;
         }
         numbers.put(id, number);
+        idChars += id.length();
         return number;
     }
 }
--- a/daemon/src/main/java/cedarrudder/transport/DiscoveryClient.java
+++ b/daemon/src/main/java/cedarrudder/transport/DiscoveryClient.java
@@ -4,6 +4,7 @@
 import cedarrudder.protocol.HttpDecoder;
 import cedarrudder.protocol.HttpEncoder;
 import cedarrudder.protocol.JsonObject;
+import cedarrudder.protocol.ListGate;
 import cedarrudder.protocol.Message;
 import cedarrudder.protocol.ObjectStream;
 import cedarrudder.protocol.ResolverResult;
@@ -49,24 +50,37 @@
     private final Asks watch;
     private ResolverPatience patience;
     private InetSocketAddress address;
+    private final ListGate gate;
+    private final long again;
     private long version;
 
+    /** The last version of which nothing waits: changes are asked for from there. */
+    private long since;
+    private boolean waiting;
+    private boolean asksAgain;
+
     /**
      * @param longest so long after a failure the watch is asked for again at the latest, in nanoseconds
      * @param known the version of the list that the proxy starts with
      * @param failures told when nothing that was asked is left to wait for
+     * @param gate leaves out what there is no room for; null: all is read
+     * @param again after so long, in nanoseconds, and by chance up to half as much more, the whole list is
+     * asked for anew where nodes were left out
      */
     public DiscoveryClient(Loop loop, InetSocketAddress address, ResolverPatience patience, long longest,
             RandomGenerator random, ResolverResultReader reader, long known,
-            Consumer<ResolverResult> results, Runnable failures) {
+            Consumer<ResolverResult> results, Runnable failures, ListGate gate, long again) {
         this.loop = loop;
         this.address = address;
         this.patience = patience;
         this.random = random;
         this.reader = reader;
         this.version = known;
+        this.since = known;
         this.results = results;
         this.failures = failures;
+        this.gate = gate;
+        this.again = again;
         this.bootstrap = new Bootstrap().group(loop.group()).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, loop.buffers());
         this.watch = new Asks(true, longest);
@@ -103,6 +117,39 @@
         new Asks(false, 0).clock.ask(loop.now());
     }
 
+    /**
+     * What was read counts. Guards against a version that is taken for known while nodes of it wait:
+     * discovery would tell them no more.
+     *
+     * @param all whether what came had all that waited before
+     */
+    private void settle(boolean all) {
+        boolean left = gate != null && gate.last().waits() > 0;
+        if (left) {
+            ListGate.Judged why = gate.last();
+            loop.log().warn("footprint.refused").with("bound", why.bound()).with("needed", why.needed())
+                    .with("room", why.room()).with("held", why.held()).with("wanted", why.wanted())
+                    .with("waits", why.waits()).write();
+        }
+        waiting = left || waiting && !all;
+        since = waiting ? Math.min(since, version) : version;
+        askAgain();
+    }
+
+    /** Not at once: guards against calls without end for a list that still does not fit. */
+    private void askAgain() {
+        if (waiting && !asksAgain) {
+            asksAgain = true;
+            loop.at(loop.now() + again + (long) (random.nextDouble() * again / 2), () -> {
+                asksAgain = false;
+                if (waiting) {
+                    fetch();
+                    askAgain();
+                }
+            });
+        }
+    }
+
     /** The calls that are out for the watch, or for one whole list. */
     private final class Asks implements ResolverClock.Actions {
         private final boolean follows;
@@ -119,7 +166,7 @@
         public void open(int call) {
             Call next = new Call(this, call);
             calls.put(call, next);
-            next.open(follows ? LIST + "?follow=1&since=" + version : LIST);
+            next.open(follows ? LIST + "?follow=1&since=" + since : LIST);
         }
 
         @Override
@@ -157,6 +204,7 @@
         private final ObjectStream objects = new ObjectStream(MOST_LIST, this);
         private final HttpDecoder decoder = HttpDecoder.ofStreams(objects);
         private final InetSocketAddress to = address;
+        private final long from = since;
         private Channel channel;
         private boolean over;
         private boolean answered;
@@ -233,26 +281,39 @@
             if (over || refused()) {
                 return;
             }
-            JsonObject told = JsonObject.parse(text);
+            boolean first = !answered;
+            ResolverResult result = take(text);
+            if (result != null) {
+                if (gate != null && gate.roomier()) {
+                    take(text); // what has left made room for more of it
+                }
+                settle(result.full() || first && from <= since);
+            }
+        }
+
+        /** Reads and passes on; null: it tells nothing new. */
+        private ResolverResult take(String text) {
+            JsonObject told = gate == null ? JsonObject.parse(text) : gate.read(text);
             boolean outdated = told.whole("version") < version
                     && !(asks.follows && told.flag("full", false));
             if (outdated && !asks.follows) {
                 // Guards against a late answer taking back what the watch has told since.
                 fail("older than what is known");
-                return;
+                return null;
             }
             // Not read: guards against what is outdated undoing what is known of nodes.
             ResolverResult result = outdated ? null : reader.read(told);
             answered = true;
             asks.clock.told(loop.now(), number);
             if (outdated) {
-                return; // a change that the watch at the former address has told already
+                return null; // a change that the watch at the former address has told already
             }
             version = result.version();
             loop.log().debug("discovery.told").with("version", version)
                     .with("list", result.full() ? "full" : "changes").with("nodes", result.nodes().size())
                     .write();
             results.accept(result);
+            return result;
         }
 
         private void warn(String why) {
--- a/daemon/src/test/java/cedarrudder/operator/OperatorTest.java
+++ b/daemon/src/test/java/cedarrudder/operator/OperatorTest.java
@@ -51,10 +51,22 @@
         assertNull(read(text).of(HistoryTable.HISTORY));
         assertEquals(read(uncommented).of(HistoryTable.HISTORY),
                 new HistorySettings(Path.of("history.jsonl"), 0));
+        assertEquals(read(uncommented).of(FootprintTable.FOOTPRINT), FootprintSettings.DEFAULT);
         assertNull(read(text).of(MembershipTable.MEMBERSHIP));
         assertEquals(read(uncommented).of(MembershipTable.MEMBERSHIP), MembershipSettings.DEFAULT);
     }
 
+    @Test
+    public void theFootprintIsOffWithoutItsTable() throws Exception {
+        assertNull(read(Files.readString(SHIPPED)).of(FootprintTable.FOOTPRINT));
+        assertEquals(read("[footprint]\n").of(FootprintTable.FOOTPRINT), FootprintSettings.DEFAULT);
+        assertEquals(read("[footprint]\nheap_share = 0.2\nfrom_nodes = 7\nask_again_ms = 2000\n")
+                .of(FootprintTable.FOOTPRINT), new FootprintSettings(0.2, 7, 2_000_000_000L));
+        BadFileException bad = expectThrows(BadFileException.class,
+                () -> read("[footprint]\nheap_share = 0.95\nask_again_ms = 10\n"));
+        assertEquals(bad.problems().size(), 2, bad.problems().toString());
+    }
+
     @Test
     public void membershipMayNotWaitForAnAnswerForLongerThanItsPeriod() throws Exception {
         try {
--- /dev/null
+++ b/daemon/src/test/java/cedarrudder/program/FootprintIT.java
@@ -0,0 +1,101 @@
+package cedarrudder.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.Await;
+import cedarrudder.program.World.Caller;
+import cedarrudder.program.World.Received;
+import cedarrudder.protocol.JsonObject;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** The built jar with the heap of the platform's command, told a list that is larger than it can load. */
+public class FootprintIT {
+
+    /** Text of some 3.9 MB, which is within what is read, and a peak of 66 MB. */
+    private static final int NODES = 28_000;
+
+    private static final List<String> MACHINE = List.of("-XX:+UseSerialGC", "-Xms32m", "-Xmx56m");
+
+    /** All of them at the address of the first node, which answers. */
+    private static String list(World world) {
+        String one = world.entries("in_service").split(",\\{")[0];
+        String other = "{" + world.entries("terminating").split(",\\{")[1];
+        StringBuilder text = new StringBuilder("{\"version\":3,\"full\":true,\"servers\":[").append(one);
+        for (int i = 0; i < NODES; i++) {
+            text.append(',').append(one.replace("\"n0\"", "\"api-" + (100_000 + i) + "\""));
+        }
+        return text.append(',').append(other).append("]}\n").toString();
+    }
+
+    private static Received serve(World world, String id) throws Exception {
+        try (Caller caller = world.caller()) {
+            return caller.send(World.rpc("order", "/api", "x").replace("id-1", id)).read();
+        }
+    }
+
+    /** Tells the list on each watch, and at each call for it. */
+    private static void tell(World world) {
+        String list = list(world);
+        assertTrue(list.length() < 4 * 1024 * 1024, "length " + list.length());
+        Nodes.daemon(() -> {
+            while (true) {
+                Received lookup = world.lookups.take();
+                if (lookup.first().contains("follow")) {
+                    lookup.raw(World.STREAM);
+                    lookup.chunk(list);
+                } else {
+                    lookup.reply("200 OK", list);
+                }
+            }
+        });
+    }
+
+    /** Guards against a proxy that dies of a list, and against one that hears of no drain for its sake. */
+    @Test
+    public void aListThatDoesNotFitIsAppliedAsFarAsItDoesAndCallersAreServed() throws Exception {
+        Path operator = Files.createTempFile("operator", ".toml");
+        Files.writeString(operator, "[footprint]\nask_again_ms = 1000\n");
+        try (World world = new World(3); Version proxy = new Version(world, Files.createTempDirectory("fit"),
+                "", MACHINE, List.of("--operator", operator.toString()))) {
+            Nodes.play(world, call -> call.reply("200 OK", "done"));
+            tell(world);
+            // Told, and then twice more since nodes wait.
+            for (int i = 0; i < 3; i++) {
+                proxy.awaitLine("footprint.refused bound=heap_at_");
+            }
+            for (int i = 0; i < 200; i++) {
+                assertEquals(serve(world, "id-" + i).body(), "done");
+            }
+            JsonObject page = JsonObject.parse(proxy.call("GET", "/-/metrics").body());
+            JsonObject verdict = page.child("footprint");
+            System.out.println("held " + page.whole("registry_entries") + " of " + verdict.whole("wanted")
+                    + ", needed " + verdict.whole("needed") + ", room " + verdict.whole("room"));
+            assertEquals(verdict.whole("wanted"), NODES + 2);
+            assertTrue(verdict.whole("needed") > verdict.whole("room"));
+            assertEquals(page.whole("registry_entries") + verdict.whole("waits"), NODES + 2);
+            assertTrue(page.whole("registry_entries") > 2_000, "as many as fit");
+            assertEquals(page.whole("out_of_rotation"), 1, "the one that drains"); // n2 has left
+            proxy.signal("TERM");
+            String said = proxy.rest();
+            assertFalse(said.contains("OutOfMemory"), said);
+            proxy.awaitEnd(Version.TERMINATED);
+        }
+    }
+
+    /** Guards against a list that the first test's process could have loaded as it is. */
+    @Test
+    public void withoutTheTableTheSameListIsSeenToEndOrStallIt() throws Exception {
+        try (World world = new World(3); Version proxy = new Version(world, Files.createTempDirectory("fit"),
+                "", MACHINE, List.of())) {
+            Nodes.play(world, call -> call.reply("200 OK", "done"));
+            tell(world);
+            Await.line("OutOfMemoryError", proxy.process, proxy.log,
+                    line -> line.contains("OutOfMemoryError"));
+        }
+    }
+}
--- a/daemon/src/test/java/cedarrudder/program/FootprintOfGraphsTest.java
+++ b/daemon/src/test/java/cedarrudder/program/FootprintOfGraphsTest.java
@@ -3,11 +3,8 @@
 import static org.testng.Assert.assertTrue;
 
 import cedarrudder.footprint.Footprint;
-import cedarrudder.footprint.Layout;
 import cedarrudder.footprint.ListShape;
 import cedarrudder.protocol.SiteSettings;
-import com.sun.management.HotSpotDiagnosticMXBean;
-import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.Test;
@@ -18,16 +15,6 @@
     private static final double MOST_UNDER = 0.03;
     private static final double MOST_OVER = 0.15;
 
-    private static Layout layout() {
-        HotSpotDiagnosticMXBean machine = ManagementFactory.getPlatformMXBean(HotSpotDiagnosticMXBean.class);
-        return Layout.of(flag(machine, "UseCompressedOops"), flag(machine, "UseCompressedClassPointers"),
-                Integer.parseInt(machine.getVMOption("ObjectAlignmentInBytes").getValue()));
-    }
-
-    private static boolean flag(HotSpotDiagnosticMXBean machine, String name) {
-        return Boolean.parseBoolean(machine.getVMOption(name).getValue());
-    }
-
     /** Of what {@link Held#list} writes: ids of 10 characters, values that differ by address and zone. */
     private static ListShape shape(String text, int nodes) {
         long values = 0;
@@ -54,7 +41,7 @@
     /** Guards against a part that grew, or one that is forgotten, at rest or while a list is read. */
     @Test
     public void neverUnderByMoreThanThreeInAHundredNorOverByMoreThanFifteen() throws Exception {
-        Footprint footprint = new Footprint(layout());
+        Footprint footprint = new Footprint(MachineLayout.read());
         StringBuilder wrong = new StringBuilder();
         String most = System.getProperty("footprint.nodes", "100");
         for (int nodes = 10; nodes <= Integer.parseInt(most); nodes *= 10) {
@@ -74,8 +61,8 @@
                     List<Object> all = new ArrayList<>(held.roots());
                     all.addAll(held.parsed);
                     long peak = Held.graph(all).totalSize() - none;
-                    wrong.append(compare(name + ", at the peak", footprint.atPeak(ListShape.NONE, list, 0),
-                            peak));
+                    wrong.append(compare(name + ", at the peak", footprint.atPeak(ListShape.NONE, list,
+                            nodes, nodes), peak));
                 }
             }
         }
--- /dev/null
+++ b/daemon/src/test/java/cedarrudder/protocol/ListGateTest.java
@@ -0,0 +1,120 @@
+package cedarrudder.protocol;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import cedarrudder.Balancer.State;
+import cedarrudder.footprint.Footprint;
+import cedarrudder.footprint.Layout;
+import cedarrudder.protocol.ResolverResult.Node;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class ListGateTest {
+
+    /** Room for some hundreds of nodes. */
+    private static final long ROOM = 2_000_000;
+
+    private ResolverResultReader reader;
+
+    @BeforeMethod
+    public void begin() throws Exception {
+        JsonObject example = JsonObject.parse(Files.readString(Path.of("example", "config.json")));
+        reader = new ResolverResultReader(SettingsReader.read(example.child("settings")), () -> 1L << 40,
+                () -> 1_790_000_000_000L);
+    }
+
+    private ListGate gate(long room, int fromNodes) {
+        return new ListGate(new Footprint(Layout.of(true, true, 8)), reader, room, fromNodes);
+    }
+
+    private static String entry(String id, String state) {
+        return "{\"id\":\"" + id + "\",\"addr\":\"127.0.0.1:9\",\"zone\":\"room\",\"cell\":1,\"state\":\""
+                + state + "\",\"started_ms\":0}";
+    }
+
+    private static String list(boolean full, String first, String name, int nodes) {
+        StringBuilder text = new StringBuilder("{\"version\":1,\"full\":" + full + ",\"servers\":[" + first);
+        for (int i = 0; i < nodes; i++) {
+            text.append(text.charAt(text.length() - 1) == '[' ? "" : ",")
+                    .append(entry(name + i, "in_service"));
+        }
+        return text.append("]}").toString();
+    }
+
+    private List<Node> read(ListGate gate, String text) {
+        return reader.read(gate.read(text)).nodes();
+    }
+
+    /** Guards against a list that is refused whole: its drains, and what it no longer names, were lost. */
+    @Test
+    public void whatLeavesCountsAndWhatIsAddedIsAddedInOrderAsFarAsItFits() {
+        ListGate gate = gate(ROOM, 0);
+        read(gate, list(true, "", "a", 3));
+        assertEquals(gate.last().waits(), 0);
+        List<Node> nodes = read(gate, list(true, "5," + entry("x", "terminated"), "b", 5_000)
+                .replace("]}", "," + entry("a1", "terminating") + "," + entry("a2", "in_service") + "]}"));
+        int added = nodes.size() - 2;
+        assertTrue(added > 100 && added < 1_000, "added " + added);
+        assertEquals(nodes.get(added - 1).name(), "b" + (added - 1), "in order");
+        assertEquals(nodes.get(added).name(), "a1");
+        assertEquals(nodes.get(added).endpoint().state(), State.DRAINING);
+        assertFalse(reader.knows("a0"));
+        assertEquals(gate.last().bound(), "heap_at_rest");
+        assertEquals(gate.last().waits(), 5_001 - added - 1);
+        assertEquals(gate.last().wanted(), 5_004);
+    }
+
+    /** Guards against changes that, few at a time, come to more than there is room for. */
+    @Test
+    public void changesAreJudgedWithWhatIsHeld() {
+        ListGate gate = gate(ROOM, 0);
+        for (int i = 0; i < 100; i++) {
+            read(gate, list(false, "", "c" + i + "-", 50));
+        }
+        assertTrue(reader.size() > 100 && reader.size() < 1_000, "held " + reader.size());
+        assertEquals(gate.last().waits(), 50);
+        int held = reader.size();
+        read(gate, list(false, entry("c0-1", "terminated"), "d", 0));
+        assertEquals(reader.size(), held - 1);
+        assertEquals(gate.last().waits(), 0);
+        read(gate, list(true, "", "three", 1));
+        assertEquals(reader.idChars(), "three0".length());
+    }
+
+    /** Guards against room that stays empty until the list is told again, once its former nodes have left. */
+    @Test
+    public void whatHasLeftMakesRoomForMoreOfTheSameList() {
+        ListGate gate = gate(ROOM, 0);
+        read(gate, list(true, "", "a", 700));
+        String other = list(true, "", "b", 700);
+        assertTrue(read(gate, other).size() < 700);
+        assertTrue(gate.roomier());
+        assertEquals(read(gate, other).size(), 700);
+        assertFalse(gate.roomier());
+    }
+
+    @Test
+    public void fewNodesAreNeverLeftOut() {
+        assertEquals(read(gate(1, 51), list(true, "", "a", 50)).size(), 50);
+        assertEquals(read(gate(1, 50), list(false, "", "b", 50)).size(), 0);
+    }
+
+    /** Guards against what is broken being said otherwise, or taken for a list, where the table is on. */
+    @Test
+    public void whatIsNoListIsSaidAsWithoutIt() {
+        for (String text : new String[] {"", "[", "[]", "5", "{\"servers\":[", "{\"servers\":[}]}", "{} {}",
+            "{\"servers\":[{\"id\":[[1],{}]}]}", "{\"version\":1,\"servers\":{}}"}) {
+            ListGate gate = gate(1, 0);
+            String why = expectThrows(IllegalArgumentException.class,
+                    () -> reader.read(JsonObject.parse(text))).getMessage();
+            assertEquals(expectThrows(IllegalArgumentException.class,
+                    () -> reader.read(gate.read(text))).getMessage(), why, text);
+        }
+    }
+}
--- a/daemon/src/test/java/cedarrudder/transport/DiscoveryClientTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/DiscoveryClientTest.java
@@ -3,8 +3,11 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotNull;
 
+import cedarrudder.footprint.Footprint;
+import cedarrudder.footprint.Layout;
 import cedarrudder.logging.Logger;
 import cedarrudder.protocol.JsonObject;
+import cedarrudder.protocol.ListGate;
 import cedarrudder.protocol.ResolverResult;
 import cedarrudder.protocol.ResolverResultReader;
 import cedarrudder.protocol.SettingsReader;
@@ -32,11 +35,17 @@
 
     private static final long STARTED = 1_700_000_000_000L;
 
+    /** The whole list is asked for so long after nodes of it were left out, in nanoseconds. */
+    private static final long AGAIN = 300_000_000L;
+
     private static final String STREAM = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
     private final BlockingQueue<ResolverResult> told = new LinkedBlockingQueue<>();
     private volatile boolean broken;
 
+    /** Bytes for nodes and their lists; 0: all are loaded. */
+    private long room;
+
     /** What a test does with a client whose watch is open. */
     private interface Story {
         void play(Loop loop, DiscoveryClient client, ServerSocket discovery, Socket watch) throws Exception;
@@ -51,11 +60,13 @@
         JsonObject example = JsonObject.parse(Files.readString(Path.of("example", "config.json")));
         Loop loop = new Loop(new Logger(new PrintStream(OutputStream.nullOutputStream())));
         try (ServerSocket discovery = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            ResolverResultReader reader = new ResolverResultReader(SettingsReader.read(
+                    example.child("settings")), loop::now, System::currentTimeMillis);
             DiscoveryClient client = new DiscoveryClient(loop,
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), discovery.getLocalPort()),
                     ResolverPatience.DEFAULT, longest, new SplittableRandom(1),
-                    new ResolverResultReader(SettingsReader.read(example.child("settings")), loop::now,
-                            System::currentTimeMillis), 0, this::take, failed);
+                    reader, 0, this::take, failed, room == 0 ? null
+                            : new ListGate(new Footprint(Layout.of(true, true, 8)), reader, room, 0), AGAIN);
             discovery.setSoTimeout(20_000);
             loop.run(() -> client.subscribe(true));
             try (Socket watch = discovery.accept()) {
@@ -237,6 +248,63 @@
         });
     }
 
+    private static String list(long version, String name, int nodes) {
+        StringBuilder text = new StringBuilder("{\"version\":" + version + ",\"full\":true,\"servers\":[");
+        for (int i = 0; i < nodes; i++) {
+            text.append(i == 0 ? "" : ",").append("{\"id\":\"").append(name).append(i)
+                    .append("\",\"addr\":\"127.0.0.1:9\",\"state\":\"in_service\"}");
+        }
+        return text.append("]}\n").toString();
+    }
+
+    private static String asked(Socket call) throws IOException {
+        byte[] head = new byte[200];
+        String text = new String(head, 0, call.getInputStream().read(head));
+        return text.substring(text.indexOf(' ') + 1, text.indexOf(" HTTP"));
+    }
+
+    /**
+     * Guards against nodes that are lost for good, since discovery was told that their version is known, and
+     * against calls without a pause for a list that still does not fit.
+     */
+    @Test
+    public void nodesThatWereLeftOutAreAskedForAgainAfterAWhileAndAreNotTakenForKnown() throws Exception {
+        room = 2_000_000;
+        play(() -> { }, (loop, client, discovery, watch) -> {
+            assertEquals(asked(watch), "/catalog/members?follow=1&since=0");
+            long from = System.nanoTime();
+            chunk(watch, list(7, "n", 5_000));
+            int held = told.poll(20, TimeUnit.SECONDS).nodes().size();
+            assertEquals(held > 100 && held < 1_000, true, "held " + held);
+            tell(watch, 8, false, "terminating"); // has room, and says nothing of those that wait
+            assertEquals(told.poll(20, TimeUnit.SECONDS).nodes().size(), 1);
+            for (int fits = 0; fits < 2; fits++) {
+                try (Socket list = discovery.accept()) {
+                    assertEquals(System.nanoTime() - from >= AGAIN, true, "not at once");
+                    from = System.nanoTime();
+                    assertEquals(asked(list), "/catalog/members");
+                    loop.run(() -> client.moveTo(new InetSocketAddress("127.0.0.2",
+                            discovery.getLocalPort()))); // nobody is there: each call fails
+                    loop.run(() -> client.moveTo((InetSocketAddress) discovery.getLocalSocketAddress()));
+                    try (Socket again = discovery.accept()) {
+                        assertEquals(asked(again), "/catalog/members?follow=1&since=0");
+                    }
+                    String text = fits == 0 ? list(9, "n", 5_000) : list(10, "m", 500);
+                    list.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + text.length()
+                            + "\r\n\r\n" + text).getBytes());
+                    assertEquals(told.poll(20, TimeUnit.SECONDS).version(), 9 + fits);
+                }
+            }
+            assertEquals(told.poll(20, TimeUnit.SECONDS).nodes().size(), 500, "in the room of what has left");
+            loop.run(() -> client.moveTo(new InetSocketAddress("127.0.0.2", discovery.getLocalPort())));
+            loop.run(() -> client.moveTo((InetSocketAddress) discovery.getLocalSocketAddress()));
+            try (Socket again = discovery.accept()) {
+                assertEquals(asked(again), "/catalog/members?follow=1&since=10");
+            }
+        });
+        room = 0;
+    }
+
     /** Guards against a list that stands still, since the new address began with what can't be read. */
     @Test
     public void theFormerWatchTellsOnUntilTheNewOneHasToldWhatCanBeRead() throws Exception {
