--- /dev/null
+++ b/core/src/test/java/cedarrudder/footprint/FootprintTest.java
@@ -0,0 +1,68 @@
+package cedarrudder.footprint;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.footprint.Footprint.Bound;
+import cedarrudder.footprint.Footprint.Verdict;
+import org.testng.annotations.Test;
+
+public class FootprintTest {
+
+    private static final Footprint FOOTPRINT = new Footprint(Layout.of(true, true, 8));
+
+    private static ListShape list(int nodes) {
+        return new ListShape(nodes, nodes * 150L, nodes * 10L, nodes * 37L);
+    }
+
+    /** Guards against a verdict that forgets the peak: what fits at rest alone is refused. */
+    @Test
+    public void whatFitsAtRestAndNotWhileItIsReadIsRefused() {
+        ListShape list = list(5_000);
+        long rest = FOOTPRINT.atRest(list);
+        Verdict verdict = FOOTPRINT.judge(ListShape.NONE, list, 5_000, true, rest + 1000);
+        assertFalse(verdict.fits());
+        assertEquals(verdict.bound(), Bound.HEAP_AT_PEAK);
+        assertEquals(verdict.needed(), rest + FOOTPRINT.reading(list, 5_000));
+        assertEquals(FOOTPRINT.judge(ListShape.NONE, list, 5_000, true, rest - 7).bound(),
+                Bound.HEAP_AT_REST);
+        assertTrue(FOOTPRINT.judge(ListShape.NONE, list, 5_000, true, verdict.needed()).fits());
+    }
+
+    /** Guards against old and new nodes side by side where there is room for either alone. */
+    @Test
+    public void anotherListOfTheSameSizeFitsInSteps() {
+        ListShape list = list(5_000);
+        long room = FOOTPRINT.atRest(list) + FOOTPRINT.reading(list, 5_000) + 1_000_000;
+        assertTrue(FOOTPRINT.judge(list, list, 0, true, room).fits());
+        Verdict other = FOOTPRINT.judge(list, list, 5_000, true, room);
+        assertFalse(other.fits());
+        assertTrue(other.step() > 1_000 && other.step() < 5_000, other.toString());
+        assertTrue(FOOTPRINT.atPeak(list, list, other.step(), other.step()) <= room);
+        assertTrue(FOOTPRINT.atPeak(list, list, other.step() + 1, other.step() + 1) > room);
+    }
+
+    /** Guards against changes that are held and can't be told again: of a drain nothing would be heard. */
+    @Test
+    public void changesLeaveRoomForTheWholeListToBeReadAgain() {
+        ListShape held = list(4_000);
+        long room = FOOTPRINT.atRest(list(5_000)) + FOOTPRINT.reading(list(5_000), 5_000);
+        Verdict verdict = FOOTPRINT.judge(held, list(2_000), 2_000, false, room);
+        assertEquals(verdict.step(), 1_000, 10);
+        assertTrue(FOOTPRINT.atPeak(held, list(2_000), 2_000, 2_000) < room, "while the changes are read");
+    }
+
+    /** Guards against an estimate that takes time by the node. */
+    @Test
+    public void anEstimateTakesUnderAMillisecond() {
+        ListShape list = list(1_000);
+        long best = Long.MAX_VALUE;
+        for (int i = 0; i < 20; i++) {
+            long from = System.nanoTime();
+            assertFalse(FOOTPRINT.judge(list, list, 500, true, 1_500_000).fits());
+            best = Math.min(best, System.nanoTime() - from);
+        }
+        assertTrue(best < 1_000_000, best + " ns");
+    }
+}
