--- a/daemon/src/main/java/cedarrudder/program/Warmup.java
+++ b/daemon/src/main/java/cedarrudder/program/Warmup.java
@@ -45,6 +45,9 @@
 
     private static final int RPCS = 100;
 
+    /** So many are out at a time. Guards against waiting for the network most of the time until ready. */
+    private static final int AT_ONCE = 4;
+
     /** Callers' first connections all come at once, so the way of a new one is taken often too. */
     private static final int RPCS_A_CHANNEL = 3;
 
@@ -61,6 +64,7 @@
     private final Message request;
     private final Runnable whenDone;
     private int sent;
+    private int out;
     private boolean over;
 
     /** @param at where the proxy listens now, and nobody else does */
@@ -96,7 +100,9 @@
     /** Begins; to be called on the loop. */
     void start() {
         loop.at(loop.now() + MOST, this::finish);
-        next();
+        for (int i = 0; i < AT_ONCE; i++) {
+            next();
+        }
     }
 
     /**
@@ -118,11 +124,14 @@
     }
 
     private void next() {
-        if (over || sent++ == RPCS) {
-            finish();
+        if (over || sent == RPCS) {
+            if (out == 0) {
+                finish();
+            }
             return;
         }
-        if (sent % RPCS_A_CHANNEL == 0) {
+        out++;
+        if (++sent % RPCS_A_CHANNEL == 0) {
             channels.closeIdle(SELF);
         }
         long deadline = loop.now() + MOST;
@@ -141,13 +150,14 @@
     private final class Reply implements Exchange.Reply<Message> {
         @Override
         public void served(Message answer) {
+            out--;
             // Not at once: the driver is still at work on this one.
             loop.run(Warmup.this::next);
         }
 
         @Override
         public void refused(long retryAfter) {
-            finish();
+            served(null); // one that found no room beside the others is no reason to end cold
         }
 
         @Override
