Let any copy propose: handed to the leader, in effect at most once, one word on it

Only the copy that leads could propose; an operator's command comes to any copy. A proposal now has an identity (copy, life, sequence), goes to the leader that the copy knows, again where nothing is heard or another leads, and its entry is loaded only if none of that identity or a later one of that copy was. The proposer is told one of committed with its number, not taken, or unknown after its time; asking again with the same identity does no harm. Digests name the copy that leads, so that learners know it too.

Without the check the new rule A3 breaks (BrokenTest). Ruled out: a refusal by the leader as an outcome (a doubled datagram may be taken after it), and several under way of one copy (memory for each).

--- a/core/src/main/java/cedarrudder/agreement/Agreement.java
+++ b/core/src/main/java/cedarrudder/agreement/Agreement.java
@@ -6,11 +6,13 @@
 import cedarrudder.agreement.Message.AskVote;
 import cedarrudder.agreement.Message.Chunk;
 import cedarrudder.agreement.Message.Digest;
+import cedarrudder.agreement.Message.Hand;
 import cedarrudder.agreement.Message.Lack;
 import cedarrudder.agreement.Message.Lead;
 import cedarrudder.agreement.Message.News;
 import cedarrudder.agreement.Message.SayAppend;
 import cedarrudder.agreement.Message.SayVote;
+import cedarrudder.agreement.Message.Took;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.random.RandomGenerator;
@@ -31,8 +33,13 @@
     public static final int MOST_CONTENT = 32_768;
     /** The largest state of a copy, in bytes. */
     public static final int MOST_STATE = 262_144;
+    /** The largest content of a proposal that is handed on, in bytes. */
+    public static final int MOST_HANDED = 4_096;
+    static final int MOST_SNAPSHOT = MOST_STATE + Proposers.MOST_BYTES;
     /** Entries that a leader holds without knowing that they are committed. */
     private static final int MOST_OPEN = 32;
+    /** How many of them others may have handed on, one each. */
+    private static final int MOST_OPEN_HANDED = 16;
     /** Voters without which nothing is taken: a group that is just formed waits for others. */
     private static final int LEAST_VOTERS = 3;
 
@@ -53,6 +60,13 @@
         /** This state takes the place of all that was loaded. */
         void restored(LogNumber number, byte[] state);
 
+        /**
+         * What became of a proposal that was handed on here, said once; it comes after {@link #loaded}.
+         *
+         * @param number the one that it was loaded under, where it is committed; otherwise null
+         */
+        void settled(Proposal proposal, Outcome outcome, LogNumber number);
+
         /** Something that others may want to know. */
         void noted(Note note);
     }
@@ -75,10 +89,13 @@
     private final Election election;
     private final Spreading spreading;
     private final Seats seats;
+    private final Proposing proposing;
+    private final Allowance handed;
     private final List<Out> out = new ArrayList<>();
     private Voter self;
     private Group group = Group.NONE;
     private Replication replication;
+    private Proposers proposers = new Proposers();
     private long applied;
     private long waitsFrom;
     private long wait;
@@ -93,8 +110,8 @@
      * @param zones the zone of each copy of the tier, from 1 to 65,535 copies
      * @param self the number of this one
      * @param life larger than that of any earlier life of this one, such as the time of its start in
-     * milliseconds; where it is not, the others say so and it takes the next one; of no use where the store
-     * remembers
+     * milliseconds; where it is not, the others say so and it takes the next one; where the store
+     * remembers, only proposals go by it
      * @throws IllegalArgumentException if a figure is outside its range
      */
     public Agreement(int[] zones, int self, long life, AgreementSettings settings, Store store,
@@ -120,6 +137,8 @@
         this.election = new Election(circle, settings, conduct, random, now);
         this.spreading = new Spreading(circle, settings, tier, random, allowance, now);
         this.seats = new Seats(circle, settings, tier, random);
+        this.proposing = new Proposing(circle, outlet, life, random.nextInt() & Integer.MAX_VALUE);
+        this.handed = new Allowance(settings.bytesPerSecond(), now);
         waitAnew(now);
         Store.Kept kept = store.kept();
         if (kept != null) {
@@ -128,7 +147,12 @@
             election.remember(kept.promise());
             log.remember(kept.snapshot(), kept.entries());
             applied = log.committed();
-            outlet.restored(new LogNumber(group, applied), kept.snapshot().state());
+            Proposers.Parts parts = Proposers.decode(kept.snapshot().state());
+            if (parts == null) {
+                throw new IllegalArgumentException("store: its snapshot is none");
+            }
+            proposers = parts.proposers();
+            outlet.restored(new LogNumber(group, applied), parts.state());
         }
     }
 
@@ -161,6 +185,16 @@
             return election.term();
         }
 
+        @Override
+        public int leader() {
+            return Agreement.this.leader();
+        }
+
+        @Override
+        public boolean takes(long now, Proposal proposal) {
+            return Agreement.this.takes(now, proposal);
+        }
+
         @Override
         public void promised() {
             promised = true;
@@ -195,7 +229,8 @@
 
     /** The copy that leads, as far as this one knows; -1 where it knows of none. */
     public int leader() {
-        return election.leader();
+        return election.leader() >= 0 || spreading.beatTerm() < election.term() ? election.leader()
+                : spreading.leader();
     }
 
     public long term() {
@@ -227,7 +262,7 @@
         if (settings.silence() > 0 && !election.leads()) {
             due = Math.min(due, formsAt());
         }
-        return due;
+        return Math.min(due, proposing.due());
     }
 
     /** Does what is due. */
@@ -252,7 +287,7 @@
                 formNext(now);
             }
         }
-        flush();
+        end(now);
     }
 
     /**
@@ -263,7 +298,7 @@
      */
     public boolean form(long now) {
         boolean formed = formNext(now);
-        flush();
+        end(now);
         return formed;
     }
 
@@ -299,10 +334,70 @@
             append(now, new Entry(election.term(), Kind.CONTENT, content.clone()));
             number = new LogNumber(group, log.last());
         }
-        flush();
+        end(now);
         return number;
     }
 
+    /**
+     * Has something agreed on, whoever leads. Those of one copy go one after another, in their order.
+     *
+     * @param patience after which its outcome is said, whatever is known by then, in nanoseconds
+     * @return what {@link Outlet#settled} will name; null where too many wait here, so that it is not taken
+     * @throws IllegalArgumentException if the content is larger than {@link #MOST_HANDED}
+     */
+    public Proposal hand(long now, byte[] content, long patience) {
+        if (content.length > MOST_HANDED) {
+            throw new IllegalArgumentException("content: found " + content.length + " bytes; allowed: up to "
+                    + MOST_HANDED);
+        }
+        Proposal made = proposing.make(now, loaded(), content, patience);
+        end(now);
+        return made;
+    }
+
+    /**
+     * Hands on again what {@link #hand} made in this process and what became of which is unknown: where it
+     * took effect, it does not do so again. Where a later one of this copy took effect since, it stays
+     * unknown.
+     *
+     * @return false where too many wait here, or it does
+     */
+    public boolean again(long now, Proposal proposal, long patience) {
+        boolean taken = proposing.again(now, proposal, patience);
+        end(now);
+        return taken;
+    }
+
+    /**
+     * Takes what a copy hands on, as the one that leads; false where it can't now. What others can make it
+     * hold is bounded: one of each copy, and so many of all.
+     */
+    private boolean takes(long now, Proposal proposal) {
+        if (!election.leads() || log.voters().size() < LEAST_VOTERS) {
+            return false;
+        }
+        int open = 0;
+        for (long i = log.committed() + 1; i <= log.last(); i++) {
+            if (log.entry(i).kind() == Kind.HANDED) {
+                Proposal other = Proposal.decode(log.entry(i).bytes());
+                if (other.copy() == proposal.copy()) {
+                    return other.same(proposal);
+                }
+                open++;
+            }
+        }
+        if (!conduct.once(proposers.isNew(proposal))) {
+            return true;
+        }
+        byte[] bytes = proposal.encode();
+        if (open >= MOST_OPEN_HANDED || log.last() - log.committed() >= MOST_OPEN
+                || !handed.spend(now, bytes.length)) {
+            return false;
+        }
+        append(now, new Entry(election.term(), Kind.HANDED, bytes));
+        return true;
+    }
+
     /** Has another voter lead that has all entries, such as before this copy ends; false where none has. */
     public boolean transfer(long now) {
         lapse(now);
@@ -315,7 +410,7 @@
         if (to != null) {
             circle.post(to.copy(), new Lead());
         }
-        flush();
+        end(now);
         return to != null;
     }
 
@@ -352,7 +447,7 @@
                 malformed++;
             }
         }
-        flush();
+        end(now);
     }
 
     /** A leader that was away for long, or whom nobody answers, does nothing before it has stepped down. */
@@ -384,6 +479,8 @@
         pieces.clear();
         election.reset(now);
         spreading.reset(now);
+        proposing.reset();
+        proposers = new Proposers();
         waitAnew(now);
         replication = null;
         applied = 0;
@@ -435,10 +532,20 @@
             }
         } else if (message instanceof Chunk m) {
             Snapshot whole = spreading.took(now, from.copy(), m);
-            if (whole != null) {
+            if (whole != null && Proposers.decode(whole.state()) != null) {
                 install(now, whole);
                 spreading.learned(now, 0);
+            } else if (whole != null) {
+                malformed++;
+            }
+        } else if (message instanceof Hand m) {
+            if (m.proposal().copy() != from.copy()) {
+                notItsSender++;
+            } else if (takes(now, m.proposal())) {
+                circle.post(from.copy(), new Took(m.proposal().life(), m.proposal().sequence()));
             }
+        } else if (message instanceof Took m) {
+            proposing.heard(now, from.copy(), m);
         } else if (message instanceof Lack m) {
             for (byte[] piece : pieces.again(from.copy(), m)) {
                 if (allowance.spend(now, piece.length)) {
@@ -516,6 +623,8 @@
             Entry entry = log.entry(++applied);
             if (entry.kind() == Kind.CONTENT) {
                 outlet.loaded(new LogNumber(group, applied), entry.bytes());
+            } else if (entry.kind() == Kind.HANDED) {
+                takesEffect(new LogNumber(group, applied), Proposal.decode(entry.bytes()));
             } else if (entry.kind() == Kind.VOTERS) {
                 seated(applied, Voters.decode(entry.bytes()));
             }
@@ -526,20 +635,31 @@
         spreading.learned(now, from);
     }
 
+    /** Once, whatever leaders took into the log. */
+    private void takesEffect(LogNumber number, Proposal proposal) {
+        if (conduct.once(proposers.isNew(proposal))) {
+            proposers.took(proposal, number);
+            outlet.loaded(number, proposal.content());
+        }
+        proposing.loaded(proposers.last(self.copy()));
+    }
+
     private byte[] state() {
         byte[] state = outlet.state();
         if (state.length > MOST_STATE) {
             throw new IllegalStateException("state: found " + state.length + " bytes; allowed: up to "
                     + MOST_STATE);
         }
-        return state;
+        return proposers.with(state);
     }
 
     private void install(long now, Snapshot snapshot) {
         log.install(snapshot);
         applied = log.committed();
         sync();
-        outlet.restored(new LogNumber(group, applied), snapshot.state());
+        Proposers.Parts parts = Proposers.decode(snapshot.state());
+        proposers = parts.proposers();
+        outlet.restored(new LogNumber(group, applied), parts.state());
         seated(applied, snapshot.voters());
         election.follow(now, Math.max(election.term(), snapshot.term()));
     }
@@ -563,7 +683,9 @@
         store.sync();
     }
 
-    private void flush() {
+    private void end(long now) {
+        proposing.loaded(proposers.last(self.copy()));
+        proposing.tick(now);
         if (promised) {
             sync();
         }
--- a/core/src/main/java/cedarrudder/agreement/Circle.java
+++ b/core/src/main/java/cedarrudder/agreement/Circle.java
@@ -18,6 +18,12 @@
 
     long term();
 
+    /** The copy that leads, as far as this one knows; -1 where it knows of none. */
+    int leader();
+
+    /** Takes a proposal where this copy leads; false where it can't now. */
+    boolean takes(long now, Proposal proposal);
+
     /** What was promised has changed. */
     void promised();
 
--- a/core/src/main/java/cedarrudder/agreement/Conduct.java
+++ b/core/src/main/java/cedarrudder/agreement/Conduct.java
@@ -35,6 +35,11 @@
         return new Group(known.era() + 1, founder.copy(), founder.life());
     }
 
+    /** Whether a proposal that was handed on takes effect: only the first time. */
+    boolean once(boolean isNew) {
+        return isNew;
+    }
+
     /** Whether a piece belongs to the message of which another piece is held. */
     boolean same(Piece held, Piece other) {
         return held.message() == other.message() && held.life() == other.life()
--- a/core/src/main/java/cedarrudder/agreement/Entry.java
+++ b/core/src/main/java/cedarrudder/agreement/Entry.java
@@ -14,7 +14,14 @@
         BEGIN,
         /** What the copies agree on; its bytes are their own affair. */
         CONTENT,
+        /** The same, as a proposal that was handed on: it takes effect once. */
+        HANDED,
         /** Those who vote from here on. */
         VOTERS
     }
+
+    /** What is loaded of it, if it is loaded. */
+    public byte[] content() {
+        return kind == Kind.HANDED ? Proposal.decode(bytes).content() : bytes;
+    }
 }
--- a/core/src/main/java/cedarrudder/agreement/Message.java
+++ b/core/src/main/java/cedarrudder/agreement/Message.java
@@ -37,9 +37,11 @@
      *
      * @param beatTerm the term of the newest sign of a leader that it heard of
      * @param beat the number of that sign
+     * @param leader the copy that it is of
      * @param yourLife the largest life that it knows of the one it tells
      */
-    record Digest(long committed, long beatTerm, long beat, long yourLife) implements Message { }
+    record Digest(long committed, long beatTerm, long beat, int leader, long yourLife)
+            implements Message { }
 
     /**
      * Asks for committed entries.
@@ -63,6 +65,12 @@
     /** Pieces of a message have not come; a bit each. */
     record Lack(int message, byte[] missing) implements Message { }
 
+    /** Hands a proposal to the one that leads. */
+    record Hand(Proposal proposal) implements Message { }
+
+    /** The leader has it, or it took effect, or one after it did. */
+    record Took(long life, long sequence) implements Message { }
+
     default byte[] encode() {
         ByteBuffer out = ByteBuffer.allocate(MOST_FIXED + variable());
         if (this instanceof AskVote m) {
@@ -77,7 +85,8 @@
         } else if (this instanceof Lead) {
             out.put((byte) 4);
         } else if (this instanceof Digest m) {
-            out.put((byte) 5).putLong(m.committed).putLong(m.beatTerm).putLong(m.beat).putLong(m.yourLife);
+            out.put((byte) 5).putLong(m.committed).putLong(m.beatTerm).putLong(m.beat)
+                    .putShort((short) m.leader).putLong(m.yourLife);
         } else if (this instanceof Ask m) {
             out.put((byte) 6).putLong(m.after).putLong(m.snapshot).putInt(m.offset);
         } else if (this instanceof News m) {
@@ -89,6 +98,10 @@
                     .putInt(m.sum).putInt(m.total).putInt(m.offset).put(m.bytes);
         } else if (this instanceof Lack m) {
             out.put((byte) 9).putInt(m.message).put(m.missing);
+        } else if (this instanceof Hand m) {
+            out.put((byte) 10).put(m.proposal.encode());
+        } else if (this instanceof Took m) {
+            out.put((byte) 11).putLong(m.life).putLong(m.sequence);
         }
         byte[] bytes = new byte[out.position()];
         out.flip().get(bytes);
@@ -109,12 +122,15 @@
                 }
                 case 3 -> new SayAppend(in.get() != 0, in.getLong());
                 case 4 -> new Lead();
-                case 5 -> new Digest(in.getLong(), in.getLong(), in.getLong(), in.getLong());
+                case 5 -> new Digest(in.getLong(), in.getLong(), in.getLong(), in.getShort() & 0xffff,
+                        in.getLong());
                 case 6 -> new Ask(in.getLong(), in.getLong(), in.getInt());
                 case 7 -> new News(in.getLong(), entries(in));
                 case 8 -> new Chunk(in.getLong(), in.getLong(), Voters.decode(take(in, in.get() & 0xff)),
                         in.getInt(), in.getInt(), in.getInt(), take(in, in.remaining()));
                 case 9 -> new Lack(in.getInt(), take(in, in.remaining()));
+                case 10 -> new Hand(Proposal.decode(take(in, in.remaining())));
+                case 11 -> new Took(in.getLong(), in.getLong());
                 default -> null;
             };
             return read != null && !in.hasRemaining() && read.plausible() ? read : null;
@@ -131,7 +147,8 @@
         } else if (this instanceof Chunk m) {
             return m.bytes.length;
         }
-        return this instanceof Lack m ? m.missing.length : 0;
+        return this instanceof Lack m ? m.missing.length
+                : this instanceof Hand m ? m.proposal.content().length : 0;
     }
 
     private boolean plausible() {
@@ -148,8 +165,10 @@
         } else if (this instanceof News m) {
             return m.entries != null && m.after >= 0 && m.after < Long.MAX_VALUE >> 1;
         } else if (this instanceof Chunk m) {
-            return m.voters != null && m.index > 0 && m.total >= 0 && m.total <= Agreement.MOST_STATE
+            return m.voters != null && m.index > 0 && m.total >= 0 && m.total <= Agreement.MOST_SNAPSHOT
                     && m.offset >= 0 && m.offset <= m.total && m.bytes.length <= m.total - m.offset;
+        } else if (this instanceof Hand m) {
+            return m.proposal != null;
         }
         return true;
     }
@@ -187,7 +206,8 @@
             int kind = in.get();
             byte[] bytes = take(in, in.getShort() & 0xffff);
             if (term <= 0 || kind < 0 || kind >= Kind.values().length
-                    || kind == Kind.VOTERS.ordinal() && Voters.decode(bytes) == null) {
+                    || kind == Kind.VOTERS.ordinal() && Voters.decode(bytes) == null
+                    || kind == Kind.HANDED.ordinal() && Proposal.decode(bytes) == null) {
                 return null;
             }
             entries.add(new Entry(term, Kind.values()[kind], bytes));
--- /dev/null
+++ b/core/src/main/java/cedarrudder/agreement/Proposal.java
@@ -0,0 +1,58 @@
+package cedarrudder.agreement;
+
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+
+/**
+ * Something that a copy wants to have agreed on, whoever leads. Its identity is copy, life and sequence:
+ * it takes effect at most once, however often it is handed on.
+ *
+ * @param copy the one that proposes
+ * @param life of that one's process
+ * @param sequence rises in that life
+ * @param after what that one had loaded before it handed it on
+ * @param content not to be changed
+ */
+public record Proposal(int copy, long life, long sequence, LogNumber after, byte[] content) {
+
+    static final int NUMBER_BYTES = 22;
+    private static final int U16 = 0xffff;
+
+    boolean same(Proposal other) {
+        return copy == other.copy && life == other.life && sequence == other.sequence;
+    }
+
+    byte[] encode() {
+        ByteBuffer out = ByteBuffer.allocate(18 + NUMBER_BYTES + content.length);
+        out.putShort((short) copy).putLong(life).putLong(sequence);
+        put(out, after);
+        return out.put(content).array();
+    }
+
+    /** Reads one; null where the bytes are none. */
+    static Proposal decode(byte[] bytes) {
+        ByteBuffer in = ByteBuffer.wrap(bytes);
+        try {
+            int copy = in.getShort() & U16;
+            long life = in.getLong();
+            long sequence = in.getLong();
+            LogNumber after = number(in);
+            byte[] content = new byte[in.remaining()];
+            in.get(content);
+            return life < 1 || content.length > Agreement.MOST_HANDED ? null
+                    : new Proposal(copy, life, sequence, after, content);
+        } catch (BufferUnderflowException e) {
+            return null;
+        }
+    }
+
+    static void put(ByteBuffer out, LogNumber number) {
+        Group group = number.group();
+        out.putInt(group.era()).putShort((short) group.founder()).putLong(group.life())
+                .putLong(number.index());
+    }
+
+    static LogNumber number(ByteBuffer in) {
+        return new LogNumber(new Group(in.getInt(), in.getShort() & U16, in.getLong()), in.getLong());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/agreement/Proposers.java
@@ -0,0 +1,87 @@
+package cedarrudder.agreement;
+
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * What each copy's last proposal was that took effect: part of what copies agree on, and the same at all that
+ * loaded the same. A copy hands on one after another, so that the last one tells of all before it. It
+ * remembers {@value #MOST} copies; of one that it forgot, it takes only what was made after it forgot.
+ */
+final class Proposers {
+
+    static final int MOST = 512;
+    /** What it takes in a snapshot at most. */
+    static final int MOST_BYTES = 2 + Proposal.NUMBER_BYTES + MOST * (18 + Proposal.NUMBER_BYTES);
+
+    /**
+     * One that took effect.
+     *
+     * @param number under which it did
+     */
+    record Last(long life, long sequence, LogNumber number) { }
+
+    /** What a snapshot holds: these, and the state of the copy. */
+    record Parts(Proposers proposers, byte[] state) { }
+
+    /** Those whose last one is oldest come first. */
+    private final Map<Integer, Last> lasts = new LinkedHashMap<>();
+    private LogNumber forgotten = new LogNumber(Group.NONE, 0);
+
+    /** The last one of a copy that took effect; null where none did or it was forgotten. */
+    Last last(int copy) {
+        return lasts.get(copy);
+    }
+
+    /** Whether it has not taken effect, and none has that came after it. */
+    boolean isNew(Proposal proposal) {
+        Last last = lasts.get(proposal.copy());
+        return last == null ? proposal.after().compareTo(forgotten) >= 0 : proposal.life() > last.life
+                || proposal.life() == last.life && proposal.sequence() > last.sequence;
+    }
+
+    /** It takes effect. */
+    void took(Proposal proposal, LogNumber number) {
+        lasts.remove(proposal.copy());
+        lasts.put(proposal.copy(), new Last(proposal.life(), proposal.sequence(), number));
+        if (lasts.size() > MOST) {
+            forgotten = lasts.remove(lasts.keySet().iterator().next()).number;
+        }
+    }
+
+    /** With the state of the copy, as a snapshot holds it. */
+    byte[] with(byte[] state) {
+        ByteBuffer out = ByteBuffer.allocate(2 + Proposal.NUMBER_BYTES
+                + lasts.size() * (18 + Proposal.NUMBER_BYTES) + state.length);
+        out.putShort((short) lasts.size());
+        Proposal.put(out, forgotten);
+        lasts.forEach((copy, last) -> {
+            out.putShort(copy.shortValue()).putLong(last.life).putLong(last.sequence);
+            Proposal.put(out, last.number);
+        });
+        return out.put(state).array();
+    }
+
+    /** Reads what a snapshot holds; null where the bytes are none. */
+    static Parts decode(byte[] bytes) {
+        ByteBuffer in = ByteBuffer.wrap(bytes);
+        Proposers read = new Proposers();
+        try {
+            int count = bytes.length == 0 ? 0 : in.getShort() & 0xffff;
+            if (bytes.length > 0) {
+                read.forgotten = Proposal.number(in);
+            }
+            for (int i = 0; i < count; i++) {
+                int copy = in.getShort() & 0xffff;
+                read.lasts.put(copy, new Last(in.getLong(), in.getLong(), Proposal.number(in)));
+            }
+            byte[] state = new byte[in.remaining()];
+            in.get(state);
+            return count > MOST || state.length > Agreement.MOST_STATE ? null : new Parts(read, state);
+        } catch (BufferUnderflowException e) {
+            return null;
+        }
+    }
+}
--- a/core/src/main/java/cedarrudder/agreement/Spreading.java
+++ b/core/src/main/java/cedarrudder/agreement/Spreading.java
@@ -37,6 +37,7 @@
     private long beatTerm;
     private long beat;
     private long beatAt;
+    private int leader = -1;
 
     Spreading(Circle circle, AgreementSettings settings, Tier tier, RandomGenerator random,
             Allowance allowance, long now) {
@@ -58,6 +59,16 @@
         beatTerm = 0;
         beat = 0;
         beatAt = now;
+        leader = -1;
+    }
+
+    /** Which copy the newest sign of a leader was of; -1 where there was none. */
+    int leader() {
+        return leader;
+    }
+
+    long beatTerm() {
+        return beatTerm;
     }
 
     /** When it last heard that a leader leads. */
@@ -70,6 +81,7 @@
         beatTerm = circle.term();
         beat++;
         beatAt = now;
+        leader = circle.self().copy();
     }
 
     long due() {
@@ -85,7 +97,8 @@
 
     private void tell(int to) {
         if (to >= 0) {
-            circle.post(to, new Digest(circle.log().committed(), beatTerm, beat, tier.life(to)));
+            circle.post(to, new Digest(circle.log().committed(), beatTerm, beat, Math.max(0, leader),
+                    tier.life(to)));
         }
     }
 
@@ -136,6 +149,7 @@
             beatTerm = digest.beatTerm();
             beat = digest.beat();
             beatAt = now;
+            leader = digest.leader() < tier.copies() ? digest.leader() : -1;
         }
         Log log = circle.log();
         if (digest.committed() > log.committed()) {
--- a/core/src/test/java/cedarrudder/agreement/PiecesTest.java
+++ b/core/src/test/java/cedarrudder/agreement/PiecesTest.java
@@ -160,6 +160,9 @@
                     @Override
                     public void restored(LogNumber number, byte[] state) { }
 
+                    @Override
+                    public void settled(Proposal proposal, Outcome outcome, LogNumber number) { }
+
                     @Override
                     public void noted(Note note) { }
                 }, 0);
@@ -182,11 +185,12 @@
         assertEquals(copy.counts().malformed(), 200_000);
         Message[] kinds = {new Message.AskVote(false, true, 4, 2), new Message.SayVote(false, true, 2),
             new Message.Append(2, 2, 1, List.of(new Entry(3, Entry.Kind.CONTENT, new byte[20]))),
-            new Message.SayAppend(true, 2), new Message.Lead(), new Message.Digest(3, 2, 1, 4),
+            new Message.SayAppend(true, 2), new Message.Lead(), new Message.Digest(3, 2, 1, 1, 4),
             new Message.Ask(0, 0, 0), new Message.News(1, List.of(new Entry(2, Entry.Kind.BEGIN,
                     new byte[0]))),
             new Message.Chunk(9, 2, new Voters(List.of(SENDER)), 1, 900, 0, new byte[100]),
-            new Message.Lack(3, new byte[] {7})};
+            new Message.Lack(3, new byte[] {7}), new Message.Took(1, 2), new Message.Hand(
+                    new Proposal(1, 9, 1, new LogNumber(GROUP, 1), new byte[20]))};
         for (int i = 0; i < 200_000; i++) {
             byte[] body = kinds[i % kinds.length].encode();
             for (int wrong = random.nextInt(3); wrong >= 0; wrong--) {
--- a/lab/src/main/java/cedarrudder/lab/agreement/Copies.java
+++ b/lab/src/main/java/cedarrudder/lab/agreement/Copies.java
@@ -6,6 +6,8 @@
 import cedarrudder.agreement.Group;
 import cedarrudder.agreement.LogNumber;
 import cedarrudder.agreement.Note;
+import cedarrudder.agreement.Outcome;
+import cedarrudder.agreement.Proposal;
 import cedarrudder.agreement.Store;
 import cedarrudder.agreement.Voter;
 import cedarrudder.agreement.Voters;
@@ -49,6 +51,13 @@
      */
     public record Network(double loss, double doubled, double corrupt, long leastDelay, long mostDelay) { }
 
+    /**
+     * What a copy was told of a proposal of its own.
+     *
+     * @param number null where it is not committed
+     */
+    public record Settled(long at, Proposal proposal, Outcome outcome, LogNumber number) { }
+
     /** What makes a copy's part, so that a broken one can be put in its place. */
     public interface Maker {
         Agreement make(int[] zones, int self, long life, AgreementSettings settings, Store store,
@@ -69,6 +78,7 @@
         long process;
         long stalledUntil;
         long ticksAt = Long.MAX_VALUE;
+        final List<Settled> settled = new ArrayList<>();
         long sum;
         long messages;
         long bytes;
@@ -89,6 +99,7 @@
             store = on;
             stalledUntil = 0;
             waiting.clear();
+            settled.clear();
             say("started", Map.of("kept", keeps ? "1" : "0"));
             agreement = maker.make(zones, number, life, settings, on, random.split(), this, own());
             ticksAt = Long.MAX_VALUE;
@@ -194,6 +205,20 @@
             }
         }
 
+        @Override
+        public void settled(Proposal proposal, Outcome outcome, LogNumber at) {
+            settled.add(new Settled(now, proposal, outcome, at));
+            if (listener != null) {
+                Map<String, String> fields = new HashMap<>(Map.of("proposal", text(proposal), "sum",
+                        Integer.toHexString(checksum(proposal.content())), "outcome", outcome.name()));
+                if (at != null) {
+                    fields.put("group", text(at.group()));
+                    fields.put("index", Long.toString(at.index()));
+                }
+                say("settled", fields);
+            }
+        }
+
         @Override
         public void noted(Note note) {
             if (note instanceof Note.Leads) {
@@ -212,7 +237,7 @@
             } else if (note instanceof Note.Stored n) {
                 Map<String, String> fields = new HashMap<>(Map.of("group", group, "index",
                         Long.toString(n.index()), "as", Long.toString(n.by().life()),
-                        "sum", Integer.toHexString(checksum(n.entry().bytes()))));
+                        "sum", Integer.toHexString(checksum(n.entry().content()))));
                 if (n.entry().kind() == Entry.Kind.VOTERS) {
                     fields.put("voters", text(Voters.decode(n.entry().bytes())));
                 }
@@ -285,6 +310,10 @@
                 g.founder(), g.life()));
     }
 
+    private static String text(Proposal proposal) {
+        return proposal.copy() + ":" + proposal.life() + ":" + proposal.sequence();
+    }
+
     private static String text(Voter voter) {
         return voter.copy() + ":" + voter.life();
     }
@@ -396,6 +425,26 @@
         return taken[0];
     }
 
+    /** Something is handed on by this copy to whoever leads; null where it doesn't run or too many wait. */
+    public Proposal hand(int number, byte[] content, long patience) {
+        Place place = places.get(number);
+        Proposal[] made = new Proposal[1];
+        place.run(place.process, () -> {
+            made[0] = place.agreement.hand(place.own(), content, patience);
+            if (made[0] != null) {
+                place.say("handed", Map.of("proposal", text(made[0]), "sum",
+                        Integer.toHexString(checksum(content))));
+            }
+        });
+        return made[0];
+    }
+
+    /** The same is handed on once more. */
+    public void again(int number, Proposal proposal, long patience) {
+        Place place = places.get(number);
+        place.run(place.process, () -> place.agreement.again(place.own(), proposal, patience));
+    }
+
     /** It hands over its lead. */
     public void transfer(int number) {
         Place place = places.get(number);
@@ -418,6 +467,11 @@
         return places.get(number).agreement != null;
     }
 
+    /** Whether it runs and does not stand still. */
+    public boolean awake(int number) {
+        return runs(number) && now >= places.get(number).stalledUntil;
+    }
+
     /** A copy's part; null where it doesn't run. */
     public Agreement view(int number) {
         return places.get(number).agreement;
@@ -453,6 +507,11 @@
         return leadsSince;
     }
 
+    /** What a copy was told of its proposals since it started, in order. */
+    public List<Settled> settled(int number) {
+        return List.copyOf(places.get(number).settled);
+    }
+
     /** All datagrams that were sent. */
     public long messages() {
         return places.stream().mapToLong(place -> place.messages).sum();
--- a/lab/src/main/java/cedarrudder/lab/agreement/Storm.java
+++ b/lab/src/main/java/cedarrudder/lab/agreement/Storm.java
@@ -1,7 +1,9 @@
 package cedarrudder.lab.agreement;
 
 import cedarrudder.agreement.AgreementSettings;
+import cedarrudder.agreement.Outcome;
 import cedarrudder.lab.judge.Breach;
+import cedarrudder.lab.judge.OneEffect;
 import cedarrudder.lab.judge.OneLeader;
 import cedarrudder.lab.judge.OneTable;
 import cedarrudder.lab.judge.Rule;
@@ -28,10 +30,12 @@
      *
      * @param loaded how often a copy loaded something
      * @param leaders how often a copy began to lead
+     * @param answered how often a copy was told what became of something that it had handed on
      * @param settled how long after the last fault all copies held the same, in nanoseconds; -1 where they
      * did not
      */
-    public record Result(long seed, List<Breach> breaches, long loaded, long leaders, long settled) { }
+    public record Result(long seed, List<Breach> breaches, long loaded, long leaders, long answered,
+            long settled) { }
 
     private Storm() { }
 
@@ -45,12 +49,13 @@
                 3 + 2 * random.nextInt(3), 2_500 * MILLI, 400 * MILLI, 4, 16_384, 8,
                 random.nextBoolean() ? 4 * SECOND : 0);
         Copies.Network network = new Copies.Network(loss, 0.02, 0.01, 2 * MILLI, 21 * MILLI);
-        List<Rule> rules = List.of(new OneTable(), new OneLeader());
-        long[] counts = new long[2];
+        List<Rule> rules = List.of(new OneTable(), new OneLeader(), new OneEffect());
+        long[] counts = new long[3];
         Copies copies = new Copies(size, network, settings, disks, 600, random.nextLong(), maker, event -> {
             rules.forEach(rule -> rule.took(event));
             counts[0] += event.what().equals("loaded") ? 1 : 0;
             counts[1] += event.what().equals("leads") ? 1 : 0;
+            counts[2] += event.what().equals("settled") ? 1 : 0;
         });
         copies.form(random.nextInt(size));
         copies.play(3 * SECOND);
@@ -58,6 +63,7 @@
             fault(copies, random);
             for (int i = random.nextInt(4); i > 0; i--) {
                 propose(copies, random);
+                hand(copies, random);
                 copies.play(random.nextLong(200 * MILLI));
             }
             copies.play(random.nextLong(1_500 * MILLI));
@@ -68,7 +74,7 @@
             rule.ended(copies.now());
             breaches.addAll(rule.breaches());
         });
-        return new Result(seed, breaches, counts[0], counts[1], settled);
+        return new Result(seed, breaches, counts[0], counts[1], counts[2], settled);
     }
 
     private static void fault(Copies copies, SplittableRandom random) {
@@ -138,6 +144,24 @@
         }
     }
 
+    /** Any copy hands something on, or again what it does not know the fate of. */
+    private static void hand(Copies copies, SplittableRandom random) {
+        for (int i = 0; i < copies.size(); i++) {
+            if (random.nextInt(4) != 0 || !copies.awake(i)) {
+                continue;
+            }
+            List<Copies.Settled> settled = copies.settled(i);
+            long patience = 500 * MILLI + random.nextLong(6 * SECOND);
+            if (!settled.isEmpty() && settled.get(settled.size() - 1).outcome() == Outcome.UNKNOWN) {
+                copies.again(i, settled.get(settled.size() - 1).proposal(), patience);
+            } else {
+                byte[] content = new byte[8 + (random.nextInt(8) == 0 ? 2_000 : random.nextInt(200))];
+                random.nextBytes(content);
+                copies.hand(i, content, patience);
+            }
+        }
+    }
+
     /** No more faults; where nobody leads for long, an operator has a group formed. */
     private static long settle(Copies copies, SplittableRandom random, Copies.Network network) {
         copies.heal();
--- a/lab/src/main/java/cedarrudder/lab/command/AgreementCommand.java
+++ b/lab/src/main/java/cedarrudder/lab/command/AgreementCommand.java
@@ -71,12 +71,14 @@
     private static boolean storms(long[] range, PrintWriter out) {
         long loaded = 0;
         long leaders = 0;
+        long answered = 0;
         int unsettled = 0;
         int broken = 0;
         for (long seed = range[0]; seed <= range[1]; seed++) {
             Storm.Result result = Storm.play(seed, Agreement::new);
             loaded += result.loaded();
             leaders += result.leaders();
+            answered += result.answered();
             if (result.settled() < 0) {
                 out.println("seed " + seed + ": copies did not come to hold the same");
                 unsettled++;
@@ -87,7 +89,7 @@
             }
         }
         out.println((range[1] - range[0] + 1) + " seeds, " + leaders + " leaders, " + loaded
-                + " times loaded; broken " + broken + ", not settled " + unsettled);
+                + " times loaded, " + answered + " proposals answered; broken " + broken + ", not settled " + unsettled);
         return broken + unsettled == 0;
     }
 
--- a/lab/src/test/java/cedarrudder/agreement/BrokenTest.java
+++ b/lab/src/test/java/cedarrudder/agreement/BrokenTest.java
@@ -57,6 +57,18 @@
         assertTrue(rules.contains("A2"), rules.toString());
     }
 
+    /** What is handed on again, since the leader's answer was lost, would count twice. */
+    @Test
+    public void aProposalHandedOnTwiceTakesEffectTwice() {
+        Set<String> rules = broken(new Conduct() {
+            @Override
+            boolean once(boolean isNew) {
+                return true;
+            }
+        }, 100);
+        assertTrue(rules.contains("A3"), rules.toString());
+    }
+
     /**
      * The plain paper without a disk: the copy says that it is who it was, and remembers no vote and no
      * entry.
@@ -83,7 +95,7 @@
             @Override
             public Kept kept() {
                 return new Kept(new Promise(group, voter.life(), 1, null, true),
-                        new Snapshot(1, 1, voters, new byte[8]), List.of());
+                        new Snapshot(1, 1, voters, new Proposers().with(new byte[8])), List.of());
             }
 
             @Override
--- a/lab/src/test/java/cedarrudder/lab/agreement/CopiesTest.java
+++ b/lab/src/test/java/cedarrudder/lab/agreement/CopiesTest.java
@@ -10,6 +10,8 @@
 import cedarrudder.agreement.Agreement;
 import cedarrudder.agreement.AgreementSettings;
 import cedarrudder.agreement.LogNumber;
+import cedarrudder.agreement.Outcome;
+import cedarrudder.agreement.Proposal;
 import cedarrudder.agreement.Store;
 import cedarrudder.agreement.Voter;
 import cedarrudder.lab.judge.Event;
@@ -189,6 +191,86 @@
         commit(copies);
     }
 
+    /** What copies that don't lead hand on is committed, one after another, and said once each. */
+    @Test
+    public void anyCopyProposesAndIsToldOnce() {
+        Copies copies = started(40, SETTINGS, 8);
+        copies.network(new Copies.Network(0.3, 0.05, 0.01, 2 * MILLI, 21 * MILLI));
+        for (int copy = 0; copy < 40; copy++) {
+            for (int i = 0; i < 3; i++) {
+                assertNotNull(copies.hand(copy, new byte[] {(byte) copy, (byte) i}, 30 * SECOND));
+            }
+        }
+        copies.play(30 * SECOND);
+        for (int copy = 0; copy < 40; copy++) {
+            List<Copies.Settled> settled = copies.settled(copy);
+            assertEquals(settled.stream().map(Copies.Settled::outcome).toList(), List.of(Outcome.COMMITTED,
+                    Outcome.COMMITTED, Outcome.COMMITTED), "copy " + copy);
+            for (int i = 0; i < 3; i++) {
+                assertEquals(settled.get(i).proposal().content()[1], i);
+                assertTrue(i == 0 || settled.get(i).number().compareTo(settled.get(i - 1).number()) > 0);
+            }
+        }
+    }
+
+    /** The leader has it and is lost before the word of it is out: asked of the next one, it counts once. */
+    @Test
+    public void aProposalOutlivesItsLeader() {
+        for (long wait = 2; wait < 90; wait += 4) {
+            Copies copies = started(7, SETTINGS, 8);
+            int leader = copies.leader();
+            int by = (leader + 1) % 7;
+            copies.hand(by, new byte[] {1}, 20 * SECOND);
+            copies.play(wait * MILLI);
+            copies.kill(leader);
+            copies.play(10 * SECOND);
+            assertEquals(copies.settled(by).size(), 1, "after " + wait + " ms");
+            assertEquals(copies.settled(by).get(0).outcome(), Outcome.COMMITTED);
+            assertTrue(copies.agree());
+        }
+    }
+
+    /** Without a leader: never handed on, so surely not taken; handed to one that is silent: unknown. */
+    @Test
+    public void whatIsNotKnownIsNotClaimed() {
+        Copies lone = new Copies(3, CALM, SETTINGS, false, 8, 7, Agreement::new, null);
+        lone.hand(0, new byte[1], 3 * SECOND);
+        lone.play(2_900 * MILLI);
+        assertEquals(lone.settled(0), List.of());
+        lone.play(200 * MILLI);
+        assertEquals(lone.settled(0).get(0).outcome(), Outcome.NOT_TAKEN);
+        Copies copies = started(7, SETTINGS, 8);
+        int by = (copies.leader() + 1) % 7;
+        for (int i = 0; i < 7; i++) {
+            copies.cut(i, by, true);
+        }
+        Proposal proposal = copies.hand(by, new byte[] {7}, 2 * SECOND);
+        copies.play(3 * SECOND);
+        assertEquals(copies.settled(by).get(0).outcome(), Outcome.UNKNOWN);
+        copies.heal();
+        copies.again(by, proposal, 5 * SECOND);
+        copies.play(5 * SECOND);
+        assertEquals(copies.settled(by).get(1).outcome(), Outcome.COMMITTED);
+    }
+
+    /** A copy of a former life of which no more is known: its numbers don't stand for those of the new one. */
+    @Test
+    public void aCopyThatComesBackWithAnEarlierLifeIsNotTakenForItsFormerSelf() {
+        Copies copies = started(7, SETTINGS, 8);
+        int by = (copies.leader() + 1) % 7;
+        copies.hand(by, new byte[] {1}, 5 * SECOND);
+        copies.play(3 * SECOND);
+        copies.kill(by);
+        copies.pretend(by, 1, Store.NONE);
+        copies.play(3 * SECOND);
+        copies.hand(by, new byte[] {2}, 5 * SECOND);
+        copies.play(3 * SECOND);
+        assertNotEquals(copies.settled(by).get(0).outcome(), Outcome.COMMITTED);
+        copies.hand(by, new byte[] {3}, 5 * SECOND);
+        copies.play(3 * SECOND);
+        assertEquals(copies.settled(by).get(1).outcome(), Outcome.COMMITTED);
+    }
+
     /**
      * Its clock went back, so that its life is smaller than the one before: it takes a larger one and is
      * heard.
