--- a/lab/src/main/java/cedarrudder/lab/command/AgreementCommand.java
+++ b/lab/src/main/java/cedarrudder/lab/command/AgreementCommand.java
@@ -89,7 +89,8 @@
             }
         }
         out.println((range[1] - range[0] + 1) + " seeds, " + leaders + " leaders, " + loaded
-                + " times loaded, " + answered + " proposals answered; broken " + broken + ", not settled " + unsettled);
+                + " times loaded, " + answered + " proposals answered; broken " + broken + ", not settled "
+                + unsettled);
         return broken + unsettled == 0;
     }
 
--- a/lab/src/test/java/cedarrudder/lab/agreement/CopiesTest.java
+++ b/lab/src/test/java/cedarrudder/lab/agreement/CopiesTest.java
@@ -253,7 +253,7 @@
         assertEquals(copies.settled(by).get(1).outcome(), Outcome.COMMITTED);
     }
 
-    /** A copy of a former life of which no more is known: its numbers don't stand for those of the new one. */
+    /** Its clock went back: what a former life proposed does not stand for what this one does. */
     @Test
     public void aCopyThatComesBackWithAnEarlierLifeIsNotTakenForItsFormerSelf() {
         Copies copies = started(7, SETTINGS, 8);
