--- /dev/null
+++ b/core/src/main/java/cedarrudder/drainage/Command.java
@@ -0,0 +1,239 @@
+package cedarrudder.drainage;
+
+import cedarrudder.drainage.Policy.AtEnd;
+import cedarrudder.drainage.Policy.Restarted;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What is committed of drains. Operators' calls and policies fit a datagram, as they may have to travel to
+ * the leader; steps are the leader's own.
+ */
+public sealed interface Command {
+
+    /** Nodes that one call of an operator's may name. */
+    int MOST_IDS = 13;
+    /** Commands that the leader has committed at once. */
+    int MOST_TOGETHER = 64;
+    /** Bytes of policies in one command. */
+    int PART = 110;
+    /** Changes in one step. */
+    int MOST_CHANGES = 512;
+    /** Groups of waiting nodes, and nodes with calls, that a step tells of. */
+    int MOST_TOLD = 16;
+
+    /**
+     * An operator's call.
+     *
+     * @param copy where it was made
+     * @param ticket rises with each of that copy; guards against one that comes late taking back a later one
+     * @param cancel whether the drains are to end; else they are to begin
+     * @param nodes at most {@link #MOST_IDS}
+     */
+    record Call(int copy, long ticket, boolean cancel, List<Long> nodes) implements Command { }
+
+    /** A part of the policies that are to count from here on, if none of a higher revision do. */
+    record Part(long revision, int sum, int index, int count, byte[] bytes) implements Command { }
+
+    /**
+     * What the leader has found.
+     *
+     * @param basis the version of the state that it looked at; where it is another by then, nothing changes
+     * @param clock the time that has passed with drains open, in milliseconds, as it reckons; it only rises
+     * @param pauses policies by their place that pause from here on, and those that go on
+     */
+    record Step(long basis, long clock, List<Pause> pauses, List<Change> changes, Told told)
+            implements Command { }
+
+    /** Others' commands, in their order; none of them is of this kind. */
+    record Batch(List<Command> commands) implements Command { }
+
+    /** A policy pauses, or goes on. */
+    record Pause(int policy, boolean on) { }
+
+    /**
+     * An event of one drain. What follows the slot counts where a wave begins; of a restart the start does.
+     *
+     * @param slot the drain's own number
+     * @param start of the node, as listed
+     * @param time how long it may take, in milliseconds
+     * @param policies that are for it, as bits
+     */
+    record Change(DrainEvent event, int slot, long start, long time, AtEnd atEnd, Restarted restarted,
+            int policies) {
+        static Change of(DrainEvent event, int slot) {
+            return new Change(event, slot, 0, 0, AtEnd.LET_GO, Restarted.BACK, 0);
+        }
+    }
+
+    /** What keeps a node waiting. */
+    enum Bound {
+        /** No policy is for it. */
+        NO_POLICY,
+        /** Some live copy has said nothing lately. */
+        REPORTS,
+        /** A window in which nothing begins. */
+        CLOSED,
+        /** A condition, or nodes that died. */
+        PAUSED,
+        /** Another wave is open, or this one is full. */
+        WAVE,
+        /** The last wave ended a short while ago. */
+        PACE,
+        /** Another pod or zone goes first. */
+        ORDER,
+        /** So many are out in its pod. */
+        POD,
+        /** In its zone. */
+        ZONE,
+        /** In its tier. */
+        TIER,
+        /** So few would be left in its pod. */
+        LEFT_POD,
+        /** In its zone. */
+        LEFT_ZONE,
+        /** In its tier. */
+        LEFT_TIER,
+        /** So little weight would be left in its tier. */
+        LEFT_WEIGHT
+    }
+
+    /** So many nodes wait for a bound of a policy; the policy is -1 where the bound is of none. */
+    record Wait(int policy, Bound bound, int nodes) { }
+
+    /** A node that leaves has so many calls of a copy; -1: that copy has not said yet. */
+    record Still(int slot, int copy, long calls) { }
+
+    /** What the leader knows that others don't, for operators. */
+    record Told(List<Wait> waits, List<Still> still) {
+        static final Told NOTHING = new Told(List.of(), List.of());
+    }
+
+    /** As bytes. */
+    default byte[] encode() {
+        Bytes.Writer out = new Bytes.Writer();
+        if (this instanceof Call call) {
+            out.put(0).put(call.copy).put(call.ticket).put(call.cancel ? 1 : 0).put(call.nodes.size());
+            call.nodes.forEach(out::put);
+        } else if (this instanceof Part part) {
+            out.put(1).put(part.revision).put(part.sum & 0xffffffffL).put(part.index).put(part.count)
+                    .put(part.bytes);
+        } else if (this instanceof Step step) {
+            out.put(2).put(step.basis).put(step.clock).put(step.pauses.size());
+            step.pauses.forEach(each -> out.put(each.policy).put(each.on ? 1 : 0));
+            out.put(step.changes.size());
+            for (Change each : step.changes) {
+                out.put(each.event).put(each.slot);
+                if (each.event == DrainEvent.BEGUN) {
+                    out.put(each.start).put(each.time).put(each.atEnd).put(each.restarted)
+                            .put(each.policies & 0xffffffffL);
+                } else if (each.event == DrainEvent.RESTARTED_OUT) {
+                    out.put(each.start);
+                }
+            }
+            write(out, step.told);
+        } else if (this instanceof Batch batch) {
+            out.put(3).put(batch.commands.size());
+            batch.commands.forEach(each -> out.put(each.encode()));
+        }
+        return out.bytes();
+    }
+
+    /** Reads a command; null where the bytes are none. It throws nothing. */
+    static Command decode(byte[] bytes) {
+        return decode(bytes, 3);
+    }
+
+    private static Command decode(byte[] bytes, int last) {
+        try {
+            Bytes.Reader in = new Bytes.Reader(bytes);
+            Command command = switch (in.small(last)) {
+                case 0 -> call(in);
+                case 1 -> part(in);
+                case 2 -> step(in);
+                default -> batch(in);
+            };
+            in.done();
+            return command;
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+
+    private static Batch batch(Bytes.Reader in) {
+        List<Command> commands = new ArrayList<>();
+        for (int left = in.count(MOST_TOGETHER); left > 0; left--) {
+            Command command = decode(in.block(Integer.MAX_VALUE), 2);
+            if (command == null) {
+                throw new IllegalArgumentException("a command in a batch that is none");
+            }
+            commands.add(command);
+        }
+        return new Batch(commands);
+    }
+
+    private static Call call(Bytes.Reader in) {
+        int copy = in.small(0xffff);
+        long ticket = in.whole(Long.MAX_VALUE);
+        boolean cancel = in.small(1) == 1;
+        List<Long> nodes = new ArrayList<>();
+        for (int left = in.count(MOST_IDS); left > 0; left--) {
+            nodes.add(in.whole(Agreed.MOST_NODE));
+        }
+        return new Call(copy, ticket, cancel, nodes);
+    }
+
+    private static Part part(Bytes.Reader in) {
+        long revision = in.whole(Long.MAX_VALUE);
+        int sum = (int) in.whole(0xffffffffL);
+        int index = in.small(PolicyCodec.MOST_BYTES / PART);
+        int count = in.small(PolicyCodec.MOST_BYTES / PART + 1);
+        if (index >= count) {
+            throw new IllegalArgumentException("part " + index + " of " + count);
+        }
+        return new Part(revision, sum, index, count, in.block(PART));
+    }
+
+    private static Step step(Bytes.Reader in) {
+        long basis = in.whole(Long.MAX_VALUE);
+        long clock = in.whole(Long.MAX_VALUE);
+        List<Pause> pauses = new ArrayList<>();
+        for (int left = in.count(Policy.MOST_POLICIES); left > 0; left--) {
+            pauses.add(new Pause(in.small(Policy.MOST_POLICIES - 1), in.small(1) == 1));
+        }
+        List<Change> changes = new ArrayList<>();
+        for (int left = in.count(MOST_CHANGES); left > 0; left--) {
+            DrainEvent event = in.choice(DrainEvent.values());
+            int slot = in.small(Integer.MAX_VALUE);
+            changes.add(event == DrainEvent.BEGUN ? new Change(event, slot, in.whole(Long.MAX_VALUE),
+                    in.whole(Policy.MOST_TIME), in.choice(AtEnd.values()), in.choice(Restarted.values()),
+                    (int) in.whole(0xffffffffL))
+                    : event == DrainEvent.RESTARTED_OUT ? new Change(event, slot, in.whole(Long.MAX_VALUE), 0,
+                    AtEnd.LET_GO, Restarted.BACK, 0) : Change.of(event, slot));
+        }
+        return new Step(basis, clock, pauses, changes, told(in));
+    }
+
+    /** Writes what the leader told of. */
+    static void write(Bytes.Writer out, Told told) {
+        out.put(told.waits.size());
+        told.waits.forEach(each -> out.put(each.policy + 1).put(each.bound).put(each.nodes));
+        out.put(told.still.size());
+        told.still.forEach(each -> out.put(each.slot).put(each.copy).put(each.calls + 1));
+    }
+
+    /** Reads what {@link #write} wrote. */
+    static Told told(Bytes.Reader in) {
+        List<Wait> waits = new ArrayList<>();
+        for (int left = in.count(MOST_TOLD); left > 0; left--) {
+            waits.add(new Wait(in.small(Policy.MOST_POLICIES) - 1, in.choice(Bound.values()),
+                    in.small(Policy.MOST_NODES)));
+        }
+        List<Still> still = new ArrayList<>();
+        for (int left = in.count(MOST_TOLD); left > 0; left--) {
+            still.add(new Still(in.small(Integer.MAX_VALUE), in.small(0xffff),
+                    in.whole(Integer.MAX_VALUE) - 1));
+        }
+        return new Told(List.copyOf(waits), List.copyOf(still));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/drainage/Conditions.java
@@ -0,0 +1,39 @@
+package cedarrudder.drainage;
+
+/** Reads conditions, in whatever language they are written. */
+public interface Conditions {
+
+    /** What is asked of the figures that copies share. */
+    interface OfFigures {
+        /**
+         * Whether it holds.
+         *
+         * @throws RuntimeException where it can't be told; that counts as a reason to pause
+         */
+        boolean holds(Figures figures);
+    }
+
+    /** What is asked of a node. */
+    interface OfNode {
+        /**
+         * Whether it holds.
+         *
+         * @throws RuntimeException where it can't be told; the policy then counts for the node, and pauses
+         */
+        boolean holds(Node node);
+    }
+
+    /**
+     * Reads a condition over figures.
+     *
+     * @throws IllegalArgumentException where it is none, with what was found and what is allowed
+     */
+    OfFigures figures(String text);
+
+    /**
+     * Reads a condition over a node.
+     *
+     * @throws IllegalArgumentException where it is none, with what was found and what is allowed
+     */
+    OfNode node(String text);
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/drainage/Counted.java
@@ -0,0 +1,93 @@
+package cedarrudder.drainage;
+
+import cedarrudder.drainage.Command.Bound;
+import java.util.HashMap;
+import java.util.Map;
+
+/** How many nodes that one policy is for are listed and out, in each pod, zone and tier. */
+final class Counted {
+
+    private static final class Group {
+        private int listed;
+        private int out;
+    }
+
+    private final Policy policy;
+    private final Map<Object, Group> pods = new HashMap<>();
+    private final Map<Object, Group> zones = new HashMap<>();
+    private final Map<Object, Group> tiers = new HashMap<>();
+    private final Map<Object, double[]> weights = new HashMap<>();
+
+    Counted(Policy policy) {
+        this.policy = policy;
+    }
+
+    private record Pod(String tier, int pod) { }
+
+    private record Zone(String tier, String zone) { }
+
+    void add(Node node, boolean out) {
+        for (Group group : groups(node)) {
+            group.listed++;
+            group.out += out ? 1 : 0;
+        }
+        double[] weight = weight(node);
+        weight[0] += node.weight();
+        weight[1] += out ? 0 : node.weight();
+    }
+
+    private Group[] groups(Node node) {
+        return new Group[] {
+                pods.computeIfAbsent(new Pod(node.tier(), node.pod()), key -> new Group()),
+                zones.computeIfAbsent(new Zone(node.tier(), node.zone()), key -> new Group()),
+                tiers.computeIfAbsent(node.tier(), key -> new Group())};
+    }
+
+    /** The weight that is listed, and that which serves. */
+    private double[] weight(Node node) {
+        return weights.computeIfAbsent(node.tier(), key -> new double[2]);
+    }
+
+    /**
+     * The bound that is broken with this node out; null where none.
+     *
+     * @param out whether it is counted as out already, such as one that fails: it may come to serve again
+     */
+    Bound breaks(Node node, boolean out) {
+        int more = out ? 0 : 1;
+        Group[] groups = groups(node);
+        Policy.Most[] most = {policy.pod(), policy.zone(), policy.tier()};
+        int[] left = {policy.left().pod(), policy.left().zone(), policy.left().tier()};
+        Bound[] mostBound = {Bound.POD, Bound.ZONE, Bound.TIER};
+        Bound[] leftBound = {Bound.LEFT_POD, Bound.LEFT_ZONE, Bound.LEFT_TIER};
+        for (int i = 0; i < groups.length; i++) {
+            int then = groups[i].out + more;
+            if (then > most[i].of(groups[i].listed)) {
+                return mostBound[i];
+            }
+            if (groups[i].listed - then < left[i]) {
+                return leftBound[i];
+            }
+        }
+        double[] weight = weight(node);
+        return weight[1] - more * node.weight() < policy.left().weight() * weight[0] - 1e-9
+                ? Bound.LEFT_WEIGHT : null;
+    }
+
+    /** One more is out. */
+    void leaves(Node node) {
+        for (Group group : groups(node)) {
+            group.out++;
+        }
+        weight(node)[1] -= node.weight();
+    }
+
+    /** Whether more are out than the policy allows. */
+    boolean over() {
+        return over(pods, policy.pod()) || over(zones, policy.zone()) || over(tiers, policy.tier());
+    }
+
+    private static boolean over(Map<Object, Group> groups, Policy.Most most) {
+        return groups.values().stream().anyMatch(group -> group.out > most.of(group.listed));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/drainage/Drains.java
@@ -0,0 +1,414 @@
+package cedarrudder.drainage;
+
+import cedarrudder.drainage.Agreed.Drain;
+import cedarrudder.drainage.Command.Call;
+import cedarrudder.drainage.Command.Part;
+import cedarrudder.table.RouteTable.Leaving;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+import java.util.function.IntPredicate;
+
+/**
+ * The drains of a tier's nodes, as one copy takes part: a state that all copies change alike by the commands
+ * that they agree on; what this copy says to the one that leads; and what it has committed where it leads.
+ *
+ * <p>It has no clock, no socket and no thread, and draws nothing. Not thread-safe: from one thread at a time,
+ * and its outlet must not call it. Whatever bytes it is given it throws nothing.
+ */
+public final class Drains {
+
+    /** The largest number of a node. */
+    public static final long MOST_NODE = Agreed.MOST_NODE;
+    /** Nodes that one call may name. */
+    public static final int MOST_IDS = Command.MOST_IDS;
+
+    private static final long MILLI = 1_000_000L;
+    private static final int MOST_PENDING = 512;
+    private static final int MOST_CARRIED = 3;
+    private static final int MOST_QUEUED = 256;
+    private static final int MOST_REPORTS = 2;
+
+    /** An event that changed something, and what follows beside the state. */
+    public record Happened(long node, DrainEvent event, DrainState before, DrainState after, int wave,
+            Transitions.Effect effect) { }
+
+    /** How a node's drain ended. */
+    public record Ended(long node, DrainEvent how) { }
+
+    /** What it causes. */
+    public interface Outlet {
+        /** This was committed, and has taken effect here. */
+        void happened(Happened happened);
+
+        /** A call of this copy's operators was committed; or it can't be told, or there was no room. */
+        void settled(long call, boolean committed);
+    }
+
+    /** What this copy has itself. */
+    public interface Local {
+        /** Its calls at a node. */
+        int calls(long node);
+
+        /** The nodes that are left out here by hand. */
+        Set<Long> disabled();
+
+        /** What became of the calls of the last window. */
+        Flow flow();
+    }
+
+    /** One drain, for operators. */
+    public record Shown(long node, DrainState state, int wave, int slot) { }
+
+    /**
+     * All drains, for operators.
+     *
+     * @param paused names of policies that pause
+     * @param told what the copy that leads had found when it last said so
+     */
+    public record Progress(long revision, List<String> policies, List<String> paused, List<Shown> drains,
+            Command.Told told, List<Ended> ended) { }
+
+    private static final class Pending {
+        private final long number;
+        private final boolean cancel;
+        private final List<Long> nodes;
+        private long ticket;
+
+        Pending(long number, boolean cancel, List<Long> nodes) {
+            this.number = number;
+            this.cancel = cancel;
+            this.nodes = nodes;
+        }
+    }
+
+    private final int copies;
+    private final int self;
+    private final long life;
+    private final Conditions conditions;
+    private final Outlet outlet;
+    private final Heard heard;
+    private final Scheduler scheduler;
+    private final Deque<Pending> pending = new ArrayDeque<>();
+    private final List<Command> queued = new ArrayList<>();
+    private Agreed agreed = new Agreed();
+    private Rules rules;
+    private List<Part> own = List.of();
+    private long reckoned;
+    private long reckonedAt;
+    private long calls;
+    private int from;
+    private int somewhere;
+
+    /**
+     * @param copies how many there may be, and {@code self} the number of this one
+     * @param life larger than that of any earlier life of this copy
+     */
+    public Drains(int copies, int self, long life, DrainSettings settings, Conditions conditions,
+            Outlet outlet, long now) {
+        Policy.check(copies >= 1 && copies <= 0xffff && self >= 0 && self < copies && life >= 0, "copy", self
+                + " of " + copies + ", life " + life, "one of up to 65,535");
+        this.copies = copies;
+        this.self = self;
+        this.life = life;
+        this.conditions = conditions;
+        this.outlet = outlet;
+        this.reckonedAt = now;
+        heard = new Heard(settings, copies);
+        heard.clear(now);
+        scheduler = new Scheduler(settings, heard);
+        rules = new Rules(agreed.policies(), conditions);
+    }
+
+    // ---- what is agreed on ----
+
+    /**
+     * This copy's file has these policies: they are to count for all copies, if none of a higher revision do.
+     *
+     * @param revision from 1
+     * @throws IllegalArgumentException if they are more than {@link PolicyCodec#MOST_BYTES}
+     */
+    public void policies(long revision, List<Policy> policies) {
+        byte[] bytes = PolicyCodec.encode(policies);
+        Policy.check(bytes.length <= PolicyCodec.MOST_BYTES, "policies", bytes.length + " bytes",
+                "up to " + PolicyCodec.MOST_BYTES);
+        Policy.check(policies.size() <= Policy.MOST_POLICIES, "policies", policies.size(),
+                "up to " + Policy.MOST_POLICIES);
+        Policy.check(revision >= 1, "revision", revision, "1 or more");
+        int count = Math.max(1, (bytes.length + Command.PART - 1) / Command.PART);
+        List<Part> parts = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            int begin = i * Command.PART;
+            byte[] part = new byte[Math.min(Command.PART, bytes.length - begin)];
+            System.arraycopy(bytes, begin, part, 0, part.length);
+            parts.add(new Part(revision, Agreed.sum(bytes), i, count, part));
+        }
+        own = List.copyOf(parts);
+    }
+
+    /** Whether other policies of the same or a higher revision count than those of this copy's file. */
+    public boolean overruled() {
+        return !own.isEmpty() && agreed.revision() >= own.get(0).revision()
+                && agreed.sum() != own.get(0).sum();
+    }
+
+    /** A command is committed. */
+    public void apply(long now, byte[] command) {
+        List<Policy> policies = agreed.policies();
+        Agreed.Applied applied = agreed.apply(command);
+        // What has passed here since it last heard of the clock counts. Guards against a clock that falls
+        // behind by the time of a commit each time that it is committed.
+        reckoned = Math.max(clock(now), agreed.clock());
+        reckonedAt = now;
+        readAnew(policies);
+        applied.happened().forEach(outlet::happened);
+        for (Call call : applied.calls()) {
+            if (call.copy() == self) {
+                settle(call);
+            }
+        }
+        overtaken(false);
+    }
+
+    /** This state takes the place of the one that is; empty is that before the first command. */
+    public void restored(long now, byte[] state) {
+        Agreed next = state.length == 0 ? new Agreed() : Agreed.decode(state);
+        if (next != null) {
+            List<Policy> policies = agreed.policies();
+            agreed = next;
+            reckoned = agreed.clock();
+            reckonedAt = now;
+            readAnew(policies);
+            overtaken(true);
+        }
+    }
+
+    private void readAnew(List<Policy> before) {
+        if (agreed.policies() != before) {
+            rules = new Rules(agreed.policies(), conditions);
+        }
+    }
+
+    /** The agreed clock as it stands now, by what has passed here; it is never ahead. */
+    private long clock(long now) {
+        return reckoned + (now - reckonedAt) / MILLI;
+    }
+
+    /** The state; the same at each copy that applied the same. */
+    public byte[] state() {
+        return agreed.encode();
+    }
+
+    /** The nodes to which nothing new goes, by number. */
+    public List<Leaving> leaving() {
+        List<Leaving> leaving = new ArrayList<>();
+        for (Drain drain : agreed.drains()) {
+            if (drain.state.leaves()) {
+                leaving.add(new Leaving(drain.node, drain.wave));
+            }
+        }
+        return leaving;
+    }
+
+    public DrainState state(long node) {
+        return agreed.state(node);
+    }
+
+    /** Whether a node counts as out: it leaves, or not all copies may know yet that it is back. */
+    public boolean out(long node) {
+        return agreed.state(node).out();
+    }
+
+    /** The policies that count. */
+    public List<Policy> agreedPolicies() {
+        return agreed.policies();
+    }
+
+    public Progress progress() {
+        List<String> names = agreed.policies().stream().map(Policy::name).toList();
+        List<String> paused = new ArrayList<>();
+        for (int i = 0; i < names.size(); i++) {
+            if (agreed.paused(i)) {
+                paused.add(names.get(i));
+            }
+        }
+        return new Progress(agreed.revision(), names, paused, agreed.drains().stream()
+                .map(drain -> new Shown(drain.node, drain.state, drain.wave, drain.slot)).toList(),
+                agreed.told(), agreed.ended());
+    }
+
+    // ---- operators ----
+
+    /**
+     * An operator of this copy asks for drains of nodes, or cancels them. The outlet is told what came of it.
+     *
+     * @param nodes from 1 to {@link #MOST_IDS}
+     * @return the call's number; -1 where too many are pending
+     */
+    public long call(boolean cancel, List<Long> nodes) {
+        Policy.check(!nodes.isEmpty() && nodes.size() <= MOST_IDS && nodes.stream().allMatch(node ->
+                node >= 0 && node <= MOST_NODE), "nodes", nodes, "1 to " + MOST_IDS + " numbers of nodes");
+        if (pending.size() >= MOST_PENDING) {
+            return -1;
+        }
+        Pending call = new Pending(++calls, cancel, List.copyOf(nodes));
+        call.ticket = nextTicket();
+        pending.addLast(call);
+        return call.number;
+    }
+
+    /** Nobody waits for a call any more; it may yet be committed. */
+    public void forget(long call) {
+        pending.removeIf(each -> each.number == call);
+    }
+
+    private long nextTicket() {
+        long last = agreed.ticket(self);
+        for (Pending each : pending) {
+            last = Math.max(last, each.ticket);
+        }
+        return last + 1;
+    }
+
+    private void settle(Call call) {
+        for (Iterator<Pending> each = pending.iterator(); each.hasNext();) {
+            Pending one = each.next();
+            if (one.ticket == call.ticket() && one.cancel == call.cancel()
+                    && one.nodes.equals(call.nodes())) {
+                each.remove();
+                // Where there is no room for another drain a node that was asked for has none.
+                outlet.settled(one.number, one.cancel
+                        || one.nodes.stream().noneMatch(node -> agreed.state(node) == DrainState.NONE));
+                return;
+            }
+        }
+    }
+
+    /** Calls whose ticket was passed by did not count, or nobody knows; the former get another ticket. */
+    private void overtaken(boolean unknown) {
+        for (Pending each : List.copyOf(pending)) {
+            if (each.ticket <= agreed.ticket(self)) {
+                pending.remove(each);
+                if (unknown) {
+                    outlet.settled(each.number, each.nodes.stream().map(agreed::state).allMatch(state ->
+                            each.cancel == (state == DrainState.NONE || state == DrainState.RETURNING)));
+                } else {
+                    each.ticket = nextTicket();
+                    pending.addLast(each);
+                }
+            }
+        }
+    }
+
+    // ---- what copies say to the one that leads ----
+
+    /** What this copy has to say, in parts of at most 136 bytes that stand for themselves, at most four. */
+    public List<byte[]> report(long now, Local local) {
+        List<byte[]> parts = new ArrayList<>();
+        List<Drain> open = agreed.drains().stream().filter(drain -> drain.state.open()).toList();
+        List<Long> disabled = local.disabled().stream().sorted().toList();
+        for (int i = 0; i < MOST_REPORTS; i++) {
+            int first = from;
+            int last = Integer.MAX_VALUE;
+            List<Report.Calls> held = new ArrayList<>();
+            for (Drain drain : open) {
+                int calls = drain.slot < first ? 0 : local.calls(drain.node);
+                if (calls > 0 && held.size() == Report.mostCalls()) {
+                    last = drain.slot - 1;
+                    break;
+                } else if (calls > 0) {
+                    held.add(new Report.Calls(drain.slot, calls));
+                }
+            }
+            from = last == Integer.MAX_VALUE ? 0 : last + 1;
+            List<Long> some = new ArrayList<>();
+            for (int j = 0; j < Math.min(Report.mostSome(), disabled.size()); j++) {
+                some.add(disabled.get(somewhere++ % disabled.size()));
+            }
+            somewhere = disabled.isEmpty() ? 0 : somewhere % disabled.size();
+            parts.add(new Report(life, agreed.version(), first, last, held, disabled.size(), some,
+                    local.flow()).encode());
+            if (from == 0) {
+                break;
+            }
+        }
+        for (Part part : own) {
+            if (parts.size() < MOST_REPORTS && !agreed.has(part)) {
+                parts.add(Report.carry(part.encode()));
+            }
+        }
+        for (Pending each : pending) {
+            if (parts.size() < MOST_REPORTS + MOST_CARRIED - 1) {
+                parts.add(Report.carry(new Call(self, each.ticket, each.cancel, each.nodes).encode()));
+            }
+        }
+        return parts;
+    }
+
+    /** This copy leads from here on, or no longer. */
+    public void leads(long now, boolean leads) {
+        heard.clear(now);
+        scheduler.clear();
+        queued.clear();
+    }
+
+    /** At the copy that leads: a part of what another says, or this one itself. It may be no such part. */
+    public void reported(long now, int sender, byte[] part) {
+        if (sender < 0 || sender >= copies) {
+            return;
+        }
+        Report report = Report.decode(part);
+        if (report != null) {
+            heard.took(now, sender, report, agreed);
+            return;
+        }
+        Command command = Report.carried(part);
+        if (command != null && queued.size() < MOST_QUEUED
+                && !(command instanceof Call call && call.copy() != sender)) {
+            queued.add(command);
+        }
+    }
+
+    /**
+     * At the copy that leads, each period: what is to be committed, or null.
+     *
+     * @param utcMillis since 1970, by this machine's clock
+     * @param nodes as this copy sees them
+     * @param lives whether a copy lives
+     */
+    public byte[] next(long now, long utcMillis, Collection<Node> nodes, IntPredicate lives) {
+        heard.look(now, copy -> copy == self || lives.test(copy));
+        List<Command> commands = new ArrayList<>();
+        Command step = scheduler.next(now, clock(now), utcMillis, agreed, rules,
+                nodes, copies);
+        if (step != null) {
+            commands.add(step);
+        }
+        List<byte[]> known = new ArrayList<>();
+        queued.stream().sorted((a, b) -> Long.compare(ticket(a), ticket(b))).forEach(each -> {
+            byte[] bytes = each.encode();
+            if (commands.size() < Command.MOST_TOGETHER && wanted(each)
+                    && known.stream().noneMatch(other -> Arrays.equals(other, bytes))) {
+                known.add(bytes);
+                commands.add(each);
+            }
+        });
+        queued.clear();
+        return commands.isEmpty() ? null : commands.size() == 1 ? commands.get(0).encode()
+                : new Command.Batch(commands).encode();
+    }
+
+    private static long ticket(Command command) {
+        return command instanceof Call call ? call.ticket() : 0;
+    }
+
+    private boolean wanted(Command command) {
+        return command instanceof Call call ? call.ticket() > agreed.ticket(call.copy())
+                : command instanceof Part part && !agreed.has(part);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/drainage/Figures.java
@@ -0,0 +1,48 @@
+package cedarrudder.drainage;
+
+/**
+ * What the copies share, as conditions see it.
+ *
+ * @param refused the part of all calls that was refused, over the copies' last window
+ * @param failed the part that failed
+ * @param late the part that ended past its deadline
+ * @param capacityLeft the weight that serves, as a part of the weight that is listed
+ * @param liveCopies copies that live
+ * @param copies copies that there may be
+ * @param out nodes that are out, for whatever reason
+ * @param died nodes that the policy is for, that fail, and that were not taken out by a drain
+ */
+public record Figures(double refused, double failed, double late, double capacityLeft, int liveCopies,
+        int copies, int out, int died) {
+
+    /** Names by which conditions call the figures, and their types. */
+    public enum Name {
+        REFUSED(true), FAILED(true), LATE(true), CAPACITY_LEFT(true), LIVE_COPIES(false), COPIES(false),
+        OUT(false), DIED(false);
+
+        private final boolean share;
+
+        Name(boolean share) {
+            this.share = share;
+        }
+
+        /** Whether it is a part of one, such as 0.02; else it is a whole number. */
+        public boolean share() {
+            return share;
+        }
+    }
+
+    /** One of them: a Double where it is a share, else a Long. */
+    public Object of(Name name) {
+        return switch (name) {
+            case REFUSED -> refused;
+            case FAILED -> failed;
+            case LATE -> late;
+            case CAPACITY_LEFT -> capacityLeft;
+            case LIVE_COPIES -> (long) liveCopies;
+            case COPIES -> (long) copies;
+            case OUT -> (long) out;
+            case DIED -> (long) died;
+        };
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/drainage/Heard.java
@@ -0,0 +1,173 @@
+package cedarrudder.drainage;
+
+import cedarrudder.drainage.Agreed.Drain;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.IntPredicate;
+
+/** What the copy that leads has heard of all copies, its own word among them. It is no part of the state. */
+final class Heard {
+
+    private static final class Copy {
+        private long life;
+        private long version;
+        private long at;
+        private boolean said;
+        private long livedAt;
+        private Flow flow = Flow.NONE;
+        private int disabled;
+        private final Map<Integer, Said> calls = new HashMap<>();
+        private final Map<Long, Long> disabledAt = new HashMap<>();
+    }
+
+    private record Said(long version, int calls) { }
+
+    private final DrainSettings settings;
+    private final Copy[] copies;
+
+    Heard(DrainSettings settings, int copies) {
+        this.settings = settings;
+        this.copies = new Copy[copies];
+        clear(0);
+    }
+
+    /** This copy begins to lead: it knows nothing of the others, and each may have lived until now. */
+    void clear(long now) {
+        for (int i = 0; i < copies.length; i++) {
+            copies[i] = new Copy();
+            copies[i].livedAt = now;
+        }
+    }
+
+    void took(long now, int from, Report report, Agreed agreed) {
+        Copy copy = copies[from];
+        if (report.life() < copy.life) {
+            return;
+        }
+        if (report.life() > copy.life) {
+            // Guards against what a former process had carried out counting for the one that began anew.
+            long lived = copy.livedAt;
+            copies[from] = new Copy();
+            copy = copies[from];
+            copy.livedAt = lived;
+        }
+        copy.life = report.life();
+        copy.version = report.version();
+        copy.at = now;
+        copy.said = true;
+        copy.flow = report.flow();
+        copy.disabled = report.disabled();
+        for (long node : report.some()) {
+            copy.disabledAt.put(node, now);
+        }
+        long stale = now - settings.patience() * (1 + report.disabled() / Report.mostSome());
+        copy.disabledAt.values().removeIf(at -> at < stale);
+        Map<Integer, Integer> calls = new HashMap<>();
+        report.calls().forEach(each -> calls.put(each.slot(), each.calls()));
+        for (Iterator<Integer> slots = copy.calls.keySet().iterator(); slots.hasNext();) {
+            Drain drain = agreed.slot(slots.next());
+            if (drain == null || !drain.state.open()) {
+                slots.remove();
+            }
+        }
+        for (Drain drain : agreed.drains()) {
+            if (drain.state.open() && drain.slot >= report.first() && drain.slot <= report.last()) {
+                copy.calls.put(drain.slot, new Said(report.version(), calls.getOrDefault(drain.slot, 0)));
+            }
+        }
+    }
+
+    /** Those that live are noted as such, for the time after their death. */
+    void look(long now, IntPredicate lives) {
+        for (int i = 0; i < copies.length; i++) {
+            if (lives.test(i)) {
+                copies[i].livedAt = now;
+            }
+        }
+    }
+
+    /** Whether a copy has to be waited for. */
+    private boolean awaited(long now, int copy) {
+        return now - copies[copy].livedAt < settings.forgets();
+    }
+
+    private boolean lives(long now, int copy) {
+        return copies[copy].livedAt == now;
+    }
+
+    private boolean fresh(long now, Copy copy) {
+        return copy.said && now - copy.at < settings.patience();
+    }
+
+    /** The live copies that have said nothing lately. */
+    int silent(long now) {
+        int silent = 0;
+        for (int i = 0; i < copies.length; i++) {
+            silent += lives(now, i) && !fresh(now, copies[i]) ? 1 : 0;
+        }
+        return silent;
+    }
+
+    int live(long now) {
+        int live = 0;
+        for (int i = 0; i < copies.length; i++) {
+            live += lives(now, i) ? 1 : 0;
+        }
+        return live;
+    }
+
+    /** Whether all that have to be waited for have carried out the state of this version. */
+    boolean allHave(long now, long version) {
+        for (int i = 0; i < copies.length; i++) {
+            if (awaited(now, i) && (!copies[i].said || copies[i].version < version
+                    || lives(now, i) && !fresh(now, copies[i]))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Where calls are, or may be, that keep a node's drain open; empty where it has none. */
+    List<Command.Still> still(long now, Drain drain) {
+        List<Command.Still> still = new ArrayList<>();
+        for (int i = 0; i < copies.length; i++) {
+            if (awaited(now, i)) {
+                Said said = copies[i].calls.get(drain.slot);
+                boolean known = said != null && said.version >= drain.since
+                        && (fresh(now, copies[i]) || !lives(now, i));
+                if (!known || said.calls > 0) {
+                    still.add(new Command.Still(drain.slot, i, known ? said.calls : -1));
+                }
+            }
+        }
+        return still;
+    }
+
+    /** What became of the calls of the live copies. */
+    Flow flow(long now) {
+        Flow sum = Flow.NONE;
+        for (int i = 0; i < copies.length; i++) {
+            sum = lives(now, i) && fresh(now, copies[i]) ? sum.plus(copies[i].flow) : sum;
+        }
+        return sum;
+    }
+
+    /** Nodes that are left out by hand at a live copy; null where one has not said all of its own yet. */
+    Set<Long> disabled(long now) {
+        Set<Long> all = new HashSet<>();
+        for (int i = 0; i < copies.length; i++) {
+            if (lives(now, i)) {
+                if (copies[i].disabledAt.size() < copies[i].disabled) {
+                    return null;
+                }
+                all.addAll(copies[i].disabledAt.keySet());
+            }
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/drainage/Node.java
@@ -0,0 +1,31 @@
+package cedarrudder.drainage;
+
+/**
+ * A node as one copy sees it.
+ *
+ * @param id its number, as the module and the route table know it
+ * @param tier the name of the tier that it belongs to
+ * @param zone the name of its zone; empty where it has none
+ * @param pod its pod; the module calls it cell
+ * @param kind the name of its kind; empty where it has none
+ * @param start its last start, as discovery tells it, in milliseconds since 1970; 0: long ago
+ */
+public record Node(long id, String tier, String zone, int pod, String kind, double weight, Standing standing,
+        long start) {
+
+    /** Whether a node serves, and why not. */
+    public enum Standing {
+        SERVING,
+        /** Left out by hand, at one copy or more. */
+        DISABLED,
+        /** Discovery says that it leaves. */
+        TERMINATING,
+        /** It answers nothing, or errors only. */
+        FAILED
+    }
+
+    /** The same with another standing. */
+    public Node with(Standing other) {
+        return new Node(id, tier, zone, pod, kind, weight, other, start);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/drainage/Policy.java
@@ -0,0 +1,203 @@
+package cedarrudder.drainage;
+
+import java.util.List;
+
+/**
+ * What must hold while nodes leave. Where several are for one node, the strictest of each bound holds.
+ *
+ * @param name one name, one policy
+ * @param whom the nodes that it is for
+ * @param pod how many of them may be out at once in each pod
+ * @param zone and in each zone
+ * @param tier and in the tier
+ * @param left what must be left
+ * @param order the order in which they go
+ * @param wave how many go in one wave at the most
+ * @param pace nanoseconds between the end of a wave and the next
+ * @param died so many of them may fail, beside those taken out, before no further wave begins
+ * @param pauseIf while it holds no wave begins; empty: never
+ * @param goOnIf after a pause waves begin once it holds; empty: once the reason of the pause is over
+ * @param giveBackIf where it holds, what leaves is given back, and waits again; empty: never
+ * @param time how long a node may take, in nanoseconds
+ * @param atEnd what happens to a node that takes longer
+ * @param restarted what happens to one that has restarted under its id
+ * @param closed when no wave begins
+ */
+public record Policy(String name, Whom whom, Most pod, Most zone, Most tier, Left left, Order order, int wave,
+        long pace, int died, String pauseIf, String goOnIf, String giveBackIf, long time, AtEnd atEnd,
+        Restarted restarted, List<Window> closed) {
+
+    /** Nodes in all that drains may be open for. */
+    public static final int MOST_NODES = 4_096;
+    /** Policies that count at once. */
+    public static final int MOST_POLICIES = 32;
+    public static final int MOST_TEXT = 512;
+    public static final int MOST_WINDOWS = 32;
+    public static final int WEEK = 7 * 24 * 60;
+    /** The longest time, in nanoseconds: a day. */
+    public static final long MOST_TIME = 86_400_000_000_000L;
+    /** The shortest time for a node, in nanoseconds. */
+    public static final long LEAST_TIME = 1_000_000_000L;
+
+    /** Any pod. */
+    public static final int ANY_POD = -1;
+
+    /** The order in which nodes go. */
+    public enum Order {
+        /** As they were asked for. */
+        AS_ASKED,
+        /** One pod after another, and no wave is of two. */
+        POD_BY_POD,
+        /** One zone after another, and no wave is of two. */
+        ZONE_BY_ZONE,
+        /** The least weight first. */
+        LIGHT_FIRST,
+        /** The largest weight first. */
+        HEAVY_FIRST
+    }
+
+    /** What happens to a node whose time is up while calls are there. */
+    public enum AtEnd {
+        /** It counts as drained, and calls that are there run on. */
+        LET_GO,
+        /** It serves again, and its drain is over. */
+        GIVE_BACK,
+        /** It is waited for, and the log says so. */
+        KEEP_WAITING
+    }
+
+    /** What happens to a node that leaves, or is out, and has restarted under its id. */
+    public enum Restarted {
+        /** It serves again, and its drain is over. */
+        BACK,
+        /** It stays out. */
+        OUT
+    }
+
+    /**
+     * Whom a policy is for.
+     *
+     * @param tier empty: any; so with zone, kind and where
+     * @param pod {@link #ANY_POD}: any
+     * @param where a condition
+     */
+    public record Whom(String tier, String zone, int pod, String kind, double least, double most,
+            String where) {
+        /** Every node. */
+        public static final Whom ALL = new Whom("", "", ANY_POD, "", 0, Double.MAX_VALUE, "");
+
+        public Whom {
+            check(tier != null && zone != null && kind != null && where != null && where.length() <= MOST_TEXT
+                    && tier.length() <= MOST_TEXT && zone.length() <= MOST_TEXT && kind.length() <= MOST_TEXT,
+                    "whom", "a longer text", "up to " + MOST_TEXT + " characters");
+            check(pod >= ANY_POD, "pod", pod, "0 or more");
+            check(least >= 0 && most >= least, "weight", least + " to " + most, "0 or more, the lower first");
+        }
+
+        /** Whether it can be for a node; the condition is not asked. */
+        boolean fits(Node node) {
+            return (tier.isEmpty() || tier.equals(node.tier()))
+                    && (zone.isEmpty() || zone.equals(node.zone()))
+                    && (pod == ANY_POD || pod == node.pod()) && (kind.isEmpty() || kind.equals(node.kind()))
+                    && node.weight() >= least && node.weight() <= most;
+        }
+    }
+
+    /** How many may be out at once: no more than the number, and no more than the share of those listed. */
+    public record Most(int nodes, double share) {
+        /** No bound. */
+        public static final Most ANY = new Most(MOST_NODES, 1);
+
+        /** A share of whole nodes such as 0.1 of 10 is not to fail for a rounding. */
+        private static final double ROUNDING = 1e-9;
+
+        public Most {
+            check(nodes >= 0 && nodes <= MOST_NODES, "nodes", nodes, "0 to " + MOST_NODES);
+            check(share >= 0 && share <= 1, "share", share, "0 to 1");
+        }
+
+        /** How many of so many. */
+        public int of(int listed) {
+            return Math.min(nodes, (int) Math.floor(share * listed + ROUNDING));
+        }
+    }
+
+    /**
+     * What must be left serving of the nodes that a policy is for.
+     *
+     * @param pod nodes in each pod; so with zone and tier
+     * @param weight of the tier's weight, as a part
+     */
+    public record Left(int pod, int zone, int tier, double weight) {
+        /** Nothing. */
+        public static final Left NOTHING = new Left(0, 0, 0, 0);
+
+        public Left {
+            check(pod >= 0 && zone >= 0 && tier >= 0, "left", pod + ", " + zone + ", " + tier, "0 or more");
+            check(weight >= 0 && weight <= 1, "left.weight", weight, "0 to 1");
+        }
+    }
+
+    /**
+     * A time of the week, in UTC, in which no wave begins.
+     *
+     * @param days a bit for each day, the lowest for Monday
+     * @param from minute of the day in which it begins
+     * @param to and in which it is over; at or before {@code from}: on the next day
+     */
+    public record Window(int days, int from, int to) {
+        private static final int DAY = 24 * 60;
+        private static final long MINUTE = 60_000;
+        /** 1970 began on a Thursday. */
+        private static final int FIRST = 3;
+
+        public Window {
+            check(days > 0 && days < 1 << 7, "days", days, "some of seven");
+            check(from >= 0 && from < DAY && to >= 0 && to <= DAY, "window", from + " to " + to,
+                    "minutes of a day");
+        }
+
+        /** Whether a minute of the week is in it; Monday's first is 0. */
+        public boolean has(int minute) {
+            int day = minute / DAY;
+            int at = minute % DAY;
+            boolean today = (days >> day & 1) != 0;
+            boolean yesterday = (days >> (day + 6) % 7 & 1) != 0;
+            return from < to ? today && at >= from && at < to
+                    : today && at >= from || yesterday && at < to;
+        }
+
+        /** The minute of the week of a time in milliseconds since 1970, UTC. */
+        public static int minute(long utcMillis) {
+            return (int) Math.floorMod(Math.floorDiv(utcMillis, MINUTE) + FIRST * DAY, (long) WEEK);
+        }
+    }
+
+    /** Checks all that is said above; what is wrong is an IllegalArgumentException that names it. */
+    public Policy {
+        check(name != null && !name.isEmpty() && name.length() <= MOST_TEXT, "name", name, "a text");
+        check(whom != null && pod != null && zone != null && tier != null && left != null && order != null
+                && atEnd != null && restarted != null, "policy", "nothing", "all of it");
+        check(wave >= 1 && wave <= MOST_NODES, "wave", wave, "1 to " + MOST_NODES);
+        check(pace >= 0 && pace <= MOST_TIME, "pace", pace, "0 to " + MOST_TIME);
+        check(died >= 0 && died <= MOST_NODES, "died", died, "0 to " + MOST_NODES);
+        check(time >= LEAST_TIME && time <= MOST_TIME, "time", time, LEAST_TIME + " to " + MOST_TIME);
+        for (String condition : List.of(pauseIf, goOnIf, giveBackIf)) {
+            check(condition.length() <= MOST_TEXT, "condition", condition.length() + " characters",
+                    "up to " + MOST_TEXT);
+        }
+        check(closed.size() <= MOST_WINDOWS, "closed", closed.size() + " windows", "up to " + MOST_WINDOWS);
+        closed = List.copyOf(closed);
+    }
+
+    /** Whether no wave may begin in a minute of the week. */
+    public boolean closedIn(int minute) {
+        return closed.stream().anyMatch(window -> window.has(minute));
+    }
+
+    static void check(boolean allowed, String name, Object found, String range) {
+        if (!allowed) {
+            throw new IllegalArgumentException(name + ": found " + found + "; allowed: " + range);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/drainage/PolicyCodec.java
@@ -0,0 +1,102 @@
+package cedarrudder.drainage;
+
+import cedarrudder.drainage.Policy.AtEnd;
+import cedarrudder.drainage.Policy.Left;
+import cedarrudder.drainage.Policy.Most;
+import cedarrudder.drainage.Policy.Order;
+import cedarrudder.drainage.Policy.Restarted;
+import cedarrudder.drainage.Policy.Whom;
+import cedarrudder.drainage.Policy.Window;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Policies as bytes, as copies agree on them. */
+public final class PolicyCodec {
+
+    /** All policies together take no more than this. */
+    public static final int MOST_BYTES = 24_000;
+
+    private static final int MOST_TEXT_BYTES = 3 * Policy.MOST_TEXT;
+
+    private PolicyCodec() { }
+
+    public static byte[] encode(List<Policy> policies) {
+        Bytes.Writer out = new Bytes.Writer().put(policies.size());
+        for (Policy policy : policies) {
+            Whom whom = policy.whom();
+            out.put(policy.name()).put(whom.tier()).put(whom.zone()).put(whom.pod() + 1).put(whom.kind())
+                    .put(whom.least()).put(whom.most()).put(whom.where());
+            for (Most most : List.of(policy.pod(), policy.zone(), policy.tier())) {
+                out.put(most.nodes()).put(most.share());
+            }
+            Left left = policy.left();
+            out.put(left.pod()).put(left.zone()).put(left.tier()).put(left.weight());
+            out.put(policy.order()).put(policy.wave()).put(policy.pace()).put(policy.died())
+                    .put(policy.pauseIf()).put(policy.goOnIf()).put(policy.giveBackIf())
+                    .put(policy.time()).put(policy.atEnd()).put(policy.restarted());
+            out.put(policy.closed().size());
+            for (Window window : policy.closed()) {
+                out.put(window.days()).put(window.from()).put(window.to());
+            }
+        }
+        return out.bytes();
+    }
+
+    /** Reads policies; null where the bytes are none. It throws nothing. */
+    public static List<Policy> decode(byte[] bytes) {
+        try {
+            Bytes.Reader in = new Bytes.Reader(bytes);
+            List<Policy> policies = new ArrayList<>();
+            Set<String> names = new HashSet<>();
+            for (int left = in.count(Policy.MOST_POLICIES); left > 0; left--) {
+                Policy policy = policy(in);
+                if (!names.add(policy.name())) {
+                    return null;
+                }
+                policies.add(policy);
+            }
+            in.done();
+            return List.copyOf(policies);
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+
+    private static Policy policy(Bytes.Reader in) {
+        String name = text(in);
+        Whom whom = new Whom(text(in), text(in), in.small(Integer.MAX_VALUE) - 1, text(in), in.number(),
+                in.number(), text(in));
+        Most pod = most(in);
+        Most zone = most(in);
+        Most tier = most(in);
+        Left left = new Left(in.small(Integer.MAX_VALUE), in.small(Integer.MAX_VALUE),
+                in.small(Integer.MAX_VALUE), in.number());
+        Order order = in.choice(Order.values());
+        int wave = in.small(Policy.MOST_NODES);
+        long pace = in.whole(Policy.MOST_TIME);
+        int died = in.small(Policy.MOST_NODES);
+        String pauseIf = text(in);
+        String goOnIf = text(in);
+        String giveBackIf = text(in);
+        long time = in.whole(Policy.MOST_TIME);
+        AtEnd atEnd = in.choice(AtEnd.values());
+        Restarted restarted = in.choice(Restarted.values());
+        List<Window> closed = new ArrayList<>();
+        for (int count = in.count(Policy.MOST_WINDOWS); count > 0; count--) {
+            closed.add(new Window(in.small(Integer.MAX_VALUE), in.small(Integer.MAX_VALUE),
+                    in.small(Integer.MAX_VALUE)));
+        }
+        return new Policy(name, whom, pod, zone, tier, left, order, wave, pace, died, pauseIf, goOnIf,
+                giveBackIf, time, atEnd, restarted, closed);
+    }
+
+    private static String text(Bytes.Reader in) {
+        return in.text(MOST_TEXT_BYTES);
+    }
+
+    private static Most most(Bytes.Reader in) {
+        return new Most(in.small(Integer.MAX_VALUE), in.number());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/drainage/Report.java
@@ -0,0 +1,108 @@
+package cedarrudder.drainage;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What a copy says to the one that leads, in parts that stand for themselves.
+ *
+ * @param life larger than that of any earlier life of the copy
+ * @param version of the state that it has carried out
+ * @param first the lowest slot that it tells of
+ * @param last and the highest: nodes that leave in between, and are not named, have no calls of this copy
+ * @param calls by slot, rising
+ * @param disabled how many nodes are left out here by hand
+ * @param some of them
+ * @param flow what became of the calls of the last window
+ */
+record Report(long life, long version, int first, int last, List<Calls> calls, int disabled, List<Long> some,
+        Flow flow) {
+
+    /** Bytes of one part, at the most. */
+    static final int MOST_BYTES = 136;
+
+    private static final int MOST_CALLS = 8;
+    private static final int MOST_SOME = 3;
+    private static final int MOST_DISABLED = 1 << 14;
+    private static final int MOST_COUNT = 1 << 27;
+    private static final int KIND = 0;
+    private static final int COMMAND = 1;
+
+    /** So many calls at one node. */
+    record Calls(int slot, int calls) { }
+
+    /** How many slots with calls one part may tell of. */
+    static int mostCalls() {
+        return MOST_CALLS;
+    }
+
+    static int mostSome() {
+        return MOST_SOME;
+    }
+
+    byte[] encode() {
+        Bytes.Writer out = new Bytes.Writer().put(KIND).put(life).put(version).put(first).put(last)
+                .put(calls.size());
+        int before = first;
+        for (Calls each : calls) {
+            out.put(each.slot - before).put(Math.min(each.calls, MOST_DISABLED));
+            before = each.slot;
+        }
+        out.put(Math.min(disabled, MOST_DISABLED)).put(some.size());
+        some.forEach(out::put);
+        for (int each : new int[] {flow.ended(), flow.refused(), flow.failed(), flow.late()}) {
+            out.put(Math.min(each, MOST_COUNT));
+        }
+        return out.bytes();
+    }
+
+    /** Reads a part; null where the bytes are none. It throws nothing. */
+    static Report decode(byte[] bytes) {
+        try {
+            Bytes.Reader in = new Bytes.Reader(bytes);
+            if (bytes.length > MOST_BYTES || in.small(KIND) != KIND) {
+                return null;
+            }
+            long life = in.whole(Long.MAX_VALUE);
+            long version = in.whole(Long.MAX_VALUE);
+            int first = in.small(Integer.MAX_VALUE);
+            int last = in.small(Integer.MAX_VALUE);
+            List<Calls> calls = new ArrayList<>();
+            int slot = first;
+            for (int left = in.count(MOST_CALLS); left > 0; left--) {
+                slot += in.small(Integer.MAX_VALUE - slot);
+                calls.add(new Calls(slot, in.small(MOST_DISABLED)));
+            }
+            int disabled = in.small(MOST_DISABLED);
+            List<Long> some = new ArrayList<>();
+            for (int left = in.count(MOST_SOME); left > 0; left--) {
+                some.add(in.whole(Agreed.MOST_NODE));
+            }
+            Flow flow = new Flow(in.small(MOST_COUNT), in.small(MOST_COUNT), in.small(MOST_COUNT),
+                    in.small(MOST_COUNT));
+            in.done();
+            return new Report(life, version, first, last, calls, disabled, some, flow);
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+
+    /** A command that is to be committed, on its way to the copy that leads. */
+    static byte[] carry(byte[] command) {
+        byte[] part = new byte[command.length + 1];
+        part[0] = COMMAND;
+        System.arraycopy(command, 0, part, 1, command.length);
+        return part;
+    }
+
+    /** The command that a part carries; null where it carries none that others may ask for. */
+    static Command carried(byte[] part) {
+        if (part.length == 0 || part.length > MOST_BYTES || part[0] != COMMAND) {
+            return null;
+        }
+        byte[] bytes = new byte[part.length - 1];
+        System.arraycopy(part, 1, bytes, 0, bytes.length);
+        Command command = Command.decode(bytes);
+        return command instanceof Command.Call || command instanceof Command.Part ? command : null;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/drainage/Rules.java
@@ -0,0 +1,99 @@
+package cedarrudder.drainage;
+
+import cedarrudder.drainage.Node.Standing;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Policies with their conditions read. What of them can't be told counts as a reason to pause. */
+final class Rules {
+
+    /** How a condition came out. */
+    enum Told { YES, NO, UNDECIDED }
+
+    private record Rule(Policy policy, Conditions.OfNode where, Conditions.OfFigures pauseIf,
+            Conditions.OfFigures goOnIf, Conditions.OfFigures giveBackIf, boolean read) { }
+
+    private final List<Rule> rules = new ArrayList<>();
+    private final Map<Node, Integer> known = new HashMap<>();
+    private int undecided;
+
+    Rules(List<Policy> policies, Conditions conditions) {
+        policies.forEach(policy -> rules.add(rule(policy, conditions)));
+    }
+
+    private static Rule rule(Policy policy, Conditions conditions) {
+        try {
+            return new Rule(policy, policy.whom().where().isEmpty() ? node -> true
+                    : conditions.node(policy.whom().where()), figures(policy.pauseIf(), conditions, false),
+                    figures(policy.goOnIf(), conditions, true),
+                    figures(policy.giveBackIf(), conditions, false), true);
+        } catch (RuntimeException e) {
+            // Guards against a copy of another version, that can't read it, letting go what it forbids.
+            return new Rule(policy, node -> true, figures -> true, figures -> false, figures -> false, false);
+        }
+    }
+
+    private static Conditions.OfFigures figures(String text, Conditions conditions, boolean otherwise) {
+        return text.isEmpty() ? figures -> otherwise : conditions.figures(text);
+    }
+
+    int size() {
+        return rules.size();
+    }
+
+    Policy policy(int index) {
+        return rules.get(index).policy;
+    }
+
+    /** The policies that are for a node, as bits; one that can't be told is, and pauses. */
+    int of(Node node) {
+        if (known.size() > 2 * Policy.MOST_NODES) {
+            known.clear();
+        }
+        return known.computeIfAbsent(node.with(Standing.SERVING), this::work);
+    }
+
+    private int work(Node node) {
+        int policies = 0;
+        for (int i = 0; i < rules.size(); i++) {
+            Rule rule = rules.get(i);
+            if (!rule.policy.whom().fits(node)) {
+                continue;
+            }
+            try {
+                policies |= rule.where.holds(node) ? 1 << i : 0;
+            } catch (RuntimeException e) {
+                policies |= 1 << i;
+                undecided |= 1 << i;
+            }
+        }
+        return policies;
+    }
+
+    /** Whether no wave may begin by what a policy says of the figures. */
+    Told pauses(int index, Figures figures) {
+        Rule rule = rules.get(index);
+        if (!rule.read || (undecided >> index & 1) != 0) {
+            return Told.UNDECIDED;
+        }
+        return figures.died() > rule.policy.died() ? Told.YES : told(rule.pauseIf, figures);
+    }
+
+    Told goesOn(int index, Figures figures) {
+        return told(rules.get(index).goOnIf, figures);
+    }
+
+    Told givesBack(int index, Figures figures) {
+        return told(rules.get(index).giveBackIf, figures);
+    }
+
+    private static Told told(Conditions.OfFigures condition, Figures figures) {
+        try {
+            return condition.holds(figures) ? Told.YES : Told.NO;
+        } catch (RuntimeException e) {
+            return Told.UNDECIDED;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/drainage/Scheduler.java
@@ -0,0 +1,314 @@
+package cedarrudder.drainage;
+
+import cedarrudder.drainage.Agreed.Drain;
+import cedarrudder.drainage.Command.Bound;
+import cedarrudder.drainage.Command.Change;
+import cedarrudder.drainage.Command.Pause;
+import cedarrudder.drainage.Command.Step;
+import cedarrudder.drainage.Command.Still;
+import cedarrudder.drainage.Command.Told;
+import cedarrudder.drainage.Command.Wait;
+import cedarrudder.drainage.Node.Standing;
+import cedarrudder.drainage.Policy.AtEnd;
+import cedarrudder.drainage.Policy.Order;
+import cedarrudder.drainage.Policy.Restarted;
+import cedarrudder.drainage.Policy.Window;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** What the copy that leads has committed next. It keeps nothing that another leader could not find out. */
+final class Scheduler {
+
+    private static final long MILLI = 1_000_000L;
+
+    private final DrainSettings settings;
+    private final Heard heard;
+    private final Map<Long, Long> missingSince = new HashMap<>();
+
+    Scheduler(DrainSettings settings, Heard heard) {
+        this.settings = settings;
+        this.heard = heard;
+    }
+
+    /** This copy begins to lead. */
+    void clear() {
+        missingSince.clear();
+    }
+
+    /** One look at all there is. */
+    private final class Look {
+        private final long now;
+        private final long clock;
+        private final Agreed agreed;
+        private final Rules rules;
+        private final int minute;
+        private final Map<Long, Node> nodes = new HashMap<>();
+        private final Set<Long> disabled;
+        private final List<Counted> counted = new ArrayList<>();
+        private final List<Pause> pauses = new ArrayList<>();
+        private final Map<Integer, Change> changes = new LinkedHashMap<>();
+        private final List<Still> still = new ArrayList<>();
+        private final Map<Wait, Integer> waits = new LinkedHashMap<>();
+        private final int open;
+        private final boolean heardAll;
+        private int halted;
+
+        Look(long now, long clock, int minute, Agreed agreed, Rules rules, Collection<Node> listed) {
+            this.now = now;
+            this.clock = clock;
+            this.minute = minute;
+            this.agreed = agreed;
+            this.rules = rules;
+            listed.forEach(node -> nodes.put(node.id(), node));
+            disabled = heard.disabled(now);
+            open = agreed.open();
+            heardAll = disabled != null && heard.silent(now) == 0;
+            for (int i = 0; i < rules.size(); i++) {
+                counted.add(new Counted(rules.policy(i)));
+            }
+            for (Node node : nodes.values()) {
+                int policies = rules.of(node);
+                for (int i = 0; i < rules.size(); i++) {
+                    if ((policies >> i & 1) != 0) {
+                        counted.get(i).add(node, out(node));
+                    }
+                }
+            }
+        }
+
+        private boolean out(Node node) {
+            return node.standing() != Standing.SERVING || disabled != null && disabled.contains(node.id())
+                    || agreed.state(node.id()).out();
+        }
+
+        /** What has become of drains that are under way. */
+        void follow() {
+            for (Drain drain : agreed.drains()) {
+                DrainEvent event = event(drain, nodes.get(drain.node));
+                if (event != null) {
+                    Node node = nodes.get(drain.node);
+                    changes.put(drain.slot, event == DrainEvent.RESTARTED_OUT ? new Change(event, drain.slot,
+                            node.start(), 0, AtEnd.LET_GO, Restarted.OUT, 0) : Change.of(event, drain.slot));
+                }
+            }
+        }
+
+        private DrainEvent event(Drain drain, Node node) {
+            if (node == null && !nodes.isEmpty()) {
+                Long since = missingSince.putIfAbsent(drain.node, now);
+                if (since != null && now - since >= settings.unlisted()) {
+                    return DrainEvent.GONE;
+                }
+            } else {
+                missingSince.remove(drain.node);
+            }
+            if (node != null && drain.state.leaves() && node.start() > drain.start) {
+                return drain.restarted == Restarted.BACK ? DrainEvent.RESTARTED_BACK
+                        : DrainEvent.RESTARTED_OUT;
+            }
+            if (drain.state.open()) {
+                List<Still> there = heard.still(now, drain);
+                still.addAll(there);
+                if (there.isEmpty()) {
+                    return DrainEvent.EMPTY;
+                }
+                return drain.state == DrainState.OVERDUE || clock < drain.until ? null
+                        : switch (drain.atEnd) {
+                            case LET_GO -> DrainEvent.LET_GO;
+                            case GIVE_BACK -> DrainEvent.GIVEN_UP;
+                            case KEEP_WAITING -> DrainEvent.ALARMED;
+                        };
+            }
+            return drain.state.out() && drain.state != DrainState.OUT && heard.allHave(now, drain.since)
+                    ? DrainEvent.RETURNED : null;
+        }
+
+        /** Which policies pause, go on or give back. */
+        void halt(int copies) {
+            double listed = 0;
+            double serving = 0;
+            int out = 0;
+            for (Node node : nodes.values()) {
+                listed += node.weight();
+                serving += out(node) ? 0 : node.weight();
+                out += out(node) ? 1 : 0;
+            }
+            Flow flow = heard.flow(now);
+            double ended = Math.max(1, flow.ended());
+            for (int i = 0; i < rules.size(); i++) {
+                Figures figures = new Figures(flow.refused() / ended, flow.failed() / ended,
+                        flow.late() / ended, listed == 0 ? 0 : serving / listed, heard.live(now), copies, out,
+                        died(i));
+                boolean back = rules.givesBack(i, figures) == Rules.Told.YES;
+                boolean halt = back || rules.pauses(i, figures) != Rules.Told.NO
+                        || rules.givesBack(i, figures) == Rules.Told.UNDECIDED;
+                if (halt && !agreed.paused(i)) {
+                    pauses.add(new Pause(i, true));
+                } else if (!halt && agreed.paused(i) && rules.goesOn(i, figures) == Rules.Told.YES
+                        && clock - agreed.pausedAt(i) >= rules.policy(i).pace() / MILLI) {
+                    pauses.add(new Pause(i, false));
+                }
+                halted |= halt || agreed.paused(i) ? 1 << i : 0;
+                if (back) {
+                    stop(i);
+                }
+            }
+        }
+
+        private void stop(int policy) {
+            for (Drain drain : agreed.drains()) {
+                if (drain.state.open() && (drain.policies >> policy & 1) != 0) {
+                    changes.putIfAbsent(drain.slot, Change.of(DrainEvent.STOPPED, drain.slot));
+                }
+            }
+        }
+
+        private int died(int policy) {
+            int died = 0;
+            for (Node node : nodes.values()) {
+                died += node.standing() == Standing.FAILED && agreed.state(node.id()) != DrainState.OUT
+                        && (rules.of(node) >> policy & 1) != 0 ? 1 : 0;
+            }
+            return died;
+        }
+
+        /** Begins a wave of those that may go. */
+        void begin() {
+            List<Drain> waiting = new ArrayList<>();
+            for (Drain drain : agreed.drains()) {
+                if (drain.state == DrainState.WAITING && nodes.containsKey(drain.node)) {
+                    waiting.add(drain);
+                }
+            }
+            waiting.sort(Comparator.<Drain>comparingInt(drain ->
+                    Integer.numberOfTrailingZeros(policies(drain))).thenComparing(this::byOrder)
+                    .thenComparingInt(drain -> drain.slot));
+            int[] inWave = new int[rules.size()];
+            Object[] only = new Object[rules.size()];
+            for (Drain drain : waiting) {
+                Wait wait = wait(drain, inWave, only);
+                if (wait != null || changes.size() >= Command.MOST_CHANGES) {
+                    waits.merge(wait == null ? new Wait(-1, Bound.WAVE, 0) : wait, 1, Integer::sum);
+                    continue;
+                }
+                Node node = nodes.get(drain.node);
+                boolean counts = !out(node);
+                long time = Long.MAX_VALUE;
+                AtEnd atEnd = AtEnd.LET_GO;
+                Restarted restarted = Restarted.BACK;
+                int policies = policies(drain);
+                for (int i = 0; i < rules.size(); i++) {
+                    if ((policies >> i & 1) != 0) {
+                        Policy policy = rules.policy(i);
+                        inWave[i]++;
+                        if (counts) {
+                            counted.get(i).leaves(node);
+                        }
+                        atEnd = policy.time() < time ? policy.atEnd() : atEnd;
+                        time = Math.min(time, policy.time());
+                        restarted = policy.restarted() == Restarted.OUT ? Restarted.OUT : restarted;
+                    }
+                }
+                changes.put(drain.slot, new Change(DrainEvent.BEGUN, drain.slot, node.start(), time / MILLI,
+                        atEnd, restarted, policies));
+            }
+        }
+
+        private int policies(Drain drain) {
+            return rules.of(nodes.get(drain.node));
+        }
+
+        private int byOrder(Drain a, Drain b) {
+            int policies = policies(a);
+            if (policies == 0) {
+                return 0;
+            }
+            Node one = nodes.get(a.node);
+            Node other = nodes.get(b.node);
+            return switch (rules.policy(Integer.numberOfTrailingZeros(policies)).order()) {
+                case AS_ASKED -> 0;
+                case POD_BY_POD -> Integer.compare(one.pod(), other.pod());
+                case ZONE_BY_ZONE -> one.zone().compareTo(other.zone());
+                case LIGHT_FIRST -> Double.compare(one.weight(), other.weight());
+                case HEAVY_FIRST -> Double.compare(other.weight(), one.weight());
+            };
+        }
+
+        /** What keeps a node waiting; null where nothing does. */
+        private Wait wait(Drain drain, int[] inWave, Object[] only) {
+            Node node = nodes.get(drain.node);
+            int policies = policies(drain);
+            if (policies == 0) {
+                return new Wait(-1, Bound.NO_POLICY, 0);
+            }
+            if (!heardAll) {
+                return new Wait(-1, Bound.REPORTS, 0);
+            }
+            Wait wait = null;
+            for (int i = 0; i < rules.size(); i++) {
+                if ((policies >> i & 1) != 0) {
+                    Bound bound = bound(i, node, inWave[i], only);
+                    wait = wait == null && bound != null ? new Wait(i, bound, 0) : wait;
+                }
+            }
+            return wait;
+        }
+
+        private Bound bound(int policy, Node node, int inWave, Object[] only) {
+            Policy of = rules.policy(policy);
+            Object group = of.order() == Order.POD_BY_POD ? (Object) node.pod()
+                    : of.order() == Order.ZONE_BY_ZONE ? node.zone() : "";
+            only[policy] = only[policy] == null ? group : only[policy];
+            if ((halted >> policy & 1) != 0) {
+                return Bound.PAUSED;
+            } else if (of.closedIn(minute)) {
+                return Bound.CLOSED;
+            } else if ((open >> policy & 1) != 0 || inWave >= of.wave()) {
+                return Bound.WAVE;
+            } else if (agreed.waveEndedAt(policy) >= 0
+                    && clock - agreed.waveEndedAt(policy) < of.pace() / MILLI) {
+                return Bound.PACE;
+            } else if (!only[policy].equals(group)) {
+                return Bound.ORDER;
+            }
+            return counted.get(policy).breaks(node, out(node));
+        }
+
+        Step step() {
+            List<Wait> told = new ArrayList<>();
+            waits.forEach((wait, count) -> told.add(new Wait(wait.policy(), wait.bound(), count)));
+            return new Step(agreed.version(), clock, pauses, List.copyOf(changes.values()), new Told(
+                    told.subList(0, Math.min(Command.MOST_TOLD, told.size())),
+                    List.copyOf(still.subList(0, Math.min(Command.MOST_TOLD, still.size())))));
+        }
+    }
+
+    /**
+     * The next step; null where there is nothing to say.
+     *
+     * @param clock the agreed one, as this copy reckons that it stands now; milliseconds
+     * @param utcMillis since 1970, by this machine's clock
+     */
+    Step next(long now, long clock, long utcMillis, Agreed agreed, Rules rules, Collection<Node> listed,
+            int copies) {
+        if (agreed.drains().isEmpty()) {
+            missingSince.clear();
+            return null;
+        }
+        Look look = new Look(now, clock, Window.minute(utcMillis), agreed, rules, listed);
+        look.follow();
+        look.halt(copies);
+        look.begin();
+        Step step = look.step();
+        boolean open = agreed.drains().stream().anyMatch(drain -> drain.state.open());
+        boolean late = clock - agreed.clock() >= settings.beat() / MILLI;
+        return !step.changes().isEmpty() || !step.pauses().isEmpty()
+                || late && (open || !step.told().equals(agreed.told())) ? step : null;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/cedarrudder/drainage/DrainBytesTest.java
@@ -0,0 +1,112 @@
+package cedarrudder.drainage;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+
+import cedarrudder.drainage.Command.Call;
+import cedarrudder.drainage.Command.Change;
+import cedarrudder.drainage.Command.Still;
+import cedarrudder.drainage.Command.Step;
+import cedarrudder.drainage.Command.Told;
+import cedarrudder.drainage.Command.Wait;
+import cedarrudder.drainage.Policy.AtEnd;
+import cedarrudder.drainage.Policy.Left;
+import cedarrudder.drainage.Policy.Most;
+import cedarrudder.drainage.Policy.Order;
+import cedarrudder.drainage.Policy.Restarted;
+import cedarrudder.drainage.Policy.Whom;
+import cedarrudder.drainage.Policy.Window;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
+import org.testng.annotations.Test;
+
+/** What travels and is kept. Guards against garbage that throws, and against what changes on its way. */
+public class DrainBytesTest {
+
+    private static final Policy POLICY = new Policy("careful", new Whom("shops", "a", 3, "big", 0.5, 4,
+            "weight > 2.0"), new Most(1, 0.25), Most.ANY, new Most(9, 1), new Left(1, 2, 3, 0.5),
+            Order.POD_BY_POD, 4, 5, 6, "failed > 0.1", "failed < 0.01", "", Policy.LEAST_TIME,
+            AtEnd.KEEP_WAITING, Restarted.OUT,
+            List.of(new Window(0b1011, 540, 1020), new Window(1, 1380, 60)));
+
+    private static List<byte[]> good() {
+        List<Long> most = LongStream.range(0, Command.MOST_IDS).mapToObj(i -> Agreed.MOST_NODE - i).toList();
+        return List.of(
+                new Call(0xffff, Long.MAX_VALUE, true, most).encode(),
+                new Command.Part(Long.MAX_VALUE, -1, 1, 2, new byte[Command.PART]).encode(),
+                new Step(3, 4, List.of(new Command.Pause(2, true)), List.of(Change.of(DrainEvent.GONE, 9),
+                        new Change(DrainEvent.BEGUN, 1, 2, 3, AtEnd.GIVE_BACK, Restarted.OUT, -1),
+                        new Change(DrainEvent.RESTARTED_OUT, 1, 2, 0, AtEnd.LET_GO, Restarted.BACK, 0)),
+                        new Told(List.of(new Wait(-1, Command.Bound.PACE, 3)),
+                                List.of(new Still(1, 2, -1)))).encode(),
+                new Command.Batch(List.of(new Call(1, 2, false, List.of(3L)))).encode());
+    }
+
+    @Test
+    public void whatIsReadIsWhatWasWritten() {
+        good().forEach(bytes -> assertEquals(Command.decode(bytes).encode(), bytes));
+        assertEquals(PolicyCodec.decode(PolicyCodec.encode(List.of(POLICY))), List.of(POLICY));
+        Report report = new Report(1L << 50, 9, 2, 9, List.of(new Report.Calls(4, 1), new Report.Calls(9, 7)),
+                3, List.of(5L, 6L), new Flow(10, 1, 2, 3));
+        assertEquals(Report.decode(report.encode()), report);
+    }
+
+    /** Guards against a part that does not fit the datagram of a report. */
+    @Test
+    public void theLargestPartsFit() {
+        for (byte[] bytes : good().subList(0, 2)) {
+            byte[] part = Report.carry(bytes);
+            assertEquals(part.length <= Report.MOST_BYTES, true, part.length + " bytes");
+            assertNotNull(Report.carried(part));
+        }
+        int most = Integer.MAX_VALUE;
+        List<Report.Calls> calls = LongStream.range(0, Report.mostCalls()).mapToObj(i ->
+                new Report.Calls((int) (i * (most / 16)), most)).toList();
+        List<Long> some = LongStream.range(0, Report.mostSome()).mapToObj(i -> Agreed.MOST_NODE).toList();
+        byte[] largest = new Report(1L << 50, 1L << 40, 0, most, calls, most, some,
+                new Flow(most, most, most, most)).encode();
+        assertNotNull(Report.decode(largest), largest.length + " bytes");
+    }
+
+    @Test
+    public void garbageIsNothingAndThrowsNothing() {
+        SplittableRandom random = new SplittableRandom(1);
+        Drains drains = new Drains(3, 0, 1, DrainSettings.DEFAULT, DrainsWorld.CONDITIONS,
+                new Drains.Outlet() {
+                    @Override
+                    public void happened(Drains.Happened happened) { }
+
+                    @Override
+                    public void settled(long call, boolean committed) { }
+                }, 0);
+        List<byte[]> good = good();
+        for (int i = 0; i < 200_000; i++) {
+            byte[] bytes = good.get(i % good.size()).clone();
+            if (i % 3 == 0) {
+                random.nextBytes(bytes);
+            } else {
+                bytes[random.nextInt(bytes.length)] ^= (byte) (1 << random.nextInt(8));
+            }
+            drains.apply(0, bytes);
+            drains.restored(0, bytes);
+            drains.reported(0, random.nextInt(5) - 1, bytes);
+            Report.decode(bytes);
+            PolicyCodec.decode(bytes);
+        }
+        assertNull(Command.decode(new byte[0]));
+        drains.next(0, 0, List.of(), copy -> true);
+        assertNotNull(drains.progress());
+    }
+
+    @Test
+    public void windowsAreTimesOfTheWeek() {
+        Window night = new Window(0b0000001, 23 * 60, 60);
+        long monday = 4 * 86_400_000L;
+        assertEquals(night.has(Window.minute(monday + 23 * 3_600_000L)), true);
+        assertEquals(night.has(Window.minute(monday + 24 * 3_600_000L)), true);
+        assertEquals(night.has(Window.minute(monday + 25 * 3_600_000L)), false);
+        assertEquals(night.has(Window.minute(monday)), false);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/cedarrudder/drainage/DrainsModelTest.java
@@ -0,0 +1,33 @@
+package cedarrudder.drainage;
+
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+/**
+ * Random worlds: copies that die, stall and join, leaders that are replaced with steps under way, lost and
+ * doubled reports, nodes that fail and restart. Guards against more out than the strictest policy allows, a
+ * drain said done while a live copy has calls there, one open past its time, and copies that disagree.
+ */
+public class DrainsModelTest {
+
+    @Test
+    public void everyWorldKeepsToThePolicies() {
+        int seeds = Integer.getInteger("drains.seeds", 150);
+        int begun = 0;
+        int emptied = 0;
+        int returned = 0;
+        for (long seed = 1; seed <= seeds; seed++) {
+            DrainsWorld world = new DrainsWorld(seed);
+            assertNull(world.run(60 * DrainsWorld.SECOND, 60 * DrainsWorld.SECOND), "seed " + seed);
+            begun += world.begun;
+            emptied += world.emptied;
+            returned += world.returned;
+        }
+        System.out.println(seeds + " worlds: " + begun + " begun, " + emptied + " emptied, " + returned
+                + " returned");
+        assertTrue(begun > seeds && emptied > seeds && returned > seeds / 2, begun + ", " + emptied + ", "
+                + returned);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/cedarrudder/drainage/DrainsWorld.java
@@ -0,0 +1,438 @@
+package cedarrudder.drainage;
+
+import cedarrudder.drainage.Node.Standing;
+import cedarrudder.drainage.Policy.AtEnd;
+import cedarrudder.drainage.Policy.Left;
+import cedarrudder.drainage.Policy.Most;
+import cedarrudder.drainage.Policy.Order;
+import cedarrudder.drainage.Policy.Restarted;
+import cedarrudder.drainage.Policy.Whom;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * Copies in virtual time over a log that orders what they propose, and loses some of it with its leader. It
+ * judges by what is true: which copy sends where, and who has calls at whom.
+ */
+final class DrainsWorld {
+
+    static final long SECOND = 1_000_000_000L;
+    private static final long MILLI = 1_000_000L;
+    private static final long PERIOD = 500 * MILLI;
+    private static final long START = 1_000_000_000_000L;
+
+    /** Tests read conditions of two forms: failed&gt;0.1, and one that throws. */
+    static final Conditions CONDITIONS = new Conditions() {
+        @Override
+        public OfFigures figures(String text) {
+            return figures -> {
+                if (text.equals("throws")) {
+                    throw new IllegalStateException(text);
+                }
+                return text.equals("true") || text.equals("failed") && figures.failed() > 0.1;
+            };
+        }
+
+        @Override
+        public OfNode node(String text) {
+            return node -> node.kind().equals(text);
+        }
+    };
+
+    private record Event(long at, long order, Runnable what) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(at, other.at);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    private final class Copy implements Drains.Local, Drains.Outlet {
+        private final int number;
+        private Drains drains;
+        private boolean live = true;
+        private boolean stalled;
+        private long diedAt;
+        private int applied;
+        private long life;
+        private Set<Long> leaving = new HashSet<>();
+        private final Map<Long, Integer> calls = new HashMap<>();
+        private final Set<Long> disabled = new HashSet<>();
+
+        Copy(int number) {
+            this.number = number;
+            begin();
+        }
+
+        void begin() {
+            life++;
+            drains = new Drains(copies, number, life, DrainSettings.DEFAULT, CONDITIONS, this, now);
+            drains.policies(1, policies);
+            applied = 0;
+            calls.clear();
+            leaving.clear();
+        }
+
+        void catchUp() {
+            while (live && !stalled && applied < log.size()) {
+                drains.apply(now, log.get(applied++));
+                shown();
+                if (!Arrays.equals(drains.state(), states.get(applied - 1))) {
+                    wrong("copy " + number + " has another state after " + applied);
+                }
+            }
+        }
+
+        void shown() {
+            leaving = new HashSet<>();
+            drains.leaving().forEach(each -> leaving.add(each.node()));
+        }
+
+        void call(Node node) {
+            if (!live || stalled || applied == 0 && !log.isEmpty() || leaving.contains(node.id())) {
+                return;
+            }
+            calls.merge(node.id(), 1, Integer::sum);
+            long begun = life;
+            long takes = random.nextInt(50) == 0 ? 20 * SECOND : random.nextLong(2 * SECOND);
+            at(now + takes, () -> {
+                if (life == begun && live) {
+                    calls.merge(node.id(), -1, Integer::sum);
+                }
+            });
+        }
+
+        @Override
+        public int calls(long node) {
+            return calls.getOrDefault(node, 0);
+        }
+
+        @Override
+        public Set<Long> disabled() {
+            return disabled;
+        }
+
+        @Override
+        public Flow flow() {
+            return new Flow(100, 0, failing ? 50 : 0, 0);
+        }
+
+        @Override
+        public void happened(Drains.Happened happened) { }
+
+        @Override
+        public void settled(long call, boolean committed) { }
+    }
+
+    private final SplittableRandom random;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final int copies;
+    private final List<Copy> all = new ArrayList<>();
+    private final Map<Long, Node> nodes = new HashMap<>();
+    private final List<byte[]> log = new ArrayList<>();
+    private final List<byte[]> states = new ArrayList<>();
+    private final Agreed truth = new Agreed();
+    private final Map<Long, Long> openSince = new HashMap<>();
+    final List<Policy> policies;
+    private final double loss;
+    /** Nodes that are drained are taken off the list. */
+    private final boolean removes;
+    private long now = START;
+    private long order;
+    private int leader;
+    private int leaders;
+    private int waitsFor = -1;
+    private boolean failing;
+    private String wrong;
+    int begun;
+    int emptied;
+    int returned;
+
+    DrainsWorld(long seed) {
+        random = new SplittableRandom(seed);
+        removes = random.nextBoolean();
+        copies = 3 + random.nextInt(6);
+        loss = random.nextInt(3) * 0.15;
+        int zones = 1 + random.nextInt(3);
+        int pods = zones * (1 + random.nextInt(3));
+        int each = 3 + random.nextInt(5);
+        for (int pod = 0; pod < pods; pod++) {
+            for (int i = 0; i < each; i++) {
+                long id = 100L * pod + i;
+                nodes.put(id, new Node(id, "t", "z" + pod % zones, pod, i % 2 == 0 ? "big" : "small",
+                        1 + i % 2, Standing.SERVING, 0));
+            }
+        }
+        AtEnd atEnd = AtEnd.values()[random.nextInt(3)];
+        Policy wide = new Policy("wide", Whom.ALL, new Most(1 + random.nextInt(2), 0.5),
+                new Most(2 + random.nextInt(3), 0.5), new Most(2 + random.nextInt(4), 0.4), Left.NOTHING,
+                Order.values()[random.nextInt(Order.values().length)], 1 + random.nextInt(4),
+                random.nextLong(2) * SECOND, 100, "", "", random.nextBoolean() ? "failed" : "", 8 * SECOND,
+                atEnd, Restarted.values()[random.nextInt(2)], List.of());
+        Policy narrow = new Policy("narrow", new Whom("", "", -1, "", 0, 9, "big"), Most.ANY, new Most(1, 1),
+                Most.ANY, new Left(1, 0, 0, 0.5), Order.AS_ASKED, 10, 0, 100, "failed", "", "", 6 * SECOND,
+                atEnd, Restarted.BACK, List.of());
+        policies = random.nextBoolean() ? List.of(wide) : List.of(wide, narrow);
+        for (int i = 0; i < copies; i++) {
+            all.add(new Copy(i));
+        }
+    }
+
+    private void at(long time, Runnable what) {
+        events.add(new Event(time, order++, what));
+    }
+
+    private void wrong(String what) {
+        wrong = wrong == null ? what + " at " + (now - START) / MILLI + " ms" : wrong;
+    }
+
+    /** Runs it; what was wrong, or null. */
+    String run(long faults, long rest) {
+        long end = START + faults;
+        for (Copy copy : all) {
+            at(now + random.nextLong(PERIOD), () -> reports(copy));
+        }
+        at(now, this::leads);
+        at(now, this::sends);
+        for (int i = 0; i < 12; i++) {
+            at(now + random.nextLong(faults), this::fault);
+        }
+        for (int i = 0; i < 6; i++) {
+            at(now + random.nextLong(faults / 2), () -> {
+                Copy by = any();
+                if (by.live) {
+                    List<Long> some = nodes.keySet().stream().sorted().filter(id -> random.nextInt(3) == 0)
+                            .limit(Drains.MOST_IDS).toList();
+                    if (!some.isEmpty()) {
+                        by.drains.call(random.nextInt(4) == 0, some);
+                    }
+                }
+            });
+        }
+        at(end, this::heal);
+        while (now < end + rest && wrong == null) {
+            Event event = events.remove();
+            now = event.at;
+            event.what.run();
+        }
+        outs();
+        return wrong;
+    }
+
+    private Copy any() {
+        return all.get(random.nextInt(copies));
+    }
+
+    private void sends() {
+        for (Copy copy : all) {
+            nodes.values().stream().sorted((a, b) -> Long.compare(a.id(), b.id())).forEach(node -> {
+                if (random.nextInt(4) == 0) {
+                    copy.call(node);
+                }
+            });
+        }
+        at(now + 200 * MILLI, this::sends);
+    }
+
+    private void reports(Copy copy) {
+        if (copy.live && !copy.stalled) {
+            copy.catchUp();
+            int to = leader;
+            for (byte[] part : copy.drains.report(now, copy)) {
+                int times = copy.number == to || random.nextDouble() >= loss ? 1 + random.nextInt(10) / 9 : 0;
+                for (int i = 0; i < times; i++) {
+                    at(now + random.nextLong(30 * MILLI), () -> {
+                        if (all.get(to).live && !all.get(to).stalled) {
+                            all.get(to).drains.reported(now, copy.number, part);
+                        }
+                    });
+                }
+            }
+        }
+        at(now + PERIOD, () -> reports(copy));
+    }
+
+    private void leads() {
+        Copy leads = all.get(leader);
+        if (leads.live && !leads.stalled) {
+            leads.catchUp();
+            if (waitsFor < 0 || log.size() > waitsFor) {
+                byte[] command = leads.drains.next(now, START / MILLI, nodes.values(), this::seenLive);
+                if (command != null) {
+                    waitsFor = log.size();
+                    propose(command);
+                }
+            }
+        }
+        at(now + PERIOD, this::leads);
+    }
+
+    /** Membership: a death is found some seconds late, and one that stands still is taken for dead. */
+    private boolean seenLive(int copy) {
+        Copy one = all.get(copy);
+        return one.live && !one.stalled || now - one.diedAt < 3 * SECOND;
+    }
+
+    private void propose(byte[] command) {
+        long takes = random.nextLong(400 * MILLI);
+        int by = leaders;
+        // A leader that is lost meanwhile may have had it committed, or not.
+        at(now + takes, () -> {
+            if (by == leaders || random.nextBoolean()) {
+                commit(command);
+            }
+        });
+    }
+
+    private void commit(byte[] command) {
+        log.add(command);
+        for (Drains.Happened each : truth.apply(command).happened()) {
+            judge(each);
+        }
+        states.add(truth.encode());
+        outs();
+        for (Copy copy : all) {
+            at(now + random.nextLong(SECOND), copy::catchUp);
+        }
+    }
+
+    private void judge(Drains.Happened each) {
+        begun += each.event() == DrainEvent.BEGUN ? 1 : 0;
+        returned += each.event() == DrainEvent.RETURNED ? 1 : 0;
+        if (each.after().open() && !each.before().open()) {
+            openSince.put(each.node(), now);
+        } else if (!each.after().open()) {
+            openSince.remove(each.node());
+        }
+        if (each.event() == DrainEvent.ALARMED) {
+            openSince.remove(each.node());
+        }
+        if (each.after() == DrainState.OUT && removes) {
+            at(now + 3 * SECOND, () -> {
+                if (truth.state(each.node()) == DrainState.OUT) {
+                    nodes.remove(each.node());
+                }
+            });
+        }
+        if (each.event() == DrainEvent.EMPTY) {
+            emptied++;
+            for (Copy copy : all) {
+                if (copy.live && copy.calls(each.node()) > 0) {
+                    wrong("node " + each.node() + " is said empty with calls of copy " + copy.number);
+                }
+            }
+        }
+        if (each.event() == DrainEvent.RETURNED) {
+            for (Copy copy : all) {
+                if (copy.live && copy.leaving.contains(each.node())) {
+                    wrong("node " + each.node() + " counts as back, and copy " + copy.number + " knows not");
+                }
+            }
+        }
+    }
+
+    /** Never more out by drains than each policy allows, with those that some copy still leaves out. */
+    private void outs() {
+        Set<Long> out = new HashSet<>();
+        truth.drains().stream().filter(drain -> drain.state.out()).forEach(drain -> out.add(drain.node));
+        all.stream().filter(copy -> copy.live).forEach(copy -> out.addAll(copy.leaving));
+        for (Policy policy : truth.policies()) {
+            Counted counted = new Counted(policy);
+            for (Node node : nodes.values()) {
+                if (policy.whom().fits(node)
+                        && (policy.whom().where().isEmpty() || policy.whom().where().equals(node.kind()))) {
+                    counted.add(node, out.contains(node.id()));
+                }
+            }
+            if (counted.over()) {
+                wrong("more are out than " + policy.name() + " allows: " + out);
+            }
+        }
+        openSince.forEach((node, since) -> {
+            if (now - since > 9 * SECOND + leaders * 3 * SECOND + late) {
+                wrong("node " + node + " is open past its time");
+            }
+        });
+    }
+
+    /** Time in which nobody led. */
+    private long late;
+
+    private void fault() {
+        Copy copy = any();
+        switch (random.nextInt(6)) {
+            case 0 -> {
+                if (copy.live && all.stream().filter(each -> each.live).count() > 2) {
+                    copy.live = false;
+                    copy.diedAt = now;
+                    copy.life++;
+                    copy.calls.clear();
+                    copy.leaving.clear();
+                    at(now + 4 * SECOND + random.nextLong(20 * SECOND), () -> {
+                        copy.live = true;
+                        copy.begin();
+                        copy.catchUp();
+                    });
+                    late += copy.number == leader ? 5 * SECOND : 0;
+                    replace();
+                }
+            }
+            case 1 -> {
+                copy.stalled = true;
+                copy.diedAt = now;
+                late += 5 * SECOND;
+                at(now + 5 * SECOND, () -> copy.stalled = false);
+                replace();
+            }
+            case 2 -> replace();
+            case 3 -> restart(random.nextLong(2) * 100 + random.nextInt(3));
+            case 4 -> {
+                failing = true;
+                at(now + 4 * SECOND, () -> failing = false);
+            }
+            default -> {
+                long id = random.nextLong(2) * 100 + random.nextInt(3);
+                Node node = nodes.get(id);
+                if (node != null) {
+                    nodes.put(id, node.with(Standing.FAILED));
+                    at(now + 6 * SECOND, () -> nodes.computeIfPresent(id, (key, one) ->
+                            one.with(Standing.SERVING)));
+                }
+            }
+        }
+    }
+
+    private void restart(long id) {
+        nodes.computeIfPresent(id, (key, one) -> new Node(id, one.tier(), one.zone(), one.pod(), one.kind(),
+                one.weight(), one.standing(), now / MILLI));
+    }
+
+    private void replace() {
+        int old = leader;
+        for (int i = 0; i < 10 && (leader == old || !all.get(leader).live || all.get(leader).stalled); i++) {
+            leader = random.nextInt(copies);
+        }
+        if (leader != old) {
+            leaders++;
+            waitsFor = -1;
+            late += SECOND;
+            all.get(leader).catchUp();
+            all.get(old).drains.leads(now, false);
+            all.get(leader).drains.leads(now, true);
+        }
+    }
+
+    private void heal() {
+        failing = false;
+        if (!all.get(leader).live) {
+            replace();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/cedarrudder/drainage/TransitionsTest.java
@@ -0,0 +1,103 @@
+package cedarrudder.drainage;
+
+import static org.testng.Assert.assertEquals;
+
+import cedarrudder.drainage.Command.Call;
+import cedarrudder.drainage.Command.Change;
+import cedarrudder.drainage.Command.Step;
+import cedarrudder.drainage.Command.Told;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.Test;
+
+/**
+ * The table of states and events, walked whole by commands. Guards against an event that comes twice, late or
+ * overtaken by another doing what nobody asked for.
+ */
+public class TransitionsTest {
+
+    private static final long NODE = 7;
+
+    /** Where each state goes at each event; a dot: nothing changes. Columns as the events are declared. */
+    private static final Map<DrainState, String> EXPECTED = Map.of(
+            //                 asked cancel begun empty letgo givenup alarm stop back out gone returned
+            DrainState.NONE, "WAITING . . . . . . . . . . .",
+            DrainState.WAITING, ". NONE LEAVING . . . . . . . NONE .",
+            DrainState.LEAVING,
+            ". RETURNING . OUT OUT RETURNING OVERDUE RETURNING_TO_WAIT RETURNING . NONE .",
+            DrainState.OVERDUE, ". RETURNING . OUT OUT RETURNING . RETURNING_TO_WAIT RETURNING . NONE .",
+            DrainState.OUT, ". RETURNING . . . . . . RETURNING . NONE .",
+            DrainState.RETURNING, "RETURNING_TO_WAIT . . . . . . . . . NONE NONE",
+            DrainState.RETURNING_TO_WAIT, ". RETURNING . . . . . . . . NONE WAITING");
+
+    /** The events that lead to each state. */
+    private static final Map<DrainState, List<DrainEvent>> WAYS = Map.of(
+            DrainState.NONE, List.of(),
+            DrainState.WAITING, List.of(DrainEvent.ASKED),
+            DrainState.LEAVING, List.of(DrainEvent.ASKED, DrainEvent.BEGUN),
+            DrainState.OVERDUE, List.of(DrainEvent.ASKED, DrainEvent.BEGUN, DrainEvent.ALARMED),
+            DrainState.OUT, List.of(DrainEvent.ASKED, DrainEvent.BEGUN, DrainEvent.EMPTY),
+            DrainState.RETURNING, List.of(DrainEvent.ASKED, DrainEvent.BEGUN, DrainEvent.CANCELLED),
+            DrainState.RETURNING_TO_WAIT, List.of(DrainEvent.ASKED, DrainEvent.BEGUN, DrainEvent.STOPPED));
+
+    private static void happens(Agreed agreed, DrainEvent event, long ticket) {
+        Agreed.Drain drain = agreed.of(NODE);
+        agreed.apply(event == DrainEvent.ASKED || event == DrainEvent.CANCELLED
+                ? new Call(0, ticket, event == DrainEvent.CANCELLED, List.of(NODE)).encode()
+                : new Step(agreed.version(), 0, List.of(),
+                        List.of(Change.of(event, drain == null ? 1 : drain.slot)), Told.NOTHING).encode());
+    }
+
+    @Test
+    public void eachEventDoesInEachStateWhatTheTableSays() {
+        for (DrainState state : DrainState.values()) {
+            String[] row = EXPECTED.get(state).split(" ");
+            assertEquals(row.length, DrainEvent.values().length);
+            for (DrainEvent event : DrainEvent.values()) {
+                Agreed agreed = new Agreed();
+                long ticket = 0;
+                for (DrainEvent each : WAYS.get(state)) {
+                    happens(agreed, each, ++ticket);
+                }
+                assertEquals(agreed.state(NODE), state);
+                happens(agreed, event, ++ticket);
+                String next = row[event.ordinal()];
+                assertEquals(agreed.state(NODE), next.equals(".") ? state : DrainState.valueOf(next),
+                        state + ", " + event);
+            }
+        }
+    }
+
+    /** Guards against what a leader found out before others did counting after it: two waves at once. */
+    @Test
+    public void aStepThatSawAnotherStateChangesNothing() {
+        Agreed agreed = new Agreed();
+        happens(agreed, DrainEvent.ASKED, 1);
+        byte[] begin = new Step(agreed.version(), 0, List.of(), List.of(Change.of(DrainEvent.BEGUN, 1)),
+                Told.NOTHING).encode();
+        agreed.apply(new Call(1, 1, false, List.of(8L)).encode());
+        agreed.apply(begin);
+        assertEquals(agreed.state(NODE), DrainState.WAITING);
+    }
+
+    /** Guards against a call that wandered for long taking back one that was made after it. */
+    @Test
+    public void aCallThatComesLateOrTwiceChangesNothing() {
+        Agreed agreed = new Agreed();
+        byte[] ask = new Call(3, 1, false, List.of(NODE)).encode();
+        agreed.apply(ask);
+        agreed.apply(new Call(3, 2, true, List.of(NODE)).encode());
+        agreed.apply(ask);
+        assertEquals(agreed.state(NODE), DrainState.NONE);
+    }
+
+    @Test
+    public void aStateIsTheSameOnceItWasWrittenAndRead() {
+        Agreed agreed = new Agreed();
+        happens(agreed, DrainEvent.ASKED, 1);
+        happens(agreed, DrainEvent.BEGUN, 2);
+        agreed.apply(new Command.Part(4, 5, 0, 2, new byte[] {1, 2}).encode());
+        byte[] bytes = agreed.encode();
+        assertEquals(Agreed.decode(bytes).encode(), bytes);
+    }
+}
