Give one copy of a tier its whole decision: log, table, lease and reports

Need: agreement, the route table and what is to be planned stood side by side, and nothing put them together.

Change: cedarrudder.fleet.FleetCopy, pure, with seams for shares (failover), removal (drainage) and room (footprint).

--- /dev/null
+++ b/core/src/main/java/cedarrudder/fleet/FleetCopy.java
@@ -0,0 +1,652 @@
+package cedarrudder.fleet;
+
+import cedarrudder.agreement.Agreement;
+import cedarrudder.agreement.AgreementSettings;
+import cedarrudder.agreement.Entry;
+import cedarrudder.agreement.Group;
+import cedarrudder.agreement.LogNumber;
+import cedarrudder.agreement.Note;
+import cedarrudder.agreement.Store;
+import cedarrudder.agreement.Voter;
+import cedarrudder.agreement.Voters;
+import cedarrudder.fleet.Letter.Of;
+import cedarrudder.fleet.Letter.Part;
+import cedarrudder.table.RouteTable;
+import cedarrudder.table.TableCodec;
+import cedarrudder.table.TableDifference;
+import cedarrudder.table.Tables;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * One copy of a tier, as it decides with the others: the log, the route table that comes of it and its lease,
+ * the reports to the copy that leads and, where this one does, the plan. Where callers go and which nodes
+ * leave are the affairs of {@link Shares} and {@link Removal}.
+ *
+ * <p>It has no clock, no socket and no thread. It is told of datagrams and of the time, which never goes
+ * back, and is asked by {@link #due} when it wants to be told next. Not thread-safe: from one thread at a
+ * time, and its outlet must not call it.
+ */
+public final class FleetCopy {
+
+    /** What {@link Shares}, and {@link Removal}, may say in one report: parts, and bytes of each. */
+    public static final int MOST_PARTS = 4;
+    public static final int MOST_PART = 136;
+
+    /** What an entry holds, by its first byte. */
+    private static final byte TABLE = 1;
+    private static final byte COMMAND = 2;
+
+    /** A copy that the one it takes to lead has not answered so often asks another who does. */
+    private static final int MOST_UNANSWERED = 2;
+    /** What a part takes beside its bytes. */
+    private static final int PART_HEAD = 2;
+    /** Reports of which an answer may still come. */
+    private static final int OPEN = 32;
+    /** What is proposed and not loaded after so many periods is taken to have come to nothing. */
+    private static final int MOST_WAITED = 10;
+    /** A copy that was silent for so many reports says nothing of its room. */
+    private static final int HEARD_LATELY = 4;
+
+    /** What it causes. */
+    public interface Outlet {
+        /** Sends a datagram of at most 224 bytes; it may be lost. */
+        void send(int to, byte[] datagram);
+
+        /** This table counts from here on; null: none does, and the copy does what it does without one. */
+        void table(RouteTable table);
+
+        /**
+         * The table that counts must not be used from this instant on, unless another one is said before. To
+         * be looked at before each use: guards against one who stood still and goes on with a table of then.
+         */
+        void until(long instant);
+
+        /**
+         * These nodes are being removed, whether a table counts or not: a lease that is over brings none
+         * back.
+         */
+        void leaving(List<RouteTable.Leaving> leaving);
+
+        /** Something that others may want to know; words of {@code docs/AGREEMENT.md}. */
+        void noted(String what, Map<String, String> fields);
+    }
+
+    /** How things stand, for operators. */
+    public record Status(Group group, long term, int leader, boolean leads, Voters voters, RouteTable agreed,
+            RouteTable used, long leaseLeft) { }
+
+    /** What came that was none, for figures. */
+    public record Counts(long malformed, long notItsSender) { }
+
+    private final Outlet outlet;
+    private final FleetSettings settings;
+    private final int[] zones;
+    private final int self;
+    private final long reports;
+    private final RandomGenerator random;
+    private final Shares shares;
+    private final Removal removal;
+    private final Supplier<Room> room;
+    private final Tables tables = new Tables();
+    private final Reporters reporters;
+    private final BitSet dead = new BitSet();
+    private final Tier tier = new View();
+    private final long[] sentAt = new long[OPEN];
+    private final Lease lease;
+    private final Agreement agreement;
+
+    private RouteTable used;
+    private boolean counts;
+    private boolean fits;
+    private long until;
+    private List<RouteTable.Leaving> leaving = List.of();
+    private long longest;
+
+    private long reportAt;
+    private long number;
+    private int unanswered;
+    private int asked = -1;
+    private int known = -1;
+    private Group grantGroup = Group.NONE;
+    private long grantTerm;
+    private long grantAt;
+
+    private boolean led;
+    private long planAt;
+    private long firstOfTerm;
+    private LogNumber waitsFor;
+    private long waitsSince;
+    private RouteTable heldBack;
+
+    private long now;
+    private long malformed;
+    private long notItsSender;
+
+    /**
+     * Takes part as one that has nothing, or where its store remembers something, with that.
+     *
+     * @param zones the zone of each copy of the tier
+     * @param self the number of this one
+     * @param life larger than that of any earlier life of this one
+     * @param room what this copy can load now
+     * @throws IllegalArgumentException if a figure is outside its range, or the lease is too short for so
+     * many copies
+     */
+    public FleetCopy(int[] zones, int self, long life, AgreementSettings agreed, FleetSettings settings,
+            Store store, RandomGenerator random, Shares shares, Removal removal, Supplier<Room> room,
+            Outlet outlet, long now) {
+        if (settings.lease() < settings.leastLease(zones.length)) {
+            throw new IllegalArgumentException("lease: found " + settings.lease() + " ns with " + zones.length
+                    + " copies; allowed: " + settings.leastLease(zones.length) + " ns or more");
+        }
+        this.zones = zones.clone();
+        this.self = self;
+        this.settings = settings;
+        this.reports = settings.reports(zones.length);
+        this.random = random;
+        this.shares = shares;
+        this.removal = removal;
+        this.room = room;
+        this.outlet = outlet;
+        this.now = now;
+        this.reporters = new Reporters(zones.length, now);
+        this.lease = new Lease(now);
+        this.until = lease.until();
+        this.reportAt = now + (long) (random.nextDouble() * reports);
+        this.agreement = new Agreement(zones, self, life, agreed, store, random, new FromLog(store), now);
+    }
+
+    /** What the log causes. */
+    private final class FromLog implements Agreement.Outlet {
+        private final Store store;
+
+        FromLog(Store store) {
+            this.store = store;
+        }
+
+        @Override
+        public void send(int to, byte[] piece) {
+            outlet.send(to, piece);
+        }
+
+        @Override
+        public void loaded(LogNumber at, byte[] content) {
+            if (content.length > 0 && content[0] == TABLE) {
+                byte[] bytes = new byte[content.length - 1];
+                System.arraycopy(content, 1, bytes, 0, bytes.length);
+                RouteTable table = TableCodec.decode(bytes).table();
+                RouteTable before = lease.agreed();
+                // One that was composed before another leader's came may come after it.
+                boolean counts = table != null && (before == null || table.number() > before.number());
+                agreed(at.group(), counts ? table : before);
+            } else if (content.length > 0 && content[0] == COMMAND) {
+                byte[] command = new byte[content.length - 1];
+                System.arraycopy(content, 1, command, 0, command.length);
+                removal.apply(now, command);
+                agreed(at.group(), lease.agreed());
+            }
+            say(Words.loaded(at, content, state()));
+        }
+
+        @Override
+        public byte[] state() {
+            return new State(lease.agreed(), removal.state()).encode();
+        }
+
+        @Override
+        public void restored(LogNumber at, byte[] bytes) {
+            State state = State.decode(bytes);
+            if (state == null) {
+                // Guards against a state that another version wrote: nothing of it counts.
+                state = new State(null, new byte[0]);
+            }
+            removal.restored(now, state.removal());
+            agreed(at.group(), state.table());
+            if (at.index() > 0) {
+                say(Words.restored(at, bytes, agreement == null ? store.kept().promise().life()
+                        : agreement.life()));
+            }
+        }
+
+        @Override
+        public void noted(Note note) {
+            if (note instanceof Note.Stored stored && stored.entry().kind() == Entry.Kind.BEGIN
+                    && stored.by().copy() == self && stored.entry().term() == agreement.term()
+                    && agreement.leads()) {
+                firstOfTerm = stored.index();
+            }
+            say(Words.of(note));
+        }
+    }
+
+    /** What {@link Shares} and {@link Removal} see where this copy leads. */
+    private final class View implements Tier {
+        @Override
+        public int copies() {
+            return zones.length;
+        }
+
+        @Override
+        public int self() {
+            return self;
+        }
+
+        @Override
+        public int zone(int copy) {
+            return zones[copy];
+        }
+
+        @Override
+        public boolean lives(int copy) {
+            return !dead.get(copy);
+        }
+
+        @Override
+        public RouteTable agreed() {
+            return lease.agreed();
+        }
+
+        @Override
+        public long leaseOver(int copy) {
+            return reporters.grantedAt(copy) + longest + 2 * longest / FleetSettings.DRIFT;
+        }
+    }
+
+    // ---- what is known ----
+
+    /** How things stand. */
+    public Status status(long at) {
+        return new Status(agreement.group(), agreement.term(), leader(), agreement.leads(),
+                agreement.voters(), lease.agreed(), used, used == null ? 0 : Math.max(0, until - at));
+    }
+
+    /** The copy that leads, as far as this one knows; -1 where it knows of none. */
+    public int leader() {
+        return agreement.leads() ? self : agreement.leader() >= 0 ? agreement.leader() : known;
+    }
+
+    public Counts counts() {
+        return new Counts(malformed, notItsSender);
+    }
+
+    // ---- events ----
+
+    /** When {@link #tick} is to be called next; it does no harm to call it sooner or later. */
+    public long due() {
+        long due = Math.min(agreement.due(), reportAt);
+        due = used == null ? due : Math.min(due, until);
+        return agreement.leads() ? Math.min(due, planAt) : due;
+    }
+
+    /** Does what is due. */
+    public void tick(long at) {
+        begin(at);
+        agreement.tick(now);
+        settle();
+        if (now >= reportAt) {
+            reportAt = now + reports;
+            if (!fits) {
+                look(); // there may be room by now
+            }
+            report();
+        }
+        if (agreement.leads() && now >= planAt) {
+            planAt = now + settings.period();
+            plan();
+        }
+        settle();
+    }
+
+    /** Takes a datagram that begins as one of agreement, or as one of these. Garbage is dropped. */
+    public void received(long at, int from, byte[] bytes) {
+        begin(at);
+        if (bytes.length > 0 && bytes[0] == Letter.FIRST) {
+            Letter.Sealed sealed = Letter.decode(bytes, zones.length);
+            if (sealed == null) {
+                malformed++;
+            } else if (sealed.sender() != from || from == self) {
+                notItsSender++;
+            } else if (sealed.letter() instanceof Letter.Report report) {
+                reported(from, sealed.life(), report);
+            } else if (sealed.letter() instanceof Letter.Grant grant) {
+                granted(from, grant);
+            } else if (sealed.letter() instanceof Letter.Hint hint) {
+                hinted(from, hint);
+            }
+        } else {
+            agreement.received(now, from, bytes);
+        }
+        settle();
+    }
+
+    /** Membership holds that a copy lives, or that it is dead; no safety rests on it. */
+    public void lives(int copy, boolean lives) {
+        dead.set(copy, !lives);
+        agreement.lives(copy, lives);
+    }
+
+    /**
+     * An operator has it form a group, with what it has loaded.
+     *
+     * @return false where no further group can be formed
+     */
+    public boolean form(long at) {
+        begin(at);
+        boolean formed = agreement.form(now);
+        settle();
+        return formed;
+    }
+
+    /**
+     * Proposes a command of {@link Removal}, at any copy.
+     *
+     * @return its number if it comes to be committed; null where nothing is taken now
+     * @throws IllegalArgumentException if it is larger than an entry may be
+     */
+    public LogNumber propose(long at, byte[] command) {
+        begin(at);
+        LogNumber taken = agreement.propose(now, tagged(COMMAND, command));
+        settle();
+        return taken;
+    }
+
+    /** This copy is about to end: another leads where this one does; false where none can. */
+    public boolean leave(long at) {
+        begin(at);
+        boolean handed = agreement.transfer(now);
+        settle();
+        return handed;
+    }
+
+    /** First of all: guards against one that stood still doing anything with what was then. */
+    private void begin(long at) {
+        now = at;
+        settle();
+    }
+
+    private void say(Words.Said said) {
+        outlet.noted(said.what(), said.fields());
+    }
+
+    private static byte[] tagged(byte tag, byte[] content) {
+        byte[] bytes = new byte[content.length + 1];
+        bytes[0] = tag;
+        System.arraycopy(content, 0, bytes, 1, content.length);
+        return bytes;
+    }
+
+    // ---- the table ----
+
+    /** All that is agreed on and loaded here is this from now on. */
+    private void agreed(Group group, RouteTable table) {
+        boolean other = table != null && !table.equals(lease.agreed());
+        lease.agreed(group, table);
+        if (table == null) {
+            counts = false;
+            fits = false;
+        } else if (other) {
+            longest = Math.max(longest, table.lease());
+            Tables.Loaded loaded = tables.load(table);
+            counts = loaded.counts();
+            look();
+            if (!fits) {
+                say(Words.refused(table, counts ? "no room" : loaded.why()));
+            }
+        }
+        List<RouteTable.Leaving> next = removal.leaving();
+        if (!next.equals(leaving)) {
+            leaving = next;
+            outlet.leaving(leaving);
+        }
+    }
+
+    /** Whether there is room for what is agreed on. */
+    private void look() {
+        RouteTable table = lease.agreed();
+        fits = counts && room.get().holds(table, TableCodec.encode(table).length);
+    }
+
+    /** Sees to it that the table that counts is the one that may. */
+    private void settle() {
+        if (agreement.leads() != led) {
+            led = !led;
+            planAt = now;
+            waitsFor = null;
+            if (led) {
+                reporters.begin(now);
+                reportAt = now; // what the others say comes to this one from now on, and so does its own
+            }
+            shares.leads(now, led);
+            removal.leads(now, led);
+        }
+        if (led && begun()) {
+            lease.sure(agreement.group(), agreedNumber(), majorityAt());
+        }
+        long next = lease.until();
+        RouteTable holds = fits && now < next ? lease.agreed() : null;
+        if (holds != null && next != until) {
+            outlet.until(next); // first: a table never counts by an older one's time
+        }
+        until = next;
+        if (holds == used) {
+            return;
+        }
+        RouteTable before = used;
+        used = holds;
+        if (before != null && holds == null) {
+            say(Words.lapsed(before));
+        } else if (holds != null) {
+            say(Words.table(holds));
+        }
+        outlet.table(holds);
+    }
+
+    private long agreedNumber() {
+        return lease.agreed() == null ? 0 : lease.agreed().number();
+    }
+
+    /** Whether an entry of this term is committed, and with it all that leaders before had committed. */
+    private boolean begun() {
+        return agreement.loaded().index() >= firstOfTerm;
+    }
+
+    private long majorityAt() {
+        return reporters.majorityAt(now, new Voter(self, agreement.life()), agreement.voters());
+    }
+
+    // ---- reports ----
+
+    private void report() {
+        List<Part> parts = new ArrayList<>();
+        shares.report(now).forEach(part -> parts.add(new Part(Of.SHARES, part)));
+        removal.report(now).forEach(part -> parts.add(new Part(Of.REMOVAL, part)));
+        if (agreement.leads()) {
+            parts.forEach(part -> took(self, part));
+            return;
+        }
+        asked = whom();
+        if (asked < 0) {
+            return;
+        }
+        unanswered++;
+        boolean sameTerm = grantGroup.equals(agreement.group()) && grantTerm == agreement.term();
+        for (int next = 0; next == 0 || next < parts.size();) {
+            List<Part> these = new ArrayList<>();
+            int size = 0;
+            while (next < parts.size()
+                    && size + parts.get(next).bytes().length <= MOST_PART) {
+                size += parts.get(next).bytes().length + PART_HEAD;
+                these.add(parts.get(next++));
+            }
+            boolean first = next == these.size();
+            sentAt[(int) (++number % OPEN)] = now;
+            post(asked, new Letter.Report(first, number, agreement.group(), agreement.term(),
+                    sameTerm ? grantAt : 0, agreedNumber(), Math.max(agreedNumber(), highest()), room.get(),
+                    these));
+            if (these.isEmpty()) {
+                return;
+            }
+        }
+    }
+
+    private long highest() {
+        return tables.current() == null ? 0 : tables.current().number();
+    }
+
+    private void post(int to, Letter letter) {
+        outlet.send(to, letter.encode(self, agreement.life()));
+    }
+
+    /** The one that leads, as far as this copy knows; else one that may know. */
+    private int whom() {
+        if (unanswered > MOST_UNANSWERED) {
+            known = -1;
+        }
+        int leads = agreement.leader();
+        if (leads >= 0 && leads != self && unanswered <= MOST_UNANSWERED) {
+            return leads;
+        } else if (known >= 0) {
+            return known;
+        }
+        List<Voter> voters = agreement.voters().all();
+        int any = voters.isEmpty() ? random.nextInt(zones.length)
+                : voters.get(random.nextInt(voters.size())).copy();
+        return any == self ? -1 : any;
+    }
+
+    private void took(int from, Part part) {
+        if (part.of() == Of.SHARES) {
+            shares.reported(now, from, part.bytes());
+        } else {
+            removal.reported(now, from, part.bytes());
+        }
+    }
+
+    private void reported(int from, long life, Letter.Report report) {
+        if (!agreement.leads()) {
+            int leads = agreement.leader();
+            if (report.asks() && leads >= 0 && leads != from && reporters.answers(now, from, reports)) {
+                post(from, new Letter.Hint(agreement.group(), agreement.term(), leads));
+            }
+            return;
+        }
+        boolean ours = report.group().equals(agreement.group()) && report.term() == agreement.term();
+        if (!reporters.took(now, from, life, report, ours)) {
+            return;
+        }
+        report.parts().forEach(part -> took(from, part));
+        if (report.asks() && reporters.answers(now, from, reports)) {
+            long since = majorityAt();
+            boolean sure = begun() && now - since < 2 * Math.max(longest, settings.lease());
+            if (sure) {
+                reporters.granted(now, from);
+            }
+            post(from, new Letter.Grant(life, report.number(), agreement.group(), agreement.term(), now,
+                    sure ? now - since : -1, agreedNumber()));
+        }
+    }
+
+    private void granted(int from, Letter.Grant grant) {
+        if (grant.life() != agreement.life() || grant.asked() > number || grant.asked() <= number - OPEN) {
+            return;
+        }
+        int byGroup = grant.group().compareTo(grantGroup);
+        if (byGroup < 0 || byGroup == 0 && grant.term() < grantTerm) {
+            return; // guards against one that led before being asked again and again
+        }
+        unanswered = 0;
+        known = from;
+        boolean first = byGroup != 0 || grant.term() != grantTerm;
+        grantAt = first ? grant.at() : Math.max(grantAt, grant.at());
+        grantGroup = grant.group();
+        grantTerm = grant.term();
+        if (grant.age() >= 0) {
+            lease.sure(grant.group(), grant.table(), sentAt[(int) (grant.asked() % OPEN)] - grant.age()
+                    - 2 * grant.age() / FleetSettings.DRIFT);
+        } else if (first) {
+            reportAt = now; // it waits to hear that a majority has heard it
+        }
+    }
+
+    private void hinted(int from, Letter.Hint hint) {
+        int byGroup = hint.group().compareTo(grantGroup);
+        if (from == asked && hint.leader() != self && (byGroup > 0 || byGroup == 0 && hint.term() >= grantTerm)
+                && known != hint.leader()) {
+            known = hint.leader();
+            unanswered = 0;
+            asked = -1; // one answer is enough: guards against copies that name one another without end
+            reportAt = now;
+        }
+    }
+
+    // ---- the plan ----
+
+    private void plan() {
+        if (!begun()) {
+            return;
+        }
+        if (waitsFor != null && agreement.loaded().compareTo(waitsFor) < 0
+                && now - waitsSince < MOST_WAITED * settings.period()) {
+            return;
+        }
+        waitsFor = null;
+        byte[] command = removal.next(now, tier);
+        if (command != null) {
+            propose(tagged(COMMAND, command));
+            return;
+        }
+        long base = base(agreement.group());
+        long next = Math.max(base, Math.max(agreedNumber(), Math.max(highest(), reporters.highest()))) + 1;
+        RouteTable table = new RouteTable(next, base >>> COUNTER, agreement.term(), settings.lease(),
+                shares.plan(now, tier), removal.leaving(), List.of());
+        RouteTable before = lease.agreed();
+        boolean same = before != null && before.group() == table.group() && before.lease() == table.lease()
+                && TableDifference.between(before, table).nothing();
+        if (!same && roomEverywhere(table)) {
+            propose(tagged(TABLE, TableCodec.encode(table)));
+        }
+    }
+
+    private void propose(byte[] content) {
+        waitsFor = agreement.propose(now, content);
+        waitsSince = now;
+    }
+
+    /** Bits of a table's number that count within a group; above them are the group's era and founder. */
+    private static final int COUNTER = 28;
+    private static final int FOUNDER = 16;
+    private static final long MOST_BASE = Long.MAX_VALUE >>> COUNTER;
+
+    /** No table of a group before has a number above it. */
+    private static long base(Group group) {
+        return Math.min((long) group.era() << FOUNDER | group.founder(), MOST_BASE) << COUNTER;
+    }
+
+    /** A table that the smallest live copy can't load is not agreed on. */
+    private boolean roomEverywhere(RouteTable table) {
+        int bytes = TableCodec.encode(table).length;
+        Room log = new Room(Agreement.MOST_CONTENT - 1, RouteTable.MOST_LEAVING);
+        int by = log.holds(table, bytes) ? self : -1;
+        Room least = by < 0 ? log : room.get();
+        for (int copy = 0; copy < zones.length && by >= 0 && least.holds(table, bytes); copy++) {
+            if (copy != self && tier.lives(copy) && reporters.heardSince(copy, now - HEARD_LATELY * reports)) {
+                by = copy;
+                least = reporters.room(copy);
+            }
+        }
+        if (least.holds(table, bytes)) {
+            heldBack = null;
+            return true;
+        }
+        if (heldBack == null || !TableDifference.between(heldBack, table).nothing()) {
+            heldBack = table;
+            say(Words.heldBack(by, bytes, table.leaving().size(), least));
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/fleet/Lease.java
@@ -0,0 +1,68 @@
+package cedarrudder.fleet;
+
+import cedarrudder.agreement.Group;
+import cedarrudder.table.RouteTable;
+
+/**
+ * How long a copy may use what it has loaded: from its last sure contact, on its own clock alone. A contact
+ * is the moment at which it sent a report that a leader answered, less how long before the answer that leader
+ * last knew a majority with it; so an answer that is late, doubled or kept by others for long gives nothing
+ * that it did not give when it was new.
+ */
+final class Lease {
+
+    /** What a leader said of a table that is not loaded here yet. */
+    private record Ahead(Group group, long table, long contact) { }
+
+    private final long none;
+    private Group group = Group.NONE;
+    private RouteTable agreed;
+    private long contact;
+    private Ahead ahead;
+
+    Lease(long now) {
+        none = now - Long.MAX_VALUE / 4;
+        contact = none;
+    }
+
+    /** What is agreed on, as far as this copy has loaded it; null before the first table. */
+    RouteTable agreed() {
+        return agreed;
+    }
+
+    Group group() {
+        return group;
+    }
+
+    /** This is agreed on from here on, in this group. */
+    void agreed(Group in, RouteTable table) {
+        if (!in.equals(group)) {
+            group = in;
+            contact = none;
+        }
+        agreed = table;
+        if (ahead != null && ahead.group.equals(group) && number() >= ahead.table) {
+            contact = Math.max(contact, ahead.contact);
+            ahead = null;
+        }
+    }
+
+    private long number() {
+        return agreed == null ? 0 : agreed.number();
+    }
+
+    /** At that instant a leader of that group certainly led, and no table was newer than this one. */
+    void sure(Group in, long table, long instant) {
+        if (in.equals(group) && number() >= table) {
+            contact = Math.max(contact, instant);
+            ahead = null;
+        } else if (ahead == null || !ahead.group.equals(in)) {
+            ahead = new Ahead(in, table, instant); // the first: guards against one that is never caught up
+        }
+    }
+
+    /** Until when what is agreed on may be used; in the past where it may not be. */
+    long until() {
+        return agreed == null ? none : contact + agreed.lease() - agreed.lease() / FleetSettings.DRIFT;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/fleet/Letter.java
@@ -0,0 +1,161 @@
+package cedarrudder.fleet;
+
+import cedarrudder.agreement.Group;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.zip.CRC32C;
+
+/**
+ * What copies tell one another beside the log, in datagrams of at most {@value #MOST_BYTES} bytes: a first
+ * byte that no message of membership or agreement begins with, the kind, the sender (2) and its life (8), the
+ * fields, and a checksum (CRC32C, 4) of all before it. Big-endian.
+ */
+sealed interface Letter {
+
+    /** The first byte of all of them. */
+    byte FIRST = (byte) 0xa7;
+    int MOST_BYTES = 224;
+
+    int HEAD = 12;
+    int SUM = 4;
+
+    /** What a part is of. */
+    enum Of { SHARES, REMOVAL }
+
+    /** Of one subject. */
+    record Part(Of of, byte[] bytes) { }
+
+    /** Who sent it, in which of its lives. */
+    record Sealed(int sender, long life, Letter letter) { }
+
+    /**
+     * A copy says how it is, and asks the one that leads whether its table still holds.
+     *
+     * @param asks whether it wants an answer; of several datagrams of one report only the first does
+     * @param number its own, which only rises in the sender's life
+     * @param term in which the sender is
+     * @param heardAt the instant in the newest grant that it had of the leader of that group and term, or 0
+     * @param table the number of the table that it has, or 0
+     * @param highest the highest number of a table that it ever had
+     */
+    record Report(boolean asks, long number, Group group, long term, long heardAt, long table, long highest,
+            Room room, List<Part> parts) implements Letter {
+        public Report {
+            parts = List.copyOf(parts);
+        }
+    }
+
+    /**
+     * The answer of the one that leads.
+     *
+     * @param life that of the one that asked
+     * @param asked the number of its report
+     * @param at the instant of the answer, on the leader's clock, over 0: to be said back to it
+     * @param age how long before that a majority was certainly with it; -1 where it does not know
+     * @param table the number of what is agreed on, or 0
+     */
+    record Grant(long life, long asked, Group group, long term, long at, long age, long table)
+            implements Letter { }
+
+    /** The answer of one that does not lead: who does, as far as it knows. */
+    record Hint(Group group, long term, int leader) implements Letter { }
+
+    default byte[] encode(int sender, long life) {
+        ByteBuffer out = ByteBuffer.allocate(MOST_BYTES);
+        out.put(FIRST);
+        if (this instanceof Report m) {
+            out.put((byte) (m.asks ? 1 : 0)).putShort((short) sender).putLong(life).putLong(m.number);
+            put(out, m.group);
+            out.putLong(m.term).putLong(m.heardAt).putLong(m.table).putLong(m.highest)
+                    .putInt(m.room.bytes()).putInt(m.room.nodes());
+            for (Part part : m.parts) {
+                out.put((byte) part.of.ordinal()).put((byte) part.bytes.length).put(part.bytes);
+            }
+        } else if (this instanceof Grant m) {
+            out.put((byte) 2).putShort((short) sender).putLong(life).putLong(m.life).putLong(m.asked);
+            put(out, m.group);
+            out.putLong(m.term).putLong(m.at).putLong(m.age).putLong(m.table);
+        } else if (this instanceof Hint m) {
+            out.put((byte) 3).putShort((short) sender).putLong(life);
+            put(out, m.group);
+            out.putLong(m.term).putShort((short) m.leader);
+        }
+        out.putInt(sum(out.array(), out.position()));
+        byte[] bytes = new byte[out.position()];
+        out.flip().get(bytes);
+        return bytes;
+    }
+
+    /** Reads a datagram; null where the bytes are none. Whatever they are it throws nothing. */
+    static Sealed decode(byte[] bytes, int copies) {
+        if (bytes.length < HEAD + SUM || bytes.length > MOST_BYTES || bytes[0] != FIRST) {
+            return null;
+        }
+        int length = bytes.length - SUM;
+        ByteBuffer in = ByteBuffer.wrap(bytes, 0, length);
+        if (ByteBuffer.wrap(bytes).getInt(length) != sum(bytes, length)) {
+            return null;
+        }
+        try {
+            in.get();
+            int kind = in.get();
+            int sender = in.getShort() & 0xffff;
+            long life = in.getLong();
+            Letter letter = switch (kind) {
+                case 0, 1 -> new Report(kind == 1, in.getLong(), group(in), in.getLong(), in.getLong(),
+                        in.getLong(), in.getLong(), new Room(in.getInt(), in.getInt()), parts(in));
+                case 2 -> new Grant(in.getLong(), in.getLong(), group(in), in.getLong(), in.getLong(),
+                        in.getLong(), in.getLong());
+                case 3 -> new Hint(group(in), in.getLong(), in.getShort() & 0xffff);
+                default -> null;
+            };
+            boolean good = letter != null && !in.hasRemaining() && sender < copies && life >= 0
+                    && letter.plausible(copies);
+            return good ? new Sealed(sender, life, letter) : null;
+        } catch (BufferUnderflowException e) {
+            return null;
+        }
+    }
+
+    private boolean plausible(int copies) {
+        if (this instanceof Report m) {
+            return m.number >= 0 && m.term >= 0 && m.table >= 0 && m.highest >= m.table
+                    && m.highest < Long.MAX_VALUE >> 1 && m.room.bytes() >= 0 && m.room.nodes() >= 0
+                    && m.parts.size() <= 2 * FleetCopy.MOST_PARTS;
+        } else if (this instanceof Grant m) {
+            return m.term >= 0 && m.age >= -1 && m.age < Long.MAX_VALUE >> 2 && m.table >= 0;
+        }
+        return this instanceof Hint m && m.term >= 0 && m.leader < copies;
+    }
+
+    private static List<Part> parts(ByteBuffer in) {
+        List<Part> parts = new ArrayList<>();
+        while (in.hasRemaining()) {
+            int of = in.get();
+            int length = in.get() & 0xff;
+            if (of < 0 || of >= Of.values().length || length > in.remaining()) {
+                throw new BufferUnderflowException();
+            }
+            byte[] bytes = new byte[length];
+            in.get(bytes);
+            parts.add(new Part(Of.values()[of], bytes));
+        }
+        return parts;
+    }
+
+    private static void put(ByteBuffer out, Group group) {
+        out.putInt(group.era()).putShort((short) group.founder()).putLong(group.life());
+    }
+
+    private static Group group(ByteBuffer in) {
+        return new Group(in.getInt(), in.getShort() & 0xffff, in.getLong());
+    }
+
+    private static int sum(byte[] bytes, int length) {
+        CRC32C sum = new CRC32C();
+        sum.update(bytes, 0, length);
+        return (int) sum.getValue();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/fleet/State.java
@@ -0,0 +1,40 @@
+package cedarrudder.fleet;
+
+import cedarrudder.table.RouteTable;
+import cedarrudder.table.TableCodec;
+import java.nio.ByteBuffer;
+
+/**
+ * All that copies have agreed on, as bytes: the length of the table (4), the table, and the state of the
+ * removal. No bytes at all are what there is before the first entry.
+ *
+ * @param table null before the first
+ */
+record State(RouteTable table, byte[] removal) {
+
+    byte[] encode() {
+        byte[] head = table == null ? new byte[0] : TableCodec.encode(table);
+        if (head.length + removal.length == 0) {
+            return new byte[0];
+        }
+        return ByteBuffer.allocate(Integer.BYTES + head.length + removal.length).putInt(head.length).put(head)
+                .put(removal).array();
+    }
+
+    /** Reads it; null where the bytes are none. */
+    static State decode(byte[] bytes) {
+        if (bytes.length == 0) {
+            return new State(null, bytes);
+        }
+        ByteBuffer in = ByteBuffer.wrap(bytes);
+        int length = bytes.length < Integer.BYTES ? -1 : in.getInt();
+        if (length < 0 || length > in.remaining()) {
+            return null;
+        }
+        byte[] head = new byte[length];
+        byte[] removal = new byte[in.remaining() - length];
+        in.get(head).get(removal);
+        RouteTable table = length == 0 ? null : TableCodec.decode(head).table();
+        return length > 0 && table == null ? null : new State(table, removal);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/fleet/Words.java
@@ -0,0 +1,96 @@
+package cedarrudder.fleet;
+
+import cedarrudder.agreement.Entry;
+import cedarrudder.agreement.Group;
+import cedarrudder.agreement.LogNumber;
+import cedarrudder.agreement.Note;
+import cedarrudder.agreement.Voter;
+import cedarrudder.agreement.Voters;
+import cedarrudder.table.RouteTable;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.zip.CRC32C;
+
+/** What a copy says of itself in a history, in the words that a judge reads. */
+final class Words {
+
+    /** Something that happened, and what else is known of it. */
+    record Said(String what, Map<String, String> fields) { }
+
+    private Words() { }
+
+    static Said of(Note note) {
+        String group = text(note.group());
+        if (note instanceof Note.Voted n) {
+            return new Said("voted", Map.of("group", group, "term", text(n.term()), "as", text(n.by().life()),
+                    "for", text(n.candidate())));
+        } else if (note instanceof Note.Leads n) {
+            return new Said("leads", Map.of("group", group, "term", text(n.term()),
+                    "as", text(n.by().life())));
+        } else if (note instanceof Note.Stored n) {
+            Map<String, String> fields = new HashMap<>(Map.of("group", group, "index", text(n.index()),
+                    "as", text(n.by().life()), "sum", sum(n.entry().bytes())));
+            if (n.entry().kind() == Entry.Kind.VOTERS) {
+                fields.put("voters", text(Voters.decode(n.entry().bytes())));
+            }
+            return new Said("stored", fields);
+        }
+        Note.Seated seated = (Note.Seated) note;
+        return new Said("seated", Map.of("group", group, "index", text(seated.index()),
+                "voters", text(seated.voters())));
+    }
+
+    static Said loaded(LogNumber number, byte[] content, byte[] state) {
+        return new Said("loaded", Map.of("group", text(number.group()), "index", text(number.index()),
+                "sum", sum(content), "state", sum(state)));
+    }
+
+    static Said restored(LogNumber number, byte[] state, long life) {
+        return new Said("restored", Map.of("group", text(number.group()), "index", text(number.index()),
+                "state", sum(state), "as", text(life)));
+    }
+
+    static Said table(RouteTable table) {
+        return new Said("table", Map.of("number", text(table.number()), "group", text(table.group()),
+                "term", text(table.term()), "lease", text(table.lease())));
+    }
+
+    static Said lapsed(RouteTable table) {
+        return new Said("lapsed", Map.of("number", text(table.number())));
+    }
+
+    static Said refused(RouteTable table, String why) {
+        return new Said("refused", Map.of("number", text(table.number()), "why", why));
+    }
+
+    /** A copy, or -1 where the log's own bound binds. */
+    static Said heldBack(int copy, int bytes, int nodes, Room room) {
+        return new Said("held-back", Map.of("by", text(copy), "bytes", text(bytes), "nodes", text(nodes),
+                "room", room.bytes() + " bytes, " + room.nodes() + " nodes"));
+    }
+
+    /** As texts that sort as the groups do. */
+    static String text(Group group) {
+        return String.format(Locale.ROOT, "%08x.%04x.%016x", group.era(), group.founder(), group.life());
+    }
+
+    static String text(Voters voters) {
+        return voters.all().stream().map(Words::text).collect(Collectors.joining(","));
+    }
+
+    private static String text(Voter voter) {
+        return voter.copy() + ":" + voter.life();
+    }
+
+    private static String text(long number) {
+        return Long.toString(number);
+    }
+
+    private static String sum(byte[] bytes) {
+        CRC32C sum = new CRC32C();
+        sum.update(bytes);
+        return Long.toHexString(sum.getValue());
+    }
+}
--- a/core/src/test/java/cedarrudder/LayersTest.java
+++ b/core/src/test/java/cedarrudder/LayersTest.java
@@ -31,6 +31,7 @@
             entry("cedarrudder.table", Set.of()),
             entry("cedarrudder.footprint", Set.of()),
             entry("cedarrudder.agreement", Set.of("cedarrudder.membership")),
+            entry("cedarrudder.fleet", Set.of("cedarrudder.agreement", "cedarrudder.table")),
             entry("cedarrudder.figures", Set.of()),
             entry("cedarrudder.flow", Set.of()),
             entry("cedarrudder.rotation", Set.of(MODULE)),
