Play copies that decide together in virtual time, and hold their leases to the clock

Need: what FleetCopy says of leases must hold however datagrams travel and processes stall.

Found and mended on the way: an instant below zero taken for none, a process that keeps its life and numbers its reports anew.

--- a/core/src/main/java/cedarrudder/fleet/FleetCopy.java
+++ b/core/src/main/java/cedarrudder/fleet/FleetCopy.java
@@ -47,6 +47,12 @@
     private static final int PART_HEAD = 2;
     /** Reports of which an answer may still come. */
     private static final int OPEN = 32;
+    /**
+     * A process numbers its reports from its start, in milliseconds, times 2 to the power of this. Guards
+     * against an answer to the process before, where it had the same life, being taken for one to this one.
+     */
+    private static final int START = 20;
+    private static final long MOST_START = (1L << 42) - 1;
     /** What is proposed and not loaded after so many periods is taken to have come to nothing. */
     private static final int MOST_WAITED = 10;
     /** A copy that was silent for so many reports says nothing of its room. */
@@ -114,7 +120,7 @@
     private int known = -1;
     private Group grantGroup = Group.NONE;
     private long grantTerm;
-    private long grantAt;
+    private long grantAt = Letter.NEVER;
 
     private boolean led;
     private long planAt;
@@ -157,6 +163,7 @@
         this.reporters = new Reporters(zones.length, now);
         this.lease = new Lease(now);
         this.until = lease.until();
+        this.number = (life & MOST_START) << START;
         this.reportAt = now + (long) (random.nextDouble() * reports);
         this.agreement = new Agreement(zones, self, life, agreed, store, random, new FromLog(store), now);
     }
@@ -486,8 +493,8 @@
             boolean first = next == these.size();
             sentAt[(int) (++number % OPEN)] = now;
             post(asked, new Letter.Report(first, number, agreement.group(), agreement.term(),
-                    sameTerm ? grantAt : 0, agreedNumber(), Math.max(agreedNumber(), highest()), room.get(),
-                    these));
+                    sameTerm ? grantAt : Letter.NEVER, agreedNumber(), Math.max(agreedNumber(), highest()),
+                    room.get(), these));
             if (these.isEmpty()) {
                 return;
             }
@@ -536,18 +543,18 @@
             return;
         }
         boolean ours = report.group().equals(agreement.group()) && report.term() == agreement.term();
-        if (!reporters.took(now, from, life, report, ours)) {
-            return;
+        boolean fresh = reporters.took(now, from, life, report, ours);
+        if (fresh) {
+            report.parts().forEach(part -> took(from, part));
         }
-        report.parts().forEach(part -> took(from, part));
         if (report.asks() && reporters.answers(now, from, reports)) {
             long since = majorityAt();
-            boolean sure = begun() && now - since < 2 * Math.max(longest, settings.lease());
+            boolean sure = fresh && begun() && now - since < 2 * Math.max(longest, settings.lease());
             if (sure) {
                 reporters.granted(now, from);
             }
             post(from, new Letter.Grant(life, report.number(), agreement.group(), agreement.term(), now,
-                    sure ? now - since : -1, agreedNumber()));
+                    sure ? now - since : -1, agreedNumber(), reporters.last(from)));
         }
     }
 
@@ -561,6 +568,7 @@
         }
         unanswered = 0;
         known = from;
+        number = Math.max(number, grant.last());
         boolean first = byGroup != 0 || grant.term() != grantTerm;
         grantAt = first ? grant.at() : Math.max(grantAt, grant.at());
         grantGroup = grant.group();
@@ -575,8 +583,8 @@
 
     private void hinted(int from, Letter.Hint hint) {
         int byGroup = hint.group().compareTo(grantGroup);
-        if (from == asked && hint.leader() != self && (byGroup > 0 || byGroup == 0 && hint.term() >= grantTerm)
-                && known != hint.leader()) {
+        boolean newer = byGroup > 0 || byGroup == 0 && hint.term() >= grantTerm;
+        if (from == asked && newer && hint.leader() != self && known != hint.leader()) {
             known = hint.leader();
             unanswered = 0;
             asked = -1; // one answer is enough: guards against copies that name one another without end
@@ -634,7 +642,8 @@
         int by = log.holds(table, bytes) ? self : -1;
         Room least = by < 0 ? log : room.get();
         for (int copy = 0; copy < zones.length && by >= 0 && least.holds(table, bytes); copy++) {
-            if (copy != self && tier.lives(copy) && reporters.heardSince(copy, now - HEARD_LATELY * reports)) {
+            if (copy != self && tier.lives(copy)
+                    && reporters.heardSince(copy, now - HEARD_LATELY * reports)) {
                 by = copy;
                 least = reporters.room(copy);
             }
--- a/core/src/main/java/cedarrudder/fleet/Letter.java
+++ b/core/src/main/java/cedarrudder/fleet/Letter.java
@@ -18,6 +18,9 @@
     byte FIRST = (byte) 0xa7;
     int MOST_BYTES = 224;
 
+    /** No instant: clocks may say 0, and less. */
+    long NEVER = Long.MIN_VALUE;
+
     int HEAD = 12;
     int SUM = 4;
 
@@ -36,7 +39,8 @@
      * @param asks whether it wants an answer; of several datagrams of one report only the first does
      * @param number its own, which only rises in the sender's life
      * @param term in which the sender is
-     * @param heardAt the instant in the newest grant that it had of the leader of that group and term, or 0
+     * @param heardAt the instant in the newest grant that it had of the leader of that group and term, or
+     * {@link #NEVER}
      * @param table the number of the table that it has, or 0
      * @param highest the highest number of a table that it ever had
      */
@@ -52,11 +56,12 @@
      *
      * @param life that of the one that asked
      * @param asked the number of its report
-     * @param at the instant of the answer, on the leader's clock, over 0: to be said back to it
+     * @param at the instant of the answer, on the leader's clock: to be said back to it
      * @param age how long before that a majority was certainly with it; -1 where it does not know
      * @param table the number of what is agreed on, or 0
+     * @param last the highest number of a report of that life: the next must be higher
      */
-    record Grant(long life, long asked, Group group, long term, long at, long age, long table)
+    record Grant(long life, long asked, Group group, long term, long at, long age, long table, long last)
             implements Letter { }
 
     /** The answer of one that does not lead: who does, as far as it knows. */
@@ -76,7 +81,8 @@
         } else if (this instanceof Grant m) {
             out.put((byte) 2).putShort((short) sender).putLong(life).putLong(m.life).putLong(m.asked);
             put(out, m.group);
-            out.putLong(m.term).putLong(m.at).putLong(m.age).putLong(m.table);
+            out.putLong(m.term).putLong(m.at).putLong(m.age).putLong(m.table)
+                    .putLong(m.last);
         } else if (this instanceof Hint m) {
             out.put((byte) 3).putShort((short) sender).putLong(life);
             put(out, m.group);
@@ -107,7 +113,7 @@
                 case 0, 1 -> new Report(kind == 1, in.getLong(), group(in), in.getLong(), in.getLong(),
                         in.getLong(), in.getLong(), new Room(in.getInt(), in.getInt()), parts(in));
                 case 2 -> new Grant(in.getLong(), in.getLong(), group(in), in.getLong(), in.getLong(),
-                        in.getLong(), in.getLong());
+                        in.getLong(), in.getLong(), in.getLong());
                 case 3 -> new Hint(group(in), in.getLong(), in.getShort() & 0xffff);
                 default -> null;
             };
@@ -121,11 +127,13 @@
 
     private boolean plausible(int copies) {
         if (this instanceof Report m) {
-            return m.number >= 0 && m.term >= 0 && m.table >= 0 && m.highest >= m.table
+            return m.number >= 0 && m.number < Long.MAX_VALUE >> 1
+                    && m.term >= 0 && m.table >= 0 && m.highest >= m.table
                     && m.highest < Long.MAX_VALUE >> 1 && m.room.bytes() >= 0 && m.room.nodes() >= 0
                     && m.parts.size() <= 2 * FleetCopy.MOST_PARTS;
         } else if (this instanceof Grant m) {
-            return m.term >= 0 && m.age >= -1 && m.age < Long.MAX_VALUE >> 2 && m.table >= 0;
+            return m.term >= 0 && m.age >= -1 && m.age < Long.MAX_VALUE >> 2 && m.table >= 0
+                    && m.last < Long.MAX_VALUE >> 1;
         }
         return this instanceof Hint m && m.term >= 0 && m.leader < copies;
     }
--- a/core/src/main/java/cedarrudder/fleet/Reporters.java
+++ b/core/src/main/java/cedarrudder/fleet/Reporters.java
@@ -56,7 +56,7 @@
         heardAt[from] = now;
         rooms[from] = report.room();
         highest = Math.max(highest, report.highest());
-        if (inOurTerm && report.heardAt() > 0 && report.heardAt() - now <= 0) {
+        if (inOurTerm && report.heardAt() != Letter.NEVER && report.heardAt() <= now) {
             withUs[from] = Math.max(withUs[from], report.heardAt());
         }
         return true;
@@ -71,6 +71,11 @@
         return true;
     }
 
+    /** The highest number of a report of the life that was heard of last. */
+    long last(int from) {
+        return numbers[from];
+    }
+
     /** It was told that its table holds. */
     void granted(long now, int to) {
         grantedAt[to] = now;
--- a/core/src/main/java/cedarrudder/fleet/Words.java
+++ b/core/src/main/java/cedarrudder/fleet/Words.java
@@ -54,7 +54,14 @@
 
     static Said table(RouteTable table) {
         return new Said("table", Map.of("number", text(table.number()), "group", text(table.group()),
-                "term", text(table.term()), "lease", text(table.lease())));
+                "term", text(table.term()), "lease", text(table.lease()), "shares",
+                table.shares().stream().map(Words::text).collect(Collectors.joining(","))));
+    }
+
+    /** As {@code from>to:way:parts:per_s}. */
+    private static String text(RouteTable.Share share) {
+        return share.from() + ">" + share.to() + ":" + share.way().name().toLowerCase(Locale.ROOT) + ":"
+                + share.parts() + ":" + share.perSecond();
     }
 
     static Said lapsed(RouteTable table) {
--- a/core/src/test/java/cedarrudder/LayersTest.java
+++ b/core/src/test/java/cedarrudder/LayersTest.java
@@ -79,6 +79,8 @@
             entry("cedarrudder.lab.judge", Set.of()),
             entry("cedarrudder.lab.members", Set.of("cedarrudder.membership")),
             entry("cedarrudder.lab.agreement", Set.of("cedarrudder.agreement", "cedarrudder.lab.judge")),
+            entry("cedarrudder.lab.fleet", Set.of("cedarrudder.fleet", "cedarrudder.agreement",
+                    "cedarrudder.table", "cedarrudder.lab.agreement", "cedarrudder.lab.judge")),
             entry("cedarrudder.lab.cluster", Set.of("cedarrudder.membership", "cedarrudder.toml",
                     "cedarrudder.lab.attack", "cedarrudder.lab.emulator", "cedarrudder.lab.judge",
                     "cedarrudder.lab.members", "io.netty")),
--- a/lab/src/main/java/cedarrudder/lab/agreement/Disk.java
+++ b/lab/src/main/java/cedarrudder/lab/agreement/Disk.java
@@ -8,7 +8,7 @@
 import java.util.List;
 
 /** A lasting disk in virtual time: what was written and not synced is lost with the process. */
-final class Disk implements Store {
+public final class Disk implements Store {
 
     private Kept synced;
     private Promise promise;
@@ -16,7 +16,7 @@
     private final List<Entry> entries = new ArrayList<>();
 
     /** The process is gone, and with it what it had not synced. */
-    void crash() {
+    public void crash() {
         promise = synced == null ? null : synced.promise();
         entries.clear();
         if (synced != null) {
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/fleet/FleetWorld.java
@@ -0,0 +1,369 @@
+package cedarrudder.lab.fleet;
+
+import cedarrudder.agreement.AgreementSettings;
+import cedarrudder.agreement.Store;
+import cedarrudder.fleet.FleetCopy;
+import cedarrudder.fleet.FleetSettings;
+import cedarrudder.fleet.Removal;
+import cedarrudder.fleet.Room;
+import cedarrudder.fleet.Shares;
+import cedarrudder.lab.agreement.Copies.Network;
+import cedarrudder.lab.agreement.Disk;
+import cedarrudder.lab.judge.Event;
+import cedarrudder.table.RouteTable;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * Copies of a tier that decide together, in virtual time: a network that loses, delays, doubles and cuts,
+ * clocks that differ and drift, processes that are killed and that stand still. One seed gives one history.
+ */
+public final class FleetWorld {
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final long HOUR = 3_600 * SECOND;
+    private static final int MOST_WAITING = 2_000;
+
+    /** What makes a copy's part, with its subjects and its room. */
+    public interface Maker {
+        FleetCopy make(int[] zones, int self, long life, Store store, RandomGenerator random,
+                FleetCopy.Outlet outlet, long now);
+    }
+
+    /** One whose zones keep their callers, and that has room for all. */
+    public static Maker plain(AgreementSettings agreed, FleetSettings settings) {
+        return (zones, self, life, store, random, outlet, now) -> new FleetCopy(zones, self, life, agreed,
+                settings, store, random, Shares.NONE, Removal.NONE,
+                () -> Room.ANY, outlet, now);
+    }
+
+    private record Due(long at, long number, Runnable what) { }
+
+    /** One place in the tier, and the process that runs there. */
+    private final class Place implements FleetCopy.Outlet {
+        final int number;
+        final long offset = (long) (random.nextDouble(-1, 1) * HOUR);
+        final double drift = 1 + random.nextDouble(-1, 1) / FleetSettings.DRIFT;
+        final Deque<Runnable> waiting = new ArrayDeque<>();
+        Store store = Store.NONE;
+        FleetCopy copy;
+        RouteTable table;
+        long until;
+        List<RouteTable.Leaving> leaving = List.of();
+        long process;
+        long stalledUntil;
+        long ticksAt;
+        long bytes;
+
+        Place(int number) {
+            this.number = number;
+        }
+
+        long own() {
+            return offset + (long) (now * drift);
+        }
+
+        void start(long life, Store on, boolean keeps) {
+            process++;
+            store = on;
+            stalledUntil = 0;
+            waiting.clear();
+            table = null;
+            leaving = List.of();
+            noted("started", Map.of("kept", keeps ? "1" : "0"));
+            copy = maker.make(zones, number, life, on, random.split(), this, own());
+            ticksAt = Long.MAX_VALUE;
+            wake();
+        }
+
+        /** Does it now, or where it stands still, as soon as it goes on. */
+        void run(long of, Runnable what) {
+            if (of != process || copy == null) {
+                return;
+            }
+            if (now < stalledUntil) {
+                if (waiting.size() < MOST_WAITING) {
+                    waiting.add(what);
+                }
+                return;
+            }
+            what.run();
+            wake();
+        }
+
+        void resume(long of) {
+            if (of == process && copy != null && now >= stalledUntil) {
+                while (!waiting.isEmpty()) {
+                    waiting.remove().run();
+                }
+                wake();
+            }
+        }
+
+        private void wake() {
+            long at = Math.max(now + 1, (long) Math.ceil((copy.due() - offset) / drift) + 1);
+            if (at < ticksAt || ticksAt <= now) {
+                ticksAt = at;
+                long of = process;
+                at(at, () -> {
+                    if (of == process && ticksAt == at) {
+                        ticksAt = Long.MAX_VALUE;
+                        run(of, () -> copy.tick(own()));
+                    }
+                });
+            }
+        }
+
+        @Override
+        public void send(int to, byte[] datagram) {
+            bytes += datagram.length;
+            if (random.nextDouble() < network.loss() || cut[number][to]) {
+                return;
+            }
+            int times = random.nextDouble() < network.doubled() ? 2 : 1;
+            Place target = places.get(to);
+            for (int i = 0; i < times; i++) {
+                byte[] comes = datagram.clone();
+                if (random.nextDouble() < network.corrupt()) {
+                    comes[random.nextInt(comes.length)] ^= (byte) (1 << random.nextInt(8));
+                }
+                at(now + random.nextLong(network.leastDelay(), network.mostDelay() + 1), () -> {
+                    if (!cut[number][to]) {
+                        target.run(target.process,
+                                () -> target.copy.received(target.own(), number, comes));
+                    }
+                });
+            }
+        }
+
+        @Override
+        public void table(RouteTable next) {
+            table = next;
+        }
+
+        @Override
+        public void until(long instant) {
+            until = instant;
+        }
+
+        @Override
+        public void leaving(List<RouteTable.Leaving> next) {
+            leaving = next;
+        }
+
+        @Override
+        public void noted(String what, Map<String, String> fields) {
+            listener.accept(new Event(now, number, process, what, fields));
+        }
+    }
+
+    private final Maker maker;
+    private final Consumer<Event> listener;
+    private final SplittableRandom random;
+    private final int[] zones;
+    private final List<Place> places = new ArrayList<>();
+    private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) ->
+            a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
+    private final boolean[][] cut;
+    private Network network;
+    private long now = 1_000 * SECOND;
+    private long made;
+    private long lives = 1;
+
+    /**
+     * Starts all copies at once, in no group.
+     *
+     * @param zones that of each copy
+     * @param disks whether each has a lasting disk
+     * @param listener hears all that happens
+     */
+    public FleetWorld(int[] zones, Network network, boolean disks, long seed, Maker maker,
+            Consumer<Event> listener) {
+        this.zones = zones.clone();
+        this.network = network;
+        this.maker = maker;
+        this.listener = listener;
+        this.random = new SplittableRandom(seed);
+        this.cut = new boolean[zones.length][zones.length];
+        for (int i = 0; i < zones.length; i++) {
+            places.add(new Place(i));
+        }
+        places.forEach(place -> place.start(lives++, disks ? new Disk() : Store.NONE, false));
+    }
+
+    private void at(long instant, Runnable what) {
+        due.add(new Due(instant, made++, what));
+    }
+
+    // ---- time ----
+
+    public long now() {
+        return now;
+    }
+
+    /** Plays on for so long, in nanoseconds. */
+    public void play(long length) {
+        long until = now + length;
+        while (!due.isEmpty() && due.peek().at <= until) {
+            Due next = due.poll();
+            now = next.at;
+            next.what.run();
+        }
+        now = until;
+    }
+
+    // ---- faults ----
+
+    /** From now on the network does this. */
+    public void network(Network other) {
+        network = other;
+    }
+
+    /** This one is gone without a word. */
+    public void kill(int number) {
+        Place place = places.get(number);
+        place.copy = null;
+        place.table = null;
+        place.process++;
+        if (place.store instanceof Disk disk) {
+            disk.crash();
+        }
+        tellLives();
+    }
+
+    /** It starts again, in a new life, with its disk where it has one. */
+    public void restart(int number) {
+        Place place = places.get(number);
+        place.start(lives++, place.store, place.store.kept() != null);
+        tellLives();
+    }
+
+    /** For so long it does nothing; what comes meanwhile waits. */
+    public void stall(int number, long length) {
+        Place place = places.get(number);
+        place.stalledUntil = now + length;
+        long of = place.process;
+        at(now + length, () -> place.resume(of));
+    }
+
+    /** Nothing comes from this one to that one from now on, or all does again. */
+    public void cut(int from, int to, boolean cuts) {
+        cut[from][to] = cuts;
+        tellLives();
+    }
+
+    /** Nothing passes between these and all others. */
+    public void cutOff(List<Integer> these) {
+        for (int i = 0; i < cut.length; i++) {
+            for (int j = 0; j < cut.length; j++) {
+                cut[i][j] = these.contains(i) != these.contains(j);
+            }
+        }
+        tellLives();
+    }
+
+    /** No link is cut. */
+    public void heal() {
+        for (boolean[] row : cut) {
+            Arrays.fill(row, false);
+        }
+        tellLives();
+    }
+
+    /** Membership, which knows at once what can be known. */
+    private void tellLives() {
+        for (Place place : places) {
+            for (Place other : places) {
+                if (place != other && place.copy != null) {
+                    place.copy.lives(other.number, other.copy != null
+                            && !cut[place.number][other.number] && !cut[other.number][place.number]);
+                }
+            }
+        }
+    }
+
+    /** An operator has it form a group. */
+    public void form(int number) {
+        Place place = places.get(number);
+        place.run(place.process, () -> place.copy.form(place.own()));
+    }
+
+    /** Gives a copy bytes as if from another. */
+    public void inject(int to, int from, byte[] bytes) {
+        Place place = places.get(to);
+        place.run(place.process, () -> place.copy.received(place.own(), from, bytes));
+    }
+
+    // ---- what is seen ----
+
+    public int size() {
+        return places.size();
+    }
+
+    public boolean runs(int number) {
+        return places.get(number).copy != null;
+    }
+
+    /** A copy's part; null where it doesn't run. */
+    public FleetCopy view(int number) {
+        return places.get(number).copy;
+    }
+
+    /**
+     * The table that a copy would use for a call that came now, as its host looks at the time before each;
+     * null where it would use none.
+     */
+    public RouteTable uses(int number) {
+        Place place = places.get(number);
+        return place.table == null || place.own() >= place.until ? null : place.table;
+    }
+
+    /** Nodes that a copy leaves out. */
+    public List<RouteTable.Leaving> leaving(int number) {
+        return places.get(number).leaving;
+    }
+
+    /** The copy that leads the newest term of the newest group, of those that don't stand still; or -1. */
+    public int leader() {
+        int found = -1;
+        for (Place place : places) {
+            if (place.copy != null && now >= place.stalledUntil && place.copy.status(place.own()).leads()
+                    && (found < 0 || newer(place, places.get(found)))) {
+                found = place.number;
+            }
+        }
+        return found;
+    }
+
+    private static boolean newer(Place one, Place other) {
+        FleetCopy.Status a = one.copy.status(one.own());
+        FleetCopy.Status b = other.copy.status(other.own());
+        int byGroup = a.group().compareTo(b.group());
+        return byGroup > 0 || byGroup == 0 && a.term() > b.term();
+    }
+
+    /** Whether all that run use one table. */
+    public boolean agree() {
+        Map<RouteTable, Integer> used = new HashMap<>();
+        for (Place place : places) {
+            if (place.copy != null) {
+                used.merge(uses(place.number), 1, Integer::sum);
+            }
+        }
+        return used.size() == 1 && !used.containsKey(null);
+    }
+
+    /** All bytes that a copy's place sent, without the headers of lower layers. */
+    public long bytes(int number) {
+        return places.get(number).bytes;
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/cedarrudder/lab/fleet/FleetWorldTest.java
@@ -0,0 +1,272 @@
+package cedarrudder.lab.fleet;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.agreement.AgreementSettings;
+import cedarrudder.agreement.Store;
+import cedarrudder.fleet.FleetCopy;
+import cedarrudder.fleet.FleetSettings;
+import cedarrudder.fleet.Removal;
+import cedarrudder.fleet.Room;
+import cedarrudder.fleet.Shares;
+import cedarrudder.fleet.Tier;
+import cedarrudder.lab.agreement.Copies.Network;
+import cedarrudder.lab.judge.Event;
+import cedarrudder.lab.judge.OneLeader;
+import cedarrudder.lab.judge.OneTable;
+import cedarrudder.lab.judge.Rule;
+import cedarrudder.table.RouteTable;
+import cedarrudder.table.RouteTable.Share;
+import cedarrudder.table.RouteTable.Way;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
+import org.testng.annotations.Test;
+
+/** Copies that decide together, with what goes wrong made to go wrong. Seeds are fixed. */
+public class FleetWorldTest {
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final long MILLI = 1_000_000L;
+    private static final Network CALM = new Network(0, 0, 0, 2 * MILLI, 21 * MILLI);
+    private static final Network ROUGH = new Network(0.1, 0.05, 0.01, 2 * MILLI, 400 * MILLI);
+    private static final AgreementSettings AGREED = AgreementSettings.DEFAULT;
+    private static final FleetSettings SETTINGS = FleetSettings.DEFAULT;
+    private static final long LEASE = SETTINGS.lease();
+
+    private final List<Event> events = new ArrayList<>();
+    private int parts = 1_000;
+    private int room = Integer.MAX_VALUE;
+
+    /** A plan that the test changes: so many parts of zone 0 spill into zone 1. */
+    private final class Plan implements Shares {
+        @Override
+        public List<byte[]> report(long now) {
+            return List.of(new byte[FleetCopy.MOST_PART], new byte[50]);
+        }
+
+        @Override
+        public void reported(long now, int from, byte[] part) { }
+
+        @Override
+        public List<Share> plan(long now, Tier tier) {
+            return List.of(new Share(0, 1, Way.SPILLED, parts, 0));
+        }
+
+        @Override
+        public void leads(long now, boolean leads) { }
+    }
+
+    private FleetCopy make(int[] zones, int self, long life, Store store, RandomGenerator random,
+            FleetCopy.Outlet outlet, long now) {
+        return new FleetCopy(zones, self, life, AGREED, SETTINGS, store, random, new Plan(), Removal.NONE,
+                () -> new Room(self == 3 ? room : Integer.MAX_VALUE, 10), outlet, now);
+    }
+
+    private FleetWorld started(int size, Network network, boolean disks, long seed) {
+        events.clear();
+        parts = 1_000;
+        room = Integer.MAX_VALUE;
+        FleetWorld world = new FleetWorld(IntStream.range(0, size).map(i -> i % 3).toArray(), network, disks,
+                seed, this::make, events::add);
+        world.form(0);
+        world.play(15 * SECOND);
+        assertTrue(world.agree(), "no table is used by all, seed " + seed);
+        return world;
+    }
+
+    private static int parts(RouteTable table) {
+        return table.shares().get(0).parts();
+    }
+
+    private static int other(FleetWorld world) {
+        return (world.leader() + 1) % world.size();
+    }
+
+    @Test
+    public void oneTableIsUsedByAllVotersOrNot() {
+        FleetWorld world = started(9, CALM, false, 1);
+        long number = world.uses(0).number();
+        parts = 2_000;
+        world.play(2 * SECOND);
+        assertTrue(world.agree());
+        assertEquals(parts(world.uses(8)), 2_000);
+        assertTrue(world.uses(8).number() > number);
+        world.play(60 * SECOND);
+        assertTrue(world.agree(), "a lease ran out in calm");
+        assertTrue(events.stream().noneMatch(event -> event.what().equals("lapsed")));
+    }
+
+    /** Guards against one that is cut off using a table for longer than its lease, or for much less. */
+    @Test
+    public void oneThatIsCutOffKeepsItsTableForTheLeaseAndNoLonger() {
+        FleetWorld world = started(7, CALM, false, 2);
+        int away = other(world);
+        world.cutOff(List.of(away));
+        parts = 3_000;
+        world.play(LEASE - 3 * SECOND);
+        assertNotNull(world.uses(away), "it left its table too early");
+        assertEquals(parts(world.uses(away)), 1_000);
+        world.play(3 * SECOND);
+        assertNull(world.uses(away), "it used its table past the lease");
+        world.heal();
+        world.play(3 * SECOND);
+        assertTrue(world.agree(), "it does not come back");
+        assertEquals(parts(world.uses(away)), 3_000);
+    }
+
+    /** Guards against a leader that has lost its majority keeping its own lease, and those of others. */
+    @Test
+    public void aLeaderWithoutAMajorityKeepsNobodysLease() {
+        FleetWorld world = started(7, CALM, false, 3);
+        int leader = world.leader();
+        int follows = (leader + 3) % 7;
+        world.cutOff(List.of(leader, follows));
+        world.play(LEASE + LEASE / 100);
+        assertNull(world.uses(leader));
+        assertNull(world.uses(follows));
+        assertNotEquals(world.leader(), leader);
+    }
+
+    /** Guards against one that wakes up using what it had, before it has heard of anything. */
+    @Test
+    public void oneThatStoodStillForLongerThanItsLeaseUsesNothingWhenItWakes() {
+        FleetWorld world = started(5, CALM, false, 4);
+        int leader = world.leader();
+        world.stall(leader, LEASE + SECOND);
+        parts = 4_000;
+        world.play(LEASE + SECOND - 1);
+        assertNull(world.uses(leader), "as one would that is asked in its first moment");
+        world.play(5 * SECOND);
+        assertTrue(world.agree());
+        assertEquals(parts(world.uses(leader)), 4_000);
+    }
+
+    /** One small copy holds a table back for all; when it has room, or is gone, the table comes. */
+    @Test
+    public void aTableThatTheSmallestLiveCopyCannotLoadIsNotAgreedOn() {
+        FleetWorld world = started(5, CALM, false, 5);
+        room = 10;
+        world.play(2 * SECOND);
+        parts = 5_000;
+        world.play(5 * SECOND);
+        assertEquals(parts(world.uses(0)), 1_000);
+        assertTrue(events.stream().anyMatch(event -> event.what().equals("held-back")
+                && event.text("by").equals("3")), "nobody is told why");
+        room = 1_000;
+        world.play(5 * SECOND);
+        assertEquals(parts(world.uses(0)), 5_000);
+        assertTrue(world.agree());
+    }
+
+    /** Guards against numbers that begin anew in a group that an operator forms. */
+    @Test
+    public void numbersRiseOverGroups() {
+        FleetWorld world = started(5, CALM, false, 6);
+        long number = world.uses(0).number();
+        IntStream.of(0, 1, 2).forEach(world::kill);
+        world.play(2 * SECOND);
+        world.form(4);
+        world.restart(0);
+        world.restart(1);
+        world.play(20 * SECOND);
+        assertTrue(world.agree());
+        assertTrue(world.uses(4).number() > number);
+        assertTrue(world.uses(4).group() > 0);
+    }
+
+    @Test
+    public void garbageAndOldDatagramsChangeNothing() {
+        FleetWorld world = started(5, CALM, false, 7);
+        SplittableRandom random = new SplittableRandom(7);
+        int one = other(world);
+        for (int i = 0; i < 3_000; i++) {
+            byte[] bytes = new byte[random.nextInt(300)];
+            random.nextBytes(bytes);
+            if (bytes.length > 0 && i % 2 == 0) {
+                bytes[0] = (byte) 0xa7;
+            }
+            world.inject(one, (one + 1) % 5, bytes);
+        }
+        world.play(SECOND);
+        assertTrue(world.agree());
+        assertEquals(world.view(one).counts().malformed(), 1_500, 20.0);
+    }
+
+    /** What was agreed on first in one group: no other copy uses an earlier one for longer than its lease. */
+    private static final class LeaseKept {
+        private final Map<Long, Long> firstUsed = new TreeMap<>();
+
+        void look(FleetWorld world, String seed) {
+            for (int copy = 0; copy < world.size(); copy++) {
+                RouteTable table = world.runs(copy) ? world.uses(copy) : null;
+                if (table != null) {
+                    firstUsed.putIfAbsent(table.number(), world.now());
+                    for (var later : firstUsed.entrySet()) {
+                        boolean sameGroup = later.getKey() >>> 28 == table.number() >>> 28;
+                        assertTrue(!sameGroup || later.getKey() <= table.number()
+                                || world.now() - later.getValue() <= LEASE, seed + ": copy " + copy + " uses "
+                                + table.number() + " while " + later.getKey() + " was used "
+                                + (world.now() - later.getValue()) / MILLI + " ms ago");
+                    }
+                }
+            }
+        }
+    }
+
+    /**
+     * Copies killed, stalled and cut off while tables change, on a network that delays by up to 400 ms,
+     * doubles and loses: what was agreed on is one, and no lease is outlived, however words travel.
+     */
+    @Test
+    public void stormsBreakNoRuleAndNoLease() {
+        for (long seed = 1; seed <= 12; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            int size = 5 + random.nextInt(5);
+            FleetWorld world = started(size, CALM, seed % 3 == 0, seed);
+            LeaseKept lease = new LeaseKept();
+            world.network(ROUGH);
+            for (int step = 0; step < 16; step++) {
+                int one = random.nextInt(size);
+                int leader = world.leader();
+                switch (random.nextInt(7)) {
+                    case 0 -> world.kill(one);
+                    case 1, 2 -> IntStream.range(0, size).filter(i -> !world.runs(i)).forEach(world::restart);
+                    case 3 -> world.stall(leader < 0 ? one : leader, random.nextLong(14 * SECOND));
+                    case 4 -> world.cutOff(List.of(one, leader < 0 ? one : leader));
+                    case 5 -> world.cut(leader < 0 ? one : leader, one, true);
+                    default -> world.heal();
+                }
+                for (int i = random.nextInt(60); i > 0; i--) {
+                    parts = i % 4 == 0 ? 1 + random.nextInt(9_000) : parts;
+                    world.play(random.nextLong(200 * MILLI));
+                    lease.look(world, "seed " + seed);
+                }
+            }
+            world.heal();
+            world.network(CALM);
+            IntStream.range(0, size).filter(i -> !world.runs(i)).forEach(world::restart);
+            for (int i = 0; i < 40 && !(world.leader() >= 0 && world.agree()); i++) {
+                world.play(SECOND);
+            }
+            if (world.leader() < 0) {
+                world.form(0); // a majority forgot
+                world.play(30 * SECOND);
+            }
+            assertTrue(world.agree(), "seed " + seed + " does not settle");
+            List<Rule> rules = List.of(new OneTable(), new OneLeader());
+            events.forEach(event -> rules.forEach(rule -> rule.took(event)));
+            for (Rule rule : rules) {
+                assertEquals(rule.breaches(), List.of(), "seed " + seed);
+            }
+        }
+    }
+}
