Give the decisions an event for the shares of zones

The copies of a tier are to agree on which part of a zone's calls each zone serves. Balancer gets the event by which a copy's decisions are told of it, and the driver hands it on; no module listens yet. The ranges are the route table's.

--- a/core/src/main/java/cedarrudder/Balancer.java
+++ b/core/src/main/java/cedarrudder/Balancer.java
@@ -1,5 +1,6 @@
 package cedarrudder;
 
+import cedarrudder.table.RouteTable;
 import java.util.List;
 
 /**
@@ -154,6 +155,29 @@
         }
     }
 
+    /**
+     * What one zone may get of a copy's calls, by the table that the copies agree on.
+     *
+     * @param zone as the list of endpoints numbers it
+     * @param parts of {@link RouteTable#WHOLE}, so many; from 1
+     * @param perSecond it gets no more calls a second from this copy; 0: no bound
+     */
+    record ZoneShare(int zone, int parts, int perSecond) {
+        /** Checks the ranges, which are the table's; what is wrong is an IllegalArgumentException. */
+        public ZoneShare {
+            check("zone", zone, 0, RouteTable.MOST_ZONES - 1);
+            check("parts", parts, 1, RouteTable.WHOLE);
+            check("perSecond", perSecond, 0, Integer.MAX_VALUE);
+        }
+
+        private static void check(String name, int found, int least, int most) {
+            if (found < least || found > most) {
+                throw new IllegalArgumentException("share." + name + ": found " + found + "; allowed: "
+                        + least + " to " + most);
+            }
+        }
+    }
+
     /** An endpoint's own report of its load. A figure that it does not report is NaN. */
     record Load(double inFlight, double queue, double utilisation, double latencyMillis, double perSecond,
             double errorsPerSecond) { }
@@ -256,6 +280,15 @@
      */
     default void copies(long now, int live) { }
 
+    /**
+     * Which part of this copy's calls each zone may get from now on, in place of what was said before. The
+     * order is that in which they stand in for one another, after the copy's own zone. An empty list, as at the
+     * start: any zone may, as the module sees fit. A zone that stands twice, or parts that are more than a
+     * whole, are an IllegalArgumentException, and what was said before stands. A module that doesn't listen
+     * goes on as it was.
+     */
+    default void shares(long now, List<ZoneShare> shares) { }
+
     /**
      * How many of the listed endpoints are avoided now: they drain, they fail, or they are silent. It is a
      * question, and changes nothing.
--- a/core/src/main/java/cedarrudder/routing/Driver.java
+++ b/core/src/main/java/cedarrudder/routing/Driver.java
@@ -5,6 +5,7 @@
 import cedarrudder.Balancer.ListKind;
 import cedarrudder.Balancer.Load;
 import cedarrudder.Balancer.Outcome;
+import cedarrudder.Balancer.ZoneShare;
 import cedarrudder.budget.Budgets;
 import cedarrudder.budget.FromBelow;
 import cedarrudder.figures.Figures;
@@ -230,6 +231,11 @@
         post(() -> balancer.copies(timers.now(), live));
     }
 
+    /** Each zone may get such a part of the RPCs; an empty list: as the module sees fit. */
+    public void shares(List<ZoneShare> shares) {
+        post(() -> balancer.shares(timers.now(), shares));
+    }
+
     /** An operator has put a node back. */
     public void returned(long endpoint) {
         post(() -> balancer.returned(timers.now(), endpoint));
--- a/lab/src/main/java/cedarrudder/lab/model/Watched.java
+++ b/lab/src/main/java/cedarrudder/lab/model/Watched.java
@@ -138,6 +138,11 @@
         event(() -> balancer.copies(at, live));
     }
 
+    @Override
+    public void shares(long at, List<ZoneShare> shares) {
+        event(() -> balancer.shares(at, shares));
+    }
+
     @Override
     public void message(long at, int from, byte[] message) {
         event(() -> balancer.message(at, from, message));
--- a/lab/src/main/java/cedarrudder/lab/trace/Tap.java
+++ b/lab/src/main/java/cedarrudder/lab/trace/Tap.java
@@ -139,6 +139,12 @@
         balancer.copies(at, live);
     }
 
+    @Override
+    public void shares(long at, List<ZoneShare> shares) {
+        now = at;
+        balancer.shares(at, shares);
+    }
+
     @Override
     public void message(long at, int from, byte[] message) {
         now = at;
