--- a/core/src/main/java/cedarrudder/rotation/Rotation.java
+++ b/core/src/main/java/cedarrudder/rotation/Rotation.java
@@ -13,8 +13,9 @@
 import java.util.Set;
 
 /**
- * Which listed nodes operators have disabled: laid over what discovery lists. The module sees a disabled node
- * as one that drains, so that every rule on drains holds for it, and nothing else knows of disabling.
+ * Which listed nodes operators have disabled, and which are being removed in common: laid over what discovery
+ * lists. The module sees such a node as one that drains, so that every rule on drains holds for it, and
+ * nothing else knows of disabling.
  *
  * <p>A node that is enabled again counts as started then. Guards against a node that was restarted meanwhile
  * being sent the load of a warm one, before discovery tells of its new start. Pure; not thread-safe.
@@ -31,6 +32,7 @@
     private final Map<String, Long> returnedAt = new HashMap<>();
     private final Set<String> former = new LinkedHashSet<>();
     private final Set<String> disabled = new HashSet<>();
+    private Set<Long> leaving = Set.of();
 
     /** Takes in what discovery says, and returns it as the module is to see it. */
     public List<Endpoint> listed(ListKind kind, List<Named> entries) {
@@ -70,7 +72,8 @@
         if (entry == null) {
             return null;
         }
-        State state = disabled.contains(name) ? State.DRAINING : entry.state();
+        State state = disabled.contains(name) || leaving.contains(entry.id()) ? State.DRAINING
+                : entry.state();
         long startedAt = Math.max(entry.startedAt(), returnedAt.getOrDefault(name, entry.startedAt()));
         return new Endpoint(entry.id(), entry.zone(), entry.kind(), entry.cell(), state, entry.weight(),
                 startedAt);
@@ -97,11 +100,37 @@
         }
     }
 
+    /**
+     * These nodes, by the numbers of the module, are being removed in common: they are left out as disabled
+     * ones are, and neither of the two puts back a node that the other leaves out.
+     *
+     * @return listed nodes that the module is to see anew
+     */
+    public Set<String> leaving(Set<Long> nodes, long now) {
+        Set<String> changed = new HashSet<>();
+        listed.forEach((name, entry) -> {
+            if (leaving.contains(entry.id()) != nodes.contains(entry.id())) {
+                if (!nodes.contains(entry.id()) && !disabled.contains(name)) {
+                    returnedAt.put(name, now);
+                }
+                changed.add(name);
+            }
+        });
+        leaving = Set.copyOf(nodes);
+        return changed;
+    }
+
     /** The nodes that are disabled now. */
     public Set<String> disabled() {
         return Set.copyOf(disabled);
     }
 
+    /** The id of a listed node by its number; null where there is none. */
+    public String name(long node) {
+        return listed.entrySet().stream().filter(entry -> entry.getValue().id() == node)
+                .map(Map.Entry::getKey).findFirst().orElse(null);
+    }
+
     /** How many nodes discovery lists. */
     public int size() {
         return listed.size();
--- a/core/src/main/java/cedarrudder/routing/Driver.java
+++ b/core/src/main/java/cedarrudder/routing/Driver.java
@@ -41,6 +41,8 @@
     private Resolver resolver;
     private Peers peers;
     private boolean delivering;
+    private boolean shared;
+    private long sharesUntil = Long.MAX_VALUE;
 
     public Driver(Function<Balancer.Actions, Balancer> module, int maxAttempts, Timers timers, Logger log) {
         this(module, maxAttempts, timers, log, null, null);
@@ -233,7 +235,19 @@
 
     /** Each zone may get such a part of the RPCs; an empty list: as the module sees fit. */
     public void shares(List<ZoneShare> shares) {
-        post(() -> balancer.shares(timers.now(), shares));
+        post(() -> {
+            shared = !shares.isEmpty();
+            balancer.shares(timers.now(), shares);
+        });
+    }
+
+    /**
+     * From that instant on the shares that were said last must not be used. It is looked at before each event
+     * of the module. Guards against a process that stood still and goes on, in its first moment, by what
+     * copies had agreed on long ago.
+     */
+    public void sharesUntil(long instant) {
+        sharesUntil = instant;
     }
 
     /** An operator has put a node back. */
@@ -268,6 +282,10 @@
 
     private void deliver(Runnable event) {
         try {
+            if (shared && timers.now() >= sharesUntil) {
+                shared = false;
+                balancer.shares(timers.now(), List.of());
+            }
             event.run();
         } catch (RuntimeException | VirtualMachineError | LinkageError e) {
             // Guards against one bad event keeping those behind it; the RPC it concerns still has its timer.
--- /dev/null
+++ b/daemon/src/main/java/cedarrudder/operator/AgreementTable.java
@@ -0,0 +1,70 @@
+package cedarrudder.operator;
+
+import cedarrudder.agreement.AgreementSettings;
+import cedarrudder.fleet.FleetSettings;
+import cedarrudder.toml.Table;
+import java.nio.file.Path;
+import java.util.List;
+
+/** The table {@code [agreement]}: what copies decide together. Absent, each decides alone. */
+public final class AgreementTable extends Section<TogetherSettings> {
+
+    public static final AgreementTable AGREEMENT = new AgreementTable();
+
+    private static final long MILLI = 1_000_000L;
+    private static final long LEAST_BEAT = 10;
+    private static final long MOST_BEAT = 10_000;
+    private static final long MOST_TIME = 600_000;
+    private static final long LEAST_PLAN = 100;
+    private static final int BEATS = 3;
+    private static final int REPORTS = 4;
+
+    private AgreementTable() {
+        super("agreement", TogetherSettings.class, null);
+    }
+
+    @Override
+    TogetherSettings read(Table table) {
+        AgreementSettings usual = AgreementSettings.DEFAULT;
+        long beat = Units.millis(table, "heartbeat_ms", LEAST_BEAT, MOST_BEAT, usual.heartbeat());
+        long least = Units.millis(table, "election_least_ms", LEAST_BEAT, MOST_TIME, usual.electionLeast());
+        if (least < BEATS * beat && table.sound("heartbeat_ms", "election_least_ms")) {
+            wrong(table, "election_least_ms", least, "heartbeat_ms", beat, "three times that or more");
+        }
+        long most = Units.millis(table, "election_most_ms", LEAST_BEAT, MOST_TIME, usual.electionMost());
+        if (most <= least && table.sound("election_least_ms", "election_most_ms")) {
+            wrong(table, "election_most_ms", most, "election_least_ms", least, "more than that");
+        }
+        int voters = (int) table.whole("voters", BEATS, 7, usual.voters());
+        if (voters % 2 == 0) {
+            table.problem("voters", Integer.toString(voters), "3, 5, 7");
+        }
+        long patience = Units.millis(table, "voter_patience_ms", LEAST_BEAT, MOST_TIME,
+                usual.voterPatience());
+        if (patience <= most && table.sound("election_most_ms", "voter_patience_ms")) {
+            wrong(table, "voter_patience_ms", patience, "election_most_ms", most, "more than that");
+        }
+        long silence = Units.millis(table, "silence_ms", 0, MOST_TIME, usual.silence());
+        if (silence > 0 && silence <= patience && table.sound("voter_patience_ms", "silence_ms")) {
+            wrong(table, "silence_ms", silence, "voter_patience_ms", patience, "0, or more than that");
+        }
+        long period = Units.millis(table, "plan_ms", LEAST_PLAN, MOST_TIME, FleetSettings.DEFAULT.period());
+        long lease = Units.millis(table, "lease_ms", LEAST_PLAN, MOST_TIME, FleetSettings.DEFAULT.lease());
+        if (lease < REPORTS * period && table.sound("plan_ms", "lease_ms")) {
+            wrong(table, "lease_ms", lease, "plan_ms", period, "four times that or more");
+        }
+        List<String> zones = table.texts("zones");
+        String folder = table.text("folder", "");
+        boolean sound = table.sound("heartbeat_ms", "election_least_ms", "election_most_ms", "voters",
+                "voter_patience_ms", "silence_ms", "plan_ms", "lease_ms");
+        return new TogetherSettings(sound ? new AgreementSettings(beat, least, most, voters, patience,
+                usual.spreadPeriod(), usual.fanout(), usual.bytesPerSecond(), usual.keptEntries(), silence)
+                : usual, sound ? new FleetSettings(period, lease) : FleetSettings.DEFAULT, zones,
+                folder.isEmpty() ? null : Path.of(folder));
+    }
+
+    private static void wrong(Table table, String key, long found, String other, long with,
+            String allowed) {
+        table.problem(key, found / MILLI + " with " + other + " = " + with / MILLI, allowed);
+    }
+}
--- a/daemon/src/main/java/cedarrudder/operator/Operator.java
+++ b/daemon/src/main/java/cedarrudder/operator/Operator.java
@@ -31,7 +31,7 @@
     private static List<Section<?>> sections() {
         return List.of(LogTable.LOG, CallersTable.CALLERS, NodesTable.NODES, DiscoveryTable.DISCOVERY,
                 BudgetTable.BUDGET, MembershipTable.MEMBERSHIP, HistoryTable.HISTORY,
-                FootprintTable.FOOTPRINT);
+                FootprintTable.FOOTPRINT, AgreementTable.AGREEMENT);
     }
 
     /**
@@ -59,6 +59,11 @@
         if (sharesSound) {
             operator.checkShares(root);
         }
+        if (values.containsKey(AgreementTable.AGREEMENT.name())
+                && !values.containsKey(MembershipTable.MEMBERSHIP.name())) {
+            root.problem(AgreementTable.AGREEMENT.name(), "no [membership]",
+                    "a table [membership] beside it, as copies have to know who lives");
+        }
         root.done();
         document.check();
         return operator;
--- /dev/null
+++ b/daemon/src/main/java/cedarrudder/program/FileStore.java
@@ -0,0 +1,448 @@
+package cedarrudder.program;
+
+import cedarrudder.agreement.Entry;
+import cedarrudder.agreement.Group;
+import cedarrudder.agreement.Snapshot;
+import cedarrudder.agreement.Store;
+import cedarrudder.agreement.Voter;
+import cedarrudder.agreement.Voters;
+import cedarrudder.logging.Logger;
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.zip.CRC32C;
+
+/**
+ * What a copy must not forget, in one file: a head, and a batch for each sync, which has all that was written
+ * since the one before. A batch counts whole or not at all. What follows the last whole one is cut off where
+ * it is the rest of a write that did not end; else the file is refused, set aside, and the copy counts as one
+ * that forgot.
+ *
+ * <p>Big-endian. Head: {@value #MAGIC}, version (4), the copy (4), how many there may be (4), checksum (4).
+ * Batch: length (4), its checksum (4), so many bytes, their checksum (4). Checksums are CRC32C. It belongs to
+ * the loop's thread, which waits for the disk once an event at the most.
+ */
+final class FileStore implements Store, Closeable {
+
+    private static final String MAGIC = "cedaragr";
+    private static final int VERSION = 1;
+    private static final int HEAD = 24;
+    private static final int FRAME = 12;
+
+    /** The file is written anew once it is larger than this, and than four times what it has to hold. */
+    private static final long LEAST_SIZE = 1 << 20;
+    private static final int WASTE = 4;
+    /** No batch is larger: a snapshot and all entries that may be open are less. */
+    private static final int MOST_BATCH = 16 << 20;
+
+    private static final byte PROMISE = 1;
+    private static final byte ENTRY = 2;
+    private static final byte CUT = 3;
+    private static final byte SNAPSHOT = 4;
+
+    /** Why a file is no good, and where. */
+    private static final class Refused extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Refused(long at, String found, String allowed) {
+            super("byte " + at + ": found " + found + "; allowed: " + allowed);
+        }
+    }
+
+    private final Path folder;
+    private final Path file;
+    private final int copy;
+    private final int copies;
+    private final FileChannel guard;
+    private FileChannel channel;
+    private long size;
+    private long anewAt;
+    private ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    private Promise promise;
+    private Snapshot snapshot = new Snapshot(0, 0, new Voters(List.of()), new byte[0]);
+    private final List<Entry> entries = new ArrayList<>();
+    private Kept kept;
+
+    /**
+     * Opens what an earlier process of this copy left in a folder, or begins with nothing.
+     *
+     * @throws UncheckedIOException if the folder can't be used, or another process uses it
+     */
+    FileStore(Path folder, int copy, int copies, Logger log) {
+        this.folder = folder;
+        this.file = folder.resolve("agreement");
+        this.copy = copy;
+        this.copies = copies;
+        try {
+            Files.createDirectories(folder);
+            guard = FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE,
+                    StandardOpenOption.WRITE);
+            if (!locked()) {
+                guard.close();
+                throw new IOException(folder + ": found another process that uses it; allowed: one");
+            }
+            open(log);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e.getMessage(), e);
+        }
+    }
+
+    private boolean locked() throws IOException {
+        try {
+            FileLock lock = guard.tryLock();
+            return lock != null;
+        } catch (OverlappingFileLockException e) {
+            return false;
+        }
+    }
+
+    private void open(Logger log) throws IOException {
+        try {
+            byte[] bytes = Files.readAllBytes(file);
+            long end = replay(ByteBuffer.wrap(bytes));
+            channel = FileChannel.open(file, StandardOpenOption.WRITE);
+            channel.truncate(end);
+            channel.position(end);
+            size = end;
+            if (promise != null) {
+                kept = new Kept(promise, snapshot, entries);
+            }
+            if (end < bytes.length) {
+                log.info("agreement.cut").with("file", file).with("from", end)
+                        .with("bytes", bytes.length - end).write();
+            }
+        } catch (NoSuchFileException e) {
+            anew();
+        } catch (Refused e) {
+            Path aside = folder.resolve("agreement.refused");
+            log.warn("agreement.refused").with("file", file).with("why", e.getMessage())
+                    .with("kept", aside).write();
+            Files.move(file, aside, StandardCopyOption.REPLACE_EXISTING);
+            promise = null;
+            snapshot = new Snapshot(0, 0, new Voters(List.of()), new byte[0]);
+            entries.clear();
+            anew();
+        }
+        anewAt = Math.max(LEAST_SIZE, WASTE * size);
+    }
+
+    // ---- reading ----
+
+    /** Plays all whole batches; returns where they end. */
+    private long replay(ByteBuffer in) throws Refused {
+        if (in.remaining() < HEAD) {
+            throw new Refused(0, in.remaining() + " bytes", "a head of " + HEAD);
+        }
+        byte[] magic = new byte[MAGIC.length()];
+        in.get(magic);
+        if (!new String(magic, StandardCharsets.ISO_8859_1).equals(MAGIC)) {
+            throw new Refused(0, "another kind of file", MAGIC);
+        }
+        check(8, "version", in.getInt(), VERSION);
+        check(12, "a file of copy", in.getInt(), copy);
+        check(16, "a tier of copies", in.getInt(), copies);
+        if (in.getInt() != sum(in.array(), 0, HEAD - Integer.BYTES)) {
+            throw new Refused(20, "a head whose checksum does not fit", "one that does");
+        }
+        while (in.hasRemaining()) {
+            int at = in.position();
+            if (in.remaining() < FRAME || zeros(in.array(), at)) {
+                return at;
+            }
+            int length = in.getInt();
+            if (in.getInt() != sum(in.array(), at, Integer.BYTES) || length < 0 || length > MOST_BATCH) {
+                throw new Refused(at, "a length whose checksum does not fit", "one that does");
+            }
+            if (length > in.remaining() - Integer.BYTES) {
+                return at;
+            }
+            int from = in.position();
+            boolean last = from + length + Integer.BYTES == in.limit();
+            if (in.getInt(from + length) != sum(in.array(), from, length)) {
+                if (last || zeros(in.array(), from + length + Integer.BYTES)) {
+                    return at;
+                }
+                throw new Refused(from, "a batch whose checksum does not fit", "one that does");
+            }
+            try {
+                play(in.slice(from, length));
+            } catch (BufferUnderflowException | IllegalArgumentException | IndexOutOfBoundsException e) {
+                throw new Refused(from, "a batch that can't be read", "one of this version");
+            }
+            in.position(from + length + Integer.BYTES);
+        }
+        return in.position();
+    }
+
+    private static void check(long at, String what, int found, int allowed) throws Refused {
+        if (found != allowed) {
+            throw new Refused(at, what + " " + found, Integer.toString(allowed));
+        }
+    }
+
+    /** Whether only zeros are left: the file had become longer when the process ended, and nothing more. */
+    private static boolean zeros(byte[] bytes, int from) {
+        for (int i = from; i < bytes.length; i++) {
+            if (bytes[i] != 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void play(ByteBuffer in) {
+        while (in.hasRemaining()) {
+            switch (in.get()) {
+                case PROMISE -> {
+                    Group group = new Group(in.getInt(), in.getInt(), in.getLong());
+                    long life = in.getLong();
+                    long term = in.getLong();
+                    Voter vote = in.get() == 0 ? null : new Voter(in.getInt(), in.getLong());
+                    promise = new Promise(group, life, term, vote, in.get() != 0);
+                }
+                case ENTRY -> take(in.getLong(), entry(in));
+                case CUT -> drop(in.getLong());
+                case SNAPSHOT -> take(new Snapshot(in.getLong(), in.getLong(), voters(in), bytes(in)));
+                default -> throw new IllegalArgumentException("kind");
+            }
+        }
+    }
+
+    private static byte[] bytes(ByteBuffer in) {
+        int length = in.getInt();
+        if (length < 0 || length > in.remaining()) {
+            throw new BufferUnderflowException();
+        }
+        byte[] bytes = new byte[length];
+        in.get(bytes);
+        return bytes;
+    }
+
+    private static Entry entry(ByteBuffer in) {
+        long term = in.getLong();
+        Entry.Kind kind = Entry.Kind.values()[in.get()];
+        byte[] content = bytes(in);
+        if (kind == Entry.Kind.VOTERS && Voters.decode(content) == null) {
+            throw new IllegalArgumentException("voters");
+        }
+        return new Entry(term, kind, content);
+    }
+
+    private static Voters voters(ByteBuffer in) {
+        int count = in.get();
+        List<Voter> all = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            all.add(new Voter(in.getInt(), in.getLong()));
+        }
+        return new Voters(all);
+    }
+
+    private static int sum(byte[] bytes, int from, int length) {
+        CRC32C sum = new CRC32C();
+        sum.update(bytes, from, length);
+        return (int) sum.getValue();
+    }
+
+    // ---- what is held ----
+
+    private void take(long index, Entry entry) {
+        drop(index);
+        if (index != snapshot.index() + entries.size() + 1) {
+            throw new IllegalArgumentException("an entry that follows none");
+        }
+        entries.add(entry);
+    }
+
+    private void drop(long from) {
+        int keep = (int) Math.max(0, from - snapshot.index() - 1);
+        if (keep < entries.size()) {
+            entries.subList(keep, entries.size()).clear();
+        }
+    }
+
+    private void take(Snapshot of) {
+        if (of.index() < snapshot.index()) {
+            entries.clear();
+        } else {
+            entries.subList(0, (int) Math.min(entries.size(), of.index() - snapshot.index())).clear();
+        }
+        snapshot = of;
+    }
+
+    // ---- writing ----
+
+    /** What writes into memory, which fails nobody. */
+    private interface Writing {
+        void to(DataOutputStream out) throws IOException;
+    }
+
+    private void write(Writing what) {
+        try {
+            what.to(new DataOutputStream(pending));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void put(DataOutputStream out, Promise made) throws IOException {
+        out.writeByte(PROMISE);
+        out.writeInt(made.group().era());
+        out.writeInt(made.group().founder());
+        out.writeLong(made.group().life());
+        out.writeLong(made.life());
+        out.writeLong(made.term());
+        out.writeByte(made.vote() == null ? 0 : 1);
+        if (made.vote() != null) {
+            out.writeInt(made.vote().copy());
+            out.writeLong(made.vote().life());
+        }
+        out.writeByte(made.sworn() ? 1 : 0);
+    }
+
+    private static void put(DataOutputStream out, long index, Entry entry) throws IOException {
+        out.writeByte(ENTRY);
+        out.writeLong(index);
+        out.writeLong(entry.term());
+        out.writeByte(entry.kind().ordinal());
+        out.writeInt(entry.bytes().length);
+        out.write(entry.bytes());
+    }
+
+    private static void put(DataOutputStream out, Snapshot of) throws IOException {
+        out.writeByte(SNAPSHOT);
+        out.writeLong(of.index());
+        out.writeLong(of.term());
+        out.writeByte(of.voters().size());
+        for (Voter voter : of.voters().all()) {
+            out.writeInt(voter.copy());
+            out.writeLong(voter.life());
+        }
+        out.writeInt(of.state().length);
+        out.write(of.state());
+    }
+
+    @Override
+    public Kept kept() {
+        return kept;
+    }
+
+    @Override
+    public void promise(Promise made) {
+        promise = made;
+        write(out -> put(out, made));
+    }
+
+    @Override
+    public void entry(long index, Entry entry) {
+        take(index, entry);
+        write(out -> put(out, index, entry));
+    }
+
+    @Override
+    public void cut(long from) {
+        drop(from);
+        write(out -> {
+            out.writeByte(CUT);
+            out.writeLong(from);
+        });
+    }
+
+    @Override
+    public void snapshot(Snapshot of) {
+        take(of);
+        write(out -> put(out, of));
+    }
+
+    @Override
+    public void sync() {
+        if (pending.size() == 0 || promise == null) {
+            return;
+        }
+        try {
+            if (size + FRAME + pending.size() > anewAt) {
+                anew();
+            } else {
+                ByteBuffer batch = batch(pending.toByteArray());
+                size += batch.remaining();
+                while (batch.hasRemaining()) {
+                    channel.write(batch);
+                }
+                channel.force(false);
+            }
+            pending.reset();
+        } catch (IOException e) {
+            throw new UncheckedIOException(file + ": " + e.getMessage(), e);
+        }
+    }
+
+    private static ByteBuffer batch(byte[] bytes) {
+        ByteBuffer out = ByteBuffer.allocate(FRAME + bytes.length).putInt(bytes.length);
+        out.putInt(sum(out.array(), 0, Integer.BYTES)).put(bytes).putInt(sum(bytes, 0, bytes.length));
+        return out.flip();
+    }
+
+    /** Writes all that is held into a file that takes the place of the one that is there. */
+    private void anew() throws IOException {
+        ByteBuffer head = ByteBuffer.allocate(HEAD)
+                .put(MAGIC.getBytes(StandardCharsets.ISO_8859_1))
+                .putInt(VERSION).putInt(copy).putInt(copies);
+        head.putInt(sum(head.array(), 0, HEAD - Integer.BYTES)).flip();
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        if (promise != null) {
+            DataOutputStream out = new DataOutputStream(all);
+            put(out, promise);
+            put(out, snapshot);
+            for (int i = 0; i < entries.size(); i++) {
+                put(out, snapshot.index() + 1 + i, entries.get(i));
+            }
+        }
+        Path next = folder.resolve("agreement.next");
+        FileChannel made = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+                StandardOpenOption.TRUNCATE_EXISTING);
+        size = HEAD;
+        made.write(head);
+        if (all.size() > 0) {
+            ByteBuffer batch = batch(all.toByteArray());
+            size += batch.remaining();
+            while (batch.hasRemaining()) {
+                made.write(batch);
+            }
+        }
+        made.force(true);
+        Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
+            names.force(true); // the file's new name is on the disk too
+        }
+        if (channel != null) {
+            channel.close();
+        }
+        channel = made;
+        anewAt = Math.max(LEAST_SIZE, WASTE * size);
+    }
+
+    /** Another process may use the folder from now on. */
+    @Override
+    public void close() {
+        try {
+            channel.close();
+            guard.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e.getMessage(), e);
+        }
+    }
+}
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -13,6 +13,7 @@
 import cedarrudder.logging.Logger;
 import cedarrudder.logging.TextLines;
 import cedarrudder.membership.MembershipSettings;
+import cedarrudder.operator.AgreementTable;
 import cedarrudder.operator.BudgetTable;
 import cedarrudder.operator.CallersTable;
 import cedarrudder.operator.DiscoveryTable;
@@ -25,6 +26,7 @@
 import cedarrudder.operator.MembershipTable;
 import cedarrudder.operator.NodesTable;
 import cedarrudder.operator.Operator;
+import cedarrudder.operator.TogetherSettings;
 import cedarrudder.program.Handover.Others;
 import cedarrudder.protocol.BadMessageException;
 import cedarrudder.protocol.FiguresPage;
@@ -50,6 +52,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
@@ -87,6 +90,7 @@
     private final HistoryFile history;
     private final long clockOffset;
     private final Membership membership;
+    private final Together together;
     private final Figures figures;
     private final Rotation rotation = new Rotation();
     private final HeldBytes held = new HeldBytes(HeldBytes.MOST);
@@ -146,6 +150,7 @@
         driver.connect(channels, discovery, peers);
         history = recorded == null ? null : new HistoryFile(recorded.file(), site.module().self());
         membership = membership(operator.of(MembershipTable.MEMBERSHIP));
+        together = together(operator.of(AgreementTable.AGREEMENT));
     }
 
     /** What the machine's clock says, or is taken to say in a trial; milliseconds. */
@@ -169,6 +174,45 @@
                 new SplittableRandom(configuration.seed()).split().split(), driver::copies, history);
     }
 
+    /** What proxies of this tier decide together; null where the operator's file has no such table. */
+    private Together together(TogetherSettings set) {
+        if (set == null) {
+            return null;
+        }
+        var module = configuration.site().module();
+        int copies = configuration.peers().size();
+        if (set.fleet().lease() < set.fleet().leastLease(copies)) {
+            throw new IllegalArgumentException("agreement.lease_ms: found " + set.fleet().lease() / 1_000_000
+                    + " with " + copies + " peers; allowed: " + set.fleet().leastLease(copies) / 1_000_000
+                    + " or more");
+        }
+        return new Together(loop, peers, membership, set, new Together.Self(Together.zones(set,
+                configuration.site().zones(), copies, module.self(), module.zone()), module.self(),
+                this::wallClock, new SplittableRandom(configuration.seed()).split().split().split().split()),
+                driver, this::leaving, history, log);
+    }
+
+    /** Begins to speak to the peers, as the process of this proxy that does; on the loop. */
+    private void speakUp() {
+        membership.start();
+        if (together != null) {
+            together.fleet().start();
+        }
+    }
+
+    /** These nodes are being removed in common. */
+    private void leaving(Set<Long> nodes) {
+        for (String node : rotation.leaving(nodes, loop.now())) {
+            if (rotation.shown(node).state() == State.READY) {
+                log.info("node.stays").with("node", node).write();
+            } else {
+                log.info("node.leaving").with("node", node).write();
+            }
+            show(node);
+            welcome(node, WELCOMES);
+        }
+    }
+
     /** The budgets of this tier; null where the operator's file has none. */
     private Budgets budgets(BudgetSettings set) {
         if (set == null) {
@@ -223,7 +267,7 @@
         if (configuration.peerListen() != null && speaks) {
             peers.listen(configuration.peerListen(), shared);
             if (membership != null) {
-                loop.run(membership::start);
+                loop.run(this::speakUp);
             }
         }
         // Not at the callers' address: guards against RPCs of the warm-up reaching another process there.
@@ -275,6 +319,9 @@
             hushed = false;
             return;
         }
+        if (together != null) {
+            together.fleet().leave(); // first: what it says goes out by the peers' socket
+        }
         if (replaced) {
             membership.hush();
         } else {
@@ -312,7 +359,7 @@
             others = now;
             if (hushed && handover.speak()) {
                 hushed = false;
-                peers.takeOver(configuration.peerListen(), membership::start);
+                peers.takeOver(configuration.peerListen(), this::speakUp);
             }
             if (looks > 0) {
                 setBounds();
@@ -539,6 +586,17 @@
                     footprint == null ? null : footprint.last());
         }
 
+        @Override
+        public byte[] table() {
+            return together == null ? null : TablePage.write(together.fleet(), configuration.site().zones(),
+                    rotation::name);
+        }
+
+        @Override
+        public Done group() {
+            return together.fleet().form() ? Done.YES : Done.NO;
+        }
+
         @Override
         public Done disable(String node) {
             return !rotation.knows(node) ? Done.UNKNOWN : keep(() -> kept.disable(node), () -> {
--- /dev/null
+++ b/daemon/src/main/java/cedarrudder/program/TablePage.java
@@ -0,0 +1,90 @@
+package cedarrudder.program;
+
+import cedarrudder.agreement.Voter;
+import cedarrudder.fleet.FleetCopy.Status;
+import cedarrudder.table.RouteTable;
+import cedarrudder.transport.Fleet;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.LongFunction;
+
+/** What the copies have agreed on, as operators read it: one JSON object. */
+final class TablePage {
+
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final long MILLI = 1_000_000L;
+
+    private TablePage() { }
+
+    /**
+     * Writes it.
+     *
+     * @param zones the names of the zones by their numbers
+     * @param node the id of a node by its number, or null where it is not listed
+     */
+    static byte[] write(Fleet fleet, List<String> zones, LongFunction<String> node) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (JsonGenerator json = JSON.createGenerator(out)) {
+            json.writeStartObject();
+            Status status = fleet.status();
+            json.writeBooleanField("takes_part", status != null);
+            if (status != null) {
+                write(json, status, zones, node);
+            }
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e); // an array in memory fails nobody
+        }
+        return out.toByteArray();
+    }
+
+    private static void write(JsonGenerator json, Status status, List<String> zones,
+            LongFunction<String> node) throws IOException {
+        json.writeObjectFieldStart("group");
+        json.writeNumberField("era", status.group().era());
+        json.writeNumberField("founder", status.group().founder());
+        json.writeNumberField("life", status.group().life());
+        json.writeEndObject();
+        json.writeNumberField("term", status.term());
+        json.writeNumberField("leader", status.leader());
+        json.writeBooleanField("leads", status.leads());
+        json.writeArrayFieldStart("voters");
+        for (Voter voter : status.voters().all()) {
+            json.writeNumber(voter.copy());
+        }
+        json.writeEndArray();
+        RouteTable agreed = status.agreed();
+        json.writeNumberField("number", agreed == null ? 0 : agreed.number());
+        json.writeBooleanField("used", status.used() != null);
+        json.writeNumberField("lease_left_ms", status.leaseLeft() / MILLI);
+        json.writeArrayFieldStart("shares");
+        for (RouteTable.Share share : agreed == null ? List.<RouteTable.Share>of() : agreed.shares()) {
+            json.writeStartObject();
+            json.writeStringField("from", name(zones, share.from()));
+            json.writeStringField("to", name(zones, share.to()));
+            json.writeStringField("way", share.way().name().toLowerCase(Locale.ROOT));
+            json.writeNumberField("parts", share.parts());
+            json.writeNumberField("per_s", share.perSecond());
+            json.writeEndObject();
+        }
+        json.writeEndArray();
+        json.writeArrayFieldStart("leaving");
+        for (RouteTable.Leaving leaving : agreed == null ? List.<RouteTable.Leaving>of() : agreed.leaving()) {
+            String id = node.apply(leaving.node());
+            json.writeStartObject();
+            json.writeStringField("node", id == null ? Long.toString(leaving.node()) : id);
+            json.writeNumberField("wave", leaving.wave());
+            json.writeEndObject();
+        }
+        json.writeEndArray();
+    }
+
+    private static String name(List<String> zones, int zone) {
+        return zone < zones.size() ? zones.get(zone) : Integer.toString(zone);
+    }
+}
--- a/daemon/src/main/java/cedarrudder/transport/AdminListener.java
+++ b/daemon/src/main/java/cedarrudder/transport/AdminListener.java
@@ -109,6 +109,8 @@
         String allowed = switch (path) {
             case "/-/ready", "/-/metrics" -> "GET";
             case "/-/drain", "/-/resume" -> "POST";
+            case "/-/table" -> desk.table() == null ? null : "GET";
+            case "/-/group" -> desk.table() == null ? null : "POST";
             default -> null;
         };
         if (allowed == null) {
@@ -121,6 +123,8 @@
             case "/-/ready" -> desk.ready() ? Answer.text(200, "ready") : Answer.text(503, "not ready");
             case "/-/metrics" -> new Answer(200, "application/json", desk.figures(), null);
             case "/-/drain" -> Answer.done(desk.drain());
+            case "/-/table" -> new Answer(200, "application/json", desk.table(), null);
+            case "/-/group" -> Answer.done(desk.group());
             default -> Answer.done(desk.resume());
         };
     }
--- a/daemon/src/main/java/cedarrudder/transport/Desk.java
+++ b/daemon/src/main/java/cedarrudder/transport/Desk.java
@@ -30,4 +30,10 @@
 
     /** Takes clients again. */
     Done resume();
+
+    /** What the copies agreed on and how this one stands, as JSON; null where they agree on nothing. */
+    byte[] table();
+
+    /** Forms a group of copies that agree, with this one as the first. */
+    Done group();
 }
--- /dev/null
+++ b/daemon/src/main/java/cedarrudder/transport/Fleet.java
@@ -0,0 +1,210 @@
+package cedarrudder.transport;
+
+import cedarrudder.fleet.FleetCopy;
+import cedarrudder.routing.Timers;
+import cedarrudder.table.RouteTable;
+import java.io.UncheckedIOException;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+/**
+ * What copies decide together, on the loop's clock and the socket to the peers; what it decides stands in
+ * {@link FleetCopy}. It takes part while this process is the one of its number that speaks, and keeps quiet
+ * before and after. It belongs to the loop's thread.
+ */
+public final class Fleet {
+
+    /** The first bytes of datagrams that are for it. */
+    private static final byte LOG = (byte) 0xa6;
+    private static final byte BESIDE = (byte) 0xa7;
+
+    /** Takes up what was decided. */
+    public interface Host {
+        /** This table counts from now on; null: none. */
+        void table(RouteTable table);
+
+        /** And not from that instant on, whatever else is said or not. */
+        void until(long instant);
+
+        /** These nodes are being removed. */
+        void leaving(List<RouteTable.Leaving> nodes);
+    }
+
+    /** Makes this copy's part at the moment at which it begins to take part. */
+    public interface Maker {
+        /**
+         * @param outlet takes what it causes
+         * @throws UncheckedIOException if what it must not forget can't be kept
+         */
+        FleetCopy make(FleetCopy.Outlet outlet, long now);
+
+        /** It takes part no more: another process may. */
+        void ended();
+    }
+
+    private final Loop loop;
+    private final PeerSocket peers;
+    private final Maker maker;
+    private final Host host;
+    private final Notes notes;
+    private final BitSet dead = new BitSet();
+    private FleetCopy copy;
+    private Timers.Timer timer;
+    private long wakesAt = Long.MAX_VALUE;
+    private boolean led;
+
+    /** @param notes takes what becomes known; null where nobody asked for that */
+    public Fleet(Loop loop, PeerSocket peers, Maker maker, Host host, Notes notes) {
+        this.loop = loop;
+        this.peers = peers;
+        this.maker = maker;
+        this.host = host;
+        this.notes = notes;
+    }
+
+    /** Takes part from now on; on the loop. */
+    public void start() {
+        peers.hearer(LOG, this::heard);
+        peers.hearer(BESIDE, this::heard);
+        try {
+            copy = maker.make(new Out(), loop.now());
+            dead.stream().forEach(number -> copy.lives(number, false));
+            wake();
+        } catch (UncheckedIOException e) {
+            stopped(e);
+        }
+    }
+
+    /** Hands on what it leads and takes part no more, such as before this process ends; on the loop. */
+    public void leave() {
+        act(part -> part.leave(loop.now()));
+        end();
+    }
+
+    private void end() {
+        if (copy != null) {
+            copy = null;
+            if (timer != null) {
+                timer.cancel();
+            }
+            maker.ended();
+        }
+    }
+
+    /** Membership holds that a copy lives, or that it is dead. */
+    public void lives(int number, boolean lives) {
+        dead.set(number, !lives);
+        if (copy != null) {
+            copy.lives(number, lives);
+        }
+    }
+
+    /** How things stand; null where this process takes no part. */
+    public FleetCopy.Status status() {
+        return copy == null ? null : copy.status(loop.now());
+    }
+
+    /** An operator has this copy form a group; false where it can't. */
+    public boolean form() {
+        return Boolean.TRUE.equals(act(part -> part.form(loop.now())));
+    }
+
+    private void heard(int from, byte[] message) {
+        act(part -> {
+            part.received(loop.now(), from, message);
+            return true;
+        });
+    }
+
+    private void tick() {
+        wakesAt = Long.MAX_VALUE;
+        act(part -> {
+            part.tick(loop.now());
+            return true;
+        });
+    }
+
+    /** Null where it takes no part. */
+    private <T> T act(Function<FleetCopy, T> event) {
+        if (copy == null) {
+            return null;
+        }
+        try {
+            T result = event.apply(copy);
+            wake();
+            return result;
+        } catch (UncheckedIOException e) {
+            stopped(e);
+            return null;
+        }
+    }
+
+    /**
+     * What it must not forget can't be kept. Guards against speaking of what it would have forgotten: it
+     * says nothing more, and callers are served as without a table once its lease is over.
+     */
+    private void stopped(UncheckedIOException e) {
+        loop.log().warn("agreement.stopped").with("why", e.getMessage()).write();
+        end();
+    }
+
+    /** Sees to it that the next tick comes when it is due. */
+    private void wake() {
+        FleetCopy.Status now = copy.status(loop.now());
+        if (now.leads() != led) {
+            led = now.leads();
+            if (led) {
+                loop.log().info("agreement.leads").with("term", now.term()).write();
+            } else {
+                loop.log().info("agreement.follows").with("term", now.term()).write();
+            }
+        }
+        long due = copy.due();
+        if (due == wakesAt) {
+            return;
+        }
+        if (timer != null) {
+            timer.cancel();
+        }
+        wakesAt = due;
+        timer = loop.at(due, this::tick);
+    }
+
+    private final class Out implements FleetCopy.Outlet {
+        @Override
+        public void send(int to, byte[] datagram) {
+            peers.tell(to, datagram);
+        }
+
+        @Override
+        public void table(RouteTable table) {
+            if (table == null) {
+                loop.log().warn("table.lapsed").write();
+            } else {
+                loop.log().info("table.loaded").with("number", table.number())
+                        .with("shares", table.shares().size()).with("leaving", table.leaving().size())
+                        .write();
+            }
+            host.table(table);
+        }
+
+        @Override
+        public void until(long instant) {
+            host.until(instant);
+        }
+
+        @Override
+        public void leaving(List<RouteTable.Leaving> nodes) {
+            host.leaving(nodes);
+        }
+
+        @Override
+        public void noted(String what, Map<String, String> fields) {
+            if (notes != null) {
+                notes.note(what, fields);
+            }
+        }
+    }
+}
--- a/daemon/src/main/java/cedarrudder/transport/Membership.java
+++ b/daemon/src/main/java/cedarrudder/transport/Membership.java
@@ -16,6 +16,11 @@
  */
 public final class Membership {
 
+    /** Takes that a copy counts as live from now on, or as dead. */
+    public interface Lives {
+        void lives(int copy, boolean lives);
+    }
+
     private final Loop loop;
     private final PeerSocket peers;
     private final IntConsumer live;
@@ -25,6 +30,7 @@
     private Timers.Timer timer;
     private long wakesAt = Long.MAX_VALUE;
     private int told;
+    private Lives each = (copy, lives) -> { };
 
     /**
      * @param copies how many proxies of the tier there may be, and {@code self} the number of this one
@@ -53,6 +59,11 @@
         }, loop.now());
     }
 
+    /** Tells this one of each copy, from now on; before it begins. */
+    public void onEach(Lives hears) {
+        each = hears;
+    }
+
     /** Begins; on the loop. */
     public void start() {
         peers.hearer(this::heard);
@@ -111,6 +122,7 @@
                     Map.of("about", now.number(), "number", now.incarnation()));
         }
         if (before.standing() != now.standing()) {
+            each.lives(now.number(), now.standing() != Standing.DEAD);
             if (now.standing() == Standing.SUSPECT) {
                 loop.log().debug("member.suspect").with("copy", now.number()).write();
             } else if (now.standing() == Standing.DEAD) {
--- a/daemon/src/main/java/cedarrudder/transport/PeerSocket.java
+++ b/daemon/src/main/java/cedarrudder/transport/PeerSocket.java
@@ -15,7 +15,9 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** The datagrams that proxies of one tier send one another. */
 public final class PeerSocket implements Peers {
@@ -31,6 +33,7 @@
     private final Loop loop;
     private final List<InetSocketAddress> peers;
     private final InetSocketAddress all;
+    private final Map<Byte, Hearer> byFirst = new HashMap<>();
     private Hearer hearer;
     private Channel channel;
 
@@ -84,7 +87,12 @@
         channel.close();
     }
 
-    /** Messages go to this one from now on, and no longer to the decisions; on the loop. */
+    /** Messages that begin with this byte go to this one from now on; on the loop. */
+    void hearer(byte first, Hearer next) {
+        byFirst.put(first, next);
+    }
+
+    /** All others go to this one from now on, and no longer to the decisions; on the loop. */
     void hearer(Hearer next) {
         hearer = next;
     }
@@ -109,7 +117,8 @@
                         .with("bytes", packet.content().readableBytes()).write();
                 return;
             }
-            hearer.heard(from, ByteBufUtil.getBytes(packet.content()));
+            byte[] message = ByteBufUtil.getBytes(packet.content());
+            (message.length == 0 ? hearer : byFirst.getOrDefault(message[0], hearer)).heard(from, message);
         }
 
         @Override
--- a/daemon/src/test/java/cedarrudder/operator/OperatorTest.java
+++ b/daemon/src/test/java/cedarrudder/operator/OperatorTest.java
@@ -7,7 +7,9 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import cedarrudder.agreement.AgreementSettings;
 import cedarrudder.budget.BudgetSettings;
+import cedarrudder.fleet.FleetSettings;
 import cedarrudder.membership.MembershipSettings;
 import cedarrudder.logging.Level;
 import cedarrudder.logging.LogSettings;
@@ -52,6 +54,9 @@
         assertEquals(read(uncommented).of(HistoryTable.HISTORY),
                 new HistorySettings(Path.of("history.jsonl"), 0));
         assertEquals(read(uncommented).of(FootprintTable.FOOTPRINT), FootprintSettings.DEFAULT);
+        assertNull(read(text).of(AgreementTable.AGREEMENT));
+        assertEquals(read(uncommented).of(AgreementTable.AGREEMENT), new TogetherSettings(
+                AgreementSettings.DEFAULT, FleetSettings.DEFAULT, List.of(), null));
         assertNull(read(text).of(MembershipTable.MEMBERSHIP));
         assertEquals(read(uncommented).of(MembershipTable.MEMBERSHIP), MembershipSettings.DEFAULT);
     }
@@ -80,6 +85,34 @@
         }
     }
 
+    @Test
+    public void agreementNeedsMembershipAndTimesThatFitOneAnother() throws Exception {
+        BadFileException bad = expectThrows(BadFileException.class, () -> read("""
+                [agreement]
+                voters = 4
+                heartbeat_ms = 300
+                lease_ms = 1000
+                silence_ms = 5000
+                folders = "x"
+                """));
+        assertEquals(bad.problems().stream().map(Object::toString).map(line -> line.replaceAll(":.*found", "")
+                .replaceAll(";.*", "")).sorted().toList(), List.of("o.toml 1000 with plan_ms = 500",
+                "o.toml 4", "o.toml 5000 with voter_patience_ms = 5000",
+                "o.toml 600 with heartbeat_ms = 300", "o.toml an unknown key",
+                "o.toml no [membership]"));
+        TogetherSettings read = read("""
+                [membership]
+                [agreement]
+                voters = 3
+                zones = ["a", "b"]
+                folder = "kept"
+                silence_ms = 6000
+                """).of(AgreementTable.AGREEMENT);
+        assertEquals(read, new TogetherSettings(new AgreementSettings(150_000_000L, 600_000_000L,
+                1_200_000_000L, 3, 5_000_000_000L, 400_000_000L, 4, 16_384, 32, 6_000_000_000L),
+                FleetSettings.DEFAULT, List.of("a", "b"), Path.of("kept")));
+    }
+
     @Test
     public void eachKeyCounts() throws Exception {
         Operator operator = read("""
--- a/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
@@ -111,6 +111,10 @@
                 || name.startsWith("cedarrudder.footprint.")
                 || name.startsWith("cedarrudder.protocol.ListGate")
                 || name.equals("cedarrudder.program.MachineLayout")
+                || name.startsWith("cedarrudder.agreement.") || name.startsWith("cedarrudder.fleet.")
+                || name.startsWith("cedarrudder.table.") || name.equals("cedarrudder.transport.Fleet")
+                || name.equals("cedarrudder.program.Together")
+                || name.equals("cedarrudder.program.FileStore")
                 || name.equals("cedarrudder.transport.Membership")).toList(), List.of());
     }
 
--- /dev/null
+++ b/daemon/src/test/java/cedarrudder/program/FileStoreTest.java
@@ -0,0 +1,191 @@
+package cedarrudder.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import cedarrudder.agreement.Entry;
+import cedarrudder.agreement.Entry.Kind;
+import cedarrudder.agreement.Group;
+import cedarrudder.agreement.Snapshot;
+import cedarrudder.agreement.Store.Kept;
+import cedarrudder.agreement.Store.Promise;
+import cedarrudder.agreement.Voter;
+import cedarrudder.agreement.Voters;
+import cedarrudder.logging.Logger;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What a copy with a disk finds again. */
+public class FileStoreTest {
+
+    private static final Group GROUP = new Group(3, 1, 77);
+    private static final Promise FIRST = new Promise(GROUP, 9, 4, new Voter(2, 8), true);
+    private static final Promise LATER = new Promise(GROUP, 9, 5, null, true);
+    private static final Snapshot SNAPSHOT = new Snapshot(6, 2, new Voters(List.of(new Voter(1, 9))),
+            new byte[] {1, 2, 3});
+
+    private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+    private Path folder;
+    private Path file;
+
+    @BeforeMethod
+    public void begin() throws IOException {
+        folder = Files.createTempDirectory("store");
+        file = folder.resolve("agreement");
+        log.reset();
+    }
+
+    private FileStore open() {
+        return new FileStore(folder, 1, 5, new Logger(new PrintStream(log, true)));
+    }
+
+    private static Entry entry(int index) {
+        return new Entry(4, Kind.CONTENT, new byte[] {(byte) index, 7});
+    }
+
+    /** Two syncs: a promise, a snapshot and entries 7 to 9; then 9 and 10 in other terms, and a promise. */
+    private void write() {
+        try (FileStore store = open()) {
+            assertNull(store.kept());
+            store.promise(FIRST);
+            store.snapshot(SNAPSHOT);
+            for (int i = 7; i <= 9; i++) {
+                store.entry(i, entry(i));
+            }
+            store.sync();
+            store.cut(9);
+            store.entry(9, entry(90));
+            store.entry(10, entry(10));
+            store.promise(LATER);
+            store.sync();
+        }
+    }
+
+    private static void assertKept(Kept kept, Promise promise, int... entries) {
+        assertNotNull(kept);
+        assertEquals(kept.promise(), promise);
+        assertEquals(kept.snapshot().index(), 6);
+        assertEquals(kept.snapshot().state(), SNAPSHOT.state());
+        assertEquals(kept.snapshot().voters(), SNAPSHOT.voters());
+        assertEquals(kept.entries().stream().mapToInt(entry -> entry.bytes()[0]).toArray(), entries);
+    }
+
+    @Test
+    public void whatWasSyncedIsFoundAgain() {
+        write();
+        try (FileStore store = open()) {
+            assertKept(store.kept(), LATER, 7, 8, 90, 10);
+            store.entry(11, entry(11)); // not synced
+        }
+        try (FileStore store = open()) {
+            assertKept(store.kept(), LATER, 7, 8, 90, 10);
+        }
+        assertEquals(log.toString(), "");
+    }
+
+    /** Wherever the last write ended: all of it counts or none, and what is written next is found. */
+    @Test
+    public void aTornTailIsCutWhereverItIs() throws IOException {
+        write();
+        byte[] whole = Files.readAllBytes(file);
+        int second = 0;
+        for (int length = whole.length - 1; length >= 24; length--) {
+            Files.write(file, Arrays.copyOf(whole, length));
+            try (FileStore store = open()) {
+                if (store.kept() == null) {
+                    break; // within the first
+                }
+                assertKept(store.kept(), FIRST, 7, 8, 9);
+                second++;
+                store.promise(LATER);
+                store.sync();
+            }
+            try (FileStore store = open()) {
+                assertKept(store.kept(), LATER, 7, 8, 9);
+            }
+        }
+        assertTrue(second > 40, "only " + second);
+        Files.write(file, Arrays.copyOf(whole, whole.length + 100)); // longer, and nothing in it
+        try (FileStore store = open()) {
+            assertKept(store.kept(), LATER, 7, 8, 90, 10);
+        }
+    }
+
+    /** One bit turned anywhere before the last batch, and the copy begins as one that forgot. */
+    @Test
+    public void aCorruptFileIsRefusedAndSetAside() throws IOException {
+        write();
+        byte[] whole = Files.readAllBytes(file);
+        int last = whole.length;
+        for (int at = 0; at < 80; at++) {
+            byte[] turned = whole.clone();
+            turned[at] ^= 16;
+            Files.write(file, turned);
+            log.reset();
+            try (FileStore store = open()) {
+                assertNull(store.kept(), "byte " + at + " of " + last);
+                assertTrue(log.toString().contains("agreement.refused"), "byte " + at + ": " + log);
+                assertTrue(log.toString().contains("byte ") && log.toString().contains("allowed"), "" + log);
+                store.promise(LATER);
+                store.sync();
+            }
+            assertEquals(Files.readAllBytes(folder.resolve("agreement.refused")), turned);
+            try (FileStore store = open()) {
+                assertEquals(store.kept().promise(), LATER);
+            }
+        }
+    }
+
+    @Test
+    public void anotherCopysFileIsRefused() throws IOException {
+        write();
+        try (FileStore store = new FileStore(folder, 2, 5, new Logger(new PrintStream(log, true)))) {
+            assertNull(store.kept());
+            assertTrue(log.toString().contains("found a file of copy 1; allowed: 2"), log.toString());
+        }
+    }
+
+    @Test
+    public void oneProcessUsesAFolder() {
+        try (FileStore store = open()) {
+            assertNull(store.kept());
+            assertTrue(expectThrows(UncheckedIOException.class, this::open).getMessage()
+                    .contains("another process"));
+        }
+        open().close();
+    }
+
+    /** Guards against a file that grows for as long as the copy lives. */
+    @Test
+    public void theFileStaysSmall() throws IOException {
+        try (FileStore store = open()) {
+            store.promise(FIRST);
+            for (int i = 1; i <= 3_000; i++) {
+                store.entry(i, new Entry(4, Kind.CONTENT, new byte[1_000]));
+                if (i % 16 == 0) {
+                    store.snapshot(new Snapshot(i, 4, SNAPSHOT.voters(), new byte[5_000]));
+                }
+                if (i % 100 == 0) {
+                    store.sync();
+                }
+            }
+            store.sync();
+        }
+        assertTrue(Files.size(file) < 1_300_000, "it has " + Files.size(file));
+        try (FileStore store = open()) {
+            assertEquals(store.kept().snapshot().index(), 2_992);
+            assertEquals(store.kept().entries().size(), 8);
+        }
+    }
+}
--- a/lab/src/main/java/cedarrudder/lab/cluster/Copy.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Copy.java
@@ -86,6 +86,11 @@
         return List.copyOf(crashes);
     }
 
+    /** Where operators call the process that was started last. */
+    synchronized InetSocketAddress admin() {
+        return admins.get(admins.size() - 1).address();
+    }
+
     /** Whether a process of it runs. */
     synchronized boolean runs() {
         return !processes.isEmpty();
--- a/lab/src/main/java/cedarrudder/lab/judge/OneLeader.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/OneLeader.java
@@ -10,8 +10,8 @@
 /**
  * A2: one leader a term; a copy that forgot voted in nothing before its new life was committed.
  *
- * <p>It reads {@code started} (kept: 1 where the life begins with what the last one had stored),
- * {@code seated} (group, voters), {@code voted} (group, term, as: its life as a voter, for) and {@code leads}
+ * <p>It reads {@code started} or {@code joins} (kept: 1 where the life begins with what the last one had
+ * stored), {@code seated} (group, voters), {@code voted} (group, term, as: its life as a voter, for) and {@code leads}
  * (group, term, as).
  */
 public final class OneLeader implements Rule {
@@ -27,7 +27,10 @@
     @Override
     public void took(Event event) {
         switch (event.what()) {
-            case "started" -> {
+            case "started", "joins" -> {
+                if (!event.fields().containsKey("kept")) {
+                    return; // the world's word of a process, which says itself when it takes part
+                }
                 boolean keeps = event.number("kept") == 1;
                 Long before = lastLife.put(event.copy(), event.life());
                 if (keeps && before != null) {
