--- a/lab/src/main/java/cedarrudder/lab/fleet/FleetWorld.java
+++ b/lab/src/main/java/cedarrudder/lab/fleet/FleetWorld.java
@@ -46,6 +46,11 @@
                 () -> Room.ANY, outlet, now);
     }
 
+    /** Looks at each datagram that is sent; one that it does not let pass is lost. */
+    public interface Filter {
+        boolean passes(int from, int to, byte[] datagram);
+    }
+
     private record Due(long at, long number, Runnable what) { }
 
     /** One place in the tier, and the process that runs there. */
@@ -126,7 +131,8 @@
         @Override
         public void send(int to, byte[] datagram) {
             bytes += datagram.length;
-            if (random.nextDouble() < network.loss() || cut[number][to]) {
+            if (random.nextDouble() < network.loss() || cut[number][to]
+                    || !filter.passes(number, to, datagram)) {
                 return;
             }
             int times = random.nextDouble() < network.doubled() ? 2 : 1;
@@ -175,6 +181,7 @@
             a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
     private final boolean[][] cut;
     private Network network;
+    private Filter filter = (from, to, datagram) -> true;
     private long now = 1_000 * SECOND;
     private long made;
     private long lives = 1;
@@ -228,6 +235,11 @@
         network = other;
     }
 
+    /** From now on this looks at all datagrams. */
+    public void filter(Filter other) {
+        filter = other;
+    }
+
     /** This one is gone without a word. */
     public void kill(int number) {
         Place place = places.get(number);
--- a/lab/src/main/java/cedarrudder/lab/judge/OneLeader.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/OneLeader.java
@@ -11,8 +11,8 @@
  * A2: one leader a term; a copy that forgot voted in nothing before its new life was committed.
  *
  * <p>It reads {@code started} or {@code joins} (kept: 1 where the life begins with what the last one had
- * stored), {@code seated} (group, voters), {@code voted} (group, term, as: its life as a voter, for) and {@code leads}
- * (group, term, as).
+ * stored), {@code seated} (group, voters), {@code voted} (group, term, as: its life as a voter, for) and
+ * {@code leads} (group, term, as).
  */
 public final class OneLeader implements Rule {
 
--- a/lab/src/test/java/cedarrudder/lab/fleet/FleetWorldTest.java
+++ b/lab/src/test/java/cedarrudder/lab/fleet/FleetWorldTest.java
@@ -183,6 +183,91 @@
         assertTrue(world.uses(4).group() > 0);
     }
 
+    private static boolean grant(byte[] datagram) {
+        return datagram[0] == (byte) 0xa7 && datagram[1] == 2;
+    }
+
+    /** Guards against a lease that is drawn out by old answers that come again and again. */
+    @Test
+    public void anAnswerThatComesAgainGivesNothing() {
+        FleetWorld world = started(5, CALM, false, 8);
+        int away = other(world);
+        int leader = world.leader();
+        byte[][] last = new byte[1][];
+        world.filter((from, to, datagram) -> {
+            last[0] = to == away && grant(datagram) ? datagram : last[0];
+            return true;
+        });
+        world.play(2 * SECOND);
+        world.cutOff(List.of(away));
+        for (long played = 0; played < LEASE; played += 200 * MILLI) {
+            world.inject(away, leader, last[0]);
+            world.play(200 * MILLI);
+        }
+        assertNull(world.uses(away));
+    }
+
+    /** One that goes on with its life from its disk does not take answers to the process before for its own. */
+    @Test
+    public void answersToTheProcessBeforeGiveNothing() {
+        FleetWorld world = new FleetWorld(new int[] {0, 1, 2, 0, 1}, CALM, true, 9, this::make,
+                events::add);
+        List<byte[]> grants = new ArrayList<>();
+        world.filter((from, to, datagram) -> {
+            if (to == 2 && grant(datagram)) {
+                grants.add(datagram);
+            }
+            return true;
+        });
+        world.form(0);
+        world.play(15 * SECOND);
+        assertNotNull(world.uses(2));
+        world.kill(2);
+        world.cutOff(List.of(2));
+        world.restart(2);
+        for (int i = 0; i < 10; i++) {
+            world.play(300 * MILLI);
+            assertNotNull(world.view(2).status(0).agreed(), "it has no disk");
+            grants.subList(0, 20).forEach(each -> world.inject(2, 0, each));
+        }
+        assertNull(world.uses(2));
+    }
+
+    /** The first byte of a message that agreement cuts into one piece; none of another kind has its place. */
+    private static int kind(byte[] datagram) {
+        return datagram[0] == (byte) 0xa6 ? datagram[45] : -1;
+    }
+
+    /**
+     * A leader that does not know yet what the one before had committed confirms no table: what it holds for
+     * the newest may not be.
+     */
+    @Test
+    public void aLeaderThatHasCommittedNothingConfirmsNothing() {
+        FleetWorld world = started(5, CALM, false, 10);
+        int leader = world.leader();
+        int append = 2;
+        world.filter((from, to, datagram) -> from != leader || kind(datagram) < 0
+                || kind(datagram) == append);
+        parts = 2_000;
+        while (parts(world.uses(leader)) != 2_000) {
+            world.play(MILLI);
+        }
+        world.kill(leader);
+        long killed = world.now();
+        assertTrue(IntStream.range(0, 5).filter(world::runs).allMatch(i -> parts(world.uses(i)) == 1_000));
+        world.filter((from, to, datagram) -> kind(datagram) != append);
+        while (world.leader() < 0) {
+            world.play(MILLI);
+        }
+        world.play(500 * MILLI);
+        int away = (world.leader() + 1) % 5 == leader ? (leader + 1) % 5 : (world.leader() + 1) % 5;
+        world.cutOff(List.of(away));
+        world.filter((from, to, datagram) -> true);
+        world.play(killed + LEASE - world.now());
+        assertNull(world.uses(away));
+    }
+
     @Test
     public void garbageAndOldDatagramsChangeNothing() {
         FleetWorld world = started(5, CALM, false, 7);
