Keep calls to the zones that have shares

Copies that agree on a table need decisions that keep to it. Where shares are held each call is dealt to a zone by its parts; the roster, the draws, the probes and the hot-cold pick keep to zones with a part; others of the table stand in for a zone without a node that may be used, and only where this copy knows no sound node in any of them is it as without a table. A zone's bound a second sends on to the next zone, and what fits nowhere is refused by worth: the least worthy finds part of the savings kept from it, as with the limit of calls out.

Weighed and left: a draw for each call, which strays by the root of their number, and round robin by weights, whose state has to be carried over to each new table.

--- a/core/src/main/java/cedarrudder/Balancer.java
+++ b/core/src/main/java/cedarrudder/Balancer.java
@@ -281,10 +281,10 @@
     default void copies(long now, int live) { }
 
     /**
-     * Which part of this copy's calls each zone may get from now on, in place of what was said before. The
-     * order is that in which they stand in for one another, after the copy's own zone. An empty list, as at the
-     * start: any zone may, as the module sees fit. A zone that stands twice, or parts that are more than a
-     * whole, are an IllegalArgumentException, and what was said before stands. A module that doesn't listen
+     * Which part of this copy's calls each zone may get from now on, in place of what was said before. Their
+     * order is that in which they stand in for one another, after the copy's own zone. An empty list, as at
+     * the start: any zone may, as the module sees fit. A zone named twice, or parts that sum up to more than
+     * a whole, are an IllegalArgumentException, and what was said before stands. A module that doesn't listen
      * goes on as it was.
      */
     default void shares(long now, List<ZoneShare> shares) { }
--- a/core/src/main/java/cedarrudder/Call.java
+++ b/core/src/main/java/cedarrudder/Call.java
@@ -21,6 +21,13 @@
     boolean answered;
     boolean uploading;
     boolean held;
+
+    /** What part of limits is open to it, by its worth; from 0 to 1. */
+    double part;
+
+    /** The zone that it was dealt to. */
+    int zone;
+
     long holdUntil;
 
     Call(Request request, RequestClass kind, long now, boolean overShare, int maxAttempts) {
--- a/core/src/main/java/cedarrudder/Decide.java
+++ b/core/src/main/java/cedarrudder/Decide.java
@@ -7,12 +7,17 @@
 import cedarrudder.overload.ShareMeter;
 import cedarrudder.overload.WaitingLine;
 import cedarrudder.overload.WaitingLine.Offer;
+import cedarrudder.overload.ZoneDeal;
+import cedarrudder.table.RouteTable;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
 
 /**
  * The decisions of one copy: the life of a request from its arrival to its final answer.
@@ -68,9 +73,9 @@
 
     private static final long TOKEN_KIND = 1L << 56;
     private static final long TOKEN_TICK = 0;
-    private static final long TOKEN_LINE = 1;
-    private static final long TOKEN_ASK = 2;
-    private static final long TOKEN_LATE = 3;
+    private static final long TOKEN_LINE = TOKEN_KIND;
+    private static final long TOKEN_ASK = 2 * TOKEN_KIND;
+    private static final long TOKEN_LATE = 3 * TOKEN_KIND;
 
     private final Settings settings;
     private final Tuning tuning;
@@ -91,6 +96,9 @@
     private final WaitingLine<Call> line;
     private boolean lineWatched;
 
+    /** Which zone each call goes to; null while no zone has a share. */
+    private ZoneDeal deal;
+
     /** Further attempts that may be made now. */
     private double extra;
     private double callsOut;
@@ -139,15 +147,14 @@
             Set<Long> named = new HashSet<>(entries.stream().map(Endpoint::id).toList());
             servers.values().stream().filter(s -> !named.contains(s.id)).toList().forEach(this::drop);
         }
-        for (Endpoint entry : entries) {
-            list(now, entry);
-        }
+        entries.forEach(entry -> list(now, entry));
         if (!ticking) {
             ticking = true;
             actions.schedule(now + (long) (random.nextDouble() * TICK) + 1, TOKEN_TICK);
             if (settings.askForEndpoints()) {
                 // Guards against all copies asking at once a service that takes seconds to serve them all.
-                ask(now + (long) (random.nextDouble() * ASK_SPREAD * settings.safety().askWithin()));
+                double spread = ASK_SPREAD * settings.safety().askWithin();
+                actions.schedule(now + 1 + (long) (random.nextDouble() * spread), TOKEN_ASK);
             }
         } else if (kind != ListKind.CACHED) {
             askFailures = 0;
@@ -177,11 +184,7 @@
     @Override
     public void endpointsFailed(long now) {
         long wait = ASK_AGAIN << Math.min(askFailures++, 3);
-        ask(now + wait / 2 + (long) (random.nextDouble() * wait));
-    }
-
-    private void ask(long at) {
-        actions.schedule(at + 1, TOKEN_ASK * TOKEN_KIND);
+        actions.schedule(now + 1 + wait / 2 + (long) (random.nextDouble() * wait), TOKEN_ASK);
     }
 
     // ---- a request comes in ----
@@ -195,7 +198,10 @@
         if (!overShare) {
             worth.asked(now, call.classIndex, worthOf(call));
         }
-        if (settings.tier() == 0 && !admit(call)) {
+        call.part = part(call);
+        boolean room = settings.tier() > 0 || limit.room(out, call.part);
+        call.zone = deal == null ? settings.zone() : deal.next(now, call.part, room);
+        if (!room || call.zone == ZoneDeal.NOWHERE) {
             end(call, mayRefuse(call));
             return;
         }
@@ -220,11 +226,11 @@
     }
 
     /**
-     * Whether to take on a request that has just come, at the tier that clients enter by: further down, work
-     * has gone into it already. Requests worth less for their work, or over their tenant's share, find the
-     * limit of calls out lower.
+     * What part of the limit of calls out is open to a request, at the tier that clients enter by: further
+     * down, work has gone into it already. Requests worth less for their work, or over their tenant's share,
+     * find it lower; and so with what zones may get, at each tier.
      */
-    private boolean admit(Call call) {
+    private double part(Call call) {
         double best = 0;
         for (int i = 0; i < byClass.length; i++) {
             best = Math.max(best, settings.classes().get(i).worth() / Math.max(1, byClass[i].mean()));
@@ -234,7 +240,7 @@
         // A goal that looks at the worst class leaves less room for preferring the best.
         double preference = goal.whole() / (goal.whole() + goal.worstClass());
         double part = 1 - tuning.get(Figure.KEPT_FROM_LEAST) * preference * (1 - relative);
-        return limit.room(out, call.overShare ? part * Math.max(0.5, goal.overShareWorth()) : part);
+        return call.overShare ? part * Math.max(0.5, goal.overShareWorth()) : part;
     }
 
     /**
@@ -256,16 +262,15 @@
             giveUpHeld(now);
         } else if (call.held && !lineWatched) {
             lineWatched = true;
-            actions.schedule(now + HOLD, TOKEN_LINE * TOKEN_KIND);
+            actions.schedule(now + HOLD, TOKEN_LINE);
         }
     }
 
     /** Gives those that wait their turn, by worth for their work. */
     private void release(long now) {
-        int classes = byClass.length;
         double byWorth = tuning.get(Figure.LINE_BY_WORTH);
-        line.release(lane -> Math.pow(worth.next(lane / 2 % classes, lane % 2 > 0)
-                * (lane < 2 * classes ? 1 : TRIED_BEFORE), byWorth), call -> offer(now, call));
+        line.release(lane -> Math.pow(worth.next(lane / 2 % byClass.length, lane % 2 > 0)
+                * (lane < 2 * byClass.length ? 1 : TRIED_BEFORE), byWorth), call -> offer(now, call));
     }
 
     private Offer offer(long now, Call call) {
@@ -275,37 +280,50 @@
         } else if (call.held && now >= call.holdUntil) {
             end(call, mayRefuse(call)); // has waited so long that to be told so is worth more than to wait on
         } else if (call.held) {
-            return call.attempts > 0 ? Offer.NONE_FOR_IT : Offer.NONE;
+            return call.attempts > 0 || deal != null && deal.bounded() ? Offer.NONE_FOR_IT : Offer.NONE;
         }
         return Offer.TAKEN;
     }
 
     /** Turns away all who have waited too long, wherever they are in line. */
     private void giveUpHeld(long now) {
-        for (Call call : line.remove(c -> !c.held || now >= c.holdUntil)) {
-            end(call, mayRefuse(call));
-        }
+        line.remove(c -> !c.held || now >= c.holdUntil).forEach(call -> end(call, mayRefuse(call)));
     }
 
-    /** The hot-cold rule over the pool; else an endpoint of the roster at random; else any at random. */
+    /**
+     * The hot-cold rule over the pool; else an endpoint of the roster at random; else any at random. Where
+     * zones have shares, first that in the zone dealt, then in those that stand in for it. While the roster
+     * has a sound one there, however busy, only they are sent to: guards against overload that spreads. Where
+     * it has none, the shares are behind what this copy sees, and guard nothing.
+     */
     private Server pick(long now, Call call) {
-        long patience = patience();
-        Server server = pool.pick(now, tuning.get(Figure.TURNOVER_LATENCIES) * Math.max(1e6, overall.mean()),
-                s -> eligible(now, s) && mayAttempt(now, call, s) && !call.tried(s),
-                s -> suspect(now, s, patience));
-        Server drawn = server != null ? server : draw(now, call, pool.roster(), patience);
-        return drawn != null ? drawn : draw(now, call, pool.ring(), Long.MAX_VALUE);
-    }
-
-    private Server draw(long now, Call call, List<Server> from, long patience) {
-        for (int i = 0; i < RANDOM_DRAWS && !from.isEmpty(); i++) {
-            Server server = from.get(random.nextInt(from.size()));
-            if (eligible(now, server) && mayAttempt(now, call, server) && !call.tried(server)
-                    && (patience == Long.MAX_VALUE || !suspect(now, server, patience))) {
+        Predicate<Server> may = s -> eligible(now, s) && mayAttempt(now, call, s) && !call.tried(s)
+                && (deal == null || deal.room(now, s.listed.zone(), call.part));
+        for (int zone : deal == null ? new int[0] : deal.order(now, call.zone, call.part)) {
+            Predicate<Server> away = s -> s.listed.zone() != zone || suspect(now, s) || s.mute;
+            List<Server> there = pool.roster().stream().filter(s -> s.listed.zone() == zone).toList();
+            Server server = pick(now, away.negate().and(may), away, there);
+            if (server != null) {
                 return server;
             }
         }
-        return null;
+        boolean known = deal != null && pool.roster().stream().anyMatch(s -> deal.has(s.listed.zone())
+                && !s.crowded(now) && !suspect(now, s) && !s.mute && mayAttempt(now, call, s)
+                && !call.tried(s));
+        Server server = deal == null ? pick(now, may, s -> suspect(now, s), pool.roster()) : draw(pool.ring,
+                s -> deal.has(s.listed.zone()) == known && !suspect(now, s) && may.test(s));
+        return server != null || known ? server : draw(pool.ring, may);
+    }
+
+    private Server pick(long now, Predicate<Server> may, Predicate<Server> suspect, List<Server> roster) {
+        Server server = pool.pick(now, tuning.get(Figure.TURNOVER_LATENCIES) * Math.max(1e6, overall.mean()),
+                may, suspect);
+        return server != null ? server : draw(roster, may.and(suspect.negate()));
+    }
+
+    private Server draw(List<Server> from, Predicate<Server> may) {
+        return IntStream.range(0, from.isEmpty() ? 0 : RANDOM_DRAWS)
+                .mapToObj(i -> from.get(random.nextInt(from.size()))).filter(may).findFirst().orElse(null);
     }
 
     private void send(long now, Call call, Server server) {
@@ -317,10 +335,13 @@
         out += call.uploading ? 0 : 1;
         server.uploads += call.uploading ? 1 : 0;
         server.sent(now, cost(call));
+        if (deal != null) {
+            deal.sent(server.listed.zone());
+        }
         actions.send(call.id, server.id, 0);
         long wait = lateAfter(call);
         if (attempt == 0 && wait > 0 && now + wait < call.arrived + call.kind.aim()) {
-            actions.schedule(now + wait, TOKEN_LATE * TOKEN_KIND + call.id);
+            actions.schedule(now + wait, TOKEN_LATE + call.id);
         }
     }
 
@@ -330,10 +351,9 @@
      */
     private long lateAfter(Call call) {
         boolean known = call.work > 0 && stretch.count() >= STRETCH_KNOWN;
-        double factor = tuning.get(Figure.LATE_STRETCH) * stretch.mean();
         return known && !call.uploading && call.kind.effect() != Effect.UNSAFE
-                && settings.limits().parallelTries()
-                ? (long) (factor * Math.max(LEAST_WORK, call.work)) : 0;
+                && settings.limits().parallelTries() ? (long) (tuning.get(Figure.LATE_STRETCH)
+                        * stretch.mean() * Math.max(LEAST_WORK, call.work)) : 0;
     }
 
     /**
@@ -343,7 +363,7 @@
      */
     private void sendCopy(long now, Call call) {
         Server server = call.out == 1 && extra >= 1 && mayAttempt(now, call, null) ? pick(now, call) : null;
-        if (server != null && !suspect(now, server, patience())) {
+        if (server != null && !suspect(now, server)) {
             extra--;
             send(now, call, server);
         }
@@ -366,10 +386,8 @@
      * earlier ones prove. Every attempt passes here, the first and the next.
      */
     private boolean mayAttempt(long now, Call call, Server server) {
-        if (call.answered || now >= call.deadline || call.attempts >= call.to.length) {
-            return false;
-        }
-        if (call.out > 0 && !settings.limits().parallelTries()) {
+        if (call.answered || now >= call.deadline || call.attempts >= call.to.length
+                || call.out > 0 && !settings.limits().parallelTries()) {
             return false;
         }
         int first = call.mayHaveRun();
@@ -393,18 +411,16 @@
                 || call.kind.effect() == Effect.KEYED && call.kind.keyScope() == KeyScope.ALL;
     }
 
-    private boolean suspect(long now, Server server, long patience) {
-        return server.failing(now) || server.silent(now, patience);
+    private boolean suspect(long now, Server server) {
+        return server.failing(now) || server.silent(now, patience());
     }
 
     // ---- how attempts end ----
 
     @Override
     public void firstByte(long now, long request, int attempt, long endpoint, long latency) {
-        Call call = calls.get(request);
-        if (call != null && !call.answered) {
-            close(call, attempt); // the stream ends it, for good or ill
-        }
+        Optional.ofNullable(calls.get(request)).filter(call -> !call.answered)
+                .ifPresent(call -> close(call, attempt)); // the stream ends it, for good or ill
     }
 
     @Override
@@ -418,9 +434,7 @@
         call.out--;
         out -= call.uploading ? 0 : 1;
         call.to[attempt].uploads -= call.uploading ? 1 : 0;
-        if (outcome == Outcome.CONNECT_FAILED) {
-            thriftyUntil = now + THRIFT;
-        }
+        thriftyUntil = outcome == Outcome.CONNECT_FAILED ? now + THRIFT : thriftyUntil;
         if (outcome == Outcome.OK) {
             call.to[attempt].answered(now, settings.copies(), latency, call.work);
             byClass[call.classIndex].add(latency);
@@ -441,7 +455,7 @@
             // connections do not: they are no sign of too much work, and turning more away mends nothing.
             double aim = tuning.get(Figure.SLOW_SHARE) * call.kind.aim();
             limit.answered(now - call.arrived > aim || outcome == Outcome.FULL, out, mostOut,
-                    (double) pool.ring().size() / settings.copies());
+                    (double) pool.ring.size() / settings.copies());
         }
         call.to[attempt].ended(now, outcome);
         pool.ended(outcome);
@@ -522,8 +536,7 @@
      */
     private void closeUnused(long now, Server server) {
         if (now < thriftyUntil && !server.needsConnection() || server.inFlight == 0 && !server.inRoster) {
-            actions.closeIdle(server.id);
-            server.closed();
+            pool.closeIdle(server);
         }
     }
 
@@ -538,15 +551,12 @@
 
     @Override
     public void clientLeft(long now, long request) {
-        Call call = calls.get(request);
-        if (call != null) {
-            close(call, -1);
-        }
+        Optional.ofNullable(calls.get(request)).ifPresent(call -> close(call, -1));
     }
 
     @Override
     public void timer(long now, long token) {
-        long kind = token / TOKEN_KIND;
+        long kind = token - token % TOKEN_KIND;
         Call call = calls.get(token % TOKEN_KIND);
         if (kind == TOKEN_TICK) {
             actions.schedule(now + TICK, TOKEN_TICK); // first: guards against a fault ending it
@@ -561,7 +571,7 @@
         } else if (kind == TOKEN_LINE) {
             lineWatched = line.size() > 0;
             if (lineWatched) {
-                actions.schedule(now + HOLD, TOKEN_LINE * TOKEN_KIND); // first, as above
+                actions.schedule(now + HOLD, TOKEN_LINE); // first, as above
             }
             release(now);
             giveUpHeld(now);
@@ -570,26 +580,18 @@
 
     @Override
     public void probed(long now, long endpoint, Outcome outcome, long latency, Load load) {
-        Server server = servers.get(endpoint);
-        if (server != null) {
-            pool.probed(now, server, outcome, now - latency, load);
-        }
+        Optional.ofNullable(servers.get(endpoint))
+                .ifPresent(server -> pool.probed(now, server, outcome, now - latency, load));
     }
 
     @Override
     public void returned(long now, long endpoint) {
-        Server server = servers.get(endpoint);
-        if (server != null && server.ready()) {
-            pool.ask(now, server);
-        }
+        Optional.ofNullable(servers.get(endpoint)).filter(Server::ready).ifPresent(s -> pool.ask(now, s));
     }
 
     @Override
     public void brokeOff(long now, long endpoint, long sentAt) {
-        Server server = servers.get(endpoint);
-        if (server != null) {
-            server.brokeOff(now, sentAt);
-        }
+        Optional.ofNullable(servers.get(endpoint)).ifPresent(server -> server.brokeOff(now, sentAt));
     }
 
     /** Tenants' shares are divided by those that live; what keeps a cold endpoint up still counts all. */
@@ -598,9 +600,21 @@
         shares.copies(live);
     }
 
+    @Override
+    public void shares(long now, List<ZoneShare> zones) {
+        ZoneDeal next = deal != null || zones.isEmpty() ? deal
+                : new ZoneDeal(settings.zone(), RouteTable.WHOLE, random);
+        if (!zones.isEmpty()) {
+            next.set(zones.stream().map(z -> new ZoneDeal.Part(z.zone(), z.parts(), z.perSecond()))
+                    .toList());
+        }
+        deal = zones.isEmpty() ? null : next;
+        pool.shares(zones);
+    }
+
     @Override
     public int avoided(long now) {
-        return (int) servers.values().stream().filter(s -> !s.ready() || suspect(now, s, patience())).count();
+        return (int) servers.values().stream().filter(s -> !s.ready() || suspect(now, s)).count();
     }
 
     @Override
@@ -637,7 +651,7 @@
      */
     private double warmRate(long now, Server server) {
         List<Server> roster = pool.roster();
-        int ring = pool.ring().size();
+        int ring = pool.ring.size();
         double kept = Math.min(1, Math.exp(-(now - callRateAt) / RATE_NANOS));
         double even = Math.min(callRate * kept, 1e9 / Math.max(1, overall.mean()) * ring / settings.copies());
         double whole = 0;
--- a/core/src/main/java/cedarrudder/ProbePool.java
+++ b/core/src/main/java/cedarrudder/ProbePool.java
@@ -4,7 +4,9 @@
 import cedarrudder.Balancer.Load;
 import cedarrudder.Balancer.Outcome;
 import cedarrudder.Balancer.Settings;
+import cedarrudder.Balancer.ZoneShare;
 import cedarrudder.Tuning.Figure;
+import cedarrudder.table.RouteTable;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
@@ -36,6 +38,9 @@
      */
     private static final int FAR_PART = 3;
 
+    /** Among the hot, the sound ones first: a failing endpoint holds little, which must not speak for it. */
+    private static final double SUSPECT = 1e9;
+
     /** The order of the ring. */
     private static final Comparator<Server> ORDER = (a, b) -> a.order != b.order
             ? Long.compareUnsigned(a.order, b.order) : Long.compareUnsigned(a.id, b.id);
@@ -66,6 +71,13 @@
             // for the one to come. Guards against every copy crowding the quickest endpoint until it is hot.
             latencyNow = server.untried ? 0 : latency * (1 + rifNow);
         }
+
+        /** Cold ones first, by latency; then hot ones by RIF. */
+        boolean before(Entry other, double hotAbove) {
+            boolean cold = rifNow <= hotAbove;
+            return cold && other.rifNow <= hotAbove ? latencyNow < other.latencyNow
+                    : cold || other.rifNow > hotAbove && rifNow < other.rifNow;
+        }
     }
 
     private final Settings settings;
@@ -74,10 +86,11 @@
     private final Actions actions;
 
     /** All ready endpoints, in an order that every copy agrees on and that has to do with nothing else. */
-    private final List<Server> ring = new ArrayList<>();
-    private final List<Server> near = new ArrayList<>();
-    private final List<Server> far = new ArrayList<>();
+    final List<Server> ring = new ArrayList<>();
     private final List<Server> roster = new ArrayList<>();
+
+    /** The zones that may be probed and sent to; none: all may. */
+    private List<ZoneShare> shares = List.of();
     private boolean rosterStale = true;
     private int rosterSize;
 
@@ -108,21 +121,22 @@
      */
     void listed(Server server, boolean ready) {
         server.far = server.listed.zone() != settings.zone();
-        place(server.far ? far : near, server, ready);
-        rosterStale |= place(ring, server, ready);
+        int at = Collections.binarySearch(ring, server, ORDER);
+        if (ready && at < 0) {
+            ring.add(-at - 1, server);
+        } else if (!ready && at >= 0) {
+            ring.remove(at);
+        }
+        rosterStale |= ready == at < 0;
         if (!ready) {
             forget(server);
         }
     }
 
-    private static boolean place(List<Server> order, Server server, boolean ready) {
-        int at = Collections.binarySearch(order, server, ORDER);
-        if (ready && at < 0) {
-            order.add(-at - 1, server);
-        } else if (!ready && at >= 0) {
-            order.remove(at);
-        }
-        return ready == at < 0;
+    /** Only the zones named have a place in the roster from now on, each by its part; none named: all. */
+    void shares(List<ZoneShare> zones) {
+        shares = List.copyOf(zones);
+        rosterStale = true;
     }
 
     /** Fits the roster to the calls this copy has out: a caller with much to send needs more endpoints. */
@@ -146,27 +160,28 @@
     List<Server> roster() {
         if (rosterStale) {
             rosterStale = false;
-            for (Server server : roster) {
-                server.inRoster = false;
-            }
+            roster.forEach(server -> server.inRoster = false);
             List<Server> before = new ArrayList<>(roster);
             roster.clear();
-            add(near, rosterSize);
-            add(far, near.size() < tuning.get(Figure.ROSTER_LEAST) ? rosterSize : rosterSize / FAR_PART);
-            for (Server server : before) {
-                if (!server.inRoster) {
-                    forget(server);
-                    if (server.inFlight == 0) {
-                        actions.closeIdle(server.id);
-                        server.closed();
-                    }
-                }
+            for (ZoneShare share : shares) {
+                double part = (double) share.parts() / RouteTable.WHOLE;
+                add(s -> s.listed.zone() == share.zone(),
+                        (int) Math.ceil(rosterSize * (part + (1 - part) / FAR_PART)));
             }
+            if (roster.isEmpty()) {
+                int near = add(s -> !s.far, rosterSize);
+                add(s -> s.far, near < tuning.get(Figure.ROSTER_LEAST) ? rosterSize : rosterSize / FAR_PART);
+            }
+            before.removeIf(server -> server.inRoster);
+            before.forEach(this::forget);
+            before.stream().filter(server -> server.inFlight == 0).forEach(this::closeIdle);
         }
         return roster;
     }
 
-    private void add(List<Server> from, int most) {
+    /** Takes a run of those of the ring; returns how many there are. */
+    private int add(Predicate<Server> which, int most) {
+        List<Server> from = ring.stream().filter(which).toList();
         int count = Math.min(most, from.size());
         long start = (long) settings.self() * from.size() / Math.max(1, settings.copies());
         for (int i = 0; i < count; i++) {
@@ -174,10 +189,7 @@
             server.inRoster = true;
             roster.add(server);
         }
-    }
-
-    List<Server> ring() {
-        return ring;
+        return from.size();
     }
 
     // ---- when to probe ----
@@ -216,11 +228,13 @@
      * the peaks of many copies: it costs the endpoint capacity, and a full one turns callers away.
      */
     void trim() {
-        for (Server server : roster()) {
-            if (server.trim()) {
-                actions.closeIdle(server.id);
-            }
-        }
+        roster().stream().filter(Server::trim).forEach(this::closeIdle);
+    }
+
+    /** Closes the idle connections to an endpoint. */
+    void closeIdle(Server server) {
+        actions.closeIdle(server.id);
+        server.closed();
     }
 
     private void probe(long now) {
@@ -254,6 +268,7 @@
         server.probeOut = false;
         if (outcome != Outcome.MOOT) { // else it was never asked, for want of room in this process
             forget(server);
+            server.mute = outcome != Outcome.OK && outcome != Outcome.FULL;
         }
         if (outcome != Outcome.OK || load == null || Double.isNaN(load.inFlight()) || !server.ready()) {
             return;
@@ -314,33 +329,21 @@
         int sound = 0;
         for (int i = 0; i < size; i++) {
             entries[i].look(now, others, turnover);
-            if (!suspect.test(entries[i].server)) {
+            if (suspect.test(entries[i].server)) {
+                entries[i].rifNow += SUSPECT;
+            } else {
                 rifs[sound++] = entries[i].rifNow;
             }
         }
         Arrays.sort(rifs, 0, sound);
         double hotAbove = sound == 0 ? -1 : rifs[(int) (tuning.get(Figure.RIF_QUANTILE) * (sound - 1))];
-        Entry cold = null;
-        Entry hot = null;
+        Entry best = null;
         for (int i = 0; i < size; i++) {
-            Entry entry = entries[i];
-            if (!may.test(entry.server)) {
-                continue;
-            }
-            if (entry.rifNow <= hotAbove && !suspect.test(entry.server)) {
-                if (cold == null || entry.latencyNow < cold.latencyNow) {
-                    cold = entry;
-                }
-            } else if (hot == null || hotRank(entry, suspect) < hotRank(hot, suspect)) {
-                hot = entry;
+            if (may.test(entries[i].server) && (best == null || entries[i].before(best, hotAbove))) {
+                best = entries[i];
             }
         }
-        return cold != null ? cold.server : hot != null ? hot.server : null;
-    }
-
-    /** Among the hot, the sound ones first: a failing endpoint holds little, which must not speak for it. */
-    private static double hotRank(Entry entry, Predicate<Server> suspect) {
-        return entry.rifNow + (suspect.test(entry.server) ? 1e9 : 0);
+        return best == null ? null : best.server;
     }
 
     /** How many entries there are, for tests. */
--- a/core/src/main/java/cedarrudder/Server.java
+++ b/core/src/main/java/cedarrudder/Server.java
@@ -44,6 +44,9 @@
     /** Whether a probe of this copy is out. */
     boolean probeOut;
 
+    /** Whether the last probe got no answer. */
+    boolean mute;
+
     /** When this copy last probed it. */
     long probedAt;
 
@@ -133,9 +136,7 @@
 
     void sent(long now, double cost) {
         untried = false;
-        if (inFlight++ == 0) {
-            waitingSince = now;
-        }
+        waitingSince = inFlight++ == 0 ? now : waitingSince;
         open = Math.max(open, inFlight);
         peak = Math.max(peak, inFlight);
         allowance -= cost;
@@ -150,9 +151,7 @@
         if (outcome == Outcome.CANCELLED || outcome == Outcome.MOOT) {
             return; // says nothing of the endpoint
         }
-        if (outcome != Outcome.TIMEOUT) {
-            waitingSince = now;
-        }
+        waitingSince = outcome == Outcome.TIMEOUT ? waitingSince : now;
         judge(now, outcome == Outcome.OK);
     }
 
@@ -208,13 +207,10 @@
     }
 
     /**
-     * Whether more connections are open than were of use since the last look; if so, they count as closed.
+     * Whether more connections are open than were of use since the last look; if so, they can be closed.
      */
     boolean trim() {
         boolean surplus = open > Math.max(1, peak);
-        if (surplus) {
-            open = inFlight;
-        }
         peak = inFlight;
         return surplus;
     }
--- a/core/src/main/java/cedarrudder/Tuning.java
+++ b/core/src/main/java/cedarrudder/Tuning.java
@@ -115,14 +115,4 @@
         changed[figure.ordinal()] = value;
         return new Tuning(changed);
     }
-
-    @Override
-    public boolean equals(Object other) {
-        return other instanceof Tuning tuning && Arrays.equals(values, tuning.values);
-    }
-
-    @Override
-    public int hashCode() {
-        return Arrays.hashCode(values);
-    }
 }
--- /dev/null
+++ b/core/src/test/java/cedarrudder/Steps.java
@@ -0,0 +1,128 @@
+package cedarrudder;
+
+import cedarrudder.Balancer.Endpoint;
+import cedarrudder.Balancer.ListKind;
+import cedarrudder.Balancer.Outcome;
+import cedarrudder.Balancer.Request;
+import cedarrudder.Balancer.Standing;
+import cedarrudder.Balancer.State;
+import cedarrudder.Balancer.Tenant;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.zip.CRC32C;
+
+/** Random steps of all kinds for one copy among thirty endpoints in three zones, drawn from a seed. */
+final class Steps {
+
+    private static final long MS = Site.MS;
+    private static final int ENDPOINTS = 30;
+
+    private record Out(long request, int attempt, long endpoint, long at) { }
+
+    final Recorder did = new Recorder();
+    final Decide decide;
+    long now = 50 * Site.SECOND;
+    private final SplittableRandom random;
+    private final Site site = new Site();
+    private final Map<Long, Integer> attempts = new HashMap<>();
+    private final List<Out> outs = new ArrayList<>();
+    private final List<Recorder.Timer> timers = new ArrayList<>();
+    private final CRC32C digest = new CRC32C();
+    private final List<Endpoint> list = new ArrayList<>();
+    private final List<Long> probes = new ArrayList<>();
+    private long requests;
+
+    Steps(long seed) {
+        random = new SplittableRandom(seed);
+        site.classes = List.of(Site.SAFE, Site.UNSAFE, Site.KEYED, Site.KEYED_IN_CELL, Site.KEYED_IN_ZONE);
+        site.tenants = List.of(new Tenant("a", 1, 80), new Tenant("b", 1, 0));
+        site.copies = 1 + random.nextInt(12);
+        site.self = random.nextInt(site.copies);
+        site.tiers = 2;
+        site.tier = random.nextInt(2);
+        site.ask = random.nextBoolean();
+        site.parallelTries = random.nextBoolean();
+        decide = new Decide(site.settings(), random.split(), did);
+        for (int id = 1; id <= ENDPOINTS; id++) {
+            list.add(Site.endpoint(id, id % 3, id % 5, State.READY, 0));
+        }
+        decide.endpoints(now, ListKind.CACHED, list);
+        take();
+    }
+
+    /** Plays so many steps. */
+    void play(int steps) {
+        for (int i = 0; i < steps; i++) {
+            now += random.nextLong(8 * MS);
+            for (Recorder.Timer timer : timers.stream().filter(t -> t.at() <= now).toList()) {
+                timers.remove(timer);
+                decide.timer(now, timer.token());
+                take();
+            }
+            step(random.nextInt(100));
+            take();
+        }
+    }
+
+    /** Of all that was done so far, with its arguments and in its order. */
+    long digest() {
+        return digest.getValue();
+    }
+
+    private void step(int draw) {
+        long id = 1 + random.nextInt(ENDPOINTS);
+        if (draw < 48) {
+            long work = random.nextBoolean() ? 0 : random.nextLong(60 * MS);
+            long deadline = now + 20 * MS + random.nextLong(900 * MS);
+            Request request = new Request(++requests, random.nextInt(5), random.nextInt(2), deadline, 0,
+                    false, false, work, random.nextInt(20) == 0);
+            decide.request(now, request, random.nextInt(50) == 0 ? Standing.OVERLOAD : Standing.WANTED);
+        } else if (draw < 82 && !outs.isEmpty()) {
+            Out out = outs.remove(random.nextInt(outs.size()));
+            int how = random.nextInt(3 * Outcome.values().length);
+            Outcome outcome = how < Outcome.values().length ? Outcome.values()[how] : Outcome.OK;
+            decide.outcome(now, out.request, out.attempt, out.endpoint, outcome, now - out.at,
+                    outcome == Outcome.OK, null);
+        } else if (draw < 88 && !probes.isEmpty()) {
+            boolean good = random.nextInt(8) > 0;
+            decide.probed(now, probes.remove(random.nextInt(probes.size())),
+                    good ? Outcome.OK : Outcome.TIMEOUT, random.nextLong(5 * MS),
+                    good ? Site.load(random.nextInt(9), 1 + random.nextInt(40)) : null);
+        } else if (draw < 93) {
+            Endpoint was = list.get((int) id - 1);
+            State state = random.nextInt(3) > 0 ? State.READY
+                    : random.nextBoolean() ? State.DRAINING : State.GONE;
+            list.set((int) id - 1, Site.endpoint(id, was.zone(), random.nextInt(5), state,
+                    was.state() == State.GONE ? now : was.startedAt()));
+            decide.endpoints(now, ListKind.CHANGES, List.of(list.get((int) id - 1)));
+        } else {
+            rare(draw, id, requests == 0 ? 1 : 1 + random.nextLong(requests));
+        }
+    }
+
+    private void rare(int draw, long endpoint, long request) {
+        switch (draw) {
+            case 93 -> decide.endpoints(now, ListKind.FULL, list);
+            case 94 -> decide.endpointsFailed(now);
+            case 95 -> decide.clientLeft(now, request);
+            case 96 -> decide.whole(now, request);
+            case 97 -> decide.returned(now, endpoint);
+            case 98 -> decide.brokeOff(now, endpoint, now - 100 * MS);
+            default -> decide.copies(now, 1 + random.nextInt(site.copies));
+        }
+    }
+
+    /** Takes in what was done. */
+    private void take() {
+        did.sent.forEach(sent -> outs.add(new Out(sent.request(),
+                attempts.merge(sent.request(), 1, Integer::sum) - 1, sent.endpoint(), now)));
+        probes.addAll(did.probed);
+        timers.addAll(did.timers);
+        did.lines.forEach(line -> digest.update((line + "\n").getBytes(StandardCharsets.UTF_8)));
+        did.clear();
+    }
+}
--- a/core/src/test/java/cedarrudder/TuningTest.java
+++ b/core/src/test/java/cedarrudder/TuningTest.java
@@ -25,7 +25,7 @@
         assertEquals(tuning.get(Figure.MAX_AGE_MS), 1500.0);
         assertEquals(tuning.nanos(Figure.MAX_AGE_MS), 1500 * Site.MS);
         assertEquals(TuningText.differences(tuning), "max-age-ms=1500 rif-quantile=0.9");
-        assertEquals(TuningText.read(List.of("rif-quantile=0.25")), Tuning.DEFAULTS);
+        assertEquals(TuningText.differences(TuningText.read(List.of("rif-quantile=0.25"))), "");
         assertEquals(TuningText.differences(Tuning.DEFAULTS), "");
     }
 
--- a/lab/src/main/java/cedarrudder/lab/command/Play.java
+++ b/lab/src/main/java/cedarrudder/lab/command/Play.java
@@ -61,7 +61,7 @@
             return new Own(tuning, budgets);
         }
         Policy rival = Rivals.named(name);
-        if (!tuning.equals(Tuning.DEFAULTS)) {
+        if (!TuningText.differences(tuning).isEmpty()) {
             throw new IllegalArgumentException(name + " has no figures to set; only " + Rivals.OWN + " has");
         }
         return budgets == null ? rival : new Budgeted(rival, budgets);
