--- a/lab/src/main/java/cedarrudder/lab/model/Life.java
+++ b/lab/src/main/java/cedarrudder/lab/model/Life.java
@@ -5,6 +5,7 @@
 import cedarrudder.Balancer.Load;
 import cedarrudder.Balancer.Outcome;
 import cedarrudder.Balancer.State;
+import cedarrudder.Balancer.ZoneShare;
 import cedarrudder.Balancer;
 import cedarrudder.budget.BudgetSettings;
 import cedarrudder.budget.Budgets;
@@ -110,6 +111,10 @@
         run.agenda.at(now() + SWEEP, sweep);
     }
 
+    void shares(List<ZoneShare> shares) {
+        driver.shares(shares);
+    }
+
     /** Takes an RPC from a caller. */
     void accept(Call call, Exchange<Call, Attempt> exchange) {
         if (opens == open.length) {
--- a/lab/src/main/java/cedarrudder/lab/model/Model.java
+++ b/lab/src/main/java/cedarrudder/lab/model/Model.java
@@ -44,7 +44,7 @@
      */
     public static Played run(Scenario scenario, long seed, Policy policy, String variant, Trace trace,
             Guard guard) throws InterruptedException {
-        Run run = new Run(scenario, seed, variant, trace, START, new ModelProxies(policy, guard));
+        Run run = of(scenario, seed, policy, variant, trace, guard);
         AtomicReference<Played> played = new AtomicReference<>();
         AtomicReference<Throwable> failed = new AtomicReference<>();
         ThreadMXBean threads = ManagementFactory.getThreadMXBean();
@@ -85,6 +85,15 @@
         return played.get();
     }
 
+    /**
+     * A run with modelled proxies that its caller plays itself, on one thread: {@link Run#begin}, then the
+     * agenda's events until it is over. So a world can have events of its own between.
+     */
+    public static Run of(Scenario scenario, long seed, Policy policy, String variant, Trace trace,
+            Guard guard) {
+        return new Run(scenario, seed, variant, trace, START, new ModelProxies(policy, guard));
+    }
+
     private static Played abandon(Run run, Thread thread, long cpu) {
         String finding = "a balancer never came back from an event";
         run.end(finding);
--- a/lab/src/main/java/cedarrudder/lab/model/ModelProxy.java
+++ b/lab/src/main/java/cedarrudder/lab/model/ModelProxy.java
@@ -1,6 +1,7 @@
 package cedarrudder.lab.model;
 
 import cedarrudder.Balancer.Endpoint;
+import cedarrudder.Balancer.ZoneShare;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -35,6 +36,13 @@
         return call;
     }
 
+    @Override
+    public void shares(List<ZoneShare> shares) {
+        if (life != null) {
+            life.shares(shares);
+        }
+    }
+
     @Override
     protected void tellAgain() {
         if (life != null) {
--- a/lab/src/main/java/cedarrudder/lab/model/Proxy.java
+++ b/lab/src/main/java/cedarrudder/lab/model/Proxy.java
@@ -1,5 +1,8 @@
 package cedarrudder.lab.model;
 
+import cedarrudder.Balancer.ZoneShare;
+import java.util.List;
+
 /**
  * A proxy over the whole run, as the world round it sees it: it may die and come back. The model plays its
  * inside in virtual time; the emulator puts a process in its place.
@@ -42,6 +45,12 @@
     /** A caller tries it. */
     protected abstract Pending take(Caller caller, Try what);
 
+    /**
+     * Tells its decisions which part of its calls each zone may get; without effect where it is down, and at a
+     * process, which has it from the other processes. Its next life knows nothing of it.
+     */
+    public void shares(List<ZoneShare> shares) { }
+
     /** Discovery is back, and tells those again that it tells unasked. */
     protected abstract void tellAgain();
 
