Judge moves, leases, drains and estimates by what copies and the world say

Seven rules over events, each with histories that have the wrong and ones that only just have not: F1 a zone left on the word of one zone, F2 load beyond the stated part and moves a minute, F3 leases (by the copy's own words, and by what it could hear), D1 nodes out at once, D2 removals, M1 estimates, and one table after the faults. Views keeps its count instead of looking at all pairs at each event, TrueDeaths looks at one pair for each way that is cut, and A2 knows that two processes of one copy may remember.

--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/judge/HeldTable.java
@@ -0,0 +1,117 @@
+package cedarrudder.lab.judge;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * After the faults all live copies hold one route table: they differ, or one has none, never for longer than
+ * a stated time. And of A1: one number, one table, whoever holds it; numbers rise in each life. Where no copy
+ * ever held a table there is none to hold.
+ *
+ * <p>It reads {@code table}, and which processes speak.
+ */
+public final class HeldTable implements Rule {
+
+    private record Held(long number, String sum) {
+        private static final Held NONE = new Held(0, "");
+    }
+
+    private final long within;
+    private final World world = new World();
+    private final Map<Long, Held> held = new HashMap<>();
+    private final Map<Long, Long> highest = new HashMap<>();
+    private final Map<Long, String> sums = new HashMap<>();
+    private final List<Breach> breaches = new ArrayList<>();
+    private long differSince = Long.MAX_VALUE;
+    private String how = "";
+
+    /** @param within they are one again by then, from the end of the faults or the difference's beginning */
+    public HeldTable(long within) {
+        this.within = within;
+    }
+
+    @Override
+    public void took(Event event) {
+        world.took(event);
+        if (event.what().equals("table")) {
+            Held now = new Held(event.number("number"), event.text("sum"));
+            held.put(event.life(), now);
+            if (now.number > 0) {
+                numbers(event, now);
+            }
+        }
+        if (world.overAt() <= event.at()) {
+            switch (event.what()) {
+                case "table", "over", "speaks", "silent", "ended", "stopped", "continued" -> look(event.at());
+                default -> { }
+            }
+        }
+    }
+
+    private void numbers(Event event, Held now) {
+        String sum = sums.putIfAbsent(now.number, now.sum);
+        if (sum != null && !sum.equals(now.sum)) {
+            breaches.add(new Breach("A1", event.at(), "copy " + event.copy() + " holds table " + now.number
+                    + " with sum " + now.sum + ", which had " + sum));
+        }
+        Long before = highest.put(event.life(), now.number);
+        if (before != null && before > now.number) {
+            breaches.add(new Breach("A1", event.at(), "copy " + event.copy() + " holds table " + now.number
+                    + " after " + before));
+        }
+    }
+
+    private void look(long now) {
+        check(now);
+        String differs = difference();
+        if (differs.isEmpty()) {
+            differSince = Long.MAX_VALUE;
+        } else {
+            differSince = Math.min(differSince, now);
+            how = differs;
+        }
+    }
+
+    /** How the live copies differ; empty where they don't. */
+    private String difference() {
+        Held one = null;
+        int first = 0;
+        for (int copy : world.copies()) {
+            for (long life : world.speaks(copy) ? world.speaking(copy) : List.<Long>of()) {
+                Held its = held.getOrDefault(life, Held.NONE);
+                if (its.number == 0) {
+                    return "copy " + copy + " holds none";
+                }
+                if (one != null && !one.equals(its)) {
+                    return "copy " + first + " holds " + one.number + ", copy " + copy + " " + its.number;
+                }
+                one = its;
+                first = copy;
+            }
+        }
+        return "";
+    }
+
+    private void check(long now) {
+        if (differSince != Long.MAX_VALUE && now - differSince > within && !sums.isEmpty()) {
+            breaches.add(new Breach("one table", now, "copies held no one table for "
+                    + (now - differSince) / 1_000_000 + " ms: " + how));
+            differSince = now; // once for each such time
+        }
+    }
+
+    @Override
+    public void ended(long at) {
+        check(at);
+        if (!sums.isEmpty() && (at < world.overAt() || at - world.overAt() < within)) {
+            breaches.add(new Breach("one table", at, "the history ends before copies have to hold one"));
+        }
+    }
+
+    @Override
+    public List<Breach> breaches() {
+        return breaches;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/judge/Leases.java
@@ -0,0 +1,77 @@
+package cedarrudder.lab.judge;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * F3: no copy uses a table past its lease, by its own words; and whatever it says of its lease, none uses a
+ * table for longer than that lease after it could last hear of a majority of the voters by any way.
+ *
+ * <p>It reads {@code table}, {@code renewed}, {@code used}, {@code seated}, and what {@link World} knows of
+ * copies and ways.
+ */
+public final class Leases implements Rule {
+
+    private static final String NAME = "F3";
+    private static final long MILLI = 1_000_000L;
+
+    /** The table of a process, and from when on its lease counts. */
+    private record Held(long number, long lease, long since) { }
+
+    private final long underWay;
+    private final Contact contact = new Contact();
+    private final Map<Long, Held> held = new HashMap<>();
+    private final List<Breach> breaches = new ArrayList<>();
+
+    /** @param underWay a word may be so old when it arrives; nanoseconds */
+    public Leases(long underWay) {
+        this.underWay = underWay;
+    }
+
+    @Override
+    public void took(Event event) {
+        contact.took(event);
+        switch (event.what()) {
+            case "table" -> held.put(event.life(), new Held(event.number("number"),
+                    event.number("lease_ms") * MILLI, since(event)));
+            case "renewed" -> held.computeIfPresent(event.life(), (life, old) ->
+                    old.number != event.number("number") || old.since >= since(event) ? old
+                            : new Held(old.number, old.lease, since(event)));
+            case "used" -> used(event);
+            default -> { }
+        }
+    }
+
+    private static long since(Event event) {
+        return event.at() - event.number("age_ms") * MILLI;
+    }
+
+    private void used(Event event) {
+        Held table = held.get(event.life());
+        if (table == null || table.number != event.number("number")) {
+            breach(event, "uses table " + event.text("number") + " and holds "
+                    + (table == null ? "none" : table.number));
+            return;
+        }
+        long late = event.at() - table.since - table.lease;
+        if (late > 0) {
+            breach(event, "uses table " + table.number + " " + late / MILLI + " ms after its lease");
+        }
+        long apart = event.at() - contact.last(event.copy(), event.at()) - table.lease - underWay;
+        if (apart > 0) {
+            breach(event, "uses table " + table.number + " " + apart / MILLI + " ms after its lease, counted"
+                    + " from when it could last hear of a majority");
+        }
+    }
+
+    private void breach(Event event, String why) {
+        breaches.add(new Breach(NAME, event.at(), "copy " + event.copy() + " " + why));
+    }
+
+    @Override
+    public List<Breach> breaches() {
+        return breaches;
+    }
+}
--- a/lab/src/main/java/cedarrudder/lab/judge/OneLeader.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/OneLeader.java
@@ -20,20 +20,21 @@
     private final Map<String, String> leaders = new HashMap<>();
     private final Map<String, String> votes = new HashMap<>();
     private final Set<String> seated = new HashSet<>();
-    /** The process in which a voter first spoke, or the last one that began with all that it had stored. */
-    private final Map<String, Long> remembers = new HashMap<>();
+    /** The process in which a voter first spoke, and those that began with all that it had stored. */
+    private final Map<String, Set<Long>> remembers = new HashMap<>();
     private final Map<Integer, Long> lastLife = new HashMap<>();
 
     @Override
     public void took(Event event) {
         switch (event.what()) {
             case "started" -> {
-                boolean keeps = event.number("kept") == 1;
+                boolean keeps = event.fields().containsKey("kept") && event.number("kept") == 1;
                 Long before = lastLife.put(event.copy(), event.life());
-                if (keeps && before != null) {
-                    remembers.replaceAll((who, life) -> who.startsWith(event.copy() + ":")
-                            && life.equals(before) ? Long.valueOf(event.life()) : life);
-                }
+                remembers.forEach((who, lives) -> {
+                    if (keeps && lives.contains(before) && who.startsWith(event.copy() + ":")) {
+                        lives.add(event.life());
+                    }
+                });
             }
             case "seated" -> {
                 for (String voter : event.text("voters").split(",")) {
@@ -54,7 +55,7 @@
 
     private void voted(Event event) {
         String who = event.copy() + ":" + event.text("as");
-        if (remembers.computeIfAbsent(who, w -> event.life()) != event.life()) {
+        if (!remembers.computeIfAbsent(who, w -> new HashSet<>(Set.of(event.life()))).contains(event.life())) {
             breach(event, "votes as " + who + ", of which it remembers nothing");
         }
         if (!seated.contains(event.text("group") + " " + who)) {
--- a/lab/src/main/java/cedarrudder/lab/judge/OneTable.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/OneTable.java
@@ -25,7 +25,10 @@
     /** Voters that an entry names, which may yet be taken back. */
     private record Proposed(Place place, String sum, Set<String> voters) { }
 
+    private final long unwritten;
     private final List<Breach> breaches = new ArrayList<>();
+    private final Map<Place, Long> firstStored = new HashMap<>();
+    private final Map<Integer, List<Long>> kills = new HashMap<>();
     private final Map<Place, String> states = new HashMap<>();
     private final Map<Place, String> sums = new HashMap<>();
     private final Map<Place, Map<String, Set<String>>> stored = new HashMap<>();
@@ -34,10 +37,25 @@
     private final Map<String, Set<Proposed>> proposed = new HashMap<>();
     private final Map<String, Place> newest = new HashMap<>();
 
+    /** For histories without holes. */
+    public OneTable() {
+        this(0);
+    }
+
+    /**
+     * @param unwritten what a process that is killed did so shortly before may be missing from its history;
+     * nanoseconds. A voter killed so soon after an entry was first stored may have had it.
+     */
+    public OneTable(long unwritten) {
+        this.unwritten = unwritten;
+    }
+
     @Override
     public void took(Event event) {
         switch (event.what()) {
+            case "doomed" -> kills.computeIfAbsent(event.copy(), c -> new ArrayList<>()).add(event.at());
             case "stored" -> {
+                firstStored.putIfAbsent(place(event), event.at());
                 stored.computeIfAbsent(place(event), p -> new HashMap<>())
                         .computeIfAbsent(event.text("sum"), s -> new HashSet<>())
                         .add(event.copy() + ":" + event.text("as"));
@@ -118,9 +136,28 @@
                 have.add(who);
             }
         });
+        if (unwritten > 0 && firstStored.containsKey(place)) {
+            // The life is not told of here, nor needed: a copy that comes back in another is no voter yet.
+            for (String voter : voters(place)) {
+                if (killedWith(Integer.parseInt(voter.split(":")[0]), firstStored.get(place))) {
+                    have.add(voter);
+                }
+            }
+        }
         return have;
     }
 
+    private Set<String> voters(Place place) {
+        Map.Entry<Long, Set<String>> then = seated.getOrDefault(place.group, new TreeMap<>())
+                .floorEntry(place.index);
+        return then == null ? Set.of() : then.getValue();
+    }
+
+    private boolean killedWith(int copy, long stored) {
+        return kills.getOrDefault(copy, List.of()).stream()
+                .anyMatch(at -> at >= stored && at - stored <= unwritten);
+    }
+
     private void breach(Event event, String why) {
         breaches.add(new Breach("A1", event.at(), "copy " + event.copy() + ": " + why));
     }
--- a/lab/src/main/java/cedarrudder/lab/judge/TrueDeaths.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/TrueDeaths.java
@@ -26,8 +26,9 @@
     private final Bounds bounds;
     private final World world = new World();
     private final Beliefs beliefs = new Beliefs();
-    private final Map<Long, Long> buried = new HashMap<>();
-    private final Map<Long, Long> wrongSince = new HashMap<>();
+    /** By the life that holds it, and whom it is about. */
+    private final Map<Long, Map<Integer, Long>> buried = new HashMap<>();
+    private final Map<Long, Map<Integer, Long>> wrongSince = new HashMap<>();
     private final List<Breach> breaches = new ArrayList<>();
     private long found;
     private long longestToFind;
@@ -48,8 +49,8 @@
         world.took(event);
         beliefs.took(event);
         if (event.what().equals("ended")) {
-            buried.keySet().removeIf(key -> key >> 16 == event.life());
-            wrongSince.keySet().removeIf(key -> key >> 16 == event.life());
+            buried.remove(event.life());
+            wrongSince.remove(event.life());
         }
         look(event);
     }
@@ -62,13 +63,26 @@
             case "speaks", "silent", "ended", "stopped", "continued", "flooded", "drained" -> look(event.at(),
                     event.copy());
             case "cut", "healed" -> {
-                look(event.at(), event.copy());
-                look(event.at(), (int) event.number("to"));
+                lookAround(event.at(), event.copy(), (int) event.number("to"));
+                lookAround(event.at(), (int) event.number("to"), event.copy());
             }
             default -> { }
         }
     }
 
+    /**
+     * Looks at the one pair that a cut is about, and at all with this copy where so long nothing had happened
+     * to it that a bound may be broken. Guards against a time that goes with the cube of the copies: halves
+     * are cut way by way.
+     */
+    private void lookAround(long now, int copy, int other) {
+        if (now - world.disturbedAt(copy) > Math.min(bounds.found, bounds.mended)) {
+            look(now, copy);
+        } else {
+            world.speaking(copy).forEach(life -> look(now, copy, life, other));
+        }
+    }
+
     /** Looks at all pairs with this copy in them. */
     private void look(long now, int copy) {
         for (int other : world.copies()) {
@@ -79,12 +93,9 @@
         }
     }
 
-    private static long key(long life, int about) {
-        return life << 16 | about;
-    }
-
     private void believed(Event event) {
-        Long grave = buried.get(key(event.life(), (int) event.number("about")));
+        Long grave = buried.getOrDefault(event.life(), Map.of())
+                .get((int) event.number("about"));
         if (grave != null && event.number("number") <= grave) {
             breach(event.at(), "copy " + event.copy() + " believed copy " + event.text("about") + "'s life "
                     + event.text("number") + " again, which it had held as dead");
@@ -93,7 +104,8 @@
 
     private void buried(Event event) {
         int about = (int) event.number("about");
-        buried.merge(key(event.life(), about), event.number("number"), Math::max);
+        buried.computeIfAbsent(event.life(), life -> new HashMap<>())
+                .merge(about, event.number("number"), Math::max);
         if (world.speaks(about)) {
             falseDeaths++;
             if (world.whole(event.copy(), about) && event.at() - world.peaceSince() > bounds.settled) {
@@ -108,8 +120,8 @@
         boolean dead = beliefs.dead(life, about);
         boolean wrong = world.speaks(observer) && world.whole(observer, about) && dead == world.speaks(about)
                 && !world.forged(observer) && !world.forged(about);
-        long key = key(life, about);
-        Long since = wrong ? wrongSince.putIfAbsent(key, now) : wrongSince.remove(key);
+        Map<Integer, Long> of = wrongSince.computeIfAbsent(life, l -> new HashMap<>());
+        Long since = wrong ? of.putIfAbsent(about, now) : of.remove(about);
         if (since == null) {
             return;
         }
@@ -123,7 +135,7 @@
             breach(now, "copy " + observer + " held copy " + about + (world.speaks(about)
                     ? " as dead, which ran and could be reached, for " : " as live, which didn't run, for ")
                     + (now - peace) / 1_000_000 + " ms");
-            wrongSince.replace(key, now); // once for each such time
+            of.replace(about, now); // once for each such time
         }
     }
 
--- a/lab/src/main/java/cedarrudder/lab/judge/Views.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/Views.java
@@ -2,17 +2,22 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 /** After the faults end, all live copies hold one view of who lives, and it is true, within a stated time. */
 public final class Views implements Rule {
 
     private static final String NAME = "views";
 
+    /** Words after which what others hold of a copy may be wrong or right, and what it holds itself. */
+    private static final Set<String> OF_COPY = Set.of("started", "speaks", "silent", "ended", "stopped",
+            "continued");
+
     private final long within;
     private final World world = new World();
     private final Beliefs beliefs = new Beliefs();
     private final List<Breach> breaches = new ArrayList<>();
-    private String wrong = "";
+    private long wrongs;
     private long wrongUntil = Long.MIN_VALUE;
 
     /** @param within from the end of the faults, in nanoseconds */
@@ -22,11 +27,43 @@
 
     @Override
     public void took(Event event) {
-        if (world.overAt() <= event.at() && !wrong().isEmpty()) {
+        if (world.overAt() <= event.at() && wrongs > 0) {
             wrongUntil = event.at(); // what was so until now
         }
+        boolean ofPair = event.what().equals("alive") || event.what().equals("suspect")
+                || event.what().equals("dead");
+        if (!ofPair && !OF_COPY.contains(event.what())) {
+            world.took(event);
+            return;
+        }
+        wrongs -= ofPair ? wrong(event.life(), event) : wrongs(event.copy());
         world.took(event);
         beliefs.took(event);
+        wrongs += ofPair ? wrong(event.life(), event) : wrongs(event.copy());
+    }
+
+    /** Whether the belief that an event is about is wrong, as a number. */
+    private int wrong(long life, Event event) {
+        return world.speaking(event.copy()).contains(life)
+                && wrong(event.copy(), life, (int) event.number("about")) ? 1 : 0;
+    }
+
+    /** Wrong beliefs of this copy and about it. Those of all others are as they were. */
+    private long wrongs(int copy) {
+        long found = 0;
+        for (int other : world.copies()) {
+            for (long life : world.speaking(copy)) {
+                found += wrong(copy, life, other) ? 1 : 0;
+            }
+            for (long life : world.speaking(other)) {
+                found += wrong(other, life, copy) ? 1 : 0;
+            }
+        }
+        return found;
+    }
+
+    private boolean wrong(int observer, long life, int about) {
+        return observer != about && beliefs.dead(life, about) == world.speaks(about);
     }
 
     /** A belief of a live copy that is not so; empty where there is none. */
@@ -34,7 +71,7 @@
         for (int observer : world.copies()) {
             for (long life : world.speaking(observer)) {
                 for (int about : world.copies()) {
-                    if (about != observer && beliefs.dead(life, about) == world.speaks(about)) {
+                    if (wrong(observer, life, about)) {
                         return "copy " + observer + " holds copy " + about + " as "
                                 + (world.speaks(about) ? "dead, which runs" : "live, which doesn't run");
                     }
@@ -50,7 +87,7 @@
             breaches.add(new Breach(NAME, at, "the history ends before copies have to agree"));
             return;
         }
-        wrong = wrong();
+        String wrong = wrong();
         if (!wrong.isEmpty()) {
             breaches.add(new Breach(NAME, at, wrong));
         } else if (agreedAfter() > within) {
--- a/lab/src/main/java/cedarrudder/lab/judge/World.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/World.java
@@ -15,6 +15,7 @@
  */
 final class World {
 
+    private final Map<Integer, Set<Long>> running = new HashMap<>();
     private final Map<Integer, Set<Long>> speaking = new HashMap<>();
     private final Map<Integer, Long> disturbedAt = new HashMap<>();
     private final Set<Integer> stopped = new HashSet<>();
@@ -29,7 +30,10 @@
     void took(Event event) {
         int copy = event.copy();
         switch (event.what()) {
-            case "started" -> copies.add(copy);
+            case "started" -> {
+                copies.add(copy);
+                running.computeIfAbsent(copy, c -> new HashSet<>()).add(event.life());
+            }
             case "speaks" -> {
                 speaking.computeIfAbsent(copy, c -> new HashSet<>()).add(event.life());
                 disturb(event);
@@ -39,6 +43,7 @@
                 disturb(event);
             }
             case "ended" -> {
+                running.computeIfAbsent(copy, c -> new HashSet<>()).remove(event.life());
                 speaking.computeIfAbsent(copy, c -> new HashSet<>()).remove(event.life());
                 stopped.remove(copy);
                 disturb(event);
@@ -85,6 +90,11 @@
         return !speaking.getOrDefault(copy, Set.of()).isEmpty() && !stopped.contains(copy);
     }
 
+    /** The processes of this number, whether they speak or stand still. */
+    Set<Long> running(int copy) {
+        return running.getOrDefault(copy, Set.of());
+    }
+
     /** The processes that speak for this number. */
     Set<Long> speaking(int copy) {
         return speaking.getOrDefault(copy, Set.of());
@@ -95,6 +105,18 @@
         return !cuts.contains(way(one, other)) && !cuts.contains(way(other, one));
     }
 
+    /** Whether one of the two can hear the other. */
+    boolean oneWay(int one, int other) {
+        return !cuts.contains(way(one, other)) || !cuts.contains(way(other, one));
+    }
+
+    /** Whether the ways to most of the others that speak are not whole. */
+    boolean apart(int copy) {
+        long others = copies.stream().filter(other -> other != copy && speaks(other)).count();
+        return others > 0 && copies.stream().filter(other -> other != copy && speaks(other)
+                && whole(copy, other)).count() * 2 < others;
+    }
+
     /** Whether this copy gets forged datagrams. */
     boolean forged(int copy) {
         return flooded.contains(copy);
--- /dev/null
+++ b/lab/src/test/java/cedarrudder/lab/judge/FleetRulesTest.java
@@ -0,0 +1,372 @@
+package cedarrudder.lab.judge;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.Test;
+
+/**
+ * F1 to F3, D1, D2, M1 and 'one table' on histories written by hand: for each wrong that a rule is there for
+ * one history that has it, and one that only just has not. Times are in milliseconds.
+ */
+public class FleetRulesTest {
+
+    private static final long MILLI = 1_000_000L;
+    private static final long SECOND = 1_000;
+
+    /** Six copies, two in each of three zones; the life of copy 3 is 13. */
+    private static final List<Event> START = new ArrayList<>();
+
+    static {
+        for (int copy = 0; copy < 6; copy++) {
+            START.add(event(0, copy, "started"));
+            START.add(event(0, copy, "placed", "zone", copy / 2));
+            START.add(event(0, copy, "speaks"));
+        }
+    }
+
+    private static Event event(long at, int copy, String what, Object... fields) {
+        Map<String, String> all = new HashMap<>();
+        for (int i = 0; i < fields.length; i += 2) {
+            all.put((String) fields[i], String.valueOf(fields[i + 1]));
+        }
+        return new Event(at * MILLI, copy, copy + 10, what, all);
+    }
+
+    private static Event table(long at, int copy, long number, String shares) {
+        return event(at, copy, "table", "number", number, "sum", "s" + number, "lease_ms", 5_000, "age_ms", 0,
+                "shares", shares);
+    }
+
+    private static Event saw(long at, int copy, int zone, int served, int failed) {
+        return event(at, copy, "saw", "zone", zone, "sent", served + failed, "served", served, "failed", failed,
+                "ms", 500);
+    }
+
+    /** Judges the start and these, up to so many milliseconds; gives what is wrong, without numbers. */
+    private static List<String> judged(Rule rule, long until, List<Event> events) {
+        List<Event> all = new ArrayList<>(START);
+        all.addAll(events);
+        all.sort(Comparator.comparingLong(Event::at));
+        return History.judged(all, until * MILLI, List.of(rule)).stream().map(Breach::rule).toList();
+    }
+
+    private static List<String> judged(Rule rule, long until, Event... events) {
+        return judged(rule, until, List.of(events));
+    }
+
+    // ---- F1 ----
+
+    /** Copies that see zone 1 fail, the others that are served there, and then a table that leaves it. */
+    private static List<String> left(long seenAt, int[] failing, int[] served, Event... more) {
+        List<Event> events = new ArrayList<>(List.of(more));
+        for (int copy : failing) {
+            events.add(saw(seenAt, copy, 1, 2, 3));
+        }
+        for (int copy : served) {
+            events.add(saw(seenAt, copy, 1, 3, 2));
+        }
+        events.add(table(10_000, 0, 1, "1>1:near:10000:0"));
+        events.add(table(20_000, 0, 2, "1>1:near:5000:0,1>2:moved:5000:0"));
+        events.add(table(20_001, 1, 2, "1>1:near:5000:0,1>2:moved:5000:0"));
+        return judged(new ZoneLeft(5 * SECOND * MILLI), 30_000, events);
+    }
+
+    @Test
+    public void aZoneIsNotLeftOnTheWordOfOne() {
+        int[] zoneZero = {0, 1};
+        assertEquals(left(19_000, zoneZero, new int[] {2, 3, 4}), List.of("F1"));
+        assertEquals(left(19_000, zoneZero, new int[] {2, 3}), List.of(), "two of four others are not most");
+        assertEquals(left(19_000, new int[] {0, 2}, new int[] {3, 4, 5}), List.of(), "two zones say so");
+        assertEquals(left(19_000, new int[0], new int[] {0, 1, 2, 3, 4, 5}), List.of("F1"), "nobody says so");
+        assertEquals(left(15_000, zoneZero, new int[] {2, 3, 4}), List.of("F1"), "just within the window");
+        assertEquals(left(14_999, zoneZero, new int[] {2, 3, 4}), List.of(), "nobody knows anything");
+        assertEquals(left(19_000, zoneZero, new int[] {2, 3, 4}, event(1, 0, "evacuated", "zone", 1)),
+                List.of(), "an operator wants it");
+        assertEquals(left(19_000, zoneZero, new int[] {2, 3, 4}, event(1, 0, "evacuated", "zone", 1),
+                event(2, 0, "reopened", "zone", 1)), List.of("F1"), "and no longer");
+        assertEquals(left(19_000, zoneZero, new int[] {2, 3, 4}, event(2, 4, "ended")), List.of("F1"),
+                "two of the three others that run");
+        assertEquals(left(19_000, zoneZero, new int[] {2, 3, 4}, saw(18_000, 2, 1, 0, 1),
+                saw(18_000, 4, 1, 0, 1)), List.of(), "others were not served a moment ago");
+        assertEquals(judged(new ZoneLeft(SECOND * MILLI), 9, saw(5, 2, 1, 9, 0), saw(5, 3, 1, 9, 0),
+                saw(5, 4, 1, 9, 0), saw(5, 5, 1, 9, 0), table(6, 0, 1, "1>1:near:9000:0,1>2:spilled:1000:0")),
+                List.of(), "what spills over leaves no zone");
+    }
+
+    // ---- F2 ----
+
+    private static List<String> loaded(int most, int others, long until, Event... more) {
+        List<Event> events = new ArrayList<>(List.of(more));
+        events.add(event(1, -1, "capacity", "zone", 0, "per_s", 100));
+        events.add(event(1, -1, "capacity", "zone", 1, "per_s", 100));
+        for (long at = 500; at <= until; at += 500) {
+            events.add(saw(at, 0, 0, most / 2, 0)); // in half a second
+            events.add(saw(at, 2, 1, others / 2, 0));
+        }
+        return judged(new ZoneLoad(new ZoneLoad.Bounds(0.8, 0.05, 3 * SECOND * MILLI, 2)), until, events);
+    }
+
+    @Test
+    public void noZoneGetsTooMuchWhileAnotherHasRoom() {
+        assertEquals(loaded(90, 20, 3_500), List.of(), "3 s and no more");
+        assertEquals(loaded(90, 20, 4_000), List.of("F2"));
+        assertEquals(loaded(84, 20, 9_000), List.of(), "within the tolerance");
+        assertEquals(loaded(90, 80, 9_000), List.of(), "no other has room");
+        assertEquals(loaded(90, 20, 4_000, event(1_200, -1, "capacity", "zone", 1, "per_s", 90)), List.of(),
+                "the time begins again when a capacity changes");
+        assertEquals(loaded(90, 20, 4_500, event(1_200, -1, "capacity", "zone", 1, "per_s", 90)),
+                List.of("F2"));
+        assertEquals(loaded(90, 0, 9_000, event(1_200, -1, "capacity", "zone", 1, "per_s", 0)), List.of(),
+                "a zone that is lost has no room");
+        assertEquals(loaded(20, 20, 4_000, event(2_000, 0, "stopped")), List.of());
+    }
+
+    @Test
+    public void callersMoveNoOftenerThanStated() {
+        String near = "0>0:near:10000:0,1>1:near:10000:0";
+        String away = "0>1:moved:10000:0,1>1:near:10000:0";
+        List<Event> moves = new ArrayList<>(List.of(table(1_000, 0, 1, near), table(2_000, 0, 2, away),
+                table(2_001, 1, 2, away), table(3_000, 0, 3, away), table(3_100, 1, 1, near)));
+        assertEquals(judged(bounded(), 70_000, moves), List.of(), "what is told again is no move");
+        moves.add(table(60_999, 0, 4, near));
+        assertEquals(judged(bounded(), 70_000, moves), List.of("F2"), "the third within a minute");
+        moves.set(5, table(61_000, 0, 4, near));
+        assertEquals(judged(bounded(), 70_000, moves), List.of(), "a minute later");
+    }
+
+    private static ZoneLoad bounded() {
+        return new ZoneLoad(new ZoneLoad.Bounds(0.8, 0.05, 3 * SECOND * MILLI, 2));
+    }
+
+    // ---- F3 ----
+
+    private static List<String> used(Event... events) {
+        List<Event> all = new ArrayList<>(List.of(events));
+        all.add(event(0, 0, "seated", "group", "1", "index", 1, "voters", "0:1,2:1,4:1"));
+        return judged(new Leases(500 * MILLI), 60_000, all);
+    }
+
+    private static Event used(long at, int copy, long number) {
+        return event(at, copy, "used", "number", number);
+    }
+
+    private static Event renewed(long at, int copy, long age) {
+        return event(at, copy, "renewed", "number", 7, "age_ms", age);
+    }
+
+    @Test
+    public void noTableIsUsedPastItsLease() {
+        Event held = table(1_000, 0, 7, "");
+        assertEquals(used(held, used(6_000, 0, 7)), List.of());
+        assertEquals(used(held, used(6_001, 0, 7)), List.of("F3"));
+        assertEquals(used(held, renewed(5_000, 0, 100), used(9_900, 0, 7)), List.of());
+        assertEquals(used(held, renewed(5_000, 0, 100), used(9_901, 0, 7)), List.of("F3"));
+        assertEquals(used(held, renewed(5_000, 0, 0), renewed(5_100, 0, 3_000), used(9_900, 0, 7)), List.of(),
+                "an older word takes nothing away");
+        assertEquals(used(held, event(2_000, 0, "stopped"), event(7_000, 0, "continued"), used(7_000, 0, 7),
+                renewed(7_001, 0, 0), used(7_002, 0, 7)), List.of("F3"), "the first use after a wake counts");
+        assertEquals(used(held, event(2_000, 0, "stopped"), event(7_000, 0, "continued"), renewed(7_001, 0, 0),
+                used(7_002, 0, 7)), List.of());
+        assertEquals(used(held, table(2_000, 0, 0, ""), used(2_001, 0, 7)), List.of("F3"), "given up");
+        assertEquals(used(held, used(2_001, 0, 6)), List.of("F3"), "not held");
+        assertEquals(used(used(2_001, 0, 7)), List.of("F3"), "never held");
+    }
+
+    /** Whatever a copy says of its lease: cut off from two of three voters it can hear of none. */
+    @Test
+    public void aLeaseEndsWithoutAMajority() {
+        List<Event> cut = new ArrayList<>(List.of(table(1_000, 0, 7, ""), renewed(5_000, 0, 0)));
+        for (int other = 2; other < 6; other++) {
+            for (int side = 0; side < 2; side++) {
+                cut.add(event(2_000, side, "cut", "to", other));
+                cut.add(event(2_000, other, "cut", "to", side));
+            }
+        }
+        assertEquals(used(with(cut, used(7_500, 0, 7))), List.of());
+        assertEquals(used(with(cut, used(7_501, 0, 7))), List.of("F3"));
+        assertEquals(used(with(cut, event(4_000, 0, "healed", "to", 2), event(4_100, 0, "cut", "to", 2),
+                used(9_600, 0, 7))), List.of(), "one way is contact");
+        assertEquals(used(with(cut, event(4_000, 1, "healed", "to", 2), event(4_100, 1, "cut", "to", 2),
+                used(9_600, 0, 7), used(9_601, 0, 7))), List.of("F3"), "so is one through another");
+        assertEquals(used(with(cut, event(4_000, 5, "healed", "to", 0), used(9_900, 0, 7))), List.of(),
+                "the other way too");
+    }
+
+    private static Event[] with(List<Event> events, Event... more) {
+        List<Event> all = new ArrayList<>(events);
+        all.addAll(List.of(more));
+        return all.toArray(Event[]::new);
+    }
+
+    // ---- D1 ----
+
+    private static Event leaving(long at, int copy, String nodes) {
+        return event(at, copy, "leaving", "nodes", nodes);
+    }
+
+    private static Event drain(long at, int copy, String of, String node, String step) {
+        return event(at, copy, "drain", "drain", of, "node", node, "step", step, "within_ms", 5_000);
+    }
+
+    private static Event node(long at, String node, String mood) {
+        return event(at, -1, "node", "node", node, "zone", 0, "mood", mood);
+    }
+
+    private static List<String> out(Event... events) {
+        List<Event> all = new ArrayList<>(List.of(events));
+        all.add(event(0, -1, "bound", "name", "pod 1", "nodes", "a,b,c", "most", 2));
+        all.add(event(0, -1, "bound", "name", "all", "nodes", "a,b,c,d,e,f", "most", 3));
+        return judged(new OutAtOnce(SECOND * MILLI), 90_000, all);
+    }
+
+    @Test
+    public void noMoreAreOutAtOnceThanMayBe() {
+        assertEquals(out(leaving(1, 0, "a,b")), List.of());
+        assertEquals(out(leaving(1, 0, "a,b,c")), List.of("D1"), "a wave of too many");
+        assertEquals(out(leaving(1, 0, "a,b"), leaving(2, 1, "c")), List.of("D1"),
+                "two copies together, though neither alone");
+        assertEquals(out(leaving(1, 0, "a,b"), leaving(2, 0, "b,c")), List.of());
+        assertEquals(out(leaving(1, 0, "a,b"), leaving(1, 1, "a,b"), leaving(2, 0, "b,c")), List.of("D1"),
+                "copy 1 has not heard yet that a is back");
+        assertEquals(out(leaving(1, 0, "a,b"), leaving(1, 1, "a,b"), event(2, 1, "ended"),
+                leaving(3, 0, "b,c")), List.of());
+        assertEquals(out(drain(1, 0, "1", "a", "begun"), drain(1, 0, "1", "b", "begun"), leaving(5, 1, "a,b"),
+                drain(6, 0, "2", "c", "begun")), List.of("D1"));
+        assertEquals(out(drain(1, 0, "1", "a", "begun"), drain(1, 0, "1", "b", "begun"), leaving(5, 1, "a,b"),
+                drain(6, 0, "1", "a", "done"), drain(7, 0, "2", "c", "begun"), drain(8, 1, "1", "a", "begun"),
+                leaving(9, 1, "a,b,c")), List.of(), "what was done makes room, and is told late by others");
+        assertEquals(out(drain(1, 0, "1", "a", "begun"), drain(1, 0, "1", "b", "begun"),
+                drain(6, 0, "1", "a", "back"), drain(7, 0, "2", "c", "begun"), leaving(8, 1, "a,b"),
+                leaving(9, 1, "b,c")), List.of(), "one that is behind begins nothing");
+    }
+
+    @Test
+    public void nodesThatAreDownCount() {
+        assertEquals(out(node(1, "a", "dead"), node(1, "b", "silent"), leaving(1_002, 0, "c")), List.of("D1"));
+        assertEquals(out(node(1, "a", "dead"), node(1, "b", "silent"), leaving(1_001, 0, "c")), List.of(),
+                "nobody can know yet");
+        assertEquals(out(node(1, "a", "dead"), node(1, "b", "slow"), leaving(9_000, 0, "c")), List.of());
+        assertEquals(out(node(1, "a", "dead"), leaving(9_000, 0, "a,b")), List.of(), "one node, once");
+        assertEquals(out(leaving(1, 0, "a,b"), node(2, "c", "dead")), List.of(), "a node may die");
+        assertEquals(out(node(1, "d", "dead"), node(1, "e", "dead"), leaving(9_000, 0, "a,b")), List.of("D1"),
+                "the strictest of two bounds");
+    }
+
+    // ---- D2 ----
+
+    private static Event at(long at, int copy, String what, String rpc) {
+        return event(at, copy, what, "node", "a", "rpc", rpc);
+    }
+
+    private static List<String> drained(long until, Event... events) {
+        return judged(new Drains(2 * SECOND * MILLI, SECOND * MILLI), until, events);
+    }
+
+    @Test
+    public void nothingNewComesToANodeThatLeaves() {
+        Event had = leaving(1_000, 0, "a");
+        assertEquals(drained(9_000, had, at(3_000, 0, "reached", "r")), List.of());
+        assertEquals(drained(9_000, had, at(3_001, 0, "reached", "r")), List.of("D2"));
+        assertEquals(drained(9_000, had, at(3_001, 1, "reached", "r")), List.of(), "copy 1 has not heard");
+        assertEquals(drained(9_000, had, leaving(2_000, 0, "a,b"), at(3_001, 0, "reached", "r")),
+                List.of("D2"), "told again is no new word");
+        assertEquals(drained(9_000, had, leaving(2_000, 0, ""), leaving(2_500, 0, "a"),
+                at(3_001, 0, "reached", "r")), List.of(), "back, and out again");
+        assertEquals(drained(9_000, had, new Event(2_000 * MILLI, 0, 99, "started", Map.of()),
+                at(3_001, 0, "reached", "r")), List.of(), "a second process has not heard");
+    }
+
+    @Test
+    public void aRemovalIsDoneWhenNobodyIsThere() {
+        Event begun = drain(1_000, 0, "1", "a", "begun");
+        Event done = drain(4_000, 0, "1", "a", "done");
+        Event there = at(900, 2, "reached", "r");
+        assertEquals(drained(9_000, begun, there, at(3_999, 2, "served", "r"), done), List.of());
+        assertEquals(drained(9_000, begun, there, at(4_001, 2, "served", "r"), done), List.of("D2"));
+        assertEquals(drained(9_000, begun, there, event(3_999, 2, "broke", "rpc", "r"), done), List.of());
+        assertEquals(drained(9_000, begun, there, event(3_999, 2, "ended"), done), List.of());
+        assertEquals(drained(9_000, begun, there, event(3_999, 2, "stopped"), done), List.of());
+        assertEquals(drained(9_000, begun, there, event(3_999, 0, "dead", "about", 2, "number", 1), done),
+                List.of(), "held as dead by who says it");
+        assertEquals(drained(9_000, begun, there, event(3_999, 1, "dead", "about", 2, "number", 1), done),
+                List.of("D2"), "but not by another");
+        assertEquals(drained(9_000, begun, there, event(3_999, 2, "ended"),
+                new Event(3_999 * MILLI, 2, 99, "started", Map.of()), done), List.of(), "in another life");
+    }
+
+    @Test
+    public void noRemovalIsUnderWayPastItsTime() {
+        Event begun = drain(1_000, 0, "1", "a", "begun");
+        assertEquals(drained(7_000, begun), List.of());
+        assertEquals(drained(7_001, begun), List.of("D2"));
+        assertEquals(drained(9_000, begun, drain(7_000, 0, "1", "a", "back")), List.of());
+        assertEquals(drained(9_000, begun, drain(7_001, 0, "1", "a", "back")), List.of("D2"));
+        assertEquals(drained(9_000, begun, drain(2_000, 0, "1", "a", "paused"),
+                drain(3_500, 0, "1", "a", "resumed"), drain(8_500, 0, "1", "a", "done")), List.of());
+        assertEquals(drained(9_000, begun, drain(2_000, 0, "1", "a", "paused"),
+                drain(3_499, 0, "1", "a", "resumed"), drain(8_500, 0, "1", "a", "done")), List.of("D2"));
+        Event late = drain(6_000, 0, "1", "a", "late");
+        Event there = at(900, 2, "reached", "r");
+        assertEquals(drained(9_000, begun, there, late, at(7_000, 2, "served", "r")), List.of());
+        assertEquals(drained(9_000, begun, there, late, at(7_001, 2, "served", "r")), List.of("D2"));
+        assertEquals(drained(9_000, begun, there, late), List.of("D2"));
+    }
+
+    // ---- M1 ----
+
+    private static Event estimate(long at, int copy, String bound, int fits, long needed) {
+        return event(at, copy, "estimate", "load", "table 7", "bound", bound, "fits", fits, "needed", needed);
+    }
+
+    @Test
+    public void nothingIsLoadedThatWasRefusedNorEstimatedTooLow() {
+        Estimates rule = new Estimates(0.03);
+        assertEquals(judged(rule, 9, estimate(1, 0, "peak", 0, 100), table(2, 1, 7, ""),
+                event(2, 0, "took", "load", "list 7"), table(3, 0, 8, "")), List.of());
+        assertEquals(judged(rule, 9, estimate(1, 0, "peak", 0, 100), table(2, 0, 7, "")), List.of("M1"));
+        assertEquals(judged(new Estimates(0.03), 9, estimate(1, 0, "peak", 0, 9), estimate(1, 0, "rest", 1, 9),
+                event(2, 0, "took", "load", "table 7")), List.of("M1"), "one bound is enough");
+        assertEquals(judged(new Estimates(0.03), 9, estimate(1, 0, "peak", 0, 9), estimate(2, 0, "peak", 1, 9),
+                table(2, 0, 7, "")), List.of(), "there is room now");
+        for (int now : new int[] {1_030, 1_031}) {
+            assertEquals(judged(new Estimates(0.03), 9, estimate(1, 0, "peak", 1, 1_000),
+                    event(2, 0, "held", "load", "table 7", "bound", "peak", "now", now),
+                    event(2, 0, "held", "load", "table 7", "bound", "rest", "now", 9_999)),
+                    now > 1_030 ? List.of("M1") : List.of());
+        }
+    }
+
+    // ---- one table ----
+
+    private static List<String> held(long until, Event... events) {
+        List<Event> all = new ArrayList<>(List.of(events));
+        for (int copy = 0; copy < 6; copy++) {
+            all.add(table(1_000, copy, 7, ""));
+        }
+        all.add(event(5_000, -1, "over"));
+        return judged(new HeldTable(3 * SECOND * MILLI), until, all);
+    }
+
+    @Test
+    public void allHoldOneTableInTheEnd() {
+        assertEquals(held(8_000), List.of());
+        assertEquals(held(7_999), List.of("one table"), "too short a history to know");
+        assertEquals(held(8_000, table(2_000, 3, 8, "")), List.of(), "3 s and no more");
+        assertEquals(held(8_001, table(2_000, 3, 8, "")), List.of("one table"));
+        assertEquals(held(8_001, table(2_000, 3, 0, "")), List.of("one table"), "one has none");
+        assertEquals(held(8_001, table(2_000, 3, 8, ""), event(4_000, 3, "ended")), List.of(), "it is gone");
+        assertEquals(held(9_000, event(4_000, 3, "stopped"), table(6_000, 0, 8, ""), table(6_000, 1, 8, ""),
+                table(6_000, 2, 8, ""), table(6_000, 4, 8, ""), table(6_000, 5, 8, "")), List.of());
+        assertEquals(held(9_001, table(6_000, 0, 8, "")), List.of("one table"), "a later one must spread too");
+        assertEquals(held(8_000, table(2_000, 3, 6, ""), table(2_001, 3, 7, "")), List.of("A1"), "back");
+        assertEquals(held(8_000, table(2_000, 3, 0, ""), table(2_001, 3, 7, "")), List.of(), "the same again");
+        assertEquals(held(8_000, event(2_000, 3, "table", "number", 7, "sum", "other", "lease_ms", 1, "age_ms",
+                0, "shares", ""), table(2_001, 3, 7, "")), List.of("A1"));
+        assertEquals(judged(new HeldTable(1), 9, event(1, -1, "over")), List.of(), "none ever was");
+    }
+}
