Give the lab's cluster zones, links that are bad for one copy, calls and clocks that drift

Nodes and copies are dealt to zones; steps name zones in place of copies or nodes, a cut of zones goes through the ways to nodes too, nodes come back cold with a new start in discovery's list, one copy's own link can be bad (each node listens at an address of its own for each copy), and operators' calls are steps with the status that they must have. clock_drift_ppm of [history] lets the loop's clock drift; without it the loop looks at one field that is null. The verdict holds all rules against real processes.

--- a/daemon/src/main/java/cedarrudder/operator/HistorySettings.java
+++ b/daemon/src/main/java/cedarrudder/operator/HistorySettings.java
@@ -7,5 +7,6 @@
  *
  * @param file takes its lines, behind what is there
  * @param clockOffset the machine's clock is taken to be so much further than it is; milliseconds
+ * @param clockDrift time passes for this copy so much faster than it does; millionths
  */
-public record HistorySettings(Path file, long clockOffset) { }
+public record HistorySettings(Path file, long clockOffset, int clockDrift) { }
--- a/daemon/src/main/java/cedarrudder/operator/HistoryTable.java
+++ b/daemon/src/main/java/cedarrudder/operator/HistoryTable.java
@@ -11,6 +11,9 @@
     /** Sixty years and more either way: a clock that lost its battery says 1970. */
     private static final long MOST_OFFSET = 2_000_000_000_000L;
 
+    /** One part in a thousand: what copies allow each other's clocks. */
+    private static final int MOST_DRIFT = 1_000;
+
     private HistoryTable() {
         super("history", HistorySettings.class, null);
     }
@@ -22,6 +25,7 @@
             table.problem("file", "\"\"", "the name of a file");
         }
         return new HistorySettings(Path.of(file),
-                table.whole("clock_offset_ms", -MOST_OFFSET, MOST_OFFSET, 0));
+                table.whole("clock_offset_ms", -MOST_OFFSET, MOST_OFFSET, 0),
+                (int) table.whole("clock_drift_ppm", -MOST_DRIFT, MOST_DRIFT, 0));
     }
 }
--- a/daemon/src/main/java/cedarrudder/operator/Operator.java
+++ b/daemon/src/main/java/cedarrudder/operator/Operator.java
@@ -43,7 +43,12 @@
         return read(Document.read(file));
     }
 
-    static Operator read(Document document) throws BadFileException {
+    /**
+     * Reads a text.
+     *
+     * @throws BadFileException with all that is wrong with it
+     */
+    public static Operator read(Document document) throws BadFileException {
         Table root = document.root();
         Map<String, Object> values = new HashMap<>();
         boolean sharesSound = true;
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -41,6 +41,7 @@
 import cedarrudder.transport.AdminListener;
 import cedarrudder.transport.Desk;
 import cedarrudder.transport.DiscoveryClient;
+import cedarrudder.transport.Drift;
 import cedarrudder.transport.Listener;
 import cedarrudder.transport.Loop;
 import cedarrudder.transport.Membership;
@@ -119,7 +120,9 @@
         var callers = operator.of(CallersTable.CALLERS);
         var nodes = operator.of(NodesTable.NODES);
         setLog(operator.of(LogTable.LOG));
-        loop = new Loop(log);
+        HistorySettings recorded = operator.of(HistoryTable.HISTORY);
+        loop = recorded == null || recorded.clockDrift() == 0 ? new Loop(log)
+                : new Loop(log, new Drift(recorded.clockDrift()));
         Budgets budgets = budgets(operator.of(BudgetTable.BUDGET));
         figures = new Figures(site.module().classes().size());
         driver = new Driver<>(actions -> new Decide(site.module(), new SplittableRandom(configuration.seed()),
@@ -127,7 +130,6 @@
         int sockets = configuration.sockets();
         channels = new NodeChannels(loop, driver, site, nodes,
                 nodes.bounds(sockets, callers.mostCallers(sockets)), figures, held);
-        HistorySettings recorded = operator.of(HistoryTable.HISTORY);
         clockOffset = recorded == null ? 0 : recorded.clockOffset();
         reader = new ResolverResultReader(site, loop::now, this::wallClock);
         long version = (long) configuration.known().number("version", 0);
--- a/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
+++ b/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
@@ -153,11 +153,7 @@
         if (known != null) {
             return known;
         }
-        long hash = FNV_BASIS;
-        for (byte b : id.getBytes(StandardCharsets.UTF_8)) {
-            hash = (hash ^ (b & 0xff)) * FNV_PRIME;
-        }
-        long number = (hash ^ hash >>> 52) & ID_MASK;
+        long number = hash(id);
         while (names.putIfAbsent(number, id) != null) {
             number = number + 1 & ID_MASK;
         }
@@ -165,4 +161,13 @@
         idChars += id.length();
         return number;
     }
+
+    /** The number of the one node whose id has it; where ids collide, of the first. */
+    public static long hash(String id) {
+        long hash = FNV_BASIS;
+        for (byte b : id.getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ (b & 0xff)) * FNV_PRIME;
+        }
+        return (hash ^ hash >>> 52) & ID_MASK;
+    }
 }
--- a/daemon/src/main/java/cedarrudder/transport/Loop.java
+++ b/daemon/src/main/java/cedarrudder/transport/Loop.java
@@ -32,11 +32,18 @@
     private final ByteBufAllocator buffers = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER,
             64, 16, true);
     private final Logger log;
+    private final Drift drift;
     private long lateBy;
     private long lateAt;
 
     public Loop(Logger log) {
+        this(log, null);
+    }
+
+    /** @param drift what the clock of a trial makes of the machine's; null: the clock is the machine's */
+    public Loop(Logger log, Drift drift) {
         this.log = log;
+        this.drift = drift;
     }
 
     EventLoopGroup group() {
@@ -53,7 +60,7 @@
 
     @Override
     public long now() {
-        return System.nanoTime();
+        return drift == null ? System.nanoTime() : drift.now();
     }
 
     @Override
@@ -68,7 +75,7 @@
                 log.warn("loop.late").with("ms", late / 1_000_000).write();
             }
             guarded(action);
-        }, Math.max(1, instant - now()), TimeUnit.NANOSECONDS);
+        }, Math.max(1, drift == null ? instant - now() : drift.real(instant - now())), TimeUnit.NANOSECONDS);
         return () -> task.cancel(false);
     }
 
--- a/daemon/src/test/java/cedarrudder/operator/OperatorTest.java
+++ b/daemon/src/test/java/cedarrudder/operator/OperatorTest.java
@@ -50,7 +50,7 @@
         assertEquals(read(uncommented).of(BudgetTable.BUDGET), BudgetSettings.of(""));
         assertNull(read(text).of(HistoryTable.HISTORY));
         assertEquals(read(uncommented).of(HistoryTable.HISTORY),
-                new HistorySettings(Path.of("history.jsonl"), 0));
+                new HistorySettings(Path.of("history.jsonl"), 0, 0));
         assertEquals(read(uncommented).of(FootprintTable.FOOTPRINT), FootprintSettings.DEFAULT);
         assertNull(read(text).of(MembershipTable.MEMBERSHIP));
         assertEquals(read(uncommented).of(MembershipTable.MEMBERSHIP), MembershipSettings.DEFAULT);
--- a/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
@@ -108,6 +108,7 @@
         assertEquals(run.sources.keySet().stream().filter(name -> name.startsWith("picocli.")
                 || name.startsWith("org.tomlj.") || name.startsWith("org.antlr.")
                 || name.startsWith("cedarrudder.program.HistoryFile")
+                || name.equals("cedarrudder.transport.Drift")
                 || name.startsWith("cedarrudder.footprint.")
                 || name.startsWith("cedarrudder.protocol.ListGate")
                 || name.equals("cedarrudder.program.MachineLayout")
--- a/daemon/src/test/java/cedarrudder/transport/LoopTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/LoopTest.java
@@ -34,4 +34,22 @@
         assertEquals(Await.next("the failure", told), List.of(false, true));
         loop.stop();
     }
+
+    /** Guards against a trial whose timers run before they are due on the copy's own clock, or at its old pace. */
+    @Test
+    public void aClockThatDriftsKeepsItsPaceAndItsTimers() {
+        for (int millionths : new int[] {-1_000, 1, 1_000}) {
+            Drift drift = new Drift(millionths);
+            long begin = System.nanoTime();
+            for (long passed : new long[] {1, 999, 1_000_000_007, 36_000_000_000_000L}) {
+                long own = drift.at(begin + passed) - drift.at(begin);
+                assertEquals(own, passed + passed / 1e6 * millionths, 2, millionths + " of " + passed);
+                long due = drift.at(begin + drift.real(passed)) - drift.at(begin);
+                assertEquals(due, passed + 1.5, 1.5, millionths + ", a timer of " + passed);
+            }
+        }
+        long before = System.nanoTime();
+        long now = new Loop(new Logger(System.err), new Drift(-1_000)).now();
+        assertEquals(now, before, 1e9);
+    }
 }
--- a/lab/src/main/java/cedarrudder/lab/attack/ToySite.java
+++ b/lab/src/main/java/cedarrudder/lab/attack/ToySite.java
@@ -12,7 +12,7 @@
 
     private static final String SETTINGS = """
             {
-            "balancers": %d, "ordinal": %d, "layer": 0, "tiers": ["only"], "zone": 0, "localities": ["here"],
+            "balancers": %d, "ordinal": %d, "layer": 0, "tiers": ["only"], "zone": %d, "localities": [%s],
             "kinds": ["any"], "discovery": "ask",
             "tenants": [{"name": "acme", "share": 1.0, "quota-per-s": 1000.0}],
             "request-classes": [
@@ -35,14 +35,26 @@
 
     /** The settings of one of so many proxies, as JSON. */
     public static String settings(int copies, int ordinal) {
-        return SETTINGS.formatted(copies, ordinal).strip();
+        return settings(copies, ordinal, 0, List.of("here"));
+    }
+
+    /** The same for one in a zone of several. */
+    public static String settings(int copies, int ordinal, int zone, List<String> zones) {
+        return SETTINGS.formatted(copies, ordinal, zone, zones.stream().map(name -> "\"" + name + "\"")
+                .collect(Collectors.joining(", "))).strip();
     }
 
     /** Entries of a list, as JSON without brackets. */
     public static String servers(List<InetSocketAddress> nodes) {
-        return nodes.stream().map(node -> """
-                {"id":"n%d","addr":"127.0.0.1:%d","zone":"here","kind":"any","cell":0,\
-                "state":"in_service","weight":1.0,"started_ms":0}""".formatted(node.getPort(),
-                node.getPort())).collect(Collectors.joining(","));
+        return nodes.stream().map(node -> server("n" + node.getPort(), node, "here", 0))
+                .collect(Collectors.joining(","));
+    }
+
+    /** One entry of a list; {@code started} in milliseconds since 1970, 0: long ago. */
+    public static String server(String id, InetSocketAddress node, String zone, long started) {
+        return """
+                {"id":"%s","addr":"%s:%d","zone":"%s","kind":"any","cell":0,\
+                "state":"in_service","weight":1.0,"started_ms":%d}""".formatted(id,
+                node.getAddress().getHostAddress(), node.getPort(), zone, started);
     }
 }
--- a/lab/src/main/java/cedarrudder/lab/cluster/Act.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Act.java
@@ -18,7 +18,7 @@
     UPGRADE,
     /** The same, but the two have different folders and can't see one another: what must never be done. */
     UPGRADE_APART,
-    /** Nothing passes between these copies and all others. */
+    /** Nothing passes between these copies and all others; of whole zones, nor between their nodes and others. */
     CUT,
     /** Nothing that these copies send arrives. */
     MUTE,
@@ -30,6 +30,8 @@
     WEATHER,
     /** Forged datagrams at full speed. */
     FLOOD,
-    /** Nodes do so from now on. */
-    NODES
+    /** Nodes do so from now on, to all copies or to these. */
+    NODES,
+    /** An operator asks these copies something. */
+    CALL
 }
--- a/lab/src/main/java/cedarrudder/lab/cluster/Cluster.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Cluster.java
@@ -1,16 +1,20 @@
 package cedarrudder.lab.cluster;
 
 import cedarrudder.lab.attack.ScriptedNodes;
+import cedarrudder.lab.attack.ScriptedNodes.Mood;
 import cedarrudder.lab.attack.ToySite;
 import cedarrudder.lab.emulator.Place;
 import cedarrudder.lab.judge.Event;
 import cedarrudder.lab.judge.History;
+import cedarrudder.protocol.ResolverResultReader;
+import cedarrudder.toml.Table;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -32,7 +36,9 @@
     private final Place place;
     private final Chronicle chronicle;
     private final ScriptedNodes nodes;
-    private final Discovery discovery;
+    private final Mood[] moods;
+    private final long[] starts;
+    private final List<Discovery> discoveries = new ArrayList<>();
     private final List<Copy> copies = new ArrayList<>();
     private final Relay relay;
     private final ExecutorService beside = Executors.newCachedThreadPool(task -> {
@@ -41,21 +47,75 @@
         return thread;
     });
     private final List<Future<?>> begun = new ArrayList<>();
+    private final List<String> refusals = new CopyOnWriteArrayList<>();
+    private long version = 1;
 
     private Cluster(Script script, long seed, Place place) throws IOException, InterruptedException {
         this.script = script;
         this.place = place;
         chronicle = new Chronicle(place.folder().resolve("world.jsonl"));
-        nodes = new ScriptedNodes(script.nodes());
-        String list = "{\"version\":1,\"full\":true,\"servers\":["
-                + ToySite.servers(nodes.addresses()) + "]}";
-        discovery = new Discovery(list);
+        moods = new Mood[script.nodes()];
+        starts = new long[script.nodes()];
         for (int i = 0; i < script.copies(); i++) {
             copies.add(new Copy(i, place, chronicle));
         }
+        nodes = new ScriptedNodes(script.nodes(), copies.stream().map(copy -> copy.peers().getAddress())
+                .toList(), new NodeWords());
+        for (int i = 0; i < script.copies(); i++) {
+            discoveries.add(new Discovery(list(i)));
+            chronicle.tell(i, 0, "placed", Map.of("zone", Integer.toString(script.zone(i))));
+        }
+        mood(IntStream.range(0, script.nodes()).boxed().toList(), Mood.WELL);
         relay = new Relay(copies.stream().map(Copy::peers).toList(), seed);
         for (int i = 0; i < copies.size(); i++) {
-            copies.get(i).configure(configuration(i, seed, list), operator(i));
+            copies.get(i).configure(configuration(i, seed), operator(i));
+        }
+    }
+
+    /** Says what comes to nodes. */
+    private final class NodeWords implements ScriptedNodes.Witness {
+        @Override
+        public void reached(int node, int proxy, String id) {
+            chronicle.tell(proxy, 0, "reached", Map.of("node", name(node), "rpc", id));
+        }
+
+        @Override
+        public void served(int node, int proxy, String id) {
+            chronicle.tell(proxy, 0, "served", Map.of("node", name(node), "rpc", id));
+        }
+    }
+
+    /** As copies call a node in their histories. */
+    private static String name(int node) {
+        return Long.toString(ResolverResultReader.hash("node-" + node));
+    }
+
+    /** The list of nodes as a copy's discovery tells it. */
+    private String list(int copy) {
+        List<InetSocketAddress> addresses = nodes.addresses(copy);
+        return "{\"version\":" + version + ",\"full\":true,\"servers\":["
+                + IntStream.range(0, script.nodes()).mapToObj(node -> ToySite.server("node-" + node,
+                        addresses.get(node), Script.zoneName(script.zone(node)), starts[node]))
+                        .collect(Collectors.joining(",")) + "]}";
+    }
+
+    /** From now on these do so, to all copies; those that start anew are told of. */
+    private void mood(List<Integer> which, Mood mood) {
+        for (int node : which) {
+            if (mood == moods[node]) {
+                continue;
+            }
+            moods[node] = mood;
+            nodes.mood(node, mood);
+            chronicle.tell(Chronicle.NOBODY, 0, "node", Map.of("node", name(node), "zone",
+                    Integer.toString(script.zone(node)), "mood", Table.written(mood)));
+            starts[node] = mood == Mood.COLD ? System.currentTimeMillis() : starts[node];
+        }
+        if (mood == Mood.COLD) {
+            version++;
+            for (int copy = 0; copy < discoveries.size(); copy++) {
+                discoveries.get(copy).list(list(copy));
+            }
         }
     }
 
@@ -79,7 +139,7 @@
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
-    private String configuration(int self, long seed, String list) {
+    private String configuration(int self, long seed) {
         Copy copy = copies.get(self);
         String peers = IntStream.range(0, copies.size())
                 .mapToObj(i -> "\"" + text(i == self ? copy.peers() : relay.address(self, i)) + "\"")
@@ -88,9 +148,11 @@
                 {"name": "c%d", "listen": "%s", "discovery": "%s",
                  "seed": "%x", "limits": {"sockets": 1024}, "peer_listen": "%s", "peers": [%s],
                  "known": %s, "settings": %s}
-                """.formatted(self, copy.listenText(), text(discovery.address()),
-                seed * Script.MOST + self, text(copy.peers()), peers, list,
-                ToySite.settings(copies.size(), self));
+                """.formatted(self, copy.listenText(),
+                text(discoveries.get(self).address()),
+                seed * Script.MOST + self, text(copy.peers()), peers, list(self),
+                ToySite.settings(copies.size(), self, script.zone(self),
+                        IntStream.range(0, script.zones()).mapToObj(Script::zoneName).toList()));
     }
 
     /** Acknowledgements keep their share of the period, whatever it is. */
@@ -102,9 +164,12 @@
                 ack_patience_ms = %d
 
                 [history]
-                file = "%%s"
+                file = "{history}"
                 clock_offset_ms = %d
-                """.formatted(period, period * 2 / 5, script.clockOffset(self));
+                clock_drift_ppm = %d
+
+                """.formatted(period, period * 2 / 5, script.clockOffset(self), script.clockDrift(self))
+                + script.operator();
     }
 
     private Verdict play() throws IOException, InterruptedException {
@@ -135,7 +200,7 @@
         } finally {
             callers.end();
         }
-        List<String> found = new ArrayList<>();
+        List<String> found = new ArrayList<>(refusals);
         copies.forEach(copy -> found.addAll(copy.crashes()));
         end();
         chronicle.close();
@@ -163,6 +228,13 @@
                     upgrade(copy, step.act() == Act.UPGRADE);
                     return null;
                 }));
+                case CALL -> begun.add(beside.submit(() -> {
+                    String wrong = step.call().ask(copy.admin());
+                    if (!wrong.isEmpty()) {
+                        refusals.add("copy " + number + ", " + wrong);
+                    }
+                    return null;
+                }));
                 case FLOOD -> begun.add(beside.submit(() -> {
                     flood(number, step.length());
                     return null;
@@ -171,12 +243,24 @@
             }
         }
         switch (step.act()) {
-            case CUT -> cut(step.copies(), true, true);
+            case CUT -> {
+                cut(step.copies(), true, true);
+                if (!step.nodes().isEmpty()) {
+                    cutNodes(step.copies(), step.nodes());
+                }
+            }
             case MUTE -> cut(step.copies(), true, false);
             case DEAFEN -> cut(step.copies(), false, true);
             case HEAL -> heal();
             case WEATHER -> weather(step.weather());
-            case NODES -> step.nodes().forEach(node -> nodes.mood(node, step.mood()));
+            case NODES -> {
+                if (step.copies().isEmpty()) {
+                    mood(step.nodes(), step.mood());
+                } else {
+                    step.nodes().forEach(node -> step.copies().forEach(copy ->
+                            nodes.mood(node, copy, step.mood())));
+                }
+            }
             default -> { }
         }
     }
@@ -227,7 +311,23 @@
         }
     }
 
+    /** Cuts what goes between copies of one side and nodes of the other. */
+    private void cutNodes(List<Integer> these, List<Integer> theirNodes) {
+        for (int copy = 0; copy < copies.size(); copy++) {
+            for (int node = 0; node < script.nodes(); node++) {
+                if (these.contains(copy) != theirNodes.contains(node)) {
+                    nodes.cut(node, copy, true);
+                }
+            }
+        }
+    }
+
     private void heal() {
+        for (int copy = 0; copy < copies.size(); copy++) {
+            for (int node = 0; node < script.nodes(); node++) {
+                nodes.cut(node, copy, false);
+            }
+        }
         for (int from = 0; from < copies.size(); from++) {
             for (int to = 0; to < copies.size(); to++) {
                 if (from != to) {
@@ -250,7 +350,8 @@
         heal();
         weather(Weather.CALM);
         for (int i = 0; i < script.nodes(); i++) {
-            nodes.mood(i, ScriptedNodes.Mood.WELL);
+            nodes.mood(i, Mood.WELL); // also to those copies to which alone it did otherwise
+            mood(List.of(i), Mood.WELL);
         }
         for (Copy copy : copies) {
             copy.signal("CONT", "", "continued");
@@ -272,7 +373,9 @@
         for (Copy copy : copies) {
             copy.close();
         }
-        discovery.close();
+        for (Discovery discovery : discoveries) {
+            discovery.close();
+        }
         nodes.close();
         chronicle.close();
     }
--- a/lab/src/main/java/cedarrudder/lab/cluster/Copy.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Copy.java
@@ -69,7 +69,8 @@
     }
 
     /**
-     * What each of its lives starts with; in the operator's file {@code %s} stands for the history's name.
+     * What each of its lives starts with; in the operator's file {@code {history}} stands for the history's
+     * name, and {@code {folder}} for a folder that it keeps from life to life.
      */
     void configure(String json, String toml) {
         configuration = json;
@@ -109,7 +110,9 @@
         Path json = place.folder().resolve(name + ".json");
         Path toml = place.folder().resolve(name + ".toml");
         Files.writeString(json, configuration);
-        Files.writeString(toml, operator.formatted(history));
+        Path kept = Files.createDirectories(place.folder().resolve("kept-" + number));
+        Files.writeString(toml, operator.replace("{history}", history.toString())
+                .replace("{folder}", kept.toString()));
         Files.createFile(history);
         Port admin = Port.hold(host(number, 2)); // each process has its own
         admins.add(admin);
@@ -120,7 +123,8 @@
                         json.toString(), "BALANCER_ADMIN_ADDR", admin.text(), "TMPDIR",
                         Files.createDirectories(temporary).toString()), log, SOCKETS);
         processes.add(process);
-        chronicle.tell(number, process.pid(), "started", Map.of());
+        chronicle.tell(number, process.pid(), "started", Map.of("kept",
+                lives > 1 && operator.contains("{folder}") ? "1" : "0"));
         process.onExit().thenAccept(code -> exited(process, code, log));
         return log;
     }
@@ -145,6 +149,11 @@
         return true;
     }
 
+    /** Where operators find the process that was started last. */
+    synchronized InetSocketAddress admin() {
+        return admins.get(admins.size() - 1).address();
+    }
+
     /** Kills all its processes. */
     synchronized void kill() {
         for (Supervised process : processes) {
--- a/lab/src/main/java/cedarrudder/lab/cluster/Discovery.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Discovery.java
@@ -10,7 +10,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
-/** A discovery whose list never changes: it answers calls, and keeps watches alive. */
+/** A discovery: it answers calls with its list, pushes a new one to watches, and keeps them alive. */
 final class Discovery implements Closeable {
 
     private static final int BACKLOG = 128;
@@ -18,11 +18,11 @@
     private static final String END_OF_HEAD = "\r\n\r\n";
 
     private final ServerSocket server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
-    private final String list;
+    private String list;
 
     /** @param list the whole list as one line of JSON */
     Discovery(String list) throws IOException {
-        this.list = list + "\n";
+        this.list = list;
         start(this::accept);
     }
 
@@ -36,6 +36,24 @@
         return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
     }
 
+    /** The list is this from now on. */
+    synchronized void list(String next) {
+        list = next;
+        notifyAll();
+    }
+
+    private synchronized String list() {
+        return list;
+    }
+
+    /** Another list than this, or this one after a while. */
+    private synchronized String after(String told) throws InterruptedException {
+        if (list.equals(told)) {
+            wait(ALIVE_MILLIS);
+        }
+        return list;
+    }
+
     private void accept() {
         try {
             while (true) {
@@ -60,14 +78,17 @@
             }
             OutputStream out = socket.getOutputStream();
             if (!head.toString().contains("follow=1")) {
-                write(out, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\nConnection: close"
-                        + END_OF_HEAD + list);
+                String whole = list() + "\n";
+                write(out, "HTTP/1.1 200 OK\r\nContent-Length: " + whole.length() + "\r\nConnection: close"
+                        + END_OF_HEAD + whole);
                 return;
             }
             write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked" + END_OF_HEAD);
-            for (String line = list; ; line = "\n") {
+            String told = "";
+            for (String next = list(); ; next = after(told)) {
+                String line = next.equals(told) ? "\n" : next + "\n";
+                told = next;
                 write(out, Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
-                Thread.sleep(ALIVE_MILLIS);
             }
         } catch (IOException e) {
             // the proxy ended it
--- a/lab/src/main/java/cedarrudder/lab/cluster/Script.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Script.java
@@ -11,19 +11,23 @@
  *
  * @param copies how many there are
  * @param nodes behind them
+ * @param zones that copies and nodes are dealt to: number 4 of 3 zones is in zone 1
  * @param period of membership, in nanoseconds
  * @param length until the faults are over, in nanoseconds: what is cut, stopped or away then is mended
  * @param settle after that, in which copies have to agree; nanoseconds
  * @param clockOffsets of each copy, in milliseconds; those beyond its end have none
+ * @param clockDrifts of each copy, in millionths; those beyond its end have none
+ * @param operator more tables of each copy's operator's file; {@code {folder}} stands for its own folder
  * @param steps in the order of time
  */
-public record Script(int copies, int nodes, long period, long length, long settle, List<Long> clockOffsets,
-        List<Step> steps) {
+public record Script(int copies, int nodes, int zones, long period, long length, long settle, List<Long> clockOffsets,
+        List<Integer> clockDrifts, String operator, List<Step> steps) {
 
     /** Copies at the least and at the most. */
     public static final int LEAST = 3;
     public static final int MOST = 30;
     static final int MOST_NODES = 20;
+    static final int MOST_ZONES = 8;
 
     private static final long SECOND = 1_000_000_000L;
     private static final long HOUR_MILLIS = 3_600_000;
@@ -33,6 +37,7 @@
 
     public Script {
         clockOffsets = List.copyOf(clockOffsets);
+        clockDrifts = List.copyOf(clockDrifts);
         steps = steps.stream().sorted(Comparator.comparingLong(Step::at)).toList();
     }
 
@@ -44,6 +49,19 @@
         return copy < clockOffsets.size() ? clockOffsets.get(copy) : 0;
     }
 
+    int clockDrift(int copy) {
+        return copy < clockDrifts.size() ? clockDrifts.get(copy) : 0;
+    }
+
+    /** The zone of a copy, or of a node. */
+    int zone(int number) {
+        return number % zones;
+    }
+
+    static String zoneName(int zone) {
+        return "zone-" + zone;
+    }
+
     /** Draws one: each kind of fault comes once, in an order and upon copies that the seed gives. */
     public static Script drawn(long seed, int copies) {
         SplittableRandom random = new SplittableRandom(seed);
@@ -59,7 +77,7 @@
         for (int i = 0; i < copies; i++) {
             offsets.add(random.nextInt(3) == 0 ? random.nextLong(-HOUR_MILLIS, HOUR_MILLIS + 1) : 0);
         }
-        return new Script(copies, 3, SECOND / 5, nanos(at), 30 * SECOND, offsets, steps);
+        return new Script(copies, 3, 1, SECOND / 5, nanos(at), 30 * SECOND, offsets, List.of(), "", steps);
     }
 
     /** Adds a fault and its end; gives how long it takes with a pause behind it, in seconds. */
@@ -96,7 +114,7 @@
                 steps.add(Step.weather(at + lasts, Weather.CALM));
             }
             case FLOOD -> steps.add(new Step(nanos(at), act, one, Weather.CALM, nanos(3),
-                    Mood.WELL, List.of()));
+                    Mood.WELL, List.of(), null));
             default -> steps.add(Step.of(at, act, one));
         }
         return lasts + 2;
--- a/lab/src/main/java/cedarrudder/lab/cluster/ScriptReader.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/ScriptReader.java
@@ -1,14 +1,17 @@
 package cedarrudder.lab.cluster;
 
 import cedarrudder.lab.attack.ScriptedNodes.Mood;
+import cedarrudder.operator.Operator;
 import cedarrudder.toml.BadFileException;
 import cedarrudder.toml.Document;
+import cedarrudder.toml.Problem;
 import cedarrudder.toml.Table;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 /** Reads a script from TOML, with all errors at once. */
 public final class ScriptReader {
@@ -19,11 +22,22 @@
     private static final long MOST_OFFSET = 2_000_000_000_000L;
     private static final int MILLION = 1_000_000;
 
+    private static final int MOST_DRIFT = 1_000;
+    private static final int LEAST_STATUS = 200;
+    private static final int MOST_STATUS = 599;
+    private static final int MOST_CALL = 1_024;
+
+    /** Tables that the lab writes itself. */
+    private static final Set<String> OWN = Set.of("membership", "history");
+
     private static final Set<Act> OF_COPIES = EnumSet.complementOf(
             EnumSet.of(Act.HEAL, Act.WEATHER, Act.NODES));
 
     private ScriptReader() { }
 
+    /** How many of each there are. */
+    private record Counts(int copies, int nodes, int zones) { }
+
     /** @throws BadFileException with all that is wrong with it */
     public static Script read(Path file) throws BadFileException {
         return read(Document.read(file));
@@ -33,29 +47,57 @@
         Table root = document.root();
         int copies = (int) root.whole("copies", Script.LEAST, Script.MOST);
         int nodes = (int) root.whole("nodes", 1, Script.MOST_NODES, 3);
+        int zones = (int) root.whole("zones", 1, Script.MOST_ZONES, 1);
+        if (zones > Math.min(copies, nodes) && root.sound("zones", "copies", "nodes")) {
+            root.problem("zones", Integer.toString(zones), "a copy and a node for each: "
+                    + Math.min(copies, nodes) + " at the most");
+        }
         long period = MILLION * root.whole("period_ms", 100, 10_000, 500);
         double length = root.number("length_s", 1, MOST_SECONDS);
         double settle = root.number("settle_s", 1, MOST_SECONDS, 60);
         List<Long> offsets = root.numbers("clock_offsets_ms", -MOST_OFFSET, MOST_OFFSET).stream()
                 .map(Double::longValue).toList();
+        List<Integer> drifts = root.numbers("clock_drifts_ppm", -MOST_DRIFT, MOST_DRIFT).stream()
+                .map(Double::intValue).toList();
+        String operator = operator(root);
         List<Step> steps = new ArrayList<>();
         for (Table table : root.tables("step")) {
-            steps.add(step(table, copies, nodes, length));
+            steps.add(step(table, new Counts(copies, nodes, zones), length));
             table.done();
         }
         root.done();
         document.check();
-        return new Script(copies, nodes, period, Script.nanos(length), Script.nanos(settle), offsets, steps);
+        return new Script(copies, nodes, zones, period, Script.nanos(length), Script.nanos(settle), offsets,
+                drifts, operator, steps);
+    }
+
+    /** Tables for each copy's operator's file, held against what such a file may have. */
+    private static String operator(Table root) {
+        String text = root.text("operator", "");
+        Document document = Document.parse("operator", text);
+        document.root().keys().stream().filter(OWN::contains).forEach(name -> root.problem("operator",
+                "a table [" + name + "]", "others: the lab writes this one"));
+        try {
+            Operator.read(Document.parse("operator", text));
+        } catch (BadFileException e) {
+            for (Problem problem : e.problems()) {
+                root.problem("operator", "line " + problem.line() + ", " + problem.key() + ": "
+                        + problem.found(), problem.allowed());
+            }
+        }
+        return text;
     }
 
-    private static Step step(Table table, int copies, int nodes, double length) {
+    private static Step step(Table table, Counts counts, double length) {
         double at = table.number("at_s", 0, length);
         Act act = table.choice("do", Act.class, null);
-        List<Integer> whom = OF_COPIES.contains(act) ? numbers(table, "copies", copies) : List.of();
+        List<Integer> whom = OF_COPIES.contains(act) ? numbers(table, "copies", counts.copies, counts.zones)
+                : List.of();
         Weather weather = Weather.CALM;
         double lasts = 0;
         Mood mood = Mood.WELL;
         List<Integer> which = List.of();
+        OperatorCall call = null;
         if (act == Act.WEATHER) {
             double[] delay = table.range("delay_ms", 0, MOST_MILLIS, new double[] {0.1, 1});
             weather = new Weather(table.number("loss", 0, MOST_LOSS, 0), table.number("doubled", 0, 1, 0),
@@ -68,12 +110,50 @@
             }
         } else if (act == Act.NODES) {
             mood = table.choice("mood", Mood.class, null);
-            which = numbers(table, "nodes", nodes);
+            which = numbers(table, "nodes", counts.nodes, counts.zones);
+            whom = table.has("copies") ? numbers(table, "copies", counts.copies) : List.of();
+        } else if (act == Act.CUT && table.has("zones")) {
+            which = ofZones(table, counts.nodes, counts.zones);
+        } else if (act == Act.CALL) {
+            call = call(table);
         }
-        return new Step(Script.nanos(at), act, whom, weather, Script.nanos(lasts), mood, which);
+        return new Step(Script.nanos(at), act, whom, weather, Script.nanos(lasts), mood, which, call);
+    }
+
+    private static OperatorCall call(Table table) {
+        String method = table.text("method", "POST");
+        if (!method.matches("[A-Z]{1,16}") && table.sound("method")) {
+            table.problem("method", Table.shown(method), "such as GET, POST");
+        }
+        String path = table.text("path", null);
+        if (!path.matches("/[!-~]*") && table.sound("path")) {
+            table.problem("path", Table.shown(path), "a path that begins with / and has no blank");
+        }
+        String body = table.text("body", "");
+        if (!body.matches("[\\x00-\\x7f]{0," + MOST_CALL + "}")) {
+            table.problem("body", Table.shown(body), "ASCII, " + MOST_CALL + " characters at the most");
+        }
+        return new OperatorCall(method, path, body,
+                (int) table.whole("status", LEAST_STATUS, MOST_STATUS, LEAST_STATUS));
+    }
+
+    /** Numbers of copies or nodes, from 0, or those of whole zones. */
+    private static List<Integer> numbers(Table table, String key, int count, int zones) {
+        if (!table.has("zones")) {
+            return numbers(table, key, count);
+        }
+        if (table.has(key)) {
+            table.problem("zones", "these beside " + key, "one of the two");
+        }
+        return ofZones(table, count, zones);
+    }
+
+    private static List<Integer> ofZones(Table table, int count, int zones) {
+        List<Integer> chosen = numbers(table, "zones", zones);
+        return IntStream.range(0, count).filter(number -> chosen.contains(number % zones)).boxed().toList();
     }
 
-    /** Numbers of copies or nodes, from 0. */
+    /** Numbers from 0. */
     private static List<Integer> numbers(Table table, String key, int count) {
         List<Double> numbers = table.numbers(key, 0, count - 1);
         if (table.sound(key) && (numbers.isEmpty() || numbers.stream().anyMatch(n -> n != Math.rint(n)))) {
--- a/lab/src/main/java/cedarrudder/lab/cluster/Verdict.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Verdict.java
@@ -1,12 +1,21 @@
 package cedarrudder.lab.cluster;
 
 import cedarrudder.lab.judge.Breach;
+import cedarrudder.lab.judge.Drains;
+import cedarrudder.lab.judge.Estimates;
 import cedarrudder.lab.judge.Event;
+import cedarrudder.lab.judge.HeldTable;
 import cedarrudder.lab.judge.History;
+import cedarrudder.lab.judge.Leases;
 import cedarrudder.lab.judge.OneAnswer;
+import cedarrudder.lab.judge.OneLeader;
+import cedarrudder.lab.judge.OneTable;
 import cedarrudder.lab.judge.OneVoice;
+import cedarrudder.lab.judge.OutAtOnce;
 import cedarrudder.lab.judge.TrueDeaths;
 import cedarrudder.lab.judge.Views;
+import cedarrudder.lab.judge.ZoneLeft;
+import cedarrudder.lab.judge.ZoneLoad;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -21,14 +30,40 @@
  * @param slowestSeconds the longest that one took
  * @param falseDeaths times that one that ran was taken for dead, with ground or without
  * @param agreedSeconds from the end of the faults until all held one view
+ * @param leaders that there were
+ * @param tables that there were
  */
 public record Verdict(List<Breach> breaches, List<String> found, int events, long rpcs, long deaths,
-        double slowestSeconds, long falseDeaths, double agreedSeconds) {
+        double slowestSeconds, long falseDeaths, double agreedSeconds, long leaders, long tables) {
 
     private static final long SECOND = 1_000_000_000L;
     private static final long LISTENS = 300_000_000L;
     private static final int AT_THE_DOOR = 2;
 
+    /** What a killed process did so shortly before may be missing from its history. */
+    private static final long UNWRITTEN = SECOND;
+
+    /** The oldest word that arrives: the relay keeps one for 0.3 s and a delay, and a machine may be busy. */
+    private static final long UNDER_WAY = SECOND;
+
+    /** The rule is 2 s; on the way to a node a call may wait for a busy machine. */
+    private static final long STOPS = 2 * SECOND + SECOND / 2;
+
+    /** What is over its time is said to be, over the time that a leader's loss takes. */
+    private static final long GRACE = 10 * SECOND;
+
+    /** Copies find out by then that a node is down. */
+    private static final long KNOWN = 5 * SECOND;
+
+    /** What was seen of a zone longer ago is no ground to leave it. */
+    private static final long WINDOW = 10 * SECOND;
+
+    /** As docs/FOOTPRINT.md has it. */
+    private static final double ERROR = 0.03;
+
+    /** What the defaults of failover promise, and what callers by chance may add. */
+    private static final ZoneLoad.Bounds LOAD = new ZoneLoad.Bounds(0.92, 0.1, 10 * SECOND, 8);
+
     /** What is allowed to membership at its usual period of 500 ms; others in proportion. */
     private static final double USUAL = 5e8;
 
@@ -51,13 +86,21 @@
         TrueDeaths deaths = new TrueDeaths(new TrueDeaths.Bounds((long) (60 * SECOND * scale),
                 (long) (60 * SECOND * scale), (long) (60 * SECOND * scale)));
         Views views = new Views(within);
-        List<Breach> breaches = History.judged(events, until,
-                List.of(answers, new OneVoice(), deaths, views));
+        List<Breach> breaches = History.judged(events, until, List.of(answers, new OneVoice(), deaths, views,
+                new OneTable(UNWRITTEN), new OneLeader(), new HeldTable(within), new Leases(UNDER_WAY),
+                new ZoneLeft(WINDOW), new ZoneLoad(LOAD), new OutAtOnce(KNOWN), new Drains(STOPS, GRACE),
+                new Estimates(ERROR)));
         List<String> found = new ArrayList<>(crashes);
         events.stream().filter(event -> event.what().equals("lost")).forEach(event -> found.add("copy "
                 + event.copy() + " lost " + event.text("events") + " events of its history"));
         return new Verdict(breaches, found, events.size(), answers.asked(), deaths.found(),
                 (double) deaths.longestToFind() / SECOND, deaths.falseDeaths(),
-                (double) views.agreedAfter() / SECOND);
+                (double) views.agreedAfter() / SECOND, different(events, "leads", "term"),
+                different(events, "table", "number"));
+    }
+
+    private static long different(List<Event> events, String what, String field) {
+        return events.stream().filter(event -> event.what().equals(what)).map(event -> event.text(field))
+                .distinct().count();
     }
 }
--- a/lab/src/main/java/cedarrudder/lab/command/ClusterCommand.java
+++ b/lab/src/main/java/cedarrudder/lab/command/ClusterCommand.java
@@ -83,8 +83,8 @@
         Script script = what.file == null ? null : ScriptReader.read(what.file);
         long[] range = seeds.range(spec);
         PrintWriter print = spec.commandLine().getOut();
-        print.printf("%5s %6s %8s %7s %7s %9s %7s %9s  %s%n", "seed", "copies", "events", "RPCs", "deaths",
-                "slowest s", "false", "agreed s", "verdict");
+        print.printf("%5s %6s %8s %7s %7s %9s %7s %9s %7s %6s  %s%n", "seed", "copies", "events", "RPCs",
+                "deaths", "slowest s", "false", "agreed s", "leaders", "tables", "verdict");
         boolean good = true;
         for (long seed = range[0]; seed <= range[1]; seed++) {
             int playing = script == null ? copies : script.copies();
@@ -94,9 +94,10 @@
                     : Cluster.play(script == null ? Script.drawn(seed, copies) : script, seed,
                             Place.of(root, out.resolve("seed-" + seed), List.of(), 0, 0));
             good &= verdict.good();
-            print.printf(Locale.ROOT, "%5d %6d %8d %7d %7d %9.1f %7d %9.1f  %s%n", seed, playing,
+            print.printf(Locale.ROOT, "%5d %6d %8d %7d %7d %9.1f %7d %9.1f %7d %6d  %s%n", seed, playing,
                     verdict.events(), verdict.rpcs(), verdict.deaths(), verdict.slowestSeconds(),
-                    verdict.falseDeaths(), verdict.agreedSeconds(), verdict.good() ? "kept" : "BROKEN");
+                    verdict.falseDeaths(), verdict.agreedSeconds(), verdict.leaders(), verdict.tables(),
+                    verdict.good() ? "kept" : "BROKEN");
             verdict.breaches().forEach(breach ->
                     print.println("      " + breach.rule() + ": " + breach.why()));
             verdict.found().forEach(each -> print.println("      " + each));
--- a/lab/src/test/java/cedarrudder/lab/cluster/ClusterIT.java
+++ b/lab/src/test/java/cedarrudder/lab/cluster/ClusterIT.java
@@ -32,8 +32,8 @@
     /** Two processes of one number that can't see one another both speak: the judge must see that. */
     @Test
     public void twoVoicesOfOneNumberAreCaught() throws Exception {
-        Verdict verdict = play(new Script(3, 1, 200_000_000L, 2_000_000_000L, 1_000_000_000L, List.of(),
-                List.of(Step.of(0.1, Act.UPGRADE_APART, List.of(1)))));
+        Verdict verdict = play(new Script(3, 1, 1, 200_000_000L, 2_000_000_000L, 1_000_000_000L, List.of(),
+                List.of(), "", List.of(Step.of(0.1, Act.UPGRADE_APART, List.of(1)))));
         assertTrue(verdict.breaches().stream().anyMatch(breach -> breach.rule().equals("one voice")),
                 verdict.toString());
     }
--- a/lab/src/test/java/cedarrudder/lab/cluster/ScriptTest.java
+++ b/lab/src/test/java/cedarrudder/lab/cluster/ScriptTest.java
@@ -20,6 +20,13 @@
                 copies = 31
                 length_s = 10
                 settle = 3
+                nodes = 2
+                zones = 9
+                clock_drifts_ppm = [1001]
+                operator = '''
+                [history]
+                file = 1
+                '''
                 [[step]]
                 at_s = 11
                 do = "kil"
@@ -32,12 +39,55 @@
                 [[step]]
                 at_s = 1
                 do = "stop"
+                [[step]]
+                at_s = 2
+                do = "cut"
+                copies = [1]
+                zones = [0]
+                [[step]]
+                at_s = 3
+                do = "nodes"
+                zones = [3]
+                mood = "well"
+                [[step]]
+                at_s = 4
+                do = "call"
+                copies = [0]
+                path = "no slash"
+                status = 99
                 """;
         BadFileException bad = expectThrows(BadFileException.class,
                 () -> ScriptReader.read(Document.parse("s", text)));
         assertEquals(bad.problems().stream().map(p -> p.line() + " " + p.key()).toList(), List.of("1 copies",
-                "3 settle", "5 step[0].at_s", "6 step[0].do", "11 step[1].copies", "12 step[1].length_s",
-                "13 step[2].copies"));
+                "3 settle", "5 zones", "6 clock_drifts_ppm", "7 operator", "7 operator", "12 step[0].at_s",
+                "13 step[0].do", "18 step[1].copies", "19 step[1].length_s", "20 step[2].copies",
+                "27 step[3].zones", "31 step[4].zones", "37 step[5].path", "38 step[5].status"));
+    }
+
+    /** Copies and nodes are dealt to zones in turn; a zone that is cut off takes its nodes along. */
+    @Test
+    public void zonesAreCopiesAndNodes() throws BadFileException {
+        Script script = ScriptReader.read(Document.parse("s", """
+                copies = 5
+                nodes = 4
+                zones = 3
+                length_s = 9
+                [[step]]
+                at_s = 1
+                do = "cut"
+                zones = [0]
+                [[step]]
+                at_s = 2
+                do = "nodes"
+                zones = [1, 2]
+                copies = [4]
+                mood = "cold"
+                """));
+        assertEquals(script.steps().get(0).copies(), List.of(0, 3));
+        assertEquals(script.steps().get(0).nodes(), List.of(0, 3));
+        assertEquals(script.steps().get(1).copies(), List.of(4));
+        assertEquals(script.steps().get(1).nodes(), List.of(1, 2));
+        assertEquals(script.zone(4), 1);
     }
 
     @Test
