--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/judge/Drains.java
@@ -0,0 +1,146 @@
+package cedarrudder.lab.judge;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * D2: nothing new comes to a node a stated time after the copy took it out; none is said to be empty while a
+ * live copy has calls there; and of none it is left open past its time what becomes of it.
+ *
+ * <p>It reads {@code leaving} and {@code drain} of the copies, {@code reached} and {@code served} of the
+ * nodes, {@code answered} and {@code broke} of the callers. A copy with two processes is held to what both
+ * had heard. One that runs is not live where it stands still, or is held as dead by who says so.
+ */
+public final class Drains implements Rule {
+
+    private static final String NAME = "D2";
+    private static final long MILLI = 1_000_000L;
+
+    /** A removal under way. */
+    private record Drain(String node, long within, long begunAt) { }
+
+    /** A call attempt at a node. */
+    private record Open(String node, String rpc, int copy) { }
+
+    private final long stops;
+    private final long grace;
+    private final World world = new World();
+    private final Beliefs beliefs = new Beliefs();
+    private final Removed removed = new Removed();
+    private final Map<String, Drain> drains = new HashMap<>();
+    private final Set<String> told = new HashSet<>();
+    private final Set<Open> open = new HashSet<>();
+    private final Map<String, Set<Open>> openOf = new HashMap<>();
+    private final List<Breach> breaches = new ArrayList<>();
+
+    /**
+     * @param stops nothing new reaches a node so long after a copy had the word; nanoseconds
+     * @param grace what becomes of a removal is said so long after its time at the latest; nanoseconds
+     */
+    public Drains(long stops, long grace) {
+        this.stops = stops;
+        this.grace = grace;
+    }
+
+    @Override
+    public void took(Event event) {
+        switch (event.what()) {
+            case "reached" -> {
+                reached(event);
+                Open call = open(event);
+                open.add(call);
+                openOf.computeIfAbsent(call.rpc, r -> new HashSet<>()).add(call);
+            }
+            case "served" -> {
+                Open call = open(event);
+                open.remove(call);
+                openOf.getOrDefault(call.rpc, Set.of()).remove(call);
+            }
+            case "answered", "broke" -> {
+                Set<Open> of = openOf.remove(event.text("rpc"));
+                if (of != null) {
+                    open.removeAll(of);
+                }
+            }
+            case "drain" -> {
+                if (told.add(event.text("wave") + " " + event.text("node") + " " + event.text("event"))) {
+                    drain(event, event.text("wave") + " " + event.text("node"));
+                }
+            }
+            default -> { }
+        }
+        world.took(event);
+        beliefs.took(event);
+        removed.took(event);
+        if (event.what().equals("ended") && world.running(event.copy()).isEmpty()) {
+            open.removeIf(call -> call.copy == event.copy());
+        }
+    }
+
+    private static Open open(Event event) {
+        return new Open(event.text("node"), event.text("rpc"), event.copy());
+    }
+
+    private void reached(Event event) {
+        Set<Long> lives = world.running(event.copy());
+        long since = lives.isEmpty() ? Long.MAX_VALUE : Long.MIN_VALUE;
+        for (long life : lives) {
+            since = Math.max(since, removed.of(life).getOrDefault(event.text("node"), Long.MAX_VALUE));
+        }
+        if (since != Long.MAX_VALUE && event.at() - since > stops) {
+            breach(event.at(), "RPC " + event.text("rpc") + " of copy " + event.copy() + " reached node "
+                    + event.text("node") + " " + (event.at() - since) / MILLI
+                    + " ms after the copy knew that it leaves");
+        }
+    }
+
+    private void drain(Event event, String name) {
+        switch (event.text("event")) {
+            case "begun" -> drains.put(name, new Drain(event.text("node"), event.number("within"),
+                    event.at()));
+            case "empty" -> {
+                empty(event);
+                over(name, event.at());
+            }
+            case "let-go", "given-up", "alarmed", "cancelled", "stopped", "restarted-back", "gone" ->
+                    over(name, event.at());
+            default -> { }
+        }
+    }
+
+    private void empty(Event event) {
+        for (Open call : open) {
+            if (call.node.equals(event.text("node")) && world.speaks(call.copy)
+                    && !beliefs.dead(event.life(), call.copy)) {
+                breach(event.at(), "copy " + event.copy() + " says that node " + call.node
+                        + " is empty while RPC " + call.rpc + " of copy " + call.copy + " is there");
+            }
+        }
+    }
+
+    private void over(String name, long at) {
+        Drain drain = drains.remove(name);
+        if (drain != null && at - drain.begunAt > drain.within + grace) {
+            breach(at, "the removal of node " + drain.node + " was under way for "
+                    + (at - drain.begunAt) / MILLI + " ms of " + drain.within / MILLI);
+        }
+    }
+
+    private void breach(long at, String why) {
+        breaches.add(new Breach(NAME, at, why));
+    }
+
+    @Override
+    public void ended(long at) {
+        List.copyOf(drains.keySet()).forEach(name -> over(name, at));
+    }
+
+    @Override
+    public List<Breach> breaches() {
+        return breaches;
+    }
+}
