Estimate a whole copy and a route table, with the room that a copy answers

Terms for nodes, zones, kinds, classes, tenants, the route table, callers, channels and bodies; bounds are heap at rest and at the peak, resident memory, direct memory and descriptors. Room says in nine bytes the largest table that a copy can load, so that the smallest live copy holds one back in common.

--- /dev/null
+++ b/core/src/main/java/cedarrudder/footprint/CopyFootprint.java
@@ -0,0 +1,180 @@
+package cedarrudder.footprint;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.stream.Stream;
+
+/**
+ * What a whole copy takes: the heap at rest and at the peak of loading, direct memory, descriptors and the
+ * machine's memory. What grows with a list or a table is worked out from the layout of objects; what is there
+ * before the first of them, and what a connection takes, was measured on real processes (docs/FOOTPRINT.md),
+ * with references of four bytes and of eight; a test holds the sums against such processes.
+ */
+public final class CopyFootprint {
+
+    /** With references of eight bytes, so much more is taken by what was measured with those of four. */
+    private static final double WIDE = 1.39;
+
+    /** A process with an operator's file, before anybody has spoken to it. */
+    private static final long PROCESS = 2_970_000;
+    private static final long PROCESS_RESIDENT = 66_300_000;
+    private static final long PROCESS_DIRECT = 538_000;
+    private static final int PROCESS_DESCRIPTORS = 13;
+
+    /** Of its young generation, as the flags of the platform's command make it: touched as it fills. */
+    private static final long YOUNG = 6_000_000;
+
+    /** So many times what a list takes at its peak is allocated while it is read. */
+    private static final int ALLOCATED = 3;
+
+    /** What discovery's first word leaves behind: its connections, and what reading begins. */
+    private static final long WATCH = 51_500;
+    private static final int WATCH_DESCRIPTORS = 2;
+
+    /** The parser's buffer has so many characters at the least; those of longer texts are read in parts. */
+    private static final int LEAST_PARSED = 4_000;
+    private static final int MOST_PARSED = 1 << 15;
+
+    private static final int CALLER = 3_050;
+    private static final int CHANNEL = 2_530;
+    private static final int UNDER_WAY = 460;
+
+    /** Direct memory comes in pieces of so many bytes; of bodies that flow, so much waits in each. */
+    private static final int CHUNK = 1 << 18;
+
+    private static final int NAME = 10;
+
+    /** What binds a copy. */
+    public enum Bound { HEAP_AT_REST, HEAP_AT_PEAK, RESIDENT, DIRECT, DESCRIPTORS }
+
+    /** One line of an estimate. */
+    public record Term(String name, long count, Takes takes) { }
+
+    /**
+     * What comes of a copy.
+     *
+     * @param fits whether all bounds leave room
+     * @param bound the one that is exceeded by most, or that has the least to spare, in parts of itself
+     * @param needed under it
+     * @param room that it leaves
+     */
+    public record Verdict(boolean fits, Bound bound, long needed, long room) {
+
+        /** So much is left; below 0: so much is lacking. */
+        public long spare() {
+            return room - needed;
+        }
+    }
+
+    private final Layout layout;
+    private final Footprint lists;
+    private final TableFootprint tables;
+
+    public CopyFootprint(Layout layout) {
+        this.layout = Objects.requireNonNull(layout);
+        this.lists = new Footprint(layout);
+        this.tables = new TableFootprint(layout);
+    }
+
+    /** All that counts, one after the other. */
+    public List<Term> terms(CopyShape copy) {
+        ListShape list = copy.list();
+        List<Term> terms = new ArrayList<>();
+        terms.add(new Term("process", 1, new Takes(measured(PROCESS), measured(PROCESS), PROCESS_DIRECT,
+                PROCESS_DESCRIPTORS)));
+        terms.add(term("zones", copy.zones(), name()));
+        terms.add(term("kinds", copy.kinds(), name()));
+        terms.add(term("classes", copy.classes(), name() + layout.object(1, 10 * 8) + layout.object(0, 3 * 8)));
+        terms.add(term("tenants", copy.tenants(), name() + layout.object(1, 2 * 8) + 3 * 8));
+        long rest = lists.atRest(list) + watch(list);
+        terms.add(new Term("nodes", list.nodes(), new Takes(rest,
+                rest + (list.nodes() == 0 ? 0 : lists.reading(list, list.nodes())), 0,
+                list.nodes() == 0 ? 0 : WATCH_DESCRIPTORS)));
+        long table = tables.atRest(copy.table());
+        terms.add(new Term("table", copy.table() == null ? 0 : 1, new Takes(table,
+                copy.table() == null ? 0 : tables.atPeak(copy.table(), copy.table()), 0, 0)));
+        terms.add(connections("callers", copy.callers(), CALLER));
+        terms.add(connections("channels", copy.channels(), CHANNEL));
+        long bodies = copy.bodies() * measured(UNDER_WAY) + copy.bodyBytes();
+        terms.add(new Term("bodies", copy.bodies(), new Takes(bodies, bodies,
+                (copy.bodyBytes() + CHUNK - 1) / CHUNK * CHUNK, 0)));
+        return terms;
+    }
+
+    private Term term(String name, int count, long each) {
+        return new Term(name, count, Takes.heap(count * each));
+    }
+
+    private Term connections(String name, int count, int each) {
+        long heap = count * measured(each);
+        return new Term(name, count, new Takes(heap, heap, 0, count));
+    }
+
+    /** A name of the settings in its list. */
+    private long name() {
+        return layout.text(NAME) + layout.reference();
+    }
+
+    private long measured(long bytes) {
+        return layout.reference() == Integer.BYTES ? bytes : (long) (bytes * WIDE);
+    }
+
+    /** What the watch keeps beside the nodes and the buffer of their text. */
+    private long watch(ListShape list) {
+        if (list.nodes() == 0) {
+            return 0;
+        }
+        long parsed = list.textBytes() > MOST_PARSED ? LEAST_PARSED : Math.max(LEAST_PARSED, list.textBytes());
+        return measured(WATCH) + layout.array(parsed, 2);
+    }
+
+    /** What the copy takes in all. */
+    public Takes takes(CopyShape copy) {
+        return terms(copy).stream().map(Term::takes).reduce(Takes.NOTHING, Takes::plus);
+    }
+
+    /** What one more node like the others takes, with its share of what grows in steps. */
+    public Takes oneMoreNode(CopyShape copy) {
+        int nodes = copy.list().nodes();
+        Takes more = takes(copy.of(2 * nodes)).minus(takes(copy));
+        return nodes == 0 ? Takes.NOTHING : new Takes(more.rest() / nodes, more.peak() / nodes,
+                more.direct() / nodes, more.descriptors() / nodes);
+    }
+
+    /** What the copy takes of the machine's memory, in bytes. */
+    public long resident(CopyShape copy) {
+        Takes all = takes(copy);
+        long grown = all.peak() - measured(PROCESS);
+        long young = copy.callers() > 0 ? YOUNG : Math.min(YOUNG, ALLOCATED * grown);
+        return PROCESS_RESIDENT + young + grown + all.direct() - PROCESS_DIRECT;
+    }
+
+    /** What of the heap is left for nodes and their lists, beside all else that the copy may come to hold. */
+    public long left(CopyShape without, long heap) {
+        return Math.max(0, heap - takes(without.of(0)).rest());
+    }
+
+    /** Whether a copy fits, and which bound is nearest. */
+    public Verdict judge(CopyShape copy, Limits limits) {
+        Takes all = takes(copy);
+        Verdict rest = verdict(Bound.HEAP_AT_REST, all.rest(), limits.heap());
+        return Stream.of(rest, verdict(Bound.HEAP_AT_PEAK, all.peak(), limits.heap()),
+                verdict(Bound.RESIDENT, resident(copy), limits.resident()),
+                verdict(Bound.DIRECT, all.direct(), limits.direct()),
+                verdict(Bound.DESCRIPTORS, all.descriptors(), limits.descriptors()))
+                // What does not even fit at rest is said so, though the peak lacks more.
+                .filter(one -> rest.fits() || one.bound() != Bound.HEAP_AT_PEAK)
+                .max(Comparator.comparingDouble(CopyFootprint::part)).orElseThrow();
+    }
+
+    private static double part(Verdict verdict) {
+        return (double) verdict.needed() / verdict.room();
+    }
+
+    private static Verdict verdict(Bound bound, long needed, long room) {
+        long there = room == 0 ? Long.MAX_VALUE : room;
+        return new Verdict(needed <= there, bound, needed, there);
+    }
+}
--- a/core/src/main/java/cedarrudder/footprint/Footprint.java
+++ b/core/src/main/java/cedarrudder/footprint/Footprint.java
@@ -1,5 +1,7 @@
 package cedarrudder.footprint;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Objects;
 
 /**
@@ -26,6 +28,9 @@
     private static final int FIXED = 256;
     private static final int FIXED_TEXT = 1024;
 
+    /** Steps are worked out up to so many. */
+    private static final int MOST_STEPS = 16;
+
     /** What binds. */
     public enum Bound {
         /** What is held once it is loaded. */
@@ -91,6 +96,7 @@
         // The sets by which what is gone is found, and the list as it is handed on.
         long handed = layout.object(2, 0) + layout.reference() + layout.entry(false) + layout.boxed();
         return FIXED_TEXT + layout.text(list.textBytes())
+                + (long) (list.nodes() - taken) * layout.reference()
                 + taken * (members + told + handed) + layout.hashTable(taken);
     }
 
@@ -149,4 +155,33 @@
         return rest > room ? new Verdict(false, fits, Bound.HEAP_AT_REST, rest)
                 : new Verdict(false, fits, Bound.HEAP_AT_PEAK, peak);
     }
+
+    /**
+     * In which steps what a list adds gets in, where it is told again and again and what it no longer names
+     * has left by then: how many nodes each adds. What they don't come to fits in no step.
+     */
+    public List<Integer> steps(ListShape held, ListShape told, int added, boolean full, long room) {
+        List<Integer> steps = new ArrayList<>();
+        ListShape now = held;
+        for (int left = added; left > 0 && steps.size() < MOST_STEPS;) {
+            int step = judge(now, told, left, full, room).step();
+            if (step == 0) {
+                return steps;
+            }
+            steps.add(step);
+            left -= step;
+            now = full ? told.of(told.nodes() - left) : now.plus(told, step);
+        }
+        return steps;
+    }
+
+    /** So many nodes like those of a list may be held and told again, beside nothing else. */
+    public int most(ListShape like, long room) {
+        int most = 0;
+        for (int step = 1 << 23; step > 0 && like.nodes() > 0; step >>>= 1) {
+            ListShape more = like.of(most + step);
+            most += atPeak(more, more, more.nodes(), 0) <= room ? step : 0;
+        }
+        return most;
+    }
 }
--- /dev/null
+++ b/core/src/main/java/cedarrudder/footprint/Limits.java
@@ -0,0 +1,11 @@
+package cedarrudder.footprint;
+
+/**
+ * What a process may take; 0: no bound is known.
+ *
+ * @param heap the heap's maximum, in bytes
+ * @param resident bytes of the machine's memory
+ * @param direct bytes of direct memory
+ * @param descriptors so many
+ */
+public record Limits(long heap, long resident, long direct, long descriptors) { }
--- /dev/null
+++ b/core/src/main/java/cedarrudder/footprint/Room.java
@@ -0,0 +1,82 @@
+package cedarrudder.footprint;
+
+import cedarrudder.table.RouteTable;
+import java.nio.ByteBuffer;
+import java.util.Collection;
+import java.util.Map;
+
+/**
+ * The largest route table and list of nodes that a copy has room for: what it answers when copies decide on a
+ * table. Nine bytes, three a figure; a larger figure is told as the largest that these hold.
+ *
+ * @param bytes compact bytes of a table
+ * @param leaving nodes that it names as leaving
+ * @param nodes of a list
+ */
+public record Room(int bytes, int leaving, int nodes) {
+
+    /** How many bytes an answer takes. */
+    public static final int BYTES = 9;
+
+    private static final int MOST = (1 << 24) - 1;
+
+    /** Of a copy that asks nobody. */
+    public static final Room ANY = new Room(MOST, MOST, MOST);
+
+    public Room {
+        bytes = Math.max(0, Math.min(MOST, bytes));
+        leaving = Math.max(0, Math.min(MOST, leaving));
+        nodes = Math.max(0, Math.min(MOST, nodes));
+    }
+
+    /** Whether a table of so many compact bytes may be loaded. */
+    public boolean holds(RouteTable table, int size) {
+        return size <= bytes && table.leaving().size() <= leaving;
+    }
+
+    /** What both have room for. */
+    public Room least(Room other) {
+        return new Room(Math.min(bytes, other.bytes), Math.min(leaving, other.leaving),
+                Math.min(nodes, other.nodes));
+    }
+
+    /** What all have room for; all there is where there is none. */
+    public static Room least(Collection<Room> rooms) {
+        return rooms.stream().reduce(ANY, Room::least);
+    }
+
+    /**
+     * The copy that holds a table back in common: of those that can't load it the one with the least room.
+     *
+     * @param rooms what the live copies have told
+     * @return null where all can load it
+     */
+    public static Integer holdsBack(RouteTable table, Map<Integer, Room> rooms) {
+        int size = TableFootprint.bytes(table);
+        return rooms.entrySet().stream().filter(entry -> !entry.getValue().holds(table, size))
+                .min(Map.Entry.<Integer, Room>comparingByValue((a, b) -> a.bytes != b.bytes
+                        ? Integer.compare(a.bytes, b.bytes) : Integer.compare(a.leaving, b.leaving))
+                        .thenComparing(Map.Entry.comparingByKey()))
+                .map(Map.Entry::getKey).orElse(null);
+    }
+
+    /** Writes it behind what is there. */
+    public void put(ByteBuffer out) {
+        put(out, bytes);
+        put(out, leaving);
+        put(out, nodes);
+    }
+
+    private static void put(ByteBuffer out, int figure) {
+        out.put((byte) (figure >> 16)).putShort((short) figure);
+    }
+
+    /** Reads what was written; whatever the bytes are, they are an answer. */
+    public static Room get(ByteBuffer in) {
+        return new Room(figure(in), figure(in), figure(in));
+    }
+
+    private static int figure(ByteBuffer in) {
+        return (in.get() & 0xff) << 16 | in.getShort() & 0xffff;
+    }
+}
--- a/core/src/test/java/cedarrudder/LayersTest.java
+++ b/core/src/test/java/cedarrudder/LayersTest.java
@@ -29,7 +29,7 @@
             entry("cedarrudder.logging", Set.of()),
             entry("cedarrudder.membership", Set.of()),
             entry("cedarrudder.table", Set.of()),
-            entry("cedarrudder.footprint", Set.of()),
+            entry("cedarrudder.footprint", Set.of("cedarrudder.table")),
             entry("cedarrudder.agreement", Set.of("cedarrudder.membership")),
             entry("cedarrudder.figures", Set.of()),
             entry("cedarrudder.flow", Set.of()),
--- /dev/null
+++ b/core/src/test/java/cedarrudder/footprint/RoomTest.java
@@ -0,0 +1,99 @@
+package cedarrudder.footprint;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.table.RouteTable;
+import cedarrudder.table.RouteTable.Leaving;
+import cedarrudder.table.RouteTable.Share;
+import cedarrudder.table.RouteTable.Way;
+import cedarrudder.table.Tables;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import org.testng.annotations.Test;
+
+public class RoomTest {
+
+    private static final TableFootprint TABLES = new TableFootprint(Layout.of(true, true, 8));
+
+    private static RouteTable table(long number, int zones, int leaving) {
+        List<Share> shares = IntStream.range(0, zones * zones).mapToObj(i -> new Share(i / zones, i % zones,
+                i / zones == i % zones ? Way.NEAR : Way.SPILLED, RouteTable.WHOLE / zones, i)).toList();
+        return new RouteTable(number, 1, 1, 1_000_000_000L, shares, LongStream.range(0, leaving)
+                .mapToObj(i -> new Leaving(i * 0x9E3779B97L % RouteTable.MOST_NODE, (int) (i / 8))).toList(),
+                List.of());
+    }
+
+    /** Guards against a table that most can load, committed, which one copy can't. */
+    @Test
+    public void oneSmallCopyAmongLargeOnesHoldsATableBackInCommon() {
+        RouteTable held = table(1, 3, 10);
+        RouteTable next = table(2, 12, 2_000);
+        Room large = TABLES.room(held, 20_000_000, 10_000);
+        Room small = TABLES.room(held, TABLES.atPeak(held, next) - 1, 100);
+        Map<Integer, Room> rooms = new HashMap<>(Map.of(0, large, 1, large, 2, small, 3, large));
+        assertEquals(Room.holdsBack(next, rooms), (Integer) 2);
+        assertNull(Room.holdsBack(table(2, 3, 100), rooms), "one that it has room for");
+        assertEquals(Room.least(rooms.values()), small);
+        rooms.remove(2);
+        assertNull(Room.holdsBack(next, rooms), "without it");
+    }
+
+    /** Guards against copies that go on deciding for a copy that has started since and can't follow. */
+    @Test
+    public void aTableThatFitsEveryCopyButTheOneThatStartsNextIsKeptAndTheNextOneHeldBack() {
+        RouteTable loaded = table(7, 12, 2_000);
+        Tables tables = new Tables();
+        assertTrue(tables.load(loaded).counts());
+        Map<Integer, Room> rooms = new HashMap<>(Map.of(0, TABLES.room(loaded, 20_000_000, 10_000)));
+        RouteTable more = table(8, 12, 2_100);
+        assertNull(Room.holdsBack(more, rooms));
+        long little = 30_000;
+        assertTrue(TABLES.atPeak(null, loaded) > little, "the copy that starts can't load what is agreed on");
+        rooms.put(1, TABLES.room(null, little, 100));
+        assertEquals(Room.holdsBack(more, rooms), (Integer) 1);
+        assertEquals(tables.current(), loaded, "those that have it keep it");
+        RouteTable less = table(8, 3, 20);
+        assertNull(Room.holdsBack(less, rooms), "one that all can load goes through");
+        assertTrue(tables.load(less).counts());
+    }
+
+    /** Guards against a room that promises what loading then takes more for, whatever the table is like. */
+    @Test
+    public void whatTheRoomHoldsIsNeverMoreThanThereIs() {
+        SplittableRandom random = new SplittableRandom(5);
+        RouteTable held = table(1, 4, 50);
+        for (int i = 0; i < 300; i++) {
+            RouteTable next = table(2, 1 + random.nextInt(20), random.nextInt(3_000));
+            long room = random.nextInt(400_000);
+            if (TABLES.room(held, room, 0).holds(next, TableFootprint.bytes(next))) {
+                assertTrue(TABLES.atPeak(held, next) <= room, "room " + room + " for " + next);
+            }
+        }
+        Room all = TABLES.room(held, 20_000_000, 0);
+        RouteTable largest = table(2, 64, RouteTable.MOST_LEAVING);
+        assertTrue(all.holds(largest, TableFootprint.bytes(largest)), all.toString());
+        assertFalse(TABLES.room(held, 0, 0).holds(table(2, 1, 0), 8));
+    }
+
+    @Test
+    public void anAnswerTakesNineBytesAndReadsAsItWasWritten() {
+        SplittableRandom random = new SplittableRandom(6);
+        for (int i = 0; i < 1_000; i++) {
+            Room room = new Room(random.nextInt(), random.nextInt(1 << random.nextInt(1, 31)),
+                    random.nextInt(1 << 24));
+            ByteBuffer bytes = ByteBuffer.allocate(Room.BYTES);
+            room.put(bytes);
+            assertEquals(Room.get(bytes.flip()), room);
+            random.nextBytes(bytes.array());
+            Room.get(bytes.rewind()); // garbage throws nothing
+        }
+    }
+}
