--- a/core/src/main/java/cedarrudder/footprint/CopyFootprint.java
+++ b/core/src/main/java/cedarrudder/footprint/CopyFootprint.java
@@ -71,19 +71,31 @@
     private final Layout layout;
     private final Footprint lists;
     private final TableFootprint tables;
+    private final long process;
 
+    /** Of a process that the platform's command starts with an operator's file. */
     public CopyFootprint(Layout layout) {
+        this(layout, measured(layout, PROCESS));
+    }
+
+    /** @param process bytes of the heap that are there before the first list, as the process says itself */
+    public CopyFootprint(Layout layout, long process) {
         this.layout = Objects.requireNonNull(layout);
         this.lists = new Footprint(layout);
         this.tables = new TableFootprint(layout);
+        this.process = process;
+    }
+
+    /** Bytes of the heap that are there before the first list. */
+    public long process() {
+        return process;
     }
 
     /** All that counts, one after the other. */
     public List<Term> terms(CopyShape copy) {
         ListShape list = copy.list();
         List<Term> terms = new ArrayList<>();
-        terms.add(new Term("process", 1, new Takes(measured(PROCESS), measured(PROCESS), PROCESS_DIRECT,
-                PROCESS_DESCRIPTORS)));
+        terms.add(new Term("process", 1, new Takes(process, process, PROCESS_DIRECT, PROCESS_DESCRIPTORS)));
         terms.add(term("zones", copy.zones(), name()));
         terms.add(term("kinds", copy.kinds(), name()));
         terms.add(term("classes", copy.classes(), name() + layout.object(1, 10 * 8) + layout.object(0, 3 * 8)));
@@ -91,7 +103,7 @@
         long rest = lists.atRest(list) + watch(list);
         terms.add(new Term("nodes", list.nodes(), new Takes(rest,
                 rest + (list.nodes() == 0 ? 0 : lists.reading(list, list.nodes())), 0,
-                list.nodes() == 0 ? 0 : WATCH_DESCRIPTORS)));
+                list.textBytes() == 0 ? 0 : WATCH_DESCRIPTORS)));
         long table = tables.atRest(copy.table());
         terms.add(new Term("table", copy.table() == null ? 0 : 1, new Takes(table,
                 copy.table() == null ? 0 : tables.atPeak(copy.table(), copy.table()), 0, 0)));
@@ -118,12 +130,16 @@
     }
 
     private long measured(long bytes) {
+        return measured(layout, bytes);
+    }
+
+    private static long measured(Layout layout, long bytes) {
         return layout.reference() == Integer.BYTES ? bytes : (long) (bytes * WIDE);
     }
 
     /** What the watch keeps beside the nodes and the buffer of their text. */
     private long watch(ListShape list) {
-        if (list.nodes() == 0) {
+        if (list.textBytes() == 0) {
             return 0;
         }
         long parsed = list.textBytes() > MOST_PARSED ? LEAST_PARSED : Math.max(LEAST_PARSED, list.textBytes());
@@ -146,7 +162,7 @@
     /** What the copy takes of the machine's memory, in bytes. */
     public long resident(CopyShape copy) {
         Takes all = takes(copy);
-        long grown = all.peak() - measured(PROCESS);
+        long grown = all.peak() - process;
         long young = copy.callers() > 0 ? YOUNG : Math.min(YOUNG, ALLOCATED * grown);
         return PROCESS_RESIDENT + young + grown + all.direct() - PROCESS_DIRECT;
     }
--- a/core/src/main/java/cedarrudder/footprint/ListShape.java
+++ b/core/src/main/java/cedarrudder/footprint/ListShape.java
@@ -5,7 +5,7 @@
  * themselves: nodes hold their numbers.
  *
  * @param nodes how many it lists
- * @param textBytes its text as it came
+ * @param textBytes its text as it came; 0: none has come yet
  * @param idChars what the ids take together, in characters
  * @param valueChars the other texts of its entries together: addresses, zones, kinds, states
  */
@@ -19,13 +19,13 @@
     }
 
     /** A list of so many nodes like those of this one. */
-    ListShape of(int some) {
+    public ListShape of(int some) {
         return nodes == 0 ? this : new ListShape(some, textBytes * some / nodes, idChars * some / nodes,
                 valueChars * some / nodes);
     }
 
     /** What is held once so many of another list's nodes were added: the larger text's buffer stays. */
-    ListShape plus(ListShape other, int some) {
+    public ListShape plus(ListShape other, int some) {
         ListShape added = other.of(some);
         return new ListShape(nodes + added.nodes, Math.max(textBytes, other.textBytes),
                 idChars + added.idChars, valueChars + added.valueChars);
--- a/daemon/src/main/java/cedarrudder/program/CheckCommand.java
+++ b/daemon/src/main/java/cedarrudder/program/CheckCommand.java
@@ -1,46 +1,96 @@
 package cedarrudder.program;
 
+import cedarrudder.footprint.Limits;
 import cedarrudder.operator.Operator;
 import cedarrudder.toml.BadFileException;
 import java.io.PrintWriter;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.ExitCode;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
-/** {@code check}: what is wrong with the operator's files, all of it, with nothing started. */
+/** {@code check}: what is wrong with the operator's files, and what does not fit, with nothing started. */
 @Command(name = "check", description = "Finds all that is wrong with operator's files and starts nothing. "
         + "Each problem is one line on standard output: file and line, key, what was found, what is allowed. "
-        + "Exit code 1 where there is any.")
+        + "With --list tells what a list of nodes takes of a process with the given limits. "
+        + "Exit code 1 where something is wrong or does not fit.")
 final class CheckCommand implements Callable<Integer> {
 
+    private static final Pattern SIZE = Pattern.compile("([1-9][0-9]{0,11})([kmg]?)");
+
     @Spec
     private CommandSpec spec;
 
     @Parameters(arity = "1..*", paramLabel = "FILE", description = "Operator's files.")
     private List<Path> files;
 
+    @Option(names = "--list", paramLabel = "FILE", description = "A list of nodes as discovery tells it, or a "
+            + "configuration with one; needs --heap. The last operator's file says what lists may take.")
+    private Path list;
+
+    @Option(names = "--held", paramLabel = "FILE", description = "The list that is held when the other comes.")
+    private Path before;
+
+    @Option(names = "--heap", paramLabel = "SIZE", description = "The heap's maximum, as in -Xmx: 56m.")
+    private String heap;
+
+    @Option(names = "--direct", paramLabel = "SIZE", description = "The most direct memory.")
+    private String direct;
+
+    @Option(names = "--memory", paramLabel = "SIZE", description = "The most of the machine's memory.")
+    private String memory;
+
+    @Option(names = "--descriptors", paramLabel = "N", description = "The most descriptors.")
+    private long descriptors;
+
     @Option(names = {"-h", "--help"}, usageHelp = true, description = "Says this.")
     private boolean help;
 
     @Override
     public Integer call() {
         PrintWriter out = spec.commandLine().getOut();
+        if (list == null ? before != null || heap != null : heap == null) {
+            throw new ParameterException(spec.commandLine(), "--list and --heap need one another");
+        }
         int code = ExitCode.OK;
+        Operator last = null;
         for (Path file : files) {
             try {
-                Operator.read(file);
+                last = Operator.read(file);
                 out.println(file + ": good");
             } catch (BadFileException e) {
                 e.problems().forEach(out::println);
                 code = ExitCode.SOFTWARE;
             }
         }
-        return code;
+        if (list == null || last == null) {
+            return code;
+        }
+        Limits limits = new Limits(bytes("--heap", heap), bytes("--memory", memory),
+                bytes("--direct", direct), descriptors);
+        return new ListCheck(last, limits, out).check(list, before) ? code : ExitCode.SOFTWARE;
+    }
+
+    /** A size as the virtual machine's flags have it; 0 where none is given. */
+    private long bytes(String option, String size) {
+        if (size == null) {
+            return 0;
+        }
+        Matcher found = SIZE.matcher(size.toLowerCase(Locale.ROOT));
+        if (!found.matches()) {
+            throw new ParameterException(spec.commandLine(), option + ": found " + size
+                    + "; allowed: bytes, or a number with k, m or g, such as 56m");
+        }
+        return Long.parseLong(found.group(1)) << 10 * " kmg".indexOf(found.group(2).isEmpty() ? " "
+                : found.group(2));
     }
 }
--- a/daemon/src/main/java/cedarrudder/program/Configuration.java
+++ b/daemon/src/main/java/cedarrudder/program/Configuration.java
@@ -13,13 +13,15 @@
  * @param admin where operators call, or null where they can't
  * @param peerListen where datagrams from other proxies arrive, or null where there are none
  * @param peersAll an address that reaches all of them, or null
+ * @param memory bytes of the machine's memory that it may take; 0: nothing is said
  * @param known the list of nodes as this proxy last had it, still as JSON
  */
 record Configuration(String name, InetSocketAddress listen, InetSocketAddress admin,
-        InetSocketAddress discovery, long seed, int sockets, InetSocketAddress peerListen,
+        InetSocketAddress discovery, long seed, int sockets, long memory, InetSocketAddress peerListen,
         List<InetSocketAddress> peers, InetSocketAddress peersAll, JsonObject known, SiteSettings site) {
 
-    private static final int DEFAULT_SOCKETS = 1024;
+    static final int DEFAULT_SOCKETS = 1024;
+    private static final int MEGABYTE = 1 << 20;
 
     /** Reads the configuration file; an IllegalArgumentException says what is wrong with it. */
     static Configuration parse(String text) {
@@ -27,17 +29,30 @@
         return new Configuration(json.text("name", ""), Addresses.parse(json.text("listen", null)),
                 optional(json.text("admin_addr", "")),
                 Addresses.parse(json.text("discovery", null)), seed(json.text("seed", null)),
-                (int) json.child("limits").number("sockets", DEFAULT_SOCKETS),
+                sockets(json),
+                (long) (json.child("limits").number("memory_mb", 0) * MEGABYTE),
                 optional(json.text("peer_listen", "")),
                 json.texts("peers").stream().map(Addresses::parse).toList(),
                 optional(json.text("peers_all", "")), json.child("known"),
                 SettingsReader.read(json.child("settings")));
     }
 
+    /** How many descriptors a configuration allows. */
+    static int sockets(JsonObject json) {
+        return (int) json.child("limits").number("sockets", DEFAULT_SOCKETS);
+    }
+
     /** The same, with the operators' address from the environment where that names one. */
     Configuration withAdmin(String address) {
         return address == null || address.isEmpty() ? this : new Configuration(name, listen,
-                Addresses.parse(address), discovery, seed, sockets, peerListen, peers, peersAll, known, site);
+                Addresses.parse(address), discovery, seed, sockets, memory, peerListen, peers, peersAll, known,
+                site);
+    }
+
+    /** The same without the list, for which a process that has read it needs no memory any more. */
+    Configuration withoutKnown() {
+        return new Configuration(name, listen, admin, discovery, seed, sockets, memory, peerListen, peers,
+                peersAll, null, site);
     }
 
     private static InetSocketAddress optional(String text) {
--- /dev/null
+++ b/daemon/src/main/java/cedarrudder/program/CopyEstimate.java
@@ -0,0 +1,120 @@
+package cedarrudder.program;
+
+import cedarrudder.footprint.CopyFootprint;
+import cedarrudder.footprint.CopyShape;
+import cedarrudder.footprint.Layout;
+import cedarrudder.footprint.Limits;
+import cedarrudder.footprint.ListShape;
+import cedarrudder.footprint.TableFootprint;
+import cedarrudder.protocol.FiguresPage;
+import cedarrudder.protocol.ListGate;
+import cedarrudder.protocol.ListGate.Judged;
+import cedarrudder.protocol.SiteSettings;
+import cedarrudder.transport.Notes;
+import java.lang.management.ManagementFactory;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** What this process takes beside what it may, where the operator's file has {@code [footprint]}. */
+final class CopyEstimate {
+
+    /** The collector compacts all of the heap at each fourth of its collections. */
+    private static final int COLLECTIONS = 4;
+
+    /** What a process holds beside its nodes. */
+    record Load(int callers, int channels, int bodies, long bodyBytes) { }
+
+    /** Tells what the process holds now. */
+    interface Now {
+        Load load();
+    }
+
+    private final SiteSettings site;
+    private final Layout layout;
+    private final TableFootprint tables;
+    private final Limits limits;
+    private final Now now;
+    private CopyFootprint copy;
+    private int judged;
+    private String loads;
+    private long needed;
+
+    CopyEstimate(SiteSettings site, Layout layout, Limits limits, Now now) {
+        this.site = site;
+        this.layout = layout;
+        this.tables = new TableFootprint(layout);
+        this.limits = limits;
+        this.now = now;
+        this.copy = new CopyFootprint(layout);
+    }
+
+    private CopyShape shape(ListShape list, Load load) {
+        return new CopyShape(list, site.zones().size(), site.kinds().size(), site.module().classes().size(),
+                site.module().tenants().size(), null, load.callers, load.channels, load.bodies,
+                load.bodyBytes);
+    }
+
+    /**
+     * Bytes of the heap for nodes and their lists: a share of it, and no more than is left beside all that
+     * the process may come to hold.
+     */
+    long room(double share, Load most) {
+        return Math.min((long) (share * limits.heap()), copy.left(shape(ListShape.NONE, most), limits.heap()));
+    }
+
+    /**
+     * From now on what was there before the first list is what this process says, after a collection. Guards
+     * against an estimate that knows nothing of other tables of the operator's file.
+     */
+    void measure(ListShape held) {
+        copy = new CopyFootprint(layout, live() - copy.takes(shape(held, now.load())).rest() + copy.process());
+    }
+
+    private static long live() {
+        System.gc();
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+
+    /** What operators see of it; null before the first list. */
+    FiguresPage.Estimate figures(ListGate gate) {
+        if (gate.last() == null) {
+            return null;
+        }
+        CopyShape shape = shape(gate.held(), now.load());
+        return new FiguresPage.Estimate(gate.last(), copy.takes(shape), copy.oneMoreNode(shape),
+                copy.resident(shape), copy.judge(shape, limits),
+                tables.room(null, gate.left(), gate.most()));
+    }
+
+    /** Writes a verdict for the judge of many copies: of the whole list, and of what is loaded of it. */
+    void judged(Judged list, Notes history) {
+        loads = "list " + ++judged;
+        note(history, list.all(), list.fits());
+        if (!list.fits()) {
+            loads += " as far as it fits";
+            note(history, list.then(), true);
+        }
+    }
+
+    private void note(Notes history, ListShape list, boolean fits) {
+        needed = copy.takes(shape(list, now.load())).rest();
+        history.note("estimate", Map.of("load", loads, "bound", "heap_at_rest", "fits", fits ? 1 : 0,
+                "needed", needed));
+    }
+
+    /** What was judged last is loaded: says so, and what the process then holds, on a thread of its own. */
+    void took(Notes history, Consumer<Runnable> loop) {
+        String load = loads;
+        history.note("took", Map.of("load", load));
+        Thread measuring = new Thread(() -> {
+            long least = Long.MAX_VALUE;
+            for (int i = 0; i < COLLECTIONS; i++) {
+                least = Math.min(least, live());
+            }
+            long held = least;
+            loop.accept(() -> history.note("held", Map.of("load", load, "bound", "heap_at_rest", "now", held)));
+        }, "measure");
+        measuring.setDaemon(true);
+        measuring.start();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/cedarrudder/program/ListCheck.java
@@ -0,0 +1,167 @@
+package cedarrudder.program;
+
+import cedarrudder.flow.HeldBytes;
+import cedarrudder.footprint.CopyFootprint;
+import cedarrudder.footprint.CopyShape;
+import cedarrudder.footprint.Footprint;
+import cedarrudder.footprint.Layout;
+import cedarrudder.footprint.Limits;
+import cedarrudder.footprint.ListShape;
+import cedarrudder.footprint.Takes;
+import cedarrudder.operator.CallersTable;
+import cedarrudder.operator.FootprintSettings;
+import cedarrudder.operator.FootprintTable;
+import cedarrudder.operator.NodesTable;
+import cedarrudder.operator.Operator;
+import cedarrudder.protocol.JsonObject;
+import cedarrudder.protocol.ListGate;
+import cedarrudder.protocol.SettingsReader;
+import cedarrudder.protocol.SiteSettings;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+/** Tells what a list of nodes takes of a process with given limits, and whether it fits. */
+final class ListCheck {
+
+    private static final String LIST = "servers";
+
+    /** The collector keeps a space free for what survives: of a heap's maximum one part of so many. */
+    private static final int SURVIVORS = 30;
+
+    /** What a file has. */
+    private record Read(JsonObject list, JsonObject configuration) { }
+
+    private final Layout layout = MachineLayout.read();
+    private final CopyFootprint copy = new CopyFootprint(layout);
+    private final Operator operator;
+    private final Limits limits;
+    private final PrintWriter out;
+
+    /** @param limits with the heap's maximum as the virtual machine's flag gives it */
+    ListCheck(Operator operator, Limits limits, PrintWriter out) {
+        this.operator = operator;
+        this.limits = new Limits(limits.heap() - limits.heap() / SURVIVORS, limits.resident(),
+                limits.direct(), limits.descriptors());
+        this.out = out;
+    }
+
+    /**
+     * Writes the terms and the verdicts.
+     *
+     * @param before the list that is held when the other comes; null: none is
+     * @return whether all fits, at once or in steps
+     */
+    boolean check(Path file, Path before) {
+        Read told;
+        JsonObject held;
+        try {
+            told = read(file);
+            held = before == null ? null : read(before).list;
+        } catch (IllegalArgumentException e) {
+            out.println(e.getMessage());
+            return false;
+        }
+        JsonObject configuration = told.configuration;
+        SiteSettings site = configuration == null ? null : SettingsReader.read(configuration.child("settings"));
+        int sockets = configuration == null ? Configuration.DEFAULT_SOCKETS : Configuration.sockets(configuration);
+        ListShape list = ListGate.shape(told.list);
+        int callers = operator.of(CallersTable.CALLERS).mostCallers(sockets);
+        int channels = operator.of(NodesTable.NODES).bounds(sockets, callers).idle();
+        CopyShape shape = new CopyShape(list, site == null ? 0 : site.zones().size(),
+                site == null ? 0 : site.kinds().size(), site == null ? 0 : site.module().classes().size(),
+                site == null ? 0 : site.module().tenants().size(), null, callers, channels, callers,
+                HeldBytes.MOST);
+        out.println(file + ": " + list.nodes() + " nodes");
+        terms(shape);
+        Takes one = copy.oneMoreNode(shape);
+        out.println("one more node: " + one.rest() + " at rest, " + one.peak() + " at the peak");
+        boolean nodes = nodes(shape, list, told.list, held);
+        return process(shape) && nodes;
+    }
+
+    private void terms(CopyShape shape) {
+        out.println(row("term", "count", "heap at rest", "heap at peak", "direct", "descriptors"));
+        copy.terms(shape).forEach(term -> out.println(row(term.name(), term.count(), term.takes())));
+        out.println(row("all", "", copy.takes(shape)));
+    }
+
+    private static String row(String name, Object count, Takes takes) {
+        return row(name, count, takes.rest(), takes.peak(), takes.direct(), takes.descriptors());
+    }
+
+    private static String row(Object... cells) {
+        return String.format("%-8s%8s%14s%14s%10s%13s", cells);
+    }
+
+    /** Whether the nodes fit into their share of the heap. */
+    private boolean nodes(CopyShape shape, ListShape list, JsonObject told, JsonObject held) {
+        FootprintSettings set = operator.of(FootprintTable.FOOTPRINT);
+        double share = set == null ? FootprintSettings.DEFAULT.heapShare() : set.heapShare();
+        long room = Math.min((long) (share * limits.heap()), copy.left(shape, limits.heap()));
+        Footprint footprint = new Footprint(layout);
+        Set<String> known = held == null ? Set.of() : ids(held);
+        int added = (int) told.objects(LIST, true).stream().filter(entry -> entry == null
+                || !known.contains(entry.text("id", ""))).count();
+        ListShape before = held == null ? ListShape.NONE : ListGate.shape(held);
+        Footprint.Verdict verdict = footprint.judge(before, list, added, true, room);
+        List<Integer> steps = footprint.steps(before, list, added, true, room);
+        int never = added - steps.stream().mapToInt(Integer::intValue).sum();
+        String outcome = verdict.fits() ? "fit" : never == 0 ? "fit in steps of " + steps
+                : "don't fit, " + never + " of them in no step";
+        out.println("nodes: " + outcome + "; " + told(verdict.bound(), verdict.needed(), room));
+        return never == 0;
+    }
+
+    private static Set<String> ids(JsonObject list) {
+        Set<String> ids = new HashSet<>();
+        list.objects(LIST, true).stream().filter(entry -> entry != null)
+                .forEach(entry -> ids.add(entry.text("id", "")));
+        return ids;
+    }
+
+    /** Whether the process fits with all callers, channels and bodies that it may come to have. */
+    private boolean process(CopyShape shape) {
+        CopyFootprint.Verdict verdict = copy.judge(shape, limits);
+        out.println("process: " + (verdict.fits() ? "fits" : "does not fit") + "; "
+                + told(verdict.bound(), verdict.needed(), verdict.room()));
+        return verdict.fits();
+    }
+
+    private static String told(Enum<?> bound, long needed, long room) {
+        return bound.name().toLowerCase(Locale.ROOT) + " needs " + needed + " of " + room + ", "
+                + (needed <= room ? room - needed + " to spare" : needed - room + " too many");
+    }
+
+    /** A list as discovery tells it, or a configuration with the list that it starts with. */
+    private static Read read(Path file) {
+        JsonObject json;
+        try {
+            json = JsonObject.parse(Files.readString(file));
+        } catch (IOException e) {
+            throw new IllegalArgumentException(file + ": can't be read: " + e, e);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException(file + ": found " + e.getMessage()
+                    + "; allowed: a JSON object", e);
+        }
+        try {
+            boolean bare = !json.objects(LIST, false).isEmpty();
+            JsonObject list = bare ? json : json.child("known");
+            if (list.objects(LIST, false).isEmpty()) {
+                throw new IllegalArgumentException("no nodes");
+            }
+            if (!bare) {
+                SettingsReader.read(json.child("settings"));
+            }
+            return new Read(list, bare ? null : json);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException(file + ": found " + e.getMessage() + "; allowed: a list of "
+                    + "nodes with 'servers', or a configuration that has one under 'known'", e);
+        }
+    }
+}
--- a/daemon/src/main/java/cedarrudder/program/MachineLayout.java
+++ b/daemon/src/main/java/cedarrudder/program/MachineLayout.java
@@ -1,10 +1,12 @@
 package cedarrudder.program;
 
 import cedarrudder.footprint.Layout;
+import cedarrudder.footprint.Limits;
 import com.sun.management.HotSpotDiagnosticMXBean;
+import com.sun.management.UnixOperatingSystemMXBean;
 import java.lang.management.ManagementFactory;
 
-/** How this virtual machine lays out objects, by what it says of its own settings. */
+/** How this virtual machine lays out objects, and what it may take, by what it says of its own settings. */
 final class MachineLayout {
 
     private MachineLayout() { }
@@ -15,6 +17,16 @@
                 Integer.parseInt(machine.getVMOption("ObjectAlignmentInBytes").getValue()));
     }
 
+    /** @param memory bytes of the machine's memory that the process may take; 0: no bound is known */
+    static Limits limits(long memory) {
+        HotSpotDiagnosticMXBean machine = ManagementFactory.getPlatformMXBean(HotSpotDiagnosticMXBean.class);
+        long heap = Runtime.getRuntime().maxMemory();
+        long direct = Long.parseLong(machine.getVMOption("MaxDirectMemorySize").getValue());
+        return new Limits(heap, memory, direct == 0 ? heap : direct,
+                ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean unix
+                        ? unix.getMaxFileDescriptorCount() : 0);
+    }
+
     private static boolean flag(HotSpotDiagnosticMXBean machine, String name) {
         return Boolean.parseBoolean(machine.getVMOption(name).getValue());
     }
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -28,6 +28,7 @@
 import cedarrudder.program.Handover.Others;
 import cedarrudder.protocol.BadMessageException;
 import cedarrudder.protocol.FiguresPage;
+import cedarrudder.protocol.JsonObject;
 import cedarrudder.protocol.ListGate;
 import cedarrudder.protocol.Message;
 import cedarrudder.protocol.ResolverResult;
@@ -75,12 +76,13 @@
     private static final long FRESH = 2_000_000_000L;
 
     private final Logger log;
-    private final Configuration configuration;
+    private Configuration configuration;
     private final Loop loop;
     private final Driver<Message, Message> driver;
     private final NodeChannels channels;
     private final ResolverResultReader reader;
     private final ListGate footprint;
+    private final CopyEstimate estimate;
     private final DiscoveryClient discovery;
     private final PeerSocket peers;
     private final Listener listener;
@@ -132,8 +134,9 @@
         reader = new ResolverResultReader(site, loop::now, this::wallClock);
         long version = (long) configuration.known().number("version", 0);
         FootprintSettings lists = operator.of(FootprintTable.FOOTPRINT);
+        estimate = lists == null ? null : estimate();
         footprint = lists == null ? null : new ListGate(new Footprint(MachineLayout.read()), reader,
-                (long) (lists.heapShare() * Runtime.getRuntime().maxMemory()), lists.fromNodes());
+                estimate.room(lists.heapShare(), most()), lists.fromNodes());
         discovery = new DiscoveryClient(loop, configuration.discovery(),
                 operator.of(DiscoveryTable.DISCOVERY), ResolverClock.longest(site.module()),
                 new SplittableRandom(configuration.seed()).split().split().split(), reader, version,
@@ -145,6 +148,9 @@
                 callers, callers.mostCallers(sockets), held);
         driver.connect(channels, discovery, peers);
         history = recorded == null ? null : new HistoryFile(recorded.file(), site.module().self());
+        if (estimate != null && history != null) {
+            footprint.whenJudged(judged -> estimate.judged(judged, history));
+        }
         membership = membership(operator.of(MembershipTable.MEMBERSHIP));
     }
 
@@ -153,6 +159,20 @@
         return System.currentTimeMillis() + clockOffset;
     }
 
+    private CopyEstimate estimate() {
+        return new CopyEstimate(configuration.site(), MachineLayout.read(),
+                MachineLayout.limits(configuration.memory()), () -> new CopyEstimate.Load(listener.callers(),
+                channels.open(), (int) figures.open(), held.held()));
+    }
+
+    /** All that the process may come to hold beside nodes. */
+    private CopyEstimate.Load most() {
+        int sockets = configuration.sockets();
+        int callers = operator.of(CallersTable.CALLERS).mostCallers(sockets);
+        return new CopyEstimate.Load(callers, operator.of(NodesTable.NODES).bounds(sockets, callers).idle(),
+                callers, HeldBytes.MOST);
+    }
+
     /** Membership of this tier's proxies; null where the operator's file has none. */
     private Membership membership(MembershipSettings set) {
         if (set == null) {
@@ -193,8 +213,7 @@
         }
         boolean replacing = others.predecessor(); // before the loop has it
         boolean speaks = membership == null || speak();
-        ResolverResult known = configuration.known().list("servers", false).isEmpty() ? null
-                : reader.read(configuration.known());
+        ResolverResult known = known();
         CountDownLatch told = new CountDownLatch(1);
         loop.run(() -> {
             hushed = !speaks;
@@ -203,6 +222,9 @@
                 setBounds();
                 watchOthers();
             }
+            if (known != null && footprint != null && footprint.last().waits() > 0) {
+                discovery.startedShort(); // first: the watch is asked for from there
+            }
             if (!configuration.site().module().askForEndpoints()) {
                 discovery.subscribe(true); // nobody asks for it: what was pushed counts from now on
             }
@@ -232,6 +254,9 @@
         CountDownLatch warmed = new CountDownLatch(1);
         loop.run(() -> warmUp(own, warmed));
         warmed.await();
+        if (estimate != null) {
+            measure();
+        }
         if (replacing) {
             fresh.await(FRESH, TimeUnit.NANOSECONDS);
         }
@@ -249,6 +274,24 @@
         });
     }
 
+    /** The list that it had before; null where there was none. */
+    private ResolverResult known() {
+        JsonObject list = configuration.known();
+        configuration = configuration.withoutKnown();
+        return list.list("servers", false).isEmpty() ? null
+                : reader.read(footprint == null ? list : footprint.read(list));
+    }
+
+    /** On the loop, before the first caller comes: nobody waits for the collection. */
+    private void measure() throws InterruptedException {
+        CountDownLatch measured = new CountDownLatch(1);
+        loop.run(() -> {
+            estimate.measure(footprint.held());
+            measured.countDown();
+        });
+        measured.await();
+    }
+
     /** Finds out who else runs for this proxy; one that can't find out takes itself to be alone. */
     private void joinOthers() throws InterruptedException {
         try {
@@ -406,6 +449,9 @@
         }
         driver.resolved(kind, rotation.listed(kind, result.nodes().stream()
                 .map(node -> new Named(node.name(), node.endpoint())).toList()));
+        if (estimate != null && history != null) {
+            estimate.took(history, loop::run);
+        }
     }
 
     /** Takes up what operators asked for before this process began. */
@@ -536,7 +582,7 @@
         @Override
         public byte[] figures() {
             return FiguresPage.write(figures, classes, rotation.size(), driver.avoided(), held.held(),
-                    footprint == null ? null : footprint.last());
+                    estimate == null ? null : estimate.figures(footprint));
         }
 
         @Override
--- a/daemon/src/main/java/cedarrudder/protocol/FiguresPage.java
+++ b/daemon/src/main/java/cedarrudder/protocol/FiguresPage.java
@@ -2,16 +2,33 @@
 
 import cedarrudder.figures.Figures;
 import cedarrudder.figures.Figures.End;
+import cedarrudder.footprint.CopyFootprint;
+import cedarrudder.footprint.Room;
+import cedarrudder.footprint.Takes;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
+import java.util.Locale;
 
 /** The figures as one JSON object, under the names that operators know. */
 public final class FiguresPage {
 
+    /**
+     * What the process takes beside what it may.
+     *
+     * @param list what came of the last list
+     * @param all what is held now, and what telling it again takes at the peak
+     * @param node what one more node takes
+     * @param resident bytes of the machine's memory
+     * @param nearest the bound that is nearest
+     * @param room the largest route table and list there is room for
+     */
+    public record Estimate(ListGate.Judged list, Takes all, Takes node, long resident,
+            CopyFootprint.Verdict nearest, Room room) { }
+
     private FiguresPage() { }
 
     /**
@@ -21,10 +38,10 @@
      * @param listed how many nodes discovery lists
      * @param avoided how many of those get nothing new now
      * @param held bytes of bodies that the process holds
-     * @param list what came of the last list; null: none was judged
+     * @param estimate null: no list was judged
      */
     public static byte[] write(Figures figures, List<String> classes, int listed, int avoided, long held,
-            ListGate.Judged list) {
+            Estimate estimate) {
         ByteArrayOutputStream page = new ByteArrayOutputStream(512);
         long relayed = 0;
         try (JsonGenerator json = new JsonFactory().createGenerator(page)) {
@@ -46,15 +63,8 @@
             json.writeNumberField("registry_entries", listed);
             json.writeNumberField("out_of_rotation", avoided);
             json.writeNumberField("held_bytes", held);
-            if (list != null) {
-                json.writeObjectFieldStart("footprint");
-                json.writeStringField("bound", list.bound());
-                json.writeNumberField("needed", list.needed());
-                json.writeNumberField("room", list.room());
-                json.writeNumberField("held", list.held());
-                json.writeNumberField("wanted", list.wanted());
-                json.writeNumberField("waits", list.waits());
-                json.writeEndObject();
+            if (estimate != null) {
+                write(estimate, json);
             }
             json.writeEndObject();
         } catch (IOException e) {
@@ -62,4 +72,38 @@
         }
         return page.toByteArray();
     }
+
+    private static void write(Estimate estimate, JsonGenerator json) throws IOException {
+        ListGate.Judged list = estimate.list();
+        json.writeObjectFieldStart("footprint");
+        json.writeStringField("outcome", list.outcome());
+        json.writeStringField("bound", list.bound());
+        json.writeNumberField("needed", list.needed());
+        json.writeNumberField("room", list.room());
+        json.writeNumberField("spare", list.room() - list.needed());
+        json.writeNumberField("held", list.held());
+        json.writeNumberField("wanted", list.wanted());
+        json.writeNumberField("waits", list.waits());
+        json.writeNumberField("never", list.never());
+        json.writeArrayFieldStart("steps");
+        for (int step : list.steps()) {
+            json.writeNumber(step);
+        }
+        json.writeEndArray();
+        json.writeNumberField("node_at_rest", estimate.node().rest());
+        json.writeNumberField("node_at_peak", estimate.node().peak());
+        json.writeNumberField("most_nodes", estimate.room().nodes());
+        json.writeNumberField("most_table_bytes", estimate.room().bytes());
+        json.writeNumberField("most_table_leaving", estimate.room().leaving());
+        json.writeObjectFieldStart("process");
+        json.writeNumberField("heap_at_rest", estimate.all().rest());
+        json.writeNumberField("heap_at_peak", estimate.all().peak());
+        json.writeNumberField("resident", estimate.resident());
+        json.writeNumberField("direct", estimate.all().direct());
+        json.writeNumberField("descriptors", estimate.all().descriptors());
+        json.writeStringField("bound", estimate.nearest().bound().name().toLowerCase(Locale.ROOT));
+        json.writeNumberField("spare", estimate.nearest().spare());
+        json.writeEndObject();
+        json.writeEndObject();
+    }
 }
--- a/daemon/src/main/java/cedarrudder/protocol/JsonObject.java
+++ b/daemon/src/main/java/cedarrudder/protocol/JsonObject.java
@@ -19,6 +19,9 @@
 
     static final JsonFactory JSON = new JsonFactory();
 
+    /** Stands where an element was left out, so that those behind it keep their places. */
+    static final JsonObject LEFT_OUT = new JsonObject(Map.of(), "");
+
     private final Map<?, ?> members;
     private final String path;
 
@@ -33,8 +36,8 @@
     }
 
     /**
-     * The same, but of a list under this key those elements go as soon as they are read that are not taken;
-     * an element that is no object is asked for as null. Messages count the elements that are left.
+     * The same, but of a list under this key those elements go as soon as they are read that are not taken,
+     * with {@link #LEFT_OUT} in their places; an element that is no object is asked for as null.
      */
     static JsonObject parse(String text, String list, Predicate<JsonObject> taken) {
         Object value;
@@ -87,10 +90,9 @@
         List<Object> elements = new ArrayList<>();
         while (parser.nextToken() != JsonToken.END_ARRAY) {
             Object element = value(parser, null, null);
-            if (taken == null
-                    || taken.test(element instanceof Map<?, ?> object ? new JsonObject(object, "") : null)) {
-                elements.add(element);
-            }
+            boolean stays = taken == null
+                    || taken.test(element instanceof Map<?, ?> object ? new JsonObject(object, "") : null);
+            elements.add(stays ? element : LEFT_OUT);
         }
         return elements;
     }
@@ -174,16 +176,26 @@
         return objects;
     }
 
-    /** The objects of a list; null where an element is none. */
+    /** The objects of a list, and what stands for those that were left out; null where an element is none. */
     public List<JsonObject> objects(String key, boolean required) {
         List<JsonObject> objects = new ArrayList<>();
         for (Object element : array(key, required)) {
-            objects.add(element instanceof Map<?, ?> object
+            objects.add(element == LEFT_OUT ? LEFT_OUT : element instanceof Map<?, ?> object
                     ? new JsonObject(object, path + key + "[" + objects.size() + "].") : null);
         }
         return objects;
     }
 
+    /** The same without those elements of a list that are not taken. */
+    JsonObject without(String list, Predicate<JsonObject> taken) {
+        Map<String, Object> members = new LinkedHashMap<>();
+        this.members.forEach((name, value) -> members.put((String) name, value));
+        members.put(list, array(list, true).stream().map(element -> taken.test(
+                element instanceof Map<?, ?> object ? new JsonObject(object, "") : null) ? element : LEFT_OUT)
+                .toList());
+        return new JsonObject(members, path);
+    }
+
     /** A part that may be left out; what is required in it is then missing. */
     public JsonObject child(String key) {
         Object value = get(key, false);
--- a/daemon/src/main/java/cedarrudder/protocol/ListGate.java
+++ b/daemon/src/main/java/cedarrudder/protocol/ListGate.java
@@ -6,7 +6,10 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.util.List;
 import java.util.Locale;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * Reads the texts of resolver results within a given room of the heap. A text is looked through first,
@@ -23,22 +26,42 @@
     private final long room;
     private final int fromNodes;
 
+    /** Characters of an entry in a list beside its id and values: names of members, numbers, marks. */
+    private static final int ENTRY_CHARS = 100;
+
     /** The largest text so far, whose buffer a watch keeps. */
     private long largest;
     private Judged last;
     private int mayAdd;
+    private Consumer<Judged> judged = verdict -> { };
 
     /**
      * What came of a list.
      *
-     * @param bound what binds, as operators read it
+     * @param fits whether all of it may be loaded at once
+     * @param bound the one that is nearest, or that binds, as operators read it
      * @param needed bytes that the whole list takes under it
      * @param room bytes that there are
      * @param held nodes that were held before
      * @param wanted nodes that the list would have this process hold
      * @param waits so many of those were left out
+     * @param steps how many nodes each telling adds where it does not fit at once; this one the first
+     * @param all what would be held with all of it
+     * @param then what will be held once it has been read
      */
-    public record Judged(String bound, long needed, long room, int held, int wanted, int waits) { }
+    public record Judged(boolean fits, String bound, long needed, long room, int held, int wanted, int waits,
+            List<Integer> steps, ListShape all, ListShape then) {
+
+        /** So many nodes get in by no step. */
+        public int never() {
+            return waits - steps.stream().skip(1).mapToInt(Integer::intValue).sum();
+        }
+
+        /** What comes of it, as operators read it. */
+        public String outcome() {
+            return fits ? "fits" : never() == 0 ? "fits_in_steps" : "does_not_fit";
+        }
+    }
 
     /** What a text looks like. */
     private static final class Look {
@@ -61,6 +84,28 @@
         this.fromNodes = fromNodes;
     }
 
+    /** Who is told of each verdict, before anything is loaded. */
+    public void whenJudged(Consumer<Judged> told) {
+        judged = told;
+    }
+
+    /** What is held, as far as it costs anything. */
+    public ListShape held() {
+        ListShape like = last == null ? ListShape.NONE : last.then();
+        return new ListShape(reader.size(), largest, reader.idChars(),
+                like.nodes() == 0 ? 0 : like.valueChars() * reader.size() / like.nodes());
+    }
+
+    /** Bytes for nodes and their lists that what is held leaves at rest. */
+    public long left() {
+        return Math.max(0, room - footprint.atRest(held()));
+    }
+
+    /** So many nodes like those that are held there is room for. */
+    public int most() {
+        return footprint.most(held(), room);
+    }
+
     /** What came of the last list; null before the first one. */
     public Judged last() {
         return last;
@@ -74,22 +119,67 @@
     /** Reads a text that holds a resolver result; an IllegalArgumentException says that it holds none. */
     public JsonObject read(String text) {
         Look look = look(text);
-        int held = reader.size();
         largest = Math.max(largest, text.length());
-        Verdict verdict = footprint.judge(new ListShape(held, largest, reader.idChars(), 0),
-                new ListShape(look.nodes, text.length(), look.idChars, look.valueChars), look.added,
-                look.full, room);
-        int wanted = look.full ? look.nodes : held + look.added;
+        return judge(look, text.length()) ? JsonObject.parse(text)
+                : JsonObject.parse(text, ENTRIES, taken());
+    }
+
+    /** The same of the whole list with which the process starts; its text has gone. */
+    public JsonObject read(JsonObject list) {
+        ListShape shape = shape(list);
+        Look look = new Look();
+        look.full = true;
+        look.nodes = shape.nodes();
+        look.idChars = shape.idChars();
+        look.valueChars = shape.valueChars();
+        look.added = (int) list.objects(ENTRIES, true).stream().filter(entry -> !isGone(entry)).count();
+        return judge(look, shape.textBytes()) ? list : list.without(ENTRIES, taken());
+    }
+
+    /** What a whole list is like, as discovery would tell it. */
+    public static ListShape shape(JsonObject list) {
+        int nodes = 0;
+        long ids = 0;
+        long values = 0;
+        for (JsonObject entry : list.objects(ENTRIES, true)) {
+            nodes++;
+            ids += chars(entry, "id");
+            values += chars(entry, "addr") + chars(entry, "zone") + chars(entry, "kind")
+                    + chars(entry, "state");
+        }
+        return new ListShape(nodes, nodes * (long) ENTRY_CHARS + ids + values, ids, values);
+    }
+
+    private static int chars(JsonObject entry, String key) {
+        return entry != null && entry.isText(key) ? entry.text(key, null).length() : 0;
+    }
+
+    /** Whether all of it may be loaded at once. */
+    private boolean judge(Look look, long textBytes) {
+        ListShape held = held();
+        ListShape list = new ListShape(look.nodes, textBytes, look.idChars, look.valueChars);
+        Verdict verdict = footprint.judge(held, list, look.added, look.full, room);
+        int wanted = look.full ? look.nodes : held.nodes() + look.added;
         boolean whole = verdict.fits() || wanted < fromNodes;
         mayAdd = whole ? look.added : verdict.step();
-        last = new Judged(verdict.bound().name().toLowerCase(Locale.ROOT), verdict.needed(), room,
-                held, wanted, look.added - mayAdd);
-        if (whole) {
-            return JsonObject.parse(text);
-        }
+        last = new Judged(whole, verdict.bound().name().toLowerCase(Locale.ROOT), verdict.needed(), room,
+                held.nodes(), wanted, look.added - mayAdd,
+                whole ? List.of() : footprint.steps(held, list, look.added, look.full, room),
+                after(held, list, look, look.added), after(held, list, look, mayAdd));
+        judged.accept(last);
+        return whole;
+    }
+
+    /** What is held once so many of the nodes that a list adds were added, and what it ends has left. */
+    private ListShape after(ListShape held, ListShape list, Look look, int added) {
+        ListShape all = look.full ? list.of(list.nodes() - look.added + added) : held.plus(list, added);
+        return new ListShape(all.nodes(), largest, all.idChars(), all.valueChars());
+    }
+
+    /** Known nodes, and of the others as many as fit. */
+    private Predicate<JsonObject> taken() {
         int[] left = {mayAdd};
-        return JsonObject.parse(text, ENTRIES, entry -> entry != null && known(entry)
-                || !isGone(entry) && left[0]-- > 0);
+        return entry -> entry != null && known(entry) || !isGone(entry) && left[0]-- > 0;
     }
 
     private boolean known(JsonObject entry) {
--- a/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
+++ b/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
@@ -57,6 +57,9 @@
         List<ResolverResult.Node> nodes = new ArrayList<>();
         List<String> unread = new ArrayList<>();
         for (int i = 0; i < entries.size(); i++) {
+            if (entries.get(i) == JsonObject.LEFT_OUT) {
+                continue;
+            }
             if (entries.get(i) == null) {
                 unread.add("servers[" + i + "] is not an object");
                 continue;
--- a/daemon/src/main/java/cedarrudder/transport/DiscoveryClient.java
+++ b/daemon/src/main/java/cedarrudder/transport/DiscoveryClient.java
@@ -126,16 +126,28 @@
     private void settle(boolean all) {
         boolean left = gate != null && gate.last().waits() > 0;
         if (left) {
-            ListGate.Judged why = gate.last();
-            loop.log().warn("footprint.refused").with("bound", why.bound()).with("needed", why.needed())
-                    .with("room", why.room()).with("held", why.held()).with("wanted", why.wanted())
-                    .with("waits", why.waits()).write();
+            refused();
         }
         waiting = left || waiting && !all;
         since = waiting ? Math.min(since, version) : version;
         askAgain();
     }
 
+    private void refused() {
+        ListGate.Judged why = gate.last();
+        loop.log().warn("footprint.refused").with("bound", why.bound()).with("needed", why.needed())
+                .with("room", why.room()).with("held", why.held()).with("wanted", why.wanted())
+                .with("waits", why.waits()).with("never", why.never()).write();
+    }
+
+    /** Of the list with which the process starts nodes were left out: discovery is to tell them. */
+    public void startedShort() {
+        refused();
+        waiting = true;
+        since = 0;
+        askAgain();
+    }
+
     /** Not at once: guards against calls without end for a list that still does not fit. */
     private void askAgain() {
         if (waiting && !asksAgain) {
--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -136,6 +136,11 @@
         this.mostCallers = mostCallers;
     }
 
+    /** How many callers are connected. */
+    public int callers() {
+        return callers.size();
+    }
+
     /**
      * From now on these limits count; connections that are open keep their bounds on bytes. Where fewer
      * callers may be there than are, those that wait for nothing are closed.
--- a/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
+++ b/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
@@ -190,6 +190,11 @@
         }
     }
 
+    /** How many channels there are. */
+    public int open() {
+        return open;
+    }
+
     @Override
     public boolean knows(long endpoint) {
         return nodes.containsKey(endpoint);
