--- a/core/src/main/java/cedarrudder/fleet/FleetCopy.java
+++ b/core/src/main/java/cedarrudder/fleet/FleetCopy.java
@@ -6,17 +6,22 @@
 import cedarrudder.agreement.Group;
 import cedarrudder.agreement.LogNumber;
 import cedarrudder.agreement.Note;
+import cedarrudder.agreement.Outcome;
+import cedarrudder.agreement.Proposal;
 import cedarrudder.agreement.Store;
 import cedarrudder.agreement.Voter;
 import cedarrudder.agreement.Voters;
 import cedarrudder.fleet.Letter.Of;
 import cedarrudder.fleet.Letter.Part;
+import cedarrudder.footprint.Room;
+import cedarrudder.footprint.TableFootprint;
 import cedarrudder.table.RouteTable;
 import cedarrudder.table.TableCodec;
 import cedarrudder.table.TableDifference;
 import cedarrudder.table.Tables;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
@@ -37,12 +42,14 @@
     public static final int MOST_PARTS = 4;
     public static final int MOST_PART = 136;
 
+    /** What the log can take of a table. */
+    private static final Room LOG = new Room(Agreement.MOST_CONTENT - 1, RouteTable.MOST_LEAVING,
+            Integer.MAX_VALUE);
+
     /** What an entry holds, by its first byte. */
     private static final byte TABLE = 1;
     private static final byte COMMAND = 2;
 
-    /** A copy that the one it takes to lead has not answered so often asks another who does. */
-    private static final int MOST_UNANSWERED = 2;
     /** What a part takes beside its bytes. */
     private static final int PART_HEAD = 2;
     /** Reports of which an answer may still come. */
@@ -78,6 +85,13 @@
          */
         void leaving(List<RouteTable.Leaving> leaving);
 
+        /**
+         * What became of a command that was proposed here, said once.
+         *
+         * @param number the one that it was applied under, where it is committed; otherwise null
+         */
+        void settled(Proposal proposal, Outcome outcome, LogNumber number);
+
         /** Something that others may want to know; words of {@code docs/AGREEMENT.md}. */
         void noted(String what, Map<String, String> fields);
     }
@@ -110,14 +124,12 @@
     private boolean counts;
     private boolean fits;
     private long until;
+    private long contact;
     private List<RouteTable.Leaving> leaving = List.of();
     private long longest;
 
     private long reportAt;
     private long number;
-    private int unanswered;
-    private int asked = -1;
-    private int known = -1;
     private Group grantGroup = Group.NONE;
     private long grantTerm;
     private long grantAt = Letter.NEVER;
@@ -163,6 +175,7 @@
         this.reporters = new Reporters(zones.length, now);
         this.lease = new Lease(now);
         this.until = lease.until();
+        this.contact = lease.contact();
         this.number = (life & MOST_START) << START;
         this.reportAt = now + (long) (random.nextDouble() * reports);
         this.agreement = new Agreement(zones, self, life, agreed, store, random, new FromLog(store), now);
@@ -220,6 +233,11 @@
             }
         }
 
+        @Override
+        public void settled(Proposal proposal, Outcome outcome, LogNumber number) {
+            outlet.settled(proposal, outcome, number);
+        }
+
         @Override
         public void noted(Note note) {
             if (note instanceof Note.Stored stored && stored.entry().kind() == Entry.Kind.BEGIN
@@ -274,7 +292,7 @@
 
     /** The copy that leads, as far as this one knows; -1 where it knows of none. */
     public int leader() {
-        return agreement.leads() ? self : agreement.leader() >= 0 ? agreement.leader() : known;
+        return agreement.leader();
     }
 
     public Counts counts() {
@@ -321,9 +339,7 @@
             } else if (sealed.letter() instanceof Letter.Report report) {
                 reported(from, sealed.life(), report);
             } else if (sealed.letter() instanceof Letter.Grant grant) {
-                granted(from, grant);
-            } else if (sealed.letter() instanceof Letter.Hint hint) {
-                hinted(from, hint);
+                granted(grant);
             }
         } else {
             agreement.received(now, from, bytes);
@@ -350,16 +366,17 @@
     }
 
     /**
-     * Proposes a command of {@link Removal}, at any copy.
+     * Proposes a command of {@link Removal}, at any copy, whoever leads.
      *
-     * @return its number if it comes to be committed; null where nothing is taken now
-     * @throws IllegalArgumentException if it is larger than an entry may be
+     * @param patience after which its outcome is said, whatever is known by then; nanoseconds
+     * @return what {@link Outlet#settled} will name; null where too many wait here, so that it is not taken
+     * @throws IllegalArgumentException if it is larger than what may be handed on
      */
-    public LogNumber propose(long at, byte[] command) {
+    public Proposal propose(long at, byte[] command, long patience) {
         begin(at);
-        LogNumber taken = agreement.propose(now, tagged(COMMAND, command));
+        Proposal made = agreement.hand(now, tagged(COMMAND, command), patience);
         settle();
-        return taken;
+        return made;
     }
 
     /** This copy is about to end: another leads where this one does; false where none can. */
@@ -408,6 +425,7 @@
         List<RouteTable.Leaving> next = removal.leaving();
         if (!next.equals(leaving)) {
             leaving = next;
+            say(Words.leaving(leaving));
             outlet.leaving(leaving);
         }
     }
@@ -415,7 +433,7 @@
     /** Whether there is room for what is agreed on. */
     private void look() {
         RouteTable table = lease.agreed();
-        fits = counts && room.get().holds(table, TableCodec.encode(table).length);
+        fits = counts && room.get().holds(table, TableFootprint.bytes(table));
     }
 
     /** Sees to it that the table that counts is the one that may. */
@@ -434,6 +452,10 @@
         if (led && begun()) {
             lease.sure(agreement.group(), agreedNumber(), majorityAt());
         }
+        if (lease.contact() > contact) {
+            contact = lease.contact();
+            say(Words.renewed(now - contact));
+        }
         long next = lease.until();
         RouteTable holds = fits && now < next ? lease.agreed() : null;
         if (holds != null && next != until) {
@@ -476,11 +498,10 @@
             parts.forEach(part -> took(self, part));
             return;
         }
-        asked = whom();
-        if (asked < 0) {
+        int leads = agreement.leader();
+        if (leads < 0 || leads == self) {
             return;
         }
-        unanswered++;
         boolean sameTerm = grantGroup.equals(agreement.group()) && grantTerm == agreement.term();
         for (int next = 0; next == 0 || next < parts.size();) {
             List<Part> these = new ArrayList<>();
@@ -492,7 +513,7 @@
             }
             boolean first = next == these.size();
             sentAt[(int) (++number % OPEN)] = now;
-            post(asked, new Letter.Report(first, number, agreement.group(), agreement.term(),
+            post(leads, new Letter.Report(first, number, agreement.group(), agreement.term(),
                     sameTerm ? grantAt : Letter.NEVER, agreedNumber(), Math.max(agreedNumber(), highest()),
                     room.get(), these));
             if (these.isEmpty()) {
@@ -509,23 +530,6 @@
         outlet.send(to, letter.encode(self, agreement.life()));
     }
 
-    /** The one that leads, as far as this copy knows; else one that may know. */
-    private int whom() {
-        if (unanswered > MOST_UNANSWERED) {
-            known = -1;
-        }
-        int leads = agreement.leader();
-        if (leads >= 0 && leads != self && unanswered <= MOST_UNANSWERED) {
-            return leads;
-        } else if (known >= 0) {
-            return known;
-        }
-        List<Voter> voters = agreement.voters().all();
-        int any = voters.isEmpty() ? random.nextInt(zones.length)
-                : voters.get(random.nextInt(voters.size())).copy();
-        return any == self ? -1 : any;
-    }
-
     private void took(int from, Part part) {
         if (part.of() == Of.SHARES) {
             shares.reported(now, from, part.bytes());
@@ -536,10 +540,6 @@
 
     private void reported(int from, long life, Letter.Report report) {
         if (!agreement.leads()) {
-            int leads = agreement.leader();
-            if (report.asks() && leads >= 0 && leads != from && reporters.answers(now, from, reports)) {
-                post(from, new Letter.Hint(agreement.group(), agreement.term(), leads));
-            }
             return;
         }
         boolean ours = report.group().equals(agreement.group()) && report.term() == agreement.term();
@@ -558,7 +558,7 @@
         }
     }
 
-    private void granted(int from, Letter.Grant grant) {
+    private void granted(Letter.Grant grant) {
         if (grant.life() != agreement.life() || grant.asked() > number || grant.asked() <= number - OPEN) {
             return;
         }
@@ -566,8 +566,6 @@
         if (byGroup < 0 || byGroup == 0 && grant.term() < grantTerm) {
             return; // guards against one that led before being asked again and again
         }
-        unanswered = 0;
-        known = from;
         number = Math.max(number, grant.last());
         boolean first = byGroup != 0 || grant.term() != grantTerm;
         grantAt = first ? grant.at() : Math.max(grantAt, grant.at());
@@ -581,17 +579,6 @@
         }
     }
 
-    private void hinted(int from, Letter.Hint hint) {
-        int byGroup = hint.group().compareTo(grantGroup);
-        boolean newer = byGroup > 0 || byGroup == 0 && hint.term() >= grantTerm;
-        if (from == asked && newer && hint.leader() != self && known != hint.leader()) {
-            known = hint.leader();
-            unanswered = 0;
-            asked = -1; // one answer is enough: guards against copies that name one another without end
-            reportAt = now;
-        }
-    }
-
     // ---- the plan ----
 
     private void plan() {
@@ -637,25 +624,21 @@
 
     /** A table that the smallest live copy can't load is not agreed on. */
     private boolean roomEverywhere(RouteTable table) {
-        int bytes = TableCodec.encode(table).length;
-        Room log = new Room(Agreement.MOST_CONTENT - 1, RouteTable.MOST_LEAVING);
-        int by = log.holds(table, bytes) ? self : -1;
-        Room least = by < 0 ? log : room.get();
-        for (int copy = 0; copy < zones.length && by >= 0 && least.holds(table, bytes); copy++) {
-            if (copy != self && tier.lives(copy)
-                    && reporters.heardSince(copy, now - HEARD_LATELY * reports)) {
-                by = copy;
-                least = reporters.room(copy);
+        Map<Integer, Room> rooms = new HashMap<>();
+        for (int copy = 0; copy < zones.length; copy++) {
+            if (copy == self) {
+                rooms.put(copy, room.get().least(LOG));
+            } else if (tier.lives(copy) && reporters.heardSince(copy, now - HEARD_LATELY * reports)) {
+                rooms.put(copy, reporters.room(copy));
             }
         }
-        if (least.holds(table, bytes)) {
+        Integer by = Room.holdsBack(table, rooms);
+        if (by == null) {
             heldBack = null;
-            return true;
-        }
-        if (heldBack == null || !TableDifference.between(heldBack, table).nothing()) {
+        } else if (heldBack == null || !TableDifference.between(heldBack, table).nothing()) {
             heldBack = table;
-            say(Words.heldBack(by, bytes, table.leaving().size(), least));
+            say(Words.heldBack(by, TableFootprint.bytes(table), table.leaving().size(), rooms.get(by)));
         }
-        return false;
+        return by == null;
     }
 }
--- a/core/src/main/java/cedarrudder/fleet/Lease.java
+++ b/core/src/main/java/cedarrudder/fleet/Lease.java
@@ -61,6 +61,11 @@
         }
     }
 
+    /** The last sure contact in this group. */
+    long contact() {
+        return contact;
+    }
+
     /** Until when what is agreed on may be used; in the past where it may not be. */
     long until() {
         return agreed == null ? none : contact + agreed.lease() - agreed.lease() / FleetSettings.DRIFT;
--- a/core/src/main/java/cedarrudder/fleet/Letter.java
+++ b/core/src/main/java/cedarrudder/fleet/Letter.java
@@ -1,6 +1,7 @@
 package cedarrudder.fleet;
 
 import cedarrudder.agreement.Group;
+import cedarrudder.footprint.Room;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -64,17 +65,14 @@
     record Grant(long life, long asked, Group group, long term, long at, long age, long table, long last)
             implements Letter { }
 
-    /** The answer of one that does not lead: who does, as far as it knows. */
-    record Hint(Group group, long term, int leader) implements Letter { }
-
     default byte[] encode(int sender, long life) {
         ByteBuffer out = ByteBuffer.allocate(MOST_BYTES);
         out.put(FIRST);
         if (this instanceof Report m) {
             out.put((byte) (m.asks ? 1 : 0)).putShort((short) sender).putLong(life).putLong(m.number);
             put(out, m.group);
-            out.putLong(m.term).putLong(m.heardAt).putLong(m.table).putLong(m.highest)
-                    .putInt(m.room.bytes()).putInt(m.room.nodes());
+            out.putLong(m.term).putLong(m.heardAt).putLong(m.table).putLong(m.highest);
+            m.room.put(out);
             for (Part part : m.parts) {
                 out.put((byte) part.of.ordinal()).put((byte) part.bytes.length).put(part.bytes);
             }
@@ -83,10 +81,6 @@
             put(out, m.group);
             out.putLong(m.term).putLong(m.at).putLong(m.age).putLong(m.table)
                     .putLong(m.last);
-        } else if (this instanceof Hint m) {
-            out.put((byte) 3).putShort((short) sender).putLong(life);
-            put(out, m.group);
-            out.putLong(m.term).putShort((short) m.leader);
         }
         out.putInt(sum(out.array(), out.position()));
         byte[] bytes = new byte[out.position()];
@@ -111,31 +105,30 @@
             long life = in.getLong();
             Letter letter = switch (kind) {
                 case 0, 1 -> new Report(kind == 1, in.getLong(), group(in), in.getLong(), in.getLong(),
-                        in.getLong(), in.getLong(), new Room(in.getInt(), in.getInt()), parts(in));
+                        in.getLong(), in.getLong(), Room.get(in), parts(in));
                 case 2 -> new Grant(in.getLong(), in.getLong(), group(in), in.getLong(), in.getLong(),
                         in.getLong(), in.getLong(), in.getLong());
-                case 3 -> new Hint(group(in), in.getLong(), in.getShort() & 0xffff);
                 default -> null;
             };
             boolean good = letter != null && !in.hasRemaining() && sender < copies && life >= 0
-                    && letter.plausible(copies);
+                    && letter.plausible();
             return good ? new Sealed(sender, life, letter) : null;
         } catch (BufferUnderflowException e) {
             return null;
         }
     }
 
-    private boolean plausible(int copies) {
+    private boolean plausible() {
         if (this instanceof Report m) {
             return m.number >= 0 && m.number < Long.MAX_VALUE >> 1
                     && m.term >= 0 && m.table >= 0 && m.highest >= m.table
-                    && m.highest < Long.MAX_VALUE >> 1 && m.room.bytes() >= 0 && m.room.nodes() >= 0
+                    && m.highest < Long.MAX_VALUE >> 1
                     && m.parts.size() <= 2 * FleetCopy.MOST_PARTS;
         } else if (this instanceof Grant m) {
             return m.term >= 0 && m.age >= -1 && m.age < Long.MAX_VALUE >> 2 && m.table >= 0
                     && m.last < Long.MAX_VALUE >> 1;
         }
-        return this instanceof Hint m && m.term >= 0 && m.leader < copies;
+        return false;
     }
 
     private static List<Part> parts(ByteBuffer in) {
--- a/core/src/main/java/cedarrudder/fleet/Reporters.java
+++ b/core/src/main/java/cedarrudder/fleet/Reporters.java
@@ -2,6 +2,7 @@
 
 import cedarrudder.agreement.Voter;
 import cedarrudder.agreement.Voters;
+import cedarrudder.footprint.Room;
 import java.util.Arrays;
 
 /** What the copy that leads knows of the copies that report to it, and when a majority was with it. */
--- a/core/src/main/java/cedarrudder/fleet/Words.java
+++ b/core/src/main/java/cedarrudder/fleet/Words.java
@@ -6,8 +6,10 @@
 import cedarrudder.agreement.Note;
 import cedarrudder.agreement.Voter;
 import cedarrudder.agreement.Voters;
+import cedarrudder.footprint.Room;
 import cedarrudder.table.RouteTable;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.stream.Collectors;
@@ -68,14 +70,24 @@
         return new Said("lapsed", Map.of("number", text(table.number())));
     }
 
+    /** The lease counts from so long ago. */
+    static Said renewed(long age) {
+        return new Said("renewed", Map.of("age", text(age)));
+    }
+
+    static Said leaving(List<RouteTable.Leaving> nodes) {
+        return new Said("leaving", Map.of("nodes", nodes.stream().map(node -> text(node.node()))
+                .collect(Collectors.joining(","))));
+    }
+
     static Said refused(RouteTable table, String why) {
         return new Said("refused", Map.of("number", text(table.number()), "why", why));
     }
 
-    /** A copy, or -1 where the log's own bound binds. */
+    /** A copy has no room for what the one that leads would have agreed on. */
     static Said heldBack(int copy, int bytes, int nodes, Room room) {
         return new Said("held-back", Map.of("by", text(copy), "bytes", text(bytes), "nodes", text(nodes),
-                "room", room.bytes() + " bytes, " + room.nodes() + " nodes"));
+                "room", room.bytes() + " bytes, " + room.leaving() + " nodes"));
     }
 
     /** As texts that sort as the groups do. */
--- a/core/src/main/java/cedarrudder/routing/Driver.java
+++ b/core/src/main/java/cedarrudder/routing/Driver.java
@@ -43,6 +43,7 @@
     private boolean delivering;
     private boolean shared;
     private long sharesUntil = Long.MAX_VALUE;
+    private Runnable byShares;
 
     public Driver(Function<Balancer.Actions, Balancer> module, int maxAttempts, Timers timers, Logger log) {
         this(module, maxAttempts, timers, log, null, null);
@@ -250,6 +251,11 @@
         sharesUntil = instant;
     }
 
+    /** Runs this whenever an RPC goes out by shares that were said; null: nobody wants to know. */
+    public void onShared(Runnable hears) {
+        byShares = hears;
+    }
+
     /** An operator has put a node back. */
     public void returned(long endpoint) {
         post(() -> balancer.returned(timers.now(), endpoint));
@@ -380,6 +386,9 @@
                 }
                 attempt.hand(budgets.handDown(now, exchange.budget()));
             }
+            if (shared && byShares != null) {
+                byShares.run();
+            }
             if (timeout != 0) {
                 timers.at(now + timeout, () -> giveUp(attempt, Outcome.TIMEOUT));
             }
--- a/daemon/src/main/java/cedarrudder/program/CopyEstimate.java
+++ b/daemon/src/main/java/cedarrudder/program/CopyEstimate.java
@@ -5,11 +5,13 @@
 import cedarrudder.footprint.Layout;
 import cedarrudder.footprint.Limits;
 import cedarrudder.footprint.ListShape;
+import cedarrudder.footprint.Room;
 import cedarrudder.footprint.TableFootprint;
 import cedarrudder.protocol.FiguresPage;
 import cedarrudder.protocol.ListGate;
 import cedarrudder.protocol.ListGate.Judged;
 import cedarrudder.protocol.SiteSettings;
+import cedarrudder.table.RouteTable;
 import cedarrudder.transport.Notes;
 import java.lang.management.ManagementFactory;
 import java.util.Map;
@@ -83,7 +85,12 @@
         CopyShape shape = shape(gate.held(), now.load());
         return new FiguresPage.Estimate(gate.last(), copy.takes(shape), copy.oneMoreNode(shape),
                 copy.resident(shape), copy.judge(shape, limits),
-                tables.room(null, gate.left(), gate.most()));
+                room(null, gate));
+    }
+
+    /** What this copy can load of route tables, beside the nodes that it holds. */
+    Room room(RouteTable held, ListGate gate) {
+        return tables.room(held, gate.left(), gate.most());
     }
 
     /** Writes a verdict for the judge of many copies: of the whole list, and of what is loaded of it. */
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -10,6 +10,7 @@
 import cedarrudder.figures.Figures;
 import cedarrudder.flow.HeldBytes;
 import cedarrudder.footprint.Footprint;
+import cedarrudder.footprint.Room;
 import cedarrudder.logging.Logger;
 import cedarrudder.logging.TextLines;
 import cedarrudder.membership.MembershipSettings;
@@ -210,7 +211,8 @@
         }
         return new Together(loop, peers, membership, set, new Together.Self(Together.zones(set,
                 configuration.site().zones(), copies, module.self(), module.zone()), module.self(),
-                this::wallClock, new SplittableRandom(configuration.seed()).split().split().split().split()),
+                this::wallClock, new SplittableRandom(configuration.seed()).split().split().split().split(),
+                held -> estimate == null ? Room.ANY : estimate.room(held, footprint)),
                 driver, this::leaving, history, log);
     }
 
--- a/daemon/src/main/java/cedarrudder/program/Together.java
+++ b/daemon/src/main/java/cedarrudder/program/Together.java
@@ -1,11 +1,14 @@
 package cedarrudder.program;
 
 import cedarrudder.Balancer.ZoneShare;
+import cedarrudder.agreement.LogNumber;
+import cedarrudder.agreement.Outcome;
+import cedarrudder.agreement.Proposal;
 import cedarrudder.agreement.Store;
 import cedarrudder.fleet.FleetCopy;
 import cedarrudder.fleet.Removal;
-import cedarrudder.fleet.Room;
 import cedarrudder.fleet.Shares;
+import cedarrudder.footprint.Room;
 import cedarrudder.logging.Logger;
 import cedarrudder.operator.TogetherSettings;
 import cedarrudder.routing.Driver;
@@ -21,14 +24,23 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
 /** What this proxy decides with the others of its tier, wired to what it does. On the loop's thread. */
 final class Together implements Fleet.Host, Fleet.Maker {
 
-    /** What a proxy is, beside what its operators set. */
-    record Self(int[] zones, int number, LongSupplier wallClock, RandomGenerator random) { }
+    /**
+     * What a proxy is, beside what its operators set.
+     *
+     * @param room what it can load beside a table that it holds, which may be null
+     */
+    record Self(int[] zones, int number, LongSupplier wallClock, RandomGenerator random,
+            Function<RouteTable, Room> room) { }
+
+    /** A history tells of calls that go by a table this often at the most. */
+    private static final long SAID_APART = 100_000_000L;
 
     private final Self self;
     private final TogetherSettings settings;
@@ -40,6 +52,7 @@
     private final BitSet dead = new BitSet();
     private FileStore store;
     private RouteTable table;
+    private long saidAt;
 
     /** @param leaving takes the numbers of all nodes that are being removed, whenever that changes */
     Together(Loop loop, PeerSocket peers, Membership membership, TogetherSettings settings, Self self,
@@ -52,6 +65,9 @@
         this.log = log;
         this.fleet = new Fleet(loop, peers, this, this, notes);
         membership.onEach(this::lives);
+        if (notes != null) {
+            driver.onShared(() -> used(loop.now()));
+        }
     }
 
     /**
@@ -100,7 +116,7 @@
         }
         return new FleetCopy(self.zones, self.number, Math.max(1, self.wallClock.getAsLong()),
                 settings.agreement(), settings.fleet(), kept, self.random, Shares.NONE, Removal.NONE,
-                () -> Room.ANY, outlet, now);
+                () -> self.room.apply(table), outlet, now);
     }
 
     @Override
@@ -133,6 +149,19 @@
                         : Math.max(1, share.perSecond() / divided))).toList());
     }
 
+    /** Guards against a judge that can't tell when a table was still used. */
+    private void used(long now) {
+        if (table != null && now - saidAt >= SAID_APART) {
+            saidAt = now;
+            notes.note("used", Map.of("number", table.number()));
+        }
+    }
+
+    @Override
+    public void settled(Proposal proposal, Outcome outcome, LogNumber number) {
+        log.info("agreement.settled").with("outcome", outcome).write();
+    }
+
     @Override
     public void until(long instant) {
         driver.sharesUntil(instant);
--- a/daemon/src/main/java/cedarrudder/transport/Fleet.java
+++ b/daemon/src/main/java/cedarrudder/transport/Fleet.java
@@ -1,5 +1,8 @@
 package cedarrudder.transport;
 
+import cedarrudder.agreement.LogNumber;
+import cedarrudder.agreement.Outcome;
+import cedarrudder.agreement.Proposal;
 import cedarrudder.fleet.FleetCopy;
 import cedarrudder.routing.Timers;
 import cedarrudder.table.RouteTable;
@@ -28,6 +31,9 @@
         /** And not from that instant on, whatever else is said or not. */
         void until(long instant);
 
+        /** What became of a command that was proposed here; null where it is not committed. */
+        void settled(Proposal proposal, Outcome outcome, LogNumber number);
+
         /** These nodes are being removed. */
         void leaving(List<RouteTable.Leaving> nodes);
     }
@@ -200,6 +206,11 @@
             host.leaving(nodes);
         }
 
+        @Override
+        public void settled(Proposal proposal, Outcome outcome, LogNumber number) {
+            host.settled(proposal, outcome, number);
+        }
+
         @Override
         public void noted(String what, Map<String, String> fields) {
             if (notes != null) {
--- a/lab/src/main/java/cedarrudder/lab/cluster/Copy.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Copy.java
@@ -154,11 +154,6 @@
         return true;
     }
 
-    /** Where operators find the process that was started last. */
-    synchronized InetSocketAddress admin() {
-        return admins.get(admins.size() - 1).address();
-    }
-
     /** Kills all its processes. */
     synchronized void kill() {
         for (Supervised process : processes) {
--- a/lab/src/main/java/cedarrudder/lab/fleet/FleetWorld.java
+++ b/lab/src/main/java/cedarrudder/lab/fleet/FleetWorld.java
@@ -1,12 +1,15 @@
 package cedarrudder.lab.fleet;
 
 import cedarrudder.agreement.AgreementSettings;
+import cedarrudder.agreement.LogNumber;
+import cedarrudder.agreement.Outcome;
+import cedarrudder.agreement.Proposal;
 import cedarrudder.agreement.Store;
 import cedarrudder.fleet.FleetCopy;
 import cedarrudder.fleet.FleetSettings;
 import cedarrudder.fleet.Removal;
-import cedarrudder.fleet.Room;
 import cedarrudder.fleet.Shares;
+import cedarrudder.footprint.Room;
 import cedarrudder.lab.agreement.Copies.Network;
 import cedarrudder.lab.agreement.Disk;
 import cedarrudder.lab.judge.Event;
@@ -64,6 +67,7 @@
         RouteTable table;
         long until;
         List<RouteTable.Leaving> leaving = List.of();
+        final List<Outcome> settled = new ArrayList<>();
         long process;
         long stalledUntil;
         long ticksAt;
@@ -166,6 +170,11 @@
             leaving = next;
         }
 
+        @Override
+        public void settled(Proposal proposal, Outcome outcome, LogNumber number) {
+            settled.add(outcome);
+        }
+
         @Override
         public void noted(String what, Map<String, String> fields) {
             listener.accept(new Event(now, number, process, what, fields));
@@ -309,6 +318,19 @@
         place.run(place.process, () -> place.copy.form(place.own()));
     }
 
+    /** An operator asks for something at this copy; false where it does not take it. */
+    public boolean propose(int number, byte[] command, long patience) {
+        Place place = places.get(number);
+        Proposal[] made = new Proposal[1];
+        place.run(place.process, () -> made[0] = place.copy.propose(place.own(), command, patience));
+        return made[0] != null;
+    }
+
+    /** What became of all that was asked for at a copy, in the order in which that was known. */
+    public List<Outcome> settled(int number) {
+        return places.get(number).settled;
+    }
+
     /** Gives a copy bytes as if from another. */
     public void inject(int to, int from, byte[] bytes) {
         Place place = places.get(to);
--- a/lab/src/test/java/cedarrudder/lab/cluster/FleetIT.java
+++ b/lab/src/test/java/cedarrudder/lab/cluster/FleetIT.java
@@ -8,6 +8,7 @@
 import cedarrudder.lab.judge.Breach;
 import cedarrudder.lab.judge.Event;
 import cedarrudder.lab.judge.History;
+import cedarrudder.lab.judge.Leases;
 import cedarrudder.lab.judge.OneLeader;
 import cedarrudder.lab.judge.OneTable;
 import cedarrudder.lab.judge.OneVoice;
@@ -43,6 +44,8 @@
     private static final int KEEPS = 4;
     private static final long SECOND = 1_000_000_000L;
     private static final long PATIENCE = 90 * SECOND;
+    /** On a machine of its own another leads within 3 s. */
+    private static final long LEAD = 30 * SECOND;
     private static final long LEASE_MILLIS = 4_000;
     private static final int LOOK_MILLIS = 50;
 
@@ -76,9 +79,8 @@
                     lease_ms = %d
                     %s
                     [history]
-                    file = "%%s"
-                    """.formatted(LEASE_MILLIS, i == KEEPS ? "folder = \"" + folder.resolve("kept") + "\""
-                            : ""));
+                    file = "{history}"
+                    """.formatted(LEASE_MILLIS, i == KEEPS ? "folder = \"{folder}\"" : ""));
         }
     }
 
@@ -212,11 +214,12 @@
         assertTrue(count("joins", upgraded, "kept", "1") >= 2, "the new process did not find the file");
 
         List<Event> events = events();
-        List<Breach> breaches = History.judged(events, System.nanoTime(), List.of(new OneTable(),
-                new OneLeader(), new OneVoice()));
+        List<Breach> breaches = History.judged(events, System.nanoTime(), List.of(new OneTable(SECOND),
+                new OneLeader(), new OneVoice(), new Leases(SECOND)));
         assertEquals(breaches, List.of(), "in " + folder);
         assertTrue(copies.stream().allMatch(copy -> copy.crashes().isEmpty()));
-        System.out.println("leads again after ms: " + (leadsAfter(events, "doomed") / 1_000_000));
+        long after = leadsAfterTheKill(events);
+        assertTrue(after < LEAD, "another leads after " + after / 1_000_000 + " ms");
     }
 
     /** The first that it says of its table after it went on is that the lease is over. */
@@ -228,8 +231,9 @@
                 .contains(event.what())).findFirst().orElseThrow().what().equals("lapsed");
     }
 
-    private static long leadsAfter(List<Event> events, String what) {
-        long from = events.stream().filter(event -> event.what().equals(what)).findFirst().orElseThrow().at();
+    private static long leadsAfterTheKill(List<Event> events) {
+        long from = events.stream().filter(event -> event.what().equals("doomed")).findFirst().orElseThrow()
+                .at();
         return events.stream().filter(event -> event.what().equals("leads") && event.at() > from).findFirst()
                 .orElseThrow().at() - from;
     }
--- a/lab/src/test/java/cedarrudder/lab/fleet/FleetWorldTest.java
+++ b/lab/src/test/java/cedarrudder/lab/fleet/FleetWorldTest.java
@@ -7,13 +7,14 @@
 import static org.testng.Assert.assertTrue;
 
 import cedarrudder.agreement.AgreementSettings;
+import cedarrudder.agreement.Outcome;
 import cedarrudder.agreement.Store;
 import cedarrudder.fleet.FleetCopy;
 import cedarrudder.fleet.FleetSettings;
 import cedarrudder.fleet.Removal;
-import cedarrudder.fleet.Room;
 import cedarrudder.fleet.Shares;
 import cedarrudder.fleet.Tier;
+import cedarrudder.footprint.Room;
 import cedarrudder.lab.agreement.Copies.Network;
 import cedarrudder.lab.judge.Event;
 import cedarrudder.lab.judge.OneLeader;
@@ -68,7 +69,7 @@
     private FleetCopy make(int[] zones, int self, long life, Store store, RandomGenerator random,
             FleetCopy.Outlet outlet, long now) {
         return new FleetCopy(zones, self, life, AGREED, SETTINGS, store, random, new Plan(), Removal.NONE,
-                () -> new Room(self == 3 ? room : Integer.MAX_VALUE, 10), outlet, now);
+                () -> new Room(self == 3 ? room : Integer.MAX_VALUE, 10, 10), outlet, now);
     }
 
     private FleetWorld started(int size, Network network, boolean disks, long seed) {
@@ -271,6 +272,23 @@
         assertNull(world.uses(away));
     }
 
+    /** A command can be proposed at any copy, whether it votes, leads or neither. */
+    @Test
+    public void whatIsProposedAtAnyCopyComesToAll() {
+        FleetWorld world = started(9, CALM, false, 11);
+        for (int copy = 0; copy < 9; copy++) {
+            assertTrue(world.propose(copy, new byte[] {7}, 5 * SECOND));
+        }
+        world.play(4 * SECOND);
+        for (int copy = 0; copy < 9; copy++) {
+            assertEquals(world.settled(copy), List.of(Outcome.COMMITTED), "copy " + copy);
+        }
+        world.cutOff(List.of(other(world)));
+        world.propose(other(world), new byte[] {7}, 2 * SECOND);
+        world.play(3 * SECOND);
+        assertNotEquals(world.settled(other(world)).get(1), Outcome.COMMITTED);
+    }
+
     @Test
     public void garbageAndOldDatagramsChangeNothing() {
         FleetWorld world = started(5, CALM, false, 7);
