--- a/core/src/main/java/cedarrudder/routing/Driver.java
+++ b/core/src/main/java/cedarrudder/routing/Driver.java
@@ -5,6 +5,7 @@
 import cedarrudder.Balancer.ListKind;
 import cedarrudder.Balancer.Load;
 import cedarrudder.Balancer.Outcome;
+import cedarrudder.Balancer.ZoneShare;
 import cedarrudder.budget.Budgets;
 import cedarrudder.budget.FromBelow;
 import cedarrudder.figures.Figures;
@@ -40,6 +41,9 @@
     private Resolver resolver;
     private Peers peers;
     private boolean delivering;
+    private boolean shared;
+    private long sharesUntil = Long.MAX_VALUE;
+    private Runnable byShares;
 
     public Driver(Function<Balancer.Actions, Balancer> module, int maxAttempts, Timers timers, Logger log) {
         this(module, maxAttempts, timers, log, null, null);
@@ -230,6 +234,28 @@
         post(() -> balancer.copies(timers.now(), live));
     }
 
+    /** Each zone may get such a part of the RPCs; an empty list: as the module sees fit. */
+    public void shares(List<ZoneShare> shares) {
+        post(() -> {
+            shared = !shares.isEmpty();
+            balancer.shares(timers.now(), shares);
+        });
+    }
+
+    /**
+     * From that instant on the shares that were said last must not be used. It is looked at before each event
+     * of the module. Guards against a process that stood still and goes on, in its first moment, by what
+     * copies had agreed on long ago.
+     */
+    public void sharesUntil(long instant) {
+        sharesUntil = instant;
+    }
+
+    /** Runs this whenever an RPC goes out by shares that were said; null: nobody wants to know. */
+    public void onShared(Runnable hears) {
+        byShares = hears;
+    }
+
     /** An operator has put a node back. */
     public void returned(long endpoint) {
         post(() -> balancer.returned(timers.now(), endpoint));
@@ -262,6 +288,10 @@
 
     private void deliver(Runnable event) {
         try {
+            if (shared && timers.now() >= sharesUntil) {
+                shared = false;
+                balancer.shares(timers.now(), List.of());
+            }
             event.run();
         } catch (RuntimeException | VirtualMachineError | LinkageError e) {
             // Guards against one bad event keeping those behind it; the RPC it concerns still has its timer.
@@ -356,6 +386,9 @@
                 }
                 attempt.hand(budgets.handDown(now, exchange.budget()));
             }
+            if (shared && byShares != null) {
+                byShares.run();
+            }
             if (timeout != 0) {
                 timers.at(now + timeout, () -> giveUp(attempt, Outcome.TIMEOUT));
             }
--- a/daemon/src/main/java/cedarrudder/operator/Operator.java
+++ b/daemon/src/main/java/cedarrudder/operator/Operator.java
@@ -31,7 +31,7 @@
     private static List<Section<?>> sections() {
         return List.of(LogTable.LOG, CallersTable.CALLERS, NodesTable.NODES, DiscoveryTable.DISCOVERY,
                 BudgetTable.BUDGET, MembershipTable.MEMBERSHIP, HistoryTable.HISTORY,
-                FootprintTable.FOOTPRINT);
+                FootprintTable.FOOTPRINT, AgreementTable.AGREEMENT);
     }
 
     /**
@@ -43,7 +43,12 @@
         return read(Document.read(file));
     }
 
-    static Operator read(Document document) throws BadFileException {
+    /**
+     * Reads a text.
+     *
+     * @throws BadFileException with all that is wrong with it
+     */
+    public static Operator read(Document document) throws BadFileException {
         Table root = document.root();
         Map<String, Object> values = new HashMap<>();
         boolean sharesSound = true;
@@ -59,6 +64,11 @@
         if (sharesSound) {
             operator.checkShares(root);
         }
+        if (values.containsKey(AgreementTable.AGREEMENT.name())
+                && !values.containsKey(MembershipTable.MEMBERSHIP.name())) {
+            root.problem(AgreementTable.AGREEMENT.name(), "no [membership]",
+                    "a table [membership] beside it, as copies have to know who lives");
+        }
         root.done();
         document.check();
         return operator;
--- a/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
+++ b/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
@@ -57,6 +57,9 @@
         List<ResolverResult.Node> nodes = new ArrayList<>();
         List<String> unread = new ArrayList<>();
         for (int i = 0; i < entries.size(); i++) {
+            if (entries.get(i) == JsonObject.LEFT_OUT) {
+                continue;
+            }
             if (entries.get(i) == null) {
                 unread.add("servers[" + i + "] is not an object");
                 continue;
@@ -153,11 +156,7 @@
         if (known != null) {
             return known;
         }
-        long hash = FNV_BASIS;
-        for (byte b : id.getBytes(StandardCharsets.UTF_8)) {
-            hash = (hash ^ (b & 0xff)) * FNV_PRIME;
-        }
-        long number = (hash ^ hash >>> 52) & ID_MASK;
+        long number = hash(id);
         while (names.putIfAbsent(number, id) != null) {
             number = number + 1 & ID_MASK;
         }
@@ -165,4 +164,13 @@
         idChars += id.length();
         return number;
     }
+
+    /** The number of the one node whose id has it; where ids collide, of the first. */
+    public static long hash(String id) {
+        long hash = FNV_BASIS;
+        for (byte b : id.getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ (b & 0xff)) * FNV_PRIME;
+        }
+        return (hash ^ hash >>> 52) & ID_MASK;
+    }
 }
--- a/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
@@ -108,9 +108,14 @@
         assertEquals(run.sources.keySet().stream().filter(name -> name.startsWith("picocli.")
                 || name.startsWith("org.tomlj.") || name.startsWith("org.antlr.")
                 || name.startsWith("cedarrudder.program.HistoryFile")
+                || name.equals("cedarrudder.transport.Drift")
                 || name.startsWith("cedarrudder.footprint.")
                 || name.startsWith("cedarrudder.protocol.ListGate")
                 || name.equals("cedarrudder.program.MachineLayout")
+                || name.startsWith("cedarrudder.agreement.") || name.startsWith("cedarrudder.fleet.")
+                || name.startsWith("cedarrudder.table.") || name.equals("cedarrudder.transport.Fleet")
+                || name.equals("cedarrudder.program.Together")
+                || name.equals("cedarrudder.program.FileStore")
                 || name.equals("cedarrudder.transport.Membership")).toList(), List.of());
     }
 
--- a/lab/src/main/java/cedarrudder/lab/cluster/Copy.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Copy.java
@@ -69,7 +69,8 @@
     }
 
     /**
-     * What each of its lives starts with; in the operator's file {@code %s} stands for the history's name.
+     * What each of its lives starts with; in the operator's file {@code {history}} stands for the history's
+     * name, and {@code {folder}} for a folder that it keeps from life to life.
      */
     void configure(String json, String toml) {
         configuration = json;
@@ -86,6 +87,11 @@
         return List.copyOf(crashes);
     }
 
+    /** Where operators call the process that was started last. */
+    synchronized InetSocketAddress admin() {
+        return admins.get(admins.size() - 1).address();
+    }
+
     /** Whether a process of it runs. */
     synchronized boolean runs() {
         return !processes.isEmpty();
@@ -109,7 +115,9 @@
         Path json = place.folder().resolve(name + ".json");
         Path toml = place.folder().resolve(name + ".toml");
         Files.writeString(json, configuration);
-        Files.writeString(toml, operator.formatted(history));
+        Path kept = Files.createDirectories(place.folder().resolve("kept-" + number));
+        Files.writeString(toml, operator.replace("{history}", history.toString())
+                .replace("{folder}", kept.toString()));
         Files.createFile(history);
         Port admin = Port.hold(host(number, 2)); // each process has its own
         admins.add(admin);
@@ -120,7 +128,8 @@
                         json.toString(), "BALANCER_ADMIN_ADDR", admin.text(), "TMPDIR",
                         Files.createDirectories(temporary).toString()), log, SOCKETS);
         processes.add(process);
-        chronicle.tell(number, process.pid(), "started", Map.of());
+        chronicle.tell(number, process.pid(), "started", Map.of("kept",
+                lives > 1 && operator.contains("{folder}") ? "1" : "0"));
         process.onExit().thenAccept(code -> exited(process, code, log));
         return log;
     }
