--- a/lab/src/main/java/cedarrudder/lab/judge/OneLeader.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/OneLeader.java
@@ -10,9 +10,9 @@
 /**
  * A2: one leader a term; a copy that forgot voted in nothing before its new life was committed.
  *
- * <p>It reads {@code started} (kept: 1 where the life begins with what the last one had stored),
- * {@code seated} (group, voters), {@code voted} (group, term, as: its life as a voter, for) and {@code leads}
- * (group, term, as).
+ * <p>It reads {@code started} or {@code joins} (kept: 1 where the life begins with what the last one had
+ * stored), {@code seated} (group, voters), {@code voted} (group, term, as: its life as a voter, for) and
+ * {@code leads} (group, term, as).
  */
 public final class OneLeader implements Rule {
 
@@ -27,8 +27,11 @@
     @Override
     public void took(Event event) {
         switch (event.what()) {
-            case "started" -> {
-                boolean keeps = event.fields().containsKey("kept") && event.number("kept") == 1;
+            case "started", "joins" -> {
+                if (!event.fields().containsKey("kept")) {
+                    return; // the world's word of a process, which says itself when it takes part
+                }
+                boolean keeps = event.number("kept") == 1;
                 Long before = lastLife.put(event.copy(), event.life());
                 remembers.forEach((who, lives) -> {
                     if (keeps && lives.contains(before) && who.startsWith(event.copy() + ":")) {
