--- a/lab/src/main/java/cedarrudder/lab/cluster/Cluster.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Cluster.java
@@ -215,7 +215,8 @@
     }
 
     private void take(Step step) throws IOException, InterruptedException {
-        for (int number : step.copies()) {
+        List<Integer> whom = step.leader() ? leader() : step.copies();
+        for (int number : whom) {
             Copy copy = copies.get(number);
             switch (step.act()) {
                 case KILL -> copy.kill();
@@ -244,13 +245,11 @@
         }
         switch (step.act()) {
             case CUT -> {
-                cut(step.copies(), true, true);
-                if (!step.nodes().isEmpty()) {
-                    cutNodes(step.copies(), step.nodes());
-                }
+                cut(whom, step.sides().others(), true, true);
+                cutNodes(whom, step.sides());
             }
-            case MUTE -> cut(step.copies(), true, false);
-            case DEAFEN -> cut(step.copies(), false, true);
+            case MUTE -> cut(whom, step.sides().others(), true, false);
+            case DEAFEN -> cut(whom, step.sides().others(), false, true);
             case HEAL -> heal();
             case WEATHER -> weather(step.weather());
             case NODES -> {
@@ -265,8 +264,18 @@
         }
     }
 
+    /** The copy that last said that it leads; none where none did. */
+    private List<Integer> leader() throws IOException {
+        List<Path> files = new ArrayList<>();
+        copies.forEach(copy -> files.addAll(copy.histories()));
+        return History.read(files).stream().filter(event -> event.what().equals("leads"))
+                .reduce((first, second) -> second).map(Event::copy).stream().toList();
+    }
+
     private static void back(Copy copy) throws IOException, InterruptedException {
-        copy.awaitEnd(END_MILLIS);
+        if (copy.ends()) {
+            copy.awaitEnd(END_MILLIS);
+        }
         if (!copy.runs()) {
             copy.start();
         }
@@ -292,11 +301,11 @@
                 "loss", Double.toString(next.loss())));
     }
 
-    /** Cuts what goes out from these to all others, what comes in, or both. */
-    private void cut(List<Integer> these, boolean out, boolean in) {
+    /** Cuts what goes out from these to others, or where none are named to all, what comes in, or both. */
+    private void cut(List<Integer> these, List<Integer> others, boolean out, boolean in) {
         for (int one : these) {
             for (int other = 0; other < copies.size(); other++) {
-                if (!these.contains(other)) {
+                if (!these.contains(other) && (others.isEmpty() || others.contains(other))) {
                     cut(one, other, out);
                     cut(other, one, in);
                 }
@@ -312,12 +321,12 @@
     }
 
     /** Cuts what goes between copies of one side and nodes of the other. */
-    private void cutNodes(List<Integer> these, List<Integer> theirNodes) {
+    private void cutNodes(List<Integer> these, Sides sides) {
         for (int copy = 0; copy < copies.size(); copy++) {
-            for (int node = 0; node < script.nodes(); node++) {
-                if (these.contains(copy) != theirNodes.contains(node)) {
-                    nodes.cut(node, copy, true);
-                }
+            boolean here = these.contains(copy);
+            boolean there = !here && (sides.others().isEmpty() || sides.others().contains(copy));
+            for (int node : here ? sides.otherNodes() : there ? sides.nodes() : List.<Integer>of()) {
+                nodes.cut(node, copy, true);
             }
         }
     }
--- a/lab/src/main/java/cedarrudder/lab/cluster/Copy.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Copy.java
@@ -97,6 +97,11 @@
         return !processes.isEmpty();
     }
 
+    /** Whether all its processes were told to end, or killed. */
+    synchronized boolean ends() {
+        return processes.stream().allMatch(process -> expected.contains(process.pid()));
+    }
+
     /** Begins a life beside those that there are, with the folder for temporary files that all share. */
     Path start() throws IOException {
         return start("tmp-" + number);
--- a/lab/src/main/java/cedarrudder/lab/cluster/Script.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Script.java
@@ -1,6 +1,5 @@
 package cedarrudder.lab.cluster;
 
-import cedarrudder.lab.attack.ScriptedNodes.Mood;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -113,8 +112,7 @@
                         2_000_000, 21_000_000)));
                 steps.add(Step.weather(at + lasts, Weather.CALM));
             }
-            case FLOOD -> steps.add(new Step(nanos(at), act, one, Weather.CALM, nanos(3),
-                    Mood.WELL, List.of(), null));
+            case FLOOD -> steps.add(Step.flood(at, one.get(0), 3));
             default -> steps.add(Step.of(at, act, one));
         }
         return lasts + 2;
--- a/lab/src/main/java/cedarrudder/lab/cluster/ScriptReader.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/ScriptReader.java
@@ -33,6 +33,8 @@
     private static final Set<Act> OF_COPIES = EnumSet.complementOf(
             EnumSet.of(Act.HEAL, Act.WEATHER, Act.NODES));
 
+    private static final Set<Act> CUTS = EnumSet.of(Act.CUT, Act.MUTE, Act.DEAFEN);
+
     private ScriptReader() { }
 
     /** How many of each there are. */
@@ -78,7 +80,7 @@
         document.root().keys().stream().filter(OWN::contains).forEach(name -> root.problem("operator",
                 "a table [" + name + "]", "others: the lab writes this one"));
         try {
-            Operator.read(Document.parse("operator", text));
+            Operator.read(Document.parse("operator", text + "\n[membership]\n")); // which some tables need
         } catch (BadFileException e) {
             for (Problem problem : e.problems()) {
                 root.problem("operator", "line " + problem.line() + ", " + problem.key() + ": "
@@ -91,12 +93,14 @@
     private static Step step(Table table, Counts counts, double length) {
         double at = table.number("at_s", 0, length);
         Act act = table.choice("do", Act.class, null);
-        List<Integer> whom = OF_COPIES.contains(act) ? numbers(table, "copies", counts.copies, counts.zones)
-                : List.of();
+        boolean leader = OF_COPIES.contains(act) && leader(table);
+        List<Integer> whom = OF_COPIES.contains(act) && !leader
+                ? numbers(table, "copies", counts.copies, counts.zones) : List.of();
         Weather weather = Weather.CALM;
         double lasts = 0;
         Mood mood = Mood.WELL;
         List<Integer> which = List.of();
+        Sides sides = Sides.ALL;
         OperatorCall call = null;
         if (act == Act.WEATHER) {
             double[] delay = table.range("delay_ms", 0, MOST_MILLIS, new double[] {0.1, 1});
@@ -112,12 +116,35 @@
             mood = table.choice("mood", Mood.class, null);
             which = numbers(table, "nodes", counts.nodes, counts.zones);
             whom = table.has("copies") ? numbers(table, "copies", counts.copies) : List.of();
-        } else if (act == Act.CUT && table.has("zones")) {
-            which = ofZones(table, counts.nodes, counts.zones);
+        } else if (CUTS.contains(act)) {
+            sides = sides(table, act, counts);
         } else if (act == Act.CALL) {
             call = call(table);
         }
-        return new Step(Script.nanos(at), act, whom, weather, Script.nanos(lasts), mood, which, call);
+        return new Step(Script.nanos(at), act, whom, leader, weather, Script.nanos(lasts), mood, which, sides,
+                call);
+    }
+
+    private static boolean leader(Table table) {
+        boolean leader = table.flag("leader", false);
+        for (String key : leader ? List.of("copies", "zones") : List.<String>of()) {
+            if (table.has(key)) {
+                table.problem(key, "this beside leader", "one of the two");
+            }
+        }
+        return leader;
+    }
+
+    /** Who is on the other side; nodes are on sides only where whole zones are, and a cut goes both ways. */
+    private static Sides sides(Table table, Act act, Counts counts) {
+        boolean towards = table.has("towards");
+        List<Integer> others = towards ? ofZones(table, "towards", counts.copies, counts.zones) : List.of();
+        if (act != Act.CUT || !table.has("zones")) {
+            return new Sides(others, List.of(), List.of());
+        }
+        List<Integer> nodes = ofZones(table, "zones", counts.nodes, counts.zones);
+        return new Sides(others, nodes, towards ? ofZones(table, "towards", counts.nodes, counts.zones)
+                : IntStream.range(0, counts.nodes).filter(node -> !nodes.contains(node)).boxed().toList());
     }
 
     private static OperatorCall call(Table table) {
@@ -145,11 +172,11 @@
         if (table.has(key)) {
             table.problem("zones", "these beside " + key, "one of the two");
         }
-        return ofZones(table, count, zones);
+        return ofZones(table, "zones", count, zones);
     }
 
-    private static List<Integer> ofZones(Table table, int count, int zones) {
-        List<Integer> chosen = numbers(table, "zones", zones);
+    private static List<Integer> ofZones(Table table, String key, int count, int zones) {
+        List<Integer> chosen = numbers(table, key, zones);
         return IntStream.range(0, count).filter(number -> chosen.contains(number % zones)).boxed().toList();
     }
 
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Sides.java
@@ -0,0 +1,21 @@
+package cedarrudder.lab.cluster;
+
+import java.util.List;
+
+/**
+ * The two sides of a cut, beside the copies that a step is about.
+ *
+ * @param others the copies on the other side; empty: all others
+ * @param nodes those on the side of the copies; both empty: the ways to nodes stay whole
+ * @param otherNodes those on the other side
+ */
+record Sides(List<Integer> others, List<Integer> nodes, List<Integer> otherNodes) {
+
+    static final Sides ALL = new Sides(List.of(), List.of(), List.of());
+
+    Sides {
+        others = List.copyOf(others);
+        nodes = List.copyOf(nodes);
+        otherNodes = List.copyOf(otherNodes);
+    }
+}
--- a/lab/src/test/java/cedarrudder/lab/cluster/ScriptTest.java
+++ b/lab/src/test/java/cedarrudder/lab/cluster/ScriptTest.java
@@ -1,6 +1,7 @@
 package cedarrudder.lab.cluster;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
 import cedarrudder.toml.BadFileException;
@@ -82,11 +83,22 @@
                 zones = [1, 2]
                 copies = [4]
                 mood = "cold"
+                [[step]]
+                at_s = 3
+                do = "mute"
+                zones = [1]
+                towards = [2]
+                [[step]]
+                at_s = 4
+                do = "kill"
+                leader = true
                 """));
         assertEquals(script.steps().get(0).copies(), List.of(0, 3));
-        assertEquals(script.steps().get(0).nodes(), List.of(0, 3));
+        assertEquals(script.steps().get(0).sides(), new Sides(List.of(), List.of(0, 3), List.of(1, 2)));
         assertEquals(script.steps().get(1).copies(), List.of(4));
         assertEquals(script.steps().get(1).nodes(), List.of(1, 2));
+        assertEquals(script.steps().get(2).sides(), new Sides(List.of(2), List.of(), List.of()));
+        assertTrue(script.steps().get(3).leader());
         assertEquals(script.zone(4), 1);
     }
 
