--- a/core/src/main/java/cedarrudder/Decide.java
+++ b/core/src/main/java/cedarrudder/Decide.java
@@ -248,7 +248,7 @@
      * can be given up for one that is worth more, and not in an endpoint that it would drive past its limit.
      */
     private void place(long now, Call call) {
-        if (now >= call.deadline) {
+        if (now >= call.deadline || deal != null && deal.order(now, call.zone, call.part).length == 0) {
             end(call, mayRefuse(call));
             return;
         }
@@ -280,7 +280,7 @@
         } else if (call.held && now >= call.holdUntil) {
             end(call, mayRefuse(call)); // has waited so long that to be told so is worth more than to wait on
         } else if (call.held) {
-            return call.attempts > 0 || deal != null && deal.bounded() ? Offer.NONE_FOR_IT : Offer.NONE;
+            return call.attempts > 0 ? Offer.NONE_FOR_IT : Offer.NONE;
         }
         return Offer.TAKEN;
     }
--- a/core/src/main/java/cedarrudder/overload/ZoneDeal.java
+++ b/core/src/main/java/cedarrudder/overload/ZoneDeal.java
@@ -166,11 +166,6 @@
         return open(found.saved, most, part);
     }
 
-    /** Whether any zone has a bound, so that one call may find room where another doesn't. */
-    public boolean bounded() {
-        return Arrays.stream(zones).anyMatch(zone -> zone.perSecond > 0);
-    }
-
     /** A call goes to a zone. */
     public void sent(int zone) {
         Zone found = known.get(zone);
--- a/core/src/test/java/cedarrudder/RulesWorld.java
+++ b/core/src/test/java/cedarrudder/RulesWorld.java
@@ -8,6 +8,7 @@
 import cedarrudder.Balancer.RequestClass;
 import cedarrudder.Balancer.Settings;
 import cedarrudder.Balancer.State;
+import cedarrudder.Balancer.ZoneShare;
 import cedarrudder.figures.Figures;
 import cedarrudder.figures.Figures.End;
 import cedarrudder.logging.Logger;
@@ -79,6 +80,7 @@
     final SplittableRandom random;
     private final Fault fault;
     private final Settings settings;
+    private final boolean shared;
     private final RulesModel model;
     private final StringBuilder transcript = new StringBuilder();
     private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> a.at != b.at
@@ -102,6 +104,7 @@
     RulesWorld(long seed, Fault fault) {
         this.random = new SplittableRandom(seed);
         this.fault = fault;
+        this.shared = seed / 2 % 2 == 1;
         // An instant's zero means nothing: some runs begin before it.
         this.now = seed % 2 == 0 ? 5000 * MS : -4000 * MS;
         Site site = new Site();
@@ -140,6 +143,7 @@
         long end = when + 3000 * MS;
         for (long t = now; t < end; t += 150 * MS) {
             anytime(t, this::happen);
+            anytime(t + 75 * MS, this::share);
         }
         anytime(now + (end - now) / 2, this::killAndRestart);
         for (int events = 0; !due.isEmpty() && due.peek().at <= end; events++) {
@@ -311,6 +315,22 @@
         }
     }
 
+    /** In one seed of two a table of shares takes the place of another, or of none; a zone may have no node. */
+    private void share() {
+        if (shared && random.nextInt(3) == 0) {
+            int far = random.nextInt(4);
+            int parts = 1_000 * random.nextInt(11);
+            List<ZoneShare> shares = new ArrayList<>();
+            if (parts > 0) {
+                shares.add(new ZoneShare(1 - far % 2, parts, 20 * random.nextInt(3)));
+            }
+            if (parts < 8_000) {
+                shares.add(new ZoneShare(far, 10_000 - parts - random.nextInt(2_000), 20 * random.nextInt(3)));
+            }
+            driver.shares(random.nextInt(4) == 0 ? List.of() : shares);
+        }
+    }
+
     private boolean settled(Endpoint node) {
         return node.state() == State.READY
                 && (node.startedAt() == 0 || now - node.startedAt() > settings.safety().rampTime());
