--- a/lab/src/test/java/cedarrudder/lab/model/Scenarios.java
+++ b/lab/src/test/java/cedarrudder/lab/model/Scenarios.java
@@ -18,6 +18,7 @@
     static final long MS = 1_000_000L;
     static final long SECOND = 1000 * MS;
 
+    List<String> zones = List.of("a");
     int nodes = 4;
     int proxies = 1;
     int tiers = 1;
@@ -89,7 +90,7 @@
                 new Scenario.Arrivals(trace.isEmpty() ? Shape.STEADY : Shape.TRACE,
                         share > 0 ? fixed(share) : null, share > 0 ? null : fixed(perSecond), null, null,
                         null, null, null, null, trace, hintNoise),
-                new Scenario.Network(List.of("a"), fixed(0.2 * MS), fixed(2 * MS), fixed(0.5 * MS),
+                new Scenario.Network(zones, fixed(0.2 * MS), fixed(2 * MS), fixed(0.5 * MS),
                         fixed(5 * MS), fixed(0.1), 0),
                 new Scenario.Front(fixed(2 * SECOND)),
                 new Scenario.Clients(fixed(retries), fixed(0.6), fixed(50 * MS), true, fixed(1), 2 * SECOND,
