--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/cluster/DrawnScript.java
@@ -0,0 +1,174 @@
+package cedarrudder.lab.cluster;
+
+import cedarrudder.lab.attack.ScriptedNodes.Mood;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/**
+ * Draws a script from a seed: copies in three zones that agree, and each kind of fault once, in an order and
+ * upon copies that the seed gives.
+ */
+public final class DrawnScript {
+
+    private static final int ZONES = 3;
+    private static final int NODES = 6;
+    private static final long PERIOD = 200_000_000L;
+    private static final long SETTLE = 40_000_000_000L;
+    private static final long HOUR_MILLIS = 3_600_000;
+    private static final int DRIFT = 1_000;
+
+    /** The share that may be killed at once: less than half. */
+    private static final double MOST_KILLED = 0.48;
+
+    /** Longer than the lease that is given here. */
+    private static final double HALT = 6;
+
+    /** A group whose majority forgot has been silent for so long before another is formed. */
+    private static final String AGREEMENT = """
+            [agreement]
+            lease_ms = 4000
+            voter_patience_ms = 3000
+            silence_ms = 4000
+            zones = [%s]
+            """;
+
+    private enum Fault {
+        KILL, STOP, TERM, HANG_UP, UPGRADE, HALVES, MUTE, DEAFEN, WEATHER, FLOOD, LEADER_KILLED,
+        LEADER_STOPPED, LEADER_REPLACED, ZONE_CUT, RING, ZONE_DEAD
+    }
+
+    private final SplittableRandom random;
+    private final int copies;
+    private final List<Integer> all;
+    private final List<Step> steps = new ArrayList<>();
+
+    private DrawnScript(long seed, int copies) {
+        this.random = new SplittableRandom(seed);
+        this.copies = copies;
+        this.all = IntStream.range(0, copies).boxed().toList();
+    }
+
+    /** One seed, one script. */
+    public static Script of(long seed, int copies) {
+        return new DrawnScript(seed, copies).draw();
+    }
+
+    private Script draw() {
+        steps.add(new Step(0, Act.CALL, List.of(0), false, Weather.CALM, 0, Mood.WELL, List.of(), Sides.ALL,
+                new OperatorCall("POST", "/-/group", "", 200)));
+        List<Fault> order = new ArrayList<>(List.of(Fault.values()));
+        double at = 6;
+        while (!order.isEmpty()) {
+            at += draw(order.remove(random.nextInt(order.size())), at);
+        }
+        List<Long> offsets = new ArrayList<>();
+        List<Integer> drifts = new ArrayList<>();
+        for (int i = 0; i < copies; i++) {
+            offsets.add(random.nextInt(3) == 0 ? random.nextLong(-HOUR_MILLIS, HOUR_MILLIS + 1) : 0);
+            drifts.add(random.nextInt(-1, 2) * DRIFT);
+        }
+        return new Script(copies, NODES, ZONES, PERIOD, Script.nanos(at), SETTLE, offsets, drifts,
+                AGREEMENT.formatted(all.stream().map(i -> "\"" + Script.zoneName(i % ZONES) + "\"")
+                        .collect(Collectors.joining(", "))), steps);
+    }
+
+    /** Adds a fault and its end; gives how long it takes with a pause behind it, in seconds. */
+    private double draw(Fault fault, double at) {
+        double lasts = 3 + 4 * random.nextDouble();
+        List<Integer> one = some(1);
+        switch (fault) {
+            case KILL -> {
+                List<Integer> killed = some((int) Math.max(1, MOST_KILLED * copies));
+                steps.add(Step.of(at, Act.KILL, killed));
+                steps.add(Step.of(at + lasts, Act.BACK, killed));
+                return lasts + 8; // until those that forgot vote again
+            }
+            case LEADER_KILLED -> {
+                steps.add(leader(at, Act.KILL));
+                steps.add(Step.of(at + lasts, Act.BACK, all));
+            }
+            case STOP -> {
+                steps.add(Step.of(at, Act.STOP, one));
+                steps.add(Step.of(at + 10, Act.GO_ON, one));
+                return 12;
+            }
+            case LEADER_STOPPED -> {
+                steps.add(leader(at, Act.STOP));
+                steps.add(Step.of(at + HALT, Act.GO_ON, all));
+                return HALT + 2;
+            }
+            case TERM -> {
+                steps.add(Step.of(at, Act.TERM, one));
+                steps.add(Step.of(at + lasts, Act.BACK, one));
+            }
+            case HALVES -> {
+                steps.add(Step.of(at, Act.CUT, some(copies / 2)));
+                steps.add(Step.of(at + lasts + 5, Act.HEAL, List.of()));
+                return lasts + 8;
+            }
+            case MUTE, DEAFEN -> {
+                steps.add(Step.of(at, fault == Fault.MUTE ? Act.MUTE : Act.DEAFEN, one));
+                steps.add(Step.of(at + lasts, Act.HEAL, List.of()));
+            }
+            case ZONE_CUT -> {
+                int zone = random.nextInt(ZONES);
+                steps.add(cut(at, Act.CUT, zone, new Sides(List.of(), ofZone(NODES, zone),
+                        IntStream.range(0, NODES).filter(i -> i % ZONES != zone).boxed().toList())));
+                steps.add(Step.of(at + lasts, Act.HEAL, List.of()));
+            }
+            case RING -> {
+                for (int zone = 0; zone < ZONES; zone++) {
+                    steps.add(cut(at, Act.MUTE, zone, new Sides(ofZone(copies, (zone + 1) % ZONES), List.of(),
+                            List.of())));
+                }
+                steps.add(Step.of(at + lasts, Act.HEAL, List.of()));
+            }
+            case ZONE_DEAD -> {
+                int zone = random.nextInt(ZONES);
+                steps.add(nodes(at, zone, Mood.DEAD));
+                steps.add(nodes(at + lasts, zone, Mood.COLD));
+            }
+            case WEATHER -> {
+                steps.add(Step.weather(at, new Weather(0.3 * random.nextDouble(), 0.2, 0.2, 0.05,
+                        2_000_000, 21_000_000)));
+                steps.add(Step.weather(at + lasts, Weather.CALM));
+            }
+            case FLOOD -> steps.add(Step.flood(at, one.get(0), 3));
+            case LEADER_REPLACED -> steps.add(leader(at, Act.UPGRADE));
+            case UPGRADE -> steps.add(Step.of(at, Act.UPGRADE, one));
+            case HANG_UP -> steps.add(Step.of(at, Act.HANG_UP, one));
+        }
+        return lasts + 2;
+    }
+
+    private static Step leader(double at, Act act) {
+        return new Step(Script.nanos(at), act, List.of(), true, Weather.CALM, 0, Mood.WELL, List.of(),
+                Sides.ALL, null);
+    }
+
+    private Step cut(double at, Act act, int zone, Sides sides) {
+        return new Step(Script.nanos(at), act, ofZone(copies, zone), false, Weather.CALM, 0, Mood.WELL,
+                List.of(), sides, null);
+    }
+
+    private static Step nodes(double at, int zone, Mood mood) {
+        return new Step(Script.nanos(at), Act.NODES, List.of(), false, Weather.CALM, 0, mood,
+                ofZone(NODES, zone), Sides.ALL, null);
+    }
+
+    private static List<Integer> ofZone(int count, int zone) {
+        return IntStream.range(0, count).filter(i -> i % ZONES == zone).boxed().toList();
+    }
+
+    private List<Integer> some(int count) {
+        List<Integer> left = new ArrayList<>(all);
+        List<Integer> chosen = new ArrayList<>();
+        while (chosen.size() < count) {
+            chosen.add(left.remove(random.nextInt(left.size())));
+        }
+        return chosen;
+    }
+}
--- a/lab/src/main/java/cedarrudder/lab/cluster/Script.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Script.java
@@ -1,9 +1,7 @@
 package cedarrudder.lab.cluster;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.SplittableRandom;
 
 /**
  * What happens to copies, and when.
@@ -29,10 +27,6 @@
     static final int MOST_ZONES = 8;
 
     private static final long SECOND = 1_000_000_000L;
-    private static final long HOUR_MILLIS = 3_600_000;
-
-    /** The share that may be killed at once: less than half. */
-    private static final double MOST_KILLED = 0.48;
 
     public Script {
         clockOffsets = List.copyOf(clockOffsets);
@@ -60,73 +54,4 @@
     static String zoneName(int zone) {
         return "zone-" + zone;
     }
-
-    /** Draws one: each kind of fault comes once, in an order and upon copies that the seed gives. */
-    public static Script drawn(long seed, int copies) {
-        SplittableRandom random = new SplittableRandom(seed);
-        List<Step> steps = new ArrayList<>();
-        List<Act> order = new ArrayList<>(List.of(Act.KILL, Act.STOP, Act.TERM, Act.HANG_UP, Act.UPGRADE,
-                Act.CUT, Act.MUTE, Act.DEAFEN, Act.WEATHER, Act.FLOOD));
-        double at = 3;
-        while (!order.isEmpty()) {
-            Act act = order.remove(random.nextInt(order.size()));
-            at += draw(act, at, copies, random, steps);
-        }
-        List<Long> offsets = new ArrayList<>();
-        for (int i = 0; i < copies; i++) {
-            offsets.add(random.nextInt(3) == 0 ? random.nextLong(-HOUR_MILLIS, HOUR_MILLIS + 1) : 0);
-        }
-        return new Script(copies, 3, 1, SECOND / 5, nanos(at), 30 * SECOND, offsets, List.of(), "", steps);
-    }
-
-    /** Adds a fault and its end; gives how long it takes with a pause behind it, in seconds. */
-    private static double draw(Act act, double at, int copies, SplittableRandom random, List<Step> steps) {
-        double lasts = 3 + 4 * random.nextDouble();
-        List<Integer> one = some(1, copies, random);
-        switch (act) {
-            case KILL -> {
-                List<Integer> killed = some((int) Math.max(1, MOST_KILLED * copies), copies, random);
-                steps.add(Step.of(at, act, killed));
-                steps.add(Step.of(at + lasts, Act.BACK, killed));
-            }
-            case STOP -> {
-                steps.add(Step.of(at, act, one));
-                steps.add(Step.of(at + 10, Act.GO_ON, one));
-                return 12;
-            }
-            case TERM -> {
-                steps.add(Step.of(at, act, one));
-                steps.add(Step.of(at + lasts, Act.BACK, one));
-            }
-            case CUT -> {
-                steps.add(Step.of(at, act, some(copies / 2, copies, random)));
-                steps.add(Step.of(at + lasts + 5, Act.HEAL, List.of()));
-                return lasts + 8;
-            }
-            case MUTE, DEAFEN -> {
-                steps.add(Step.of(at, act, one));
-                steps.add(Step.of(at + lasts, Act.HEAL, List.of()));
-            }
-            case WEATHER -> {
-                steps.add(Step.weather(at, new Weather(0.3 * random.nextDouble(), 0.2, 0.2, 0.05,
-                        2_000_000, 21_000_000)));
-                steps.add(Step.weather(at + lasts, Weather.CALM));
-            }
-            case FLOOD -> steps.add(Step.flood(at, one.get(0), 3));
-            default -> steps.add(Step.of(at, act, one));
-        }
-        return lasts + 2;
-    }
-
-    private static List<Integer> some(int count, int copies, SplittableRandom random) {
-        List<Integer> all = new ArrayList<>();
-        for (int i = 0; i < copies; i++) {
-            all.add(i);
-        }
-        List<Integer> chosen = new ArrayList<>();
-        while (chosen.size() < count) {
-            chosen.add(all.remove(random.nextInt(all.size())));
-        }
-        return chosen;
-    }
 }
--- a/lab/src/main/java/cedarrudder/lab/cluster/Verdict.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Verdict.java
@@ -17,6 +17,7 @@
 import cedarrudder.lab.judge.ZoneLeft;
 import cedarrudder.lab.judge.ZoneLoad;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -95,12 +96,12 @@
                 + event.copy() + " lost " + event.text("events") + " events of its history"));
         return new Verdict(breaches, found, events.size(), answers.asked(), deaths.found(),
                 (double) deaths.longestToFind() / SECOND, deaths.falseDeaths(),
-                (double) views.agreedAfter() / SECOND, different(events, "leads", "term"),
+                (double) views.agreedAfter() / SECOND, different(events, "leads", "group", "term"),
                 different(events, "table", "number"));
     }
 
-    private static long different(List<Event> events, String what, String field) {
-        return events.stream().filter(event -> event.what().equals(what)).map(event -> event.text(field))
-                .distinct().count();
+    private static long different(List<Event> events, String what, String... fields) {
+        return events.stream().filter(event -> event.what().equals(what))
+                .map(event -> Arrays.stream(fields).map(event::text).toList()).distinct().count();
     }
 }
--- a/lab/src/main/java/cedarrudder/lab/command/ClusterCommand.java
+++ b/lab/src/main/java/cedarrudder/lab/command/ClusterCommand.java
@@ -1,6 +1,7 @@
 package cedarrudder.lab.command;
 
 import cedarrudder.lab.cluster.Cluster;
+import cedarrudder.lab.cluster.DrawnScript;
 import cedarrudder.lab.cluster.Script;
 import cedarrudder.lab.cluster.ScriptReader;
 import cedarrudder.lab.cluster.Verdict;
@@ -91,7 +92,7 @@
             Verdict verdict = what.virtual ? VirtualRun.play(copies,
                     new Mesh.Network(loss, 100 * MICRO, 2_000 * MICRO), MembershipSettings.DEFAULT, seed,
                     SETTLE)
-                    : Cluster.play(script == null ? Script.drawn(seed, copies) : script, seed,
+                    : Cluster.play(script == null ? DrawnScript.of(seed, copies) : script, seed,
                             Place.of(root, out.resolve("seed-" + seed), List.of(), 0, 0));
             good &= verdict.good();
             print.printf(Locale.ROOT, "%5d %6d %8d %7d %7d %9.1f %7d %9.1f %7d %6d  %s%n", seed, playing,
--- a/lab/src/test/java/cedarrudder/lab/cluster/ScriptTest.java
+++ b/lab/src/test/java/cedarrudder/lab/cluster/ScriptTest.java
@@ -111,7 +111,7 @@
 
     @Test
     public void aSeedDrawsOneScript() {
-        assertEquals(Script.drawn(5, 12), Script.drawn(5, 12));
+        assertEquals(DrawnScript.of(5, 12), DrawnScript.of(5, 12));
     }
 
     /** Each kind of harm comes as often as asked; one seed, one fate; what is under way is bounded. */
