--- a/lab/src/test/java/cedarrudder/lab/cluster/ClusterIT.java
+++ b/lab/src/test/java/cedarrudder/lab/cluster/ClusterIT.java
@@ -29,6 +29,14 @@
         assertTrue(verdict.deaths() > 0 && verdict.rpcs() > 100, verdict.toString());
     }
 
+    /** What copies agree on, with leaders killed, stopped and replaced and a ring of one-way cuts. */
+    @Test
+    public void copiesThatAgreeKeepTheRules() throws Exception {
+        Verdict verdict = play(ScriptReader.read(Path.of("lab", "clusters", "agreed.toml")));
+        assertTrue(verdict.good(), "seed " + SEED + ": " + verdict);
+        assertTrue(verdict.leaders() > 1 && verdict.tables() > 0, verdict.toString());
+    }
+
     /** Two processes of one number that can't see one another both speak: the judge must see that. */
     @Test
     public void twoVoicesOfOneNumberAreCaught() throws Exception {
--- a/lab/src/test/java/cedarrudder/lab/cluster/ScriptTest.java
+++ b/lab/src/test/java/cedarrudder/lab/cluster/ScriptTest.java
@@ -104,7 +104,7 @@
 
     @Test
     public void theScriptsThatComeWithTheLabAreSound() throws BadFileException {
-        for (String name : List.of("short", "hard")) {
+        for (String name : List.of("short", "hard", "agreed")) {
             ScriptReader.read(Path.of("lab", "clusters", name + ".toml"));
         }
     }
--- a/lab/src/test/java/cedarrudder/lab/judge/AgreementRulesTest.java
+++ b/lab/src/test/java/cedarrudder/lab/judge/AgreementRulesTest.java
@@ -39,12 +39,27 @@
             voted(0, 1, 1, "0:1"), event(0, 1, "leads", "group", "1", "term", "4", "as", "1"));
 
     private static List<String> judged(Event... more) {
+        return judged(new OneTable(), more);
+    }
+
+    private static List<String> judged(OneTable table, Event... more) {
         List<Event> events = new ArrayList<>(GOOD);
         events.addAll(List.of(more));
-        return History.judged(events, 1, List.of(new OneTable(), new OneLeader())).stream()
+        return History.judged(events, 1, List.of(table, new OneLeader())).stream()
                 .map(Breach::rule).toList();
     }
 
+    /** A process that is killed takes its last lines along; what it may have done by then is no breach. */
+    @Test
+    public void whatAKilledProcessDidNotWriteIsAllowedFor() {
+        for (long killedAt : new long[] {0, 10, 11}) {
+            Event killed = new Event(killedAt, 1, 1, "doomed", Map.of());
+            assertEquals(judged(new OneTable(10), stored(0, 1, 3, "b"), killed, loaded(0, 3, "b", "t")),
+                    killedAt > 10 ? List.of("A1") : List.of());
+            assertEquals(judged(stored(0, 1, 3, "b"), killed, loaded(0, 3, "b", "t")), List.of("A1"));
+        }
+    }
+
     @Test
     public void eachWrongIsSeenAndNothingElse() {
         assertEquals(judged(), List.of());
--- a/lab/src/test/java/cedarrudder/lab/judge/FleetRulesTest.java
+++ b/lab/src/test/java/cedarrudder/lab/judge/FleetRulesTest.java
@@ -246,6 +246,7 @@
                 leaving(3, 0, "b,c")), List.of());
         Event[] two = {drain(1, 0, 1, "a", "begun"), drain(1, 0, 1, "b", "begun"), leaving(5, 1, "a,b")};
         assertEquals(out(with(List.of(two), drain(6, 0, 2, "c", "begun"))), List.of("D1"));
+        assertEquals(out(two[0], two[1], drain(6, 0, 2, "c", "begun")), List.of("D1"), "nobody has heard yet");
         assertEquals(out(with(List.of(two), drain(6, 0, 1, "a", "empty"), drain(6, 0, 2, "c", "begun"))),
                 List.of("D1"), "it is empty, and not back");
         assertEquals(out(with(List.of(two), drain(6, 0, 1, "a", "gone"), drain(7, 0, 2, "c", "begun"),
@@ -372,6 +373,8 @@
         assertEquals(held(8_001, table(2_000, 3, 8, ""), event(4_000, 3, "ended")), List.of(), "it is gone");
         assertEquals(held(9_000, event(4_000, 3, "stopped"), table(6_000, 0, 8, ""), table(6_000, 1, 8, ""),
                 table(6_000, 2, 8, ""), table(6_000, 4, 8, ""), table(6_000, 5, 8, "")), List.of());
+        assertEquals(held(12_000, lapsed(6_000, 0, 7), table(8_900, 0, 7, ""), lapsed(9_000, 1, 7),
+                table(11_900, 1, 7, "")), List.of(), "each time counts anew");
         assertEquals(held(9_001, table(6_000, 0, 8, "")), List.of("one table"), "a later one must spread too");
         assertEquals(held(8_000, table(2_000, 3, 6, ""), table(2_001, 3, 7, "")), List.of("A1"), "back");
         assertEquals(held(8_000, lapsed(2_000, 3, 7), table(2_001, 3, 7, "")), List.of(), "the same again");
