--- a/lab/src/main/java/cedarrudder/lab/cluster/Cluster.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Cluster.java
@@ -164,7 +164,7 @@
                 ack_patience_ms = %d
 
                 [history]
-                file = "%%s"
+                file = "{history}"
                 clock_offset_ms = %d
                 clock_drift_ppm = %d
 
--- a/lab/src/main/java/cedarrudder/lab/cluster/Copy.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Copy.java
@@ -69,7 +69,7 @@
     }
 
     /**
-     * What each of its lives starts with; in the operator's file {@code %s} stands for the history's name,
+     * What each of its lives starts with; in the operator's file {@code {history}} stands for the history's name,
      * and {@code {folder}} for a folder that it keeps from life to life.
      */
     void configure(String json, String toml) {
@@ -121,7 +121,7 @@
         Path toml = place.folder().resolve(name + ".toml");
         Files.writeString(json, configuration);
         Path kept = Files.createDirectories(place.folder().resolve("kept-" + number));
-        Files.writeString(toml, operator.replace("%s", history.toString())
+        Files.writeString(toml, operator.replace("{history}", history.toString())
                 .replace("{folder}", kept.toString()));
         Files.createFile(history);
         Port admin = Port.hold(host(number, 2)); // each process has its own
