--- a/lab/src/test/java/cedarrudder/lab/fleet/FleetWorldTest.java
+++ b/lab/src/test/java/cedarrudder/lab/fleet/FleetWorldTest.java
@@ -24,12 +24,15 @@
 import cedarrudder.table.RouteTable.Share;
 import cedarrudder.table.RouteTable.Way;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import org.testng.Reporter;
 import org.testng.annotations.Test;
 
 /** Copies that decide together, with what goes wrong made to go wrong. Seeds are fixed. */
@@ -40,7 +43,8 @@
     private static final Network CALM = new Network(0, 0, 0, 2 * MILLI, 21 * MILLI);
     private static final Network ROUGH = new Network(0.1, 0.05, 0.01, 2 * MILLI, 400 * MILLI);
     private static final AgreementSettings AGREED = AgreementSettings.DEFAULT;
-    private static final FleetSettings SETTINGS = FleetSettings.DEFAULT;
+    private static final FleetSettings SETTINGS = new FleetSettings(FleetSettings.DEFAULT.period(),
+            Long.getLong("fleet.lease_ms", 10_000) * MILLI);
     private static final long LEASE = SETTINGS.lease();
     /** Storms; many more by {@code -Dfleet.seeds}. */
     private static final long SEEDS = Long.getLong("fleet.seeds", 12);
@@ -266,7 +270,8 @@
             long killed = world.now();
             assertTrue(IntStream.range(0, 5).filter(world::runs)
                     .allMatch(i -> parts(world.uses(i)) == 1_000));
-            world.filter((from, to, datagram) -> kind(datagram) != append);
+            int empty = 80; // with an entry it is longer: its words come, and its first entry doesn't
+            world.filter((from, to, datagram) -> kind(datagram) != append || datagram.length <= empty);
             while (world.leader() < 0) {
                 world.play(MILLI);
             }
@@ -283,6 +288,36 @@
         }
     }
 
+    /** Guards against what grows with the number of copies; more of them by {@code -Dfleet.sizes}. */
+    @Test
+    public void whatACopySendsAndHowSoonATableCounts() {
+        for (String each : System.getProperty("fleet.sizes", "10,30").split(",")) {
+            int size = Integer.parseInt(each);
+            FleetWorld world = started(size, CALM, false, 60);
+            world.play(20 * SECOND);
+            long[] before = IntStream.range(0, size).mapToLong(world::bytes).toArray();
+            world.play(30 * SECOND);
+            long[] sent = IntStream.range(0, size).mapToLong(i -> (world.bytes(i) - before[i]) / 30).toArray();
+            long[] took = new long[20];
+            for (int i = 0; i < took.length; i++) {
+                parts++;
+                long begun = world.now();
+                while (!world.agree() || parts(world.uses(0)) != parts) {
+                    world.play(10 * MILLI);
+                }
+                took[i] = (world.now() - begun) / MILLI;
+                world.play(SECOND + i * 37 * MILLI);
+            }
+            Arrays.sort(took);
+            long mean = (long) LongStream.of(sent).average().orElseThrow();
+            Reporter.log(size + " copies: bytes a second, mean " + mean + ", most "
+                    + LongStream.of(sent).max().orElseThrow() + "; a table counts at all after ms, p50 "
+                    + took[10] + ", most " + took[19], true);
+            assertTrue(mean < 2_500 && took[19] < 5_000, size + " copies");
+            assertTrue(events.stream().noneMatch(event -> event.what().equals("lapsed")));
+        }
+    }
+
     /** A command can be proposed at any copy, whether it votes, leads or neither. */
     @Test
     public void whatIsProposedAtAnyCopyComesToAll() {
