Read drain policies from the operator's file and check them

Need: operators write what must hold while nodes leave; a policy that can never work must be found before it counts. Change: table [drains] with [[drains.policy]]; conditions in CEL (dev.cel 0.11.0) in a jar of its own, opened only where a policy has one; check finds policies that never let anybody go, two that contradict each other, conditions of wrong type or over unknown figures, with place, found, allowed and a state of nodes; and says which of two is stricter. The program's jar holds 0 classes of it. Ruled out: org.projectnessie.cel 0.5.3 (a syntax error is a NullPointerException and goes to standard error; half the size); CEL in the program's jar (4,312 files more, whose list each start reads; two versions of ANTLR).

--- /dev/null
+++ b/conditions/src/main/java/cedarrudder/conditions/CelConditions.java
@@ -0,0 +1,168 @@
+package cedarrudder.conditions;
+
+import cedarrudder.drainage.BadConditionException;
+import cedarrudder.drainage.Conditions;
+import cedarrudder.drainage.Figures;
+import cedarrudder.drainage.Node;
+import dev.cel.checker.CelStandardDeclarations;
+import dev.cel.common.CelAbstractSyntaxTree;
+import dev.cel.common.CelIssue;
+import dev.cel.common.CelOptions;
+import dev.cel.common.CelValidationException;
+import dev.cel.common.CelValidationResult;
+import dev.cel.common.types.CelType;
+import dev.cel.common.types.SimpleType;
+import dev.cel.compiler.CelCompiler;
+import dev.cel.compiler.CelCompilerBuilder;
+import dev.cel.compiler.CelCompilerFactory;
+import dev.cel.runtime.CelEvaluationException;
+import dev.cel.runtime.CelRuntime;
+import dev.cel.runtime.CelRuntimeFactory;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+
+/**
+ * Conditions in CEL (the Common Expression Language), by Google's own library. Of the language everything is
+ * there that takes a time bounded by the text's length: no macros, so nothing loops, and no regular
+ * expressions. A condition that takes longer than {@link #MOST_NANOS} all the same counts as one that can't
+ * be told.
+ */
+public final class CelConditions implements Conditions {
+
+    /** The longest that one may take, in nanoseconds of this thread's own work. */
+    public static final long MOST_NANOS = 50_000_000L;
+
+    private static final CelOptions OPTIONS = CelOptions.current().enableHeterogeneousNumericComparisons(true)
+            .maxExpressionCodePointSize(1 << 10).maxParseRecursionDepth(64).build();
+
+    private static final Map<String, CelType> OF_FIGURES = figures();
+
+    private static final Map<String, CelType> OF_NODE = node();
+
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+
+    private static final Figures CALM = new Figures(0, 0, 0, 1, 1, 1, 0, 0);
+
+    private static final Node SOME = new Node(0, "", "", 0, "", 1, Node.Standing.SERVING, 0);
+
+    private final CelRuntime runtime = CelRuntimeFactory.standardCelRuntimeBuilder().setOptions(OPTIONS)
+            .build();
+    private CelCompiler overFigures;
+    private CelCompiler overNode;
+
+    private static Map<String, CelType> figures() {
+        Map<String, CelType> types = new LinkedHashMap<>();
+        for (Figures.Name name : Figures.Name.values()) {
+            types.put(written(name), name.share() ? SimpleType.DOUBLE : SimpleType.INT);
+        }
+        return types;
+    }
+
+    private static Map<String, CelType> node() {
+        Map<String, CelType> types = new LinkedHashMap<>();
+        types.put("tier", SimpleType.STRING);
+        types.put("zone", SimpleType.STRING);
+        types.put("pod", SimpleType.INT);
+        types.put("kind", SimpleType.STRING);
+        types.put("weight", SimpleType.DOUBLE);
+        return types;
+    }
+
+    private static String written(Figures.Name name) {
+        return name.name().toLowerCase(Locale.ROOT);
+    }
+
+    private static CelCompiler compiler(Map<String, CelType> types) {
+        CelCompilerBuilder builder = CelCompilerFactory.standardCelCompilerBuilder().setOptions(OPTIONS)
+                .setStandardEnvironmentEnabled(false)
+                .setStandardDeclarations(CelStandardDeclarations.newBuilder()
+                        .excludeFunctions(CelStandardDeclarations.StandardFunction.MATCHES).build());
+        types.forEach(builder::addVar);
+        return builder.build();
+    }
+
+    @Override
+    public OfFigures figures(String text) {
+        overFigures = overFigures == null ? compiler(OF_FIGURES) : overFigures;
+        CelRuntime.Program program = program(overFigures, OF_FIGURES, text);
+        OfFigures condition = figures -> {
+            Map<String, Object> values = new HashMap<>();
+            for (Figures.Name name : Figures.Name.values()) {
+                values.put(written(name), figures.of(name));
+            }
+            return holds(program, values);
+        };
+        tried(() -> condition.holds(CALM));
+        return condition;
+    }
+
+    @Override
+    public OfNode node(String text) {
+        overNode = overNode == null ? compiler(OF_NODE) : overNode;
+        CelRuntime.Program program = program(overNode, OF_NODE, text);
+        OfNode condition = node -> holds(program, Map.of("tier", node.tier(), "zone", node.zone(), "pod",
+                (long) node.pod(), "kind", node.kind(), "weight", node.weight()));
+        tried(() -> condition.holds(SOME));
+        return condition;
+    }
+
+    /** Loads what it needs. Guards against classes that are read while the loop waits. */
+    private static void tried(BooleanSupplier condition) {
+        try {
+            condition.getAsBoolean();
+        } catch (IllegalStateException e) {
+            // It can't be told of these figures; it is read all the same.
+        }
+    }
+
+    private CelRuntime.Program program(CelCompiler compiler, Map<String, CelType> types, String text) {
+        String names = types.entrySet().stream().map(each -> each.getKey() + " (" + (
+                each.getValue() == SimpleType.DOUBLE ? "a number such as 0.02"
+                        : each.getValue() == SimpleType.INT ? "a whole number" : "a text") + ")")
+                .collect(Collectors.joining(", "));
+        try {
+            CelValidationResult result = compiler.compile(text);
+            if (result.hasError()) {
+                CelIssue first = result.getErrors().get(0);
+                String said = first.getMessage();
+                throw new BadConditionException("'" + shortened(text) + "', at character "
+                        + (first.getSourceLocation().getColumn() + 1) + " " + shortened(said.replaceFirst(
+                        " \\(candidates.*", "").replaceFirst(" \\(in container ''\\)", "")
+                        .replaceAll("\\R", " ")), "a condition of CEL over " + names);
+            }
+            CelAbstractSyntaxTree tree = result.getAst();
+            if (!tree.getResultType().equals(SimpleType.BOOL)) {
+                throw new BadConditionException("'" + shortened(text) + "', which is of the type "
+                        + tree.getResultType().name(), "a condition that is true or false");
+            }
+            return runtime.createProgram(tree);
+        } catch (CelValidationException | CelEvaluationException e) {
+            throw new BadConditionException("'" + shortened(text) + "': " + shortened(String.valueOf(
+                    e.getMessage()).replaceAll("\\R", " ")), "a condition of CEL over " + names);
+        }
+    }
+
+    private static String shortened(String text) {
+        return text.length() > 100 ? text.substring(0, 100) + "..." : text;
+    }
+
+    private static boolean holds(CelRuntime.Program program, Map<String, ?> values) {
+        try {
+            // Not by the clock: guards against a busy machine's pauses being taken for the condition's.
+            long begun = THREADS.getCurrentThreadCpuTime();
+            boolean holds = (Boolean) program.eval(values);
+            if (THREADS.getCurrentThreadCpuTime() - begun > MOST_NANOS) {
+                throw new IllegalStateException("a condition took over " + MOST_NANOS + " ns");
+            }
+            return holds;
+        } catch (CelEvaluationException e) {
+            throw new IllegalStateException(e.getMessage(), e);
+        }
+    }
+}
--- a/core/src/main/java/cedarrudder/drainage/Conditions.java
+++ b/core/src/main/java/cedarrudder/drainage/Conditions.java
@@ -26,14 +26,14 @@
     /**
      * Reads a condition over figures.
      *
-     * @throws IllegalArgumentException where it is none, with what was found and what is allowed
+     * @throws BadConditionException where it is none
      */
     OfFigures figures(String text);
 
     /**
      * Reads a condition over a node.
      *
-     * @throws IllegalArgumentException where it is none, with what was found and what is allowed
+     * @throws BadConditionException where it is none
      */
     OfNode node(String text);
 }
--- /dev/null
+++ b/core/src/test/java/cedarrudder/drainage/DrainsTest.java
@@ -0,0 +1,252 @@
+package cedarrudder.drainage;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.drainage.Node.Standing;
+import cedarrudder.drainage.Policy.AtEnd;
+import cedarrudder.drainage.Policy.Left;
+import cedarrudder.drainage.Policy.Most;
+import cedarrudder.drainage.Policy.Order;
+import cedarrudder.drainage.Policy.Restarted;
+import cedarrudder.drainage.Policy.Whom;
+import cedarrudder.drainage.Policy.Window;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Single turns of drains between two copies, of which the first leads. */
+public class DrainsTest {
+
+    private static final long PERIOD = 500_000_000L;
+    private static final int COPIES = 2;
+
+    /** A copy with what it has. */
+    private final class Copy implements Drains.Local, Drains.Outlet {
+        private final Map<Long, Integer> calls = new HashMap<>();
+        private Set<Long> disabled = Set.of();
+        private Flow flow = Flow.NONE;
+        private final Drains drains;
+        private final List<String> settled = new ArrayList<>();
+
+        Copy(int number, long life) {
+            drains = new Drains(COPIES, number, life, DrainSettings.DEFAULT, DrainsWorld.CONDITIONS, this,
+                    now);
+        }
+
+        @Override
+        public int calls(long node) {
+            return calls.getOrDefault(node, 0);
+        }
+
+        @Override
+        public Set<Long> disabled() {
+            return disabled;
+        }
+
+        @Override
+        public Flow flow() {
+            return flow;
+        }
+
+        @Override
+        public void happened(Drains.Happened happened) { }
+
+        @Override
+        public void settled(long call, boolean committed) {
+            settled.add(call + " " + committed);
+        }
+    }
+
+    private final Map<Long, Node> nodes = new TreeMap<>();
+    private long now;
+    private long utc;
+    private Copy leader;
+    private Copy other;
+
+    @BeforeMethod
+    public void begin() {
+        now = 0;
+        utc = 0;
+        leader = new Copy(0, 1);
+        other = new Copy(1, 1);
+        nodes.clear();
+        for (long id = 0; id < 6; id++) {
+            nodes.put(id, new Node(id, "t", "z", (int) (id % 2), "k", 1, Standing.SERVING, 0));
+        }
+    }
+
+    private static Policy policy(int out, String pauseIf, String giveBackIf, int died, Window... closed) {
+        return new Policy("p", Whom.ALL, Most.ANY, Most.ANY, new Most(out, 1), Left.NOTHING, Order.AS_ASKED,
+                6, 0, died, pauseIf, "", giveBackIf, 10 * PERIOD, AtEnd.KEEP_WAITING, Restarted.BACK,
+                List.of(closed));
+    }
+
+    /** A period: those that speak report, the leader has its next command committed at all. */
+    private void turn(Copy... speak) {
+        now += PERIOD;
+        for (Copy copy : speak) {
+            copy.drains.report(now, copy).forEach(part ->
+                    leader.drains.reported(now, copy == leader ? 0 : 1, part));
+        }
+        byte[] next = leader.drains.next(now, utc, nodes.values(), copy -> true);
+        if (next != null) {
+            leader.drains.apply(now, next);
+            other.drains.apply(now, next);
+        }
+    }
+
+    private void turns(int times) {
+        for (int i = 0; i < times; i++) {
+            turn(leader, other);
+        }
+    }
+
+    private void start(Policy policy, Long... asked) {
+        leader.drains.policies(1, List.of(policy));
+        other.drains.call(false, List.of(asked));
+        turns(4);
+    }
+
+    private long in(DrainState state) {
+        return leader.drains.progress().drains().stream().filter(each -> each.state() == state).count();
+    }
+
+    @Test
+    public void aCallAtAnyCopyIsCommittedBeforeItIsSettled() {
+        leader.drains.policies(1, List.of(policy(2, "", "", 6)));
+        long call = other.drains.call(false, List.of(0L, 1L, 2L));
+        assertEquals(other.settled, List.of());
+        turns(8);
+        assertEquals(other.settled, List.of(call + " true"));
+        assertEquals(in(DrainState.OUT), 2);
+        assertEquals(in(DrainState.WAITING), 1);
+        assertEquals(other.drains.leaving(), leader.drains.leaving());
+        assertEquals(leader.drains.progress().told().waits(), List.of(
+                new Command.Wait(0, Command.Bound.TIER, 1)));
+    }
+
+    /** Guards against a wave that begins on the word of some. */
+    @Test
+    public void aLiveCopyThatSaysNothingHoldsWavesUp() {
+        leader.drains.policies(1, List.of(policy(2, "", "", 6)));
+        leader.drains.call(false, List.of(0L));
+        for (int i = 0; i < 10; i++) {
+            turn(leader);
+        }
+        assertEquals(in(DrainState.WAITING), 1);
+        turns(1);
+        assertEquals(in(DrainState.LEAVING), 1);
+    }
+
+    /** Guards against what a process had said counting for the one that began anew in its place. */
+    @Test
+    public void whatAFormerLifeSaidDoesNotCount() {
+        leader.calls.put(0L, 1);
+        start(policy(1, "", "", 6), 0L);
+        assertEquals(in(DrainState.LEAVING), 1);
+        other = new Copy(1, 2);
+        leader.calls.clear();
+        turns(2);
+        assertEquals(in(DrainState.LEAVING), 1);
+        other.drains.restored(now, leader.drains.state());
+        turns(2);
+        assertEquals(in(DrainState.OUT), 1);
+    }
+
+    @Test
+    public void nodesLeftOutByHandAndFailingOnesCountAsOut() {
+        other.disabled = Set.of(4L);
+        start(policy(2, "", "", 6), 0L, 1L, 2L);
+        assertEquals(in(DrainState.OUT), 1);
+        nodes.computeIfPresent(5L, (id, node) -> node.with(Standing.FAILED));
+        nodes.remove(0L);
+        turns(20);
+        assertEquals(in(DrainState.WAITING), 2);
+        other.disabled = Set.of();
+        turns(20);
+        assertEquals(in(DrainState.WAITING), 1);
+    }
+
+    @Test
+    public void aPolicyOfAHigherRevisionAtAnyCopyCountsForAllInTheMidstOfAWave() {
+        leader.calls.putAll(Map.of(0L, 1, 1L, 1));
+        start(policy(3, "", "", 6), 0L, 1L, 2L, 3L);
+        other.drains.policies(2, List.of(policy(1, "", "", 6)));
+        turns(4);
+        assertEquals(leader.drains.progress().revision(), 2);
+        assertTrue(leader.drains.overruled());
+        assertEquals(other.drains.overruled(), false);
+        assertEquals(leader.drains.leaving().size(), 3);
+        leader.calls.clear();
+        turns(4);
+        assertEquals(in(DrainState.WAITING), 1);
+        nodes.remove(0L);
+        nodes.remove(1L);
+        turns(20);
+        assertEquals(in(DrainState.WAITING), 1);
+        nodes.remove(2L);
+        turns(20);
+        assertEquals(in(DrainState.WAITING), 0);
+    }
+
+    @Test
+    public void conditionsWindowsAndDeadNodesHoldWavesUp() {
+        start(policy(2, "throws", "", 6), 0L);
+        assertEquals(in(DrainState.WAITING), 1);
+        leader.drains.policies(2, List.of(policy(2, "", "", 6, new Window(1 << 3, 0, 60))));
+        turns(4);
+        assertEquals(in(DrainState.WAITING), 1);
+        nodes.computeIfPresent(5L, (id, node) -> node.with(Standing.FAILED));
+        leader.drains.policies(3, List.of(policy(2, "", "", 0, new Window(1 << 3, 0, 60))));
+        turns(4);
+        utc = 3_600_000;
+        turns(4);
+        assertEquals(in(DrainState.WAITING), 1);
+        nodes.computeIfPresent(5L, (id, node) -> node.with(Standing.SERVING));
+        turns(4);
+        assertEquals(in(DrainState.OUT), 1);
+    }
+
+    @Test
+    public void whatLeavesIsGivenBackAndWaitsAgain() {
+        leader.calls.put(0L, 1);
+        start(policy(2, "", "failed", 6), 0L);
+        other.flow = new Flow(10, 0, 5, 0);
+        turns(4);
+        assertEquals(in(DrainState.WAITING), 1);
+        assertEquals(leader.drains.leaving(), List.of());
+        other.flow = Flow.NONE;
+        leader.calls.clear();
+        turns(6);
+        assertEquals(in(DrainState.OUT), 1);
+    }
+
+    @Test
+    public void aNodeThatRestartsUnderItsIdIsBack() {
+        start(policy(2, "", "", 6), 0L);
+        assertEquals(in(DrainState.OUT), 1);
+        nodes.computeIfPresent(0L, (id, node) -> new Node(0, "t", "z", 0, "k", 1, Standing.SERVING, 5));
+        turns(4);
+        assertEquals(leader.drains.progress().drains(), List.of());
+        assertEquals(leader.drains.progress().ended(), List.of(new Drains.Ended(0, DrainEvent.RETURNED)));
+    }
+
+    /** Guards against a drain that goes on for good: at the end of its time the log says so. */
+    @Test
+    public void oneWhoseTimeIsUpIsOverdueUntilItIsEmpty() {
+        other.calls.put(0L, 1);
+        start(policy(2, "", "", 6), 0L);
+        turns(12);
+        assertEquals(in(DrainState.OVERDUE), 1);
+        assertEquals(leader.drains.progress().told().still(), List.of(new Command.Still(1, 1, 1)));
+        other.calls.clear();
+        turns(2);
+        assertEquals(in(DrainState.OUT), 1);
+    }
+}
--- a/core/src/test/java/cedarrudder/drainage/DrainsWorld.java
+++ b/core/src/test/java/cedarrudder/drainage/DrainsWorld.java
@@ -243,7 +243,6 @@
 
     private void reports(Copy copy) {
         if (copy.live && !copy.stalled) {
-            copy.catchUp();
             int to = leader;
             for (byte[] part : copy.drains.report(now, copy)) {
                 int times = copy.number == to || random.nextDouble() >= loss ? 1 + random.nextInt(10) / 9 : 0;
@@ -389,6 +388,7 @@
                 copy.diedAt = now;
                 late += 5 * SECOND;
                 at(now + 5 * SECOND, () -> copy.stalled = false);
+                at(now + 6 * SECOND, copy::catchUp);
                 replace();
             }
             case 2 -> replace();
--- a/daemon/src/main/java/cedarrudder/program/CheckCommand.java
+++ b/daemon/src/main/java/cedarrudder/program/CheckCommand.java
@@ -1,5 +1,8 @@
 package cedarrudder.program;
 
+import cedarrudder.drainage.PolicyCheck.Both;
+import cedarrudder.operator.DrainsFile;
+import cedarrudder.operator.DrainsTable;
 import cedarrudder.operator.Operator;
 import cedarrudder.toml.BadFileException;
 import java.io.PrintWriter;
@@ -34,8 +37,9 @@
         int code = ExitCode.OK;
         for (Path file : files) {
             try {
-                Operator.read(file);
+                Operator operator = Operator.read(file);
                 out.println(file + ": good");
+                tell(file, operator.of(DrainsTable.DRAINS), out);
             } catch (BadFileException e) {
                 e.problems().forEach(out::println);
                 code = ExitCode.SOFTWARE;
@@ -43,4 +47,13 @@
         }
         return code;
     }
+
+    /** Which of two policies binds nodes that both are for. */
+    private static void tell(Path file, DrainsFile drains, PrintWriter out) {
+        for (Both both : drains == null ? List.<Both>of() : drains.both()) {
+            out.println(file + ": drains.policy: '" + drains.policies().get(both.one()).name() + "' and '"
+                    + drains.policies().get(both.other()).name() + "' are both for some nodes; stricter: "
+                    + (both.stricter().isEmpty() ? "neither" : String.join(", ", both.stricter())));
+        }
+    }
 }
--- a/daemon/src/main/java/cedarrudder/toml/Table.java
+++ b/daemon/src/main/java/cedarrudder/toml/Table.java
@@ -1,5 +1,6 @@
 package cedarrudder.toml;
 
+import java.time.LocalTime;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
@@ -261,6 +262,19 @@
         return otherwise == null ? "" : otherwise;
     }
 
+    /** A time of day; it must be there. */
+    public LocalTime time(String key) {
+        String allowed = "a time of day such as 09:30:00";
+        Object value = get(key, true, allowed, Key.NONE);
+        if (value instanceof LocalTime time) {
+            return time;
+        }
+        if (value != null) {
+            problem(key, shown(value), allowed);
+        }
+        return LocalTime.MIDNIGHT;
+    }
+
     /** A list of texts; empty where left out. */
     public List<String> texts(String key) {
         Object value = get(key, false, "a list of texts", Key.NONE);
--- a/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
@@ -108,7 +108,8 @@
         assertEquals(run.sources.keySet().stream().filter(name -> name.startsWith("picocli.")
                 || name.startsWith("org.tomlj.") || name.startsWith("org.antlr.")
                 || name.startsWith("cedarrudder.program.HistoryFile")
-                || name.startsWith("cedarrudder.footprint.")
+                || name.startsWith("cedarrudder.drainage.") || name.startsWith("cedarrudder.conditions.")
+                || name.startsWith("dev.cel.") || name.startsWith("cedarrudder.footprint.")
                 || name.startsWith("cedarrudder.protocol.ListGate")
                 || name.equals("cedarrudder.program.MachineLayout")
                 || name.equals("cedarrudder.transport.Membership")).toList(), List.of());
--- a/daemon/src/test/java/cedarrudder/program/LauncherIT.java
+++ b/daemon/src/test/java/cedarrudder/program/LauncherIT.java
@@ -33,11 +33,13 @@
     public void copyTheProject() throws IOException {
         root = Files.createTempDirectory("cedar rudder").toRealPath();
         for (String file : List.of("cedarrudder", "pom.xml", "deploy/balancer.toml", "deploy/ClassData.java",
-                "deploy/operator.toml", "daemon/pom.xml", "core/pom.xml", "daemon/target/cedarrudder.jar")) {
+                "deploy/operator.toml", "daemon/pom.xml", "core/pom.xml", "conditions/pom.xml",
+                "daemon/target/cedarrudder.jar")) {
             Files.createDirectories(root.resolve(file).getParent());
             Files.copy(Path.of(file), root.resolve(file), StandardCopyOption.COPY_ATTRIBUTES);
         }
-        for (String folder : List.of("core/src/main/java", "daemon/src/main/java/old", "bin")) {
+        for (String folder : List.of("core/src/main/java", "conditions/src/main",
+                "daemon/src/main/java/old", "bin")) {
             Files.createDirectories(root.resolve(folder));
         }
         jar = root.resolve("daemon/target/cedarrudder.jar");
