Merge what copies decide together; propose drains by the log's own hand-over

Operators' calls and policies go by Agreement's proposals, which any copy may make and which take effect at most once; tickets, queues and parts carried in reports, which did the same beside it, are gone.

--- a/core/src/main/java/cedarrudder/drainage/Agreed.java
+++ b/core/src/main/java/cedarrudder/drainage/Agreed.java
@@ -1,6 +1,5 @@
 package cedarrudder.drainage;
 
-import cedarrudder.drainage.Command.Batch;
 import cedarrudder.drainage.Command.Call;
 import cedarrudder.drainage.Command.Change;
 import cedarrudder.drainage.Command.Part;
@@ -56,12 +55,8 @@
         }
     }
 
-    /** What a command did: the events that changed something, and the calls that counted. */
-    record Applied(List<Drains.Happened> happened, List<Call> calls) { }
-
     private final TreeMap<Integer, Drain> drains = new TreeMap<>();
     private final Map<Long, Drain> byNode = new HashMap<>();
-    private final TreeMap<Integer, Long> tickets = new TreeMap<>();
     private final Deque<Drains.Ended> ended = new ArrayDeque<>();
     private long version;
     private long clock;
@@ -126,11 +121,6 @@
         return List.copyOf(ended);
     }
 
-    /** The last ticket of a copy's calls that has counted. */
-    long ticket(int copy) {
-        return tickets.getOrDefault(copy, 0L);
-    }
-
     boolean paused(int policy) {
         return pausedAt[policy] >= 0;
     }
@@ -164,23 +154,17 @@
     // ---- commands ----
 
     /** Applies a command; one that can't be read, or that was overtaken, changes nothing. */
-    Applied apply(byte[] bytes) {
-        Applied applied = new Applied(new ArrayList<>(), new ArrayList<>());
-        apply(Command.decode(bytes), applied);
-        return applied;
-    }
-
-    private void apply(Command command, Applied applied) {
+    List<Drains.Happened> apply(byte[] bytes) {
+        List<Drains.Happened> happened = new ArrayList<>();
+        Command command = Command.decode(bytes);
         long before = version;
         int open = open();
         if (command instanceof Call call) {
-            call(call, applied);
+            call(call, happened);
         } else if (command instanceof Part part) {
             part(part);
         } else if (command instanceof Step step) {
-            step(step, applied.happened);
-        } else if (command instanceof Batch batch) {
-            batch.commands().forEach(each -> apply(each, applied));
+            step(step, happened);
         }
         if (version != before) {
             int over = open & ~open();
@@ -188,14 +172,10 @@
                 endedAt[i] = (over >> i & 1) != 0 ? clock : endedAt[i];
             }
         }
+        return happened;
     }
 
-    private void call(Call call, Applied applied) {
-        if (call.ticket() <= ticket(call.copy())) {
-            return;
-        }
-        tickets.put(call.copy(), call.ticket());
-        applied.calls.add(call);
+    private void call(Call call, List<Drains.Happened> happened) {
         version++;
         for (long node : call.nodes()) {
             if (!call.cancel() && !byNode.containsKey(node) && drains.size() < Policy.MOST_NODES
@@ -207,7 +187,7 @@
             }
             Drain drain = byNode.get(node);
             if (drain != null) {
-                happens(drain, call.cancel() ? DrainEvent.CANCELLED : DrainEvent.ASKED, applied.happened);
+                happens(drain, call.cancel() ? DrainEvent.CANCELLED : DrainEvent.ASKED, happened);
             }
         }
     }
@@ -332,8 +312,6 @@
         for (byte[] each : coming) {
             out.put(each == null ? 0 : 1).put(each == null ? new byte[0] : each);
         }
-        out.put(tickets.size());
-        tickets.forEach((copy, ticket) -> out.put(copy).put(ticket));
         out.put(drains.size());
         for (Drain drain : drains.values()) {
             out.put(drain.slot).put(drain.node).put(drain.state).put(drain.wave).put(drain.start)
@@ -378,9 +356,6 @@
                 byte[] part = in.block(Command.PART);
                 state.coming[i] = here ? part : null;
             }
-            for (int left = in.count(0xffff); left > 0; left--) {
-                state.tickets.put(in.small(0xffff), in.whole(Long.MAX_VALUE));
-            }
             for (int left = in.count(Policy.MOST_NODES); left > 0; left--) {
                 Drain drain = new Drain(in.small(Integer.MAX_VALUE), in.whole(MOST_NODE));
                 drain.state = in.choice(DrainState.values());
--- a/core/src/main/java/cedarrudder/drainage/Command.java
+++ b/core/src/main/java/cedarrudder/drainage/Command.java
@@ -12,11 +12,11 @@
 public sealed interface Command {
 
     /** Nodes that one call of an operator's may name. */
-    int MOST_IDS = 13;
-    /** Commands that the leader has committed at once. */
-    int MOST_TOGETHER = 64;
+    int MOST_IDS = 500;
     /** Bytes of policies in one command. */
-    int PART = 110;
+    int PART = 4_000;
+    /** What copies propose to the leader has no more bytes. */
+    int MOST_BYTES = 4_080;
     /** Changes in one step. */
     int MOST_CHANGES = 512;
     /** Groups of waiting nodes, and nodes with calls, that a step tells of. */
@@ -25,12 +25,10 @@
     /**
      * An operator's call.
      *
-     * @param copy where it was made
-     * @param ticket rises with each of that copy; guards against one that comes late taking back a later one
      * @param cancel whether the drains are to end; else they are to begin
      * @param nodes at most {@link #MOST_IDS}
      */
-    record Call(int copy, long ticket, boolean cancel, List<Long> nodes) implements Command { }
+    record Call(boolean cancel, List<Long> nodes) implements Command { }
 
     /** A part of the policies that are to count from here on, if none of a higher revision do. */
     record Part(long revision, int sum, int index, int count, byte[] bytes) implements Command { }
@@ -45,9 +43,6 @@
     record Step(long basis, long clock, List<Pause> pauses, List<Change> changes, Told told)
             implements Command { }
 
-    /** Others' commands, in their order; none of them is of this kind. */
-    record Batch(List<Command> commands) implements Command { }
-
     /** A policy pauses, or goes on. */
     record Pause(int policy, boolean on) { }
 
@@ -113,7 +108,7 @@
     default byte[] encode() {
         Bytes.Writer out = new Bytes.Writer();
         if (this instanceof Call call) {
-            out.put(0).put(call.copy).put(call.ticket).put(call.cancel ? 1 : 0).put(call.nodes.size());
+            out.put(0).put(call.cancel ? 1 : 0).put(call.nodes.size());
             call.nodes.forEach(out::put);
         } else if (this instanceof Part part) {
             out.put(1).put(part.revision).put(part.sum & 0xffffffffL).put(part.index).put(part.count)
@@ -132,26 +127,18 @@
                 }
             }
             write(out, step.told);
-        } else if (this instanceof Batch batch) {
-            out.put(3).put(batch.commands.size());
-            batch.commands.forEach(each -> out.put(each.encode()));
         }
         return out.bytes();
     }
 
     /** Reads a command; null where the bytes are none. It throws nothing. */
     static Command decode(byte[] bytes) {
-        return decode(bytes, 3);
-    }
-
-    private static Command decode(byte[] bytes, int last) {
         try {
             Bytes.Reader in = new Bytes.Reader(bytes);
-            Command command = switch (in.small(last)) {
+            Command command = switch (in.small(2)) {
                 case 0 -> call(in);
                 case 1 -> part(in);
-                case 2 -> step(in);
-                default -> batch(in);
+                default -> step(in);
             };
             in.done();
             return command;
@@ -160,27 +147,13 @@
         }
     }
 
-    private static Batch batch(Bytes.Reader in) {
-        List<Command> commands = new ArrayList<>();
-        for (int left = in.count(MOST_TOGETHER); left > 0; left--) {
-            Command command = decode(in.block(Integer.MAX_VALUE), 2);
-            if (command == null) {
-                throw new IllegalArgumentException("a command in a batch that is none");
-            }
-            commands.add(command);
-        }
-        return new Batch(commands);
-    }
-
     private static Call call(Bytes.Reader in) {
-        int copy = in.small(0xffff);
-        long ticket = in.whole(Long.MAX_VALUE);
         boolean cancel = in.small(1) == 1;
         List<Long> nodes = new ArrayList<>();
         for (int left = in.count(MOST_IDS); left > 0; left--) {
             nodes.add(in.whole(Agreed.MOST_NODE));
         }
-        return new Call(copy, ticket, cancel, nodes);
+        return new Call(cancel, nodes);
     }
 
     private static Part part(Bytes.Reader in) {
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -10,9 +10,11 @@
 import cedarrudder.figures.Figures;
 import cedarrudder.flow.HeldBytes;
 import cedarrudder.footprint.Footprint;
+import cedarrudder.footprint.Room;
 import cedarrudder.logging.Logger;
 import cedarrudder.logging.TextLines;
 import cedarrudder.membership.MembershipSettings;
+import cedarrudder.operator.AgreementTable;
 import cedarrudder.operator.BudgetTable;
 import cedarrudder.operator.CallersTable;
 import cedarrudder.operator.DiscoveryTable;
@@ -25,9 +27,11 @@
 import cedarrudder.operator.MembershipTable;
 import cedarrudder.operator.NodesTable;
 import cedarrudder.operator.Operator;
+import cedarrudder.operator.TogetherSettings;
 import cedarrudder.program.Handover.Others;
 import cedarrudder.protocol.BadMessageException;
 import cedarrudder.protocol.FiguresPage;
+import cedarrudder.protocol.JsonObject;
 import cedarrudder.protocol.ListGate;
 import cedarrudder.protocol.Message;
 import cedarrudder.protocol.ResolverResult;
@@ -41,6 +45,7 @@
 import cedarrudder.transport.AdminListener;
 import cedarrudder.transport.Desk;
 import cedarrudder.transport.DiscoveryClient;
+import cedarrudder.transport.Drift;
 import cedarrudder.transport.Listener;
 import cedarrudder.transport.Loop;
 import cedarrudder.transport.Membership;
@@ -50,6 +55,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
@@ -75,18 +81,20 @@
     private static final long FRESH = 2_000_000_000L;
 
     private final Logger log;
-    private final Configuration configuration;
+    private Configuration configuration;
     private final Loop loop;
     private final Driver<Message, Message> driver;
     private final NodeChannels channels;
     private final ResolverResultReader reader;
     private final ListGate footprint;
+    private final CopyEstimate estimate;
     private final DiscoveryClient discovery;
     private final PeerSocket peers;
     private final Listener listener;
     private final HistoryFile history;
     private final long clockOffset;
     private final Membership membership;
+    private final Together together;
     private final Figures figures;
     private final Rotation rotation = new Rotation();
     private final HeldBytes held = new HeldBytes(HeldBytes.MOST);
@@ -119,7 +127,9 @@
         var callers = operator.of(CallersTable.CALLERS);
         var nodes = operator.of(NodesTable.NODES);
         setLog(operator.of(LogTable.LOG));
-        loop = new Loop(log);
+        HistorySettings recorded = operator.of(HistoryTable.HISTORY);
+        loop = recorded == null || recorded.clockDrift() == 0 ? new Loop(log)
+                : new Loop(log, new Drift(recorded.clockDrift()));
         Budgets budgets = budgets(operator.of(BudgetTable.BUDGET));
         figures = new Figures(site.module().classes().size());
         driver = new Driver<>(actions -> new Decide(site.module(), new SplittableRandom(configuration.seed()),
@@ -127,13 +137,13 @@
         int sockets = configuration.sockets();
         channels = new NodeChannels(loop, driver, site, nodes,
                 nodes.bounds(sockets, callers.mostCallers(sockets)), figures, held);
-        HistorySettings recorded = operator.of(HistoryTable.HISTORY);
         clockOffset = recorded == null ? 0 : recorded.clockOffset();
         reader = new ResolverResultReader(site, loop::now, this::wallClock);
         long version = (long) configuration.known().number("version", 0);
         FootprintSettings lists = operator.of(FootprintTable.FOOTPRINT);
+        estimate = lists == null ? null : estimate();
         footprint = lists == null ? null : new ListGate(new Footprint(MachineLayout.read()), reader,
-                (long) (lists.heapShare() * Runtime.getRuntime().maxMemory()), lists.fromNodes());
+                estimate.room(lists.heapShare(), most()), lists.fromNodes());
         discovery = new DiscoveryClient(loop, configuration.discovery(),
                 operator.of(DiscoveryTable.DISCOVERY), ResolverClock.longest(site.module()),
                 new SplittableRandom(configuration.seed()).split().split().split(), reader, version,
@@ -145,7 +155,11 @@
                 callers, callers.mostCallers(sockets), held);
         driver.connect(channels, discovery, peers);
         history = recorded == null ? null : new HistoryFile(recorded.file(), site.module().self());
+        if (estimate != null && history != null) {
+            footprint.whenJudged(judged -> estimate.judged(judged, history));
+        }
         membership = membership(operator.of(MembershipTable.MEMBERSHIP));
+        together = together(operator.of(AgreementTable.AGREEMENT));
     }
 
     /** What the machine's clock says, or is taken to say in a trial; milliseconds. */
@@ -153,6 +167,20 @@
         return System.currentTimeMillis() + clockOffset;
     }
 
+    private CopyEstimate estimate() {
+        return new CopyEstimate(configuration.site(), MachineLayout.read(),
+                MachineLayout.limits(configuration.memory()), () -> new CopyEstimate.Load(listener.callers(),
+                channels.open(), (int) figures.open(), held.held()));
+    }
+
+    /** All that the process may come to hold beside nodes. */
+    private CopyEstimate.Load most() {
+        int sockets = configuration.sockets();
+        int callers = operator.of(CallersTable.CALLERS).mostCallers(sockets);
+        return new CopyEstimate.Load(callers, operator.of(NodesTable.NODES).bounds(sockets, callers).idle(),
+                callers, HeldBytes.MOST);
+    }
+
     /** Membership of this tier's proxies; null where the operator's file has none. */
     private Membership membership(MembershipSettings set) {
         if (set == null) {
@@ -169,6 +197,46 @@
                 new SplittableRandom(configuration.seed()).split().split(), driver::copies, history);
     }
 
+    /** What proxies of this tier decide together; null where the operator's file has no such table. */
+    private Together together(TogetherSettings set) {
+        if (set == null) {
+            return null;
+        }
+        var module = configuration.site().module();
+        int copies = configuration.peers().size();
+        if (set.fleet().lease() < set.fleet().leastLease(copies)) {
+            throw new IllegalArgumentException("agreement.lease_ms: found " + set.fleet().lease() / 1_000_000
+                    + " with " + copies + " peers; allowed: " + set.fleet().leastLease(copies) / 1_000_000
+                    + " or more");
+        }
+        return new Together(loop, peers, membership, set, new Together.Self(Together.zones(set,
+                configuration.site().zones(), copies, module.self(), module.zone()), module.self(),
+                this::wallClock, new SplittableRandom(configuration.seed()).split().split().split().split(),
+                held -> estimate == null ? Room.ANY : estimate.room(held, footprint)),
+                driver, this::leaving, history, log);
+    }
+
+    /** Begins to speak to the peers, as the process of this proxy that does; on the loop. */
+    private void speakUp() {
+        membership.start();
+        if (together != null) {
+            together.fleet().start();
+        }
+    }
+
+    /** These nodes are being removed in common. */
+    private void leaving(Set<Long> nodes) {
+        for (String node : rotation.leaving(nodes, loop.now())) {
+            if (rotation.shown(node).state() == State.READY) {
+                log.info("node.stays").with("node", node).write();
+            } else {
+                log.info("node.leaving").with("node", node).write();
+            }
+            show(node);
+            welcome(node, WELCOMES);
+        }
+    }
+
     /** The budgets of this tier; null where the operator's file has none. */
     private Budgets budgets(BudgetSettings set) {
         if (set == null) {
@@ -193,8 +261,7 @@
         }
         boolean replacing = others.predecessor(); // before the loop has it
         boolean speaks = membership == null || speak();
-        ResolverResult known = configuration.known().list("servers", false).isEmpty() ? null
-                : reader.read(configuration.known());
+        ResolverResult known = known();
         CountDownLatch told = new CountDownLatch(1);
         loop.run(() -> {
             hushed = !speaks;
@@ -203,6 +270,9 @@
                 setBounds();
                 watchOthers();
             }
+            if (known != null && footprint != null && footprint.last().waits() > 0) {
+                discovery.startedShort(); // first: the watch is asked for from there
+            }
             if (!configuration.site().module().askForEndpoints()) {
                 discovery.subscribe(true); // nobody asks for it: what was pushed counts from now on
             }
@@ -223,7 +293,7 @@
         if (configuration.peerListen() != null && speaks) {
             peers.listen(configuration.peerListen(), shared);
             if (membership != null) {
-                loop.run(membership::start);
+                loop.run(this::speakUp);
             }
         }
         // Not at the callers' address: guards against RPCs of the warm-up reaching another process there.
@@ -232,6 +302,9 @@
         CountDownLatch warmed = new CountDownLatch(1);
         loop.run(() -> warmUp(own, warmed));
         warmed.await();
+        if (estimate != null) {
+            measure();
+        }
         if (replacing) {
             fresh.await(FRESH, TimeUnit.NANOSECONDS);
         }
@@ -249,6 +322,24 @@
         });
     }
 
+    /** The list that it had before; null where there was none. */
+    private ResolverResult known() {
+        JsonObject list = configuration.known();
+        configuration = configuration.withoutKnown();
+        return list.list("servers", false).isEmpty() ? null
+                : reader.read(footprint == null ? list : footprint.read(list));
+    }
+
+    /** On the loop, before the first caller comes: nobody waits for the collection. */
+    private void measure() throws InterruptedException {
+        CountDownLatch measured = new CountDownLatch(1);
+        loop.run(() -> {
+            estimate.measure(footprint.held());
+            measured.countDown();
+        });
+        measured.await();
+    }
+
     /** Finds out who else runs for this proxy; one that can't find out takes itself to be alone. */
     private void joinOthers() throws InterruptedException {
         try {
@@ -275,6 +366,9 @@
             hushed = false;
             return;
         }
+        if (together != null) {
+            together.fleet().leave(); // first: what it says goes out by the peers' socket
+        }
         if (replaced) {
             membership.hush();
         } else {
@@ -312,7 +406,7 @@
             others = now;
             if (hushed && handover.speak()) {
                 hushed = false;
-                peers.takeOver(configuration.peerListen(), membership::start);
+                peers.takeOver(configuration.peerListen(), this::speakUp);
             }
             if (looks > 0) {
                 setBounds();
@@ -406,6 +500,9 @@
         }
         driver.resolved(kind, rotation.listed(kind, result.nodes().stream()
                 .map(node -> new Named(node.name(), node.endpoint())).toList()));
+        if (estimate != null && history != null) {
+            estimate.took(history, loop::run);
+        }
     }
 
     /** Takes up what operators asked for before this process began. */
@@ -536,7 +633,18 @@
         @Override
         public byte[] figures() {
             return FiguresPage.write(figures, classes, rotation.size(), driver.avoided(), held.held(),
-                    footprint == null ? null : footprint.last());
+                    estimate == null ? null : estimate.figures(footprint));
+        }
+
+        @Override
+        public byte[] table() {
+            return together == null ? null : TablePage.write(together.fleet(), configuration.site().zones(),
+                    rotation::name);
+        }
+
+        @Override
+        public Done group() {
+            return together.fleet().form() ? Done.YES : Done.NO;
         }
 
         @Override
