Drain nodes in common: operators' calls, reports, waves through Rotation; removals in the lab

Need: nodes leave at all copies together, within the policies, and operators see what holds them up. Change: Removals wires drainage to the copies' agreement; /-/drains at the operators' address; the lab removes nodes by drains and by hand, kills leaders and counts what callers got. Ruled out: a way of its own for operators' calls in reports, beside the log's proposals.

--- a/core/src/main/java/cedarrudder/drainage/Agreed.java
+++ b/core/src/main/java/cedarrudder/drainage/Agreed.java
@@ -41,6 +41,8 @@
         int wave;
         /** The node's start when its wave began, or at the restart after it. */
         long start;
+        /** In milliseconds. */
+        long within;
         /** On the agreed clock, in milliseconds. */
         long until;
         AtEnd atEnd = AtEnd.LET_GO;
@@ -215,6 +217,7 @@
             if (change.event() == DrainEvent.BEGUN && drain.state == DrainState.WAITING) {
                 drain.wave = wave;
                 drain.start = change.start();
+                drain.within = change.time();
                 drain.until = clock + change.time();
                 drain.atEnd = change.atEnd();
                 drain.restarted = change.restarted();
@@ -236,7 +239,8 @@
         if (before != drain.state) {
             drain.since = version;
         }
-        happened.add(new Drains.Happened(drain.node, event, before, drain.state, drain.wave, row.effect()));
+        happened.add(new Drains.Happened(drain.node, event, before, drain.state, drain.wave,
+                drain.within, row.effect()));
         if (row.effect() == Effect.END) {
             drains.remove(drain.slot);
             byNode.remove(drain.node);
@@ -315,7 +319,7 @@
         out.put(drains.size());
         for (Drain drain : drains.values()) {
             out.put(drain.slot).put(drain.node).put(drain.state).put(drain.wave).put(drain.start)
-                    .put(drain.until).put(drain.atEnd).put(drain.restarted)
+                    .put(drain.within).put(drain.until).put(drain.atEnd).put(drain.restarted)
                     .put(drain.policies & 0xffffffffL).put(drain.since);
         }
         out.put(ended.size());
@@ -361,6 +365,7 @@
                 drain.state = in.choice(DrainState.values());
                 drain.wave = in.small(MOST_WAVE - 1);
                 drain.start = in.whole(Long.MAX_VALUE);
+                drain.within = in.whole(Long.MAX_VALUE);
                 drain.until = in.whole(Long.MAX_VALUE);
                 drain.atEnd = in.choice(AtEnd.values());
                 drain.restarted = in.choice(Restarted.values());
--- a/core/src/main/java/cedarrudder/drainage/Command.java
+++ b/core/src/main/java/cedarrudder/drainage/Command.java
@@ -67,6 +67,8 @@
         NO_POLICY,
         /** Some live copy has said nothing lately. */
         REPORTS,
+        /** A node that is out is listed no more, and it is not agreed on yet that it is gone. */
+        UNLISTED,
         /** A window in which nothing begins. */
         CLOSED,
         /** A condition, or nodes that died. */
--- a/core/src/main/java/cedarrudder/drainage/DrainSettings.java
+++ b/core/src/main/java/cedarrudder/drainage/DrainSettings.java
@@ -13,7 +13,7 @@
     private static final long SECOND = 1_000_000_000L;
 
     /** What serves where nothing else is said. */
-    public static final DrainSettings DEFAULT = new DrainSettings(3 * SECOND, 10 * SECOND, 5 * SECOND,
+    public static final DrainSettings DEFAULT = new DrainSettings(3 * SECOND, 10 * SECOND, SECOND,
             2 * SECOND);
 
     /** Checks that all are over 0; what is wrong is an IllegalArgumentException that names it. */
--- a/core/src/main/java/cedarrudder/drainage/Drains.java
+++ b/core/src/main/java/cedarrudder/drainage/Drains.java
@@ -27,9 +27,13 @@
     private static final long MILLI = 1_000_000L;
     private static final int MOST_REPORTS = 2;
 
-    /** An event that changed something, and what follows beside the state. */
+    /**
+     * An event that changed something, and what follows beside the state.
+     *
+     * @param within the time that the node may take, in milliseconds, once its wave has begun
+     */
     public record Happened(long node, DrainEvent event, DrainState before, DrainState after, int wave,
-            Transitions.Effect effect) { }
+            long within, Transitions.Effect effect) { }
 
     /** How a node's drain ended. */
     public record Ended(long node, DrainEvent how) { }
--- a/core/src/main/java/cedarrudder/drainage/Scheduler.java
+++ b/core/src/main/java/cedarrudder/drainage/Scheduler.java
@@ -57,6 +57,7 @@
         private final Map<Wait, Integer> waits = new LinkedHashMap<>();
         private final int open;
         private final boolean heardAll;
+        private final boolean unlisted;
         private int halted;
 
         Look(long now, long clock, int minute, Agreed agreed, Rules rules, Collection<Node> listed) {
@@ -69,6 +70,8 @@
             disabled = heard.disabled(now);
             open = agreed.open();
             heardAll = disabled != null && heard.silent(now) == 0;
+            unlisted = agreed.drains().stream().anyMatch(drain -> drain.state.out()
+                    && !nodes.containsKey(drain.node));
             for (int i = 0; i < rules.size(); i++) {
                 counted.add(new Counted(rules.policy(i)));
             }
@@ -250,6 +253,9 @@
             if (!heardAll) {
                 return new Wait(-1, Bound.REPORTS, 0);
             }
+            if (unlisted) {
+                return new Wait(-1, Bound.UNLISTED, 0);
+            }
             Wait wait = null;
             for (int i = 0; i < rules.size(); i++) {
                 if ((policies >> i & 1) != 0) {
--- a/core/src/main/java/cedarrudder/figures/Figures.java
+++ b/core/src/main/java/cedarrudder/figures/Figures.java
@@ -21,6 +21,7 @@
     private final long[][] ended;
     private final long[] taken;
     private final long[] relayed;
+    private long late;
     private long open;
 
     /** @param classes how many classes of requests there are */
@@ -42,6 +43,16 @@
         open--;
     }
 
+    /** The time of one was over before it had ended. */
+    public void late() {
+        late++;
+    }
+
+    /** RPCs whose time was over before they had ended. */
+    public long allLate() {
+        return late;
+    }
+
     /** An attempt of this class was written whole to a node. */
     public void relayed(int kind) {
         relayed[kind]++;
--- a/core/src/main/java/cedarrudder/fleet/FleetCopy.java
+++ b/core/src/main/java/cedarrudder/fleet/FleetCopy.java
@@ -545,7 +545,9 @@
         boolean ours = report.group().equals(agreement.group()) && report.term() == agreement.term();
         boolean fresh = reporters.took(now, from, life, report, ours);
         if (fresh) {
-            report.parts().forEach(part -> took(from, part));
+            // Of another group or term what a copy has carried out is told by other numbers.
+        report.parts().stream().filter(part -> ours || part.of() != Of.REMOVAL)
+                .forEach(part -> took(from, part));
         }
         if (report.asks() && reporters.answers(now, from, reports)) {
             long since = majorityAt();
--- a/core/src/main/java/cedarrudder/rotation/Rotation.java
+++ b/core/src/main/java/cedarrudder/rotation/Rotation.java
@@ -4,6 +4,7 @@
 import cedarrudder.Balancer.ListKind;
 import cedarrudder.Balancer.State;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -131,6 +132,11 @@
                 .map(Map.Entry::getKey).findFirst().orElse(null);
     }
 
+    /** What discovery lists, by id, whatever operators or copies leave out. */
+    public Map<String, Endpoint> listed() {
+        return Collections.unmodifiableMap(listed);
+    }
+
     /** How many nodes discovery lists. */
     public int size() {
         return listed.size();
--- a/core/src/main/java/cedarrudder/routing/Driver.java
+++ b/core/src/main/java/cedarrudder/routing/Driver.java
@@ -310,6 +310,9 @@
         for (CallAttempt<Q, A> attempt : List.copyOf(exchange.attempts())) {
             giveUp(attempt, Outcome.TIMEOUT);
         }
+        if (!exchange.over() && figures != null) {
+            figures.late();
+        }
         if (!exchange.over()) {
             timers.at(timers.now() + OVERDUE, () -> overdue(exchange));
         }
--- a/daemon/src/main/java/cedarrudder/operator/Operator.java
+++ b/daemon/src/main/java/cedarrudder/operator/Operator.java
@@ -69,6 +69,11 @@
             root.problem(AgreementTable.AGREEMENT.name(), "no [membership]",
                     "a table [membership] beside it, as copies have to know who lives");
         }
+        if (values.containsKey(DrainsTable.DRAINS.name())
+                && !values.containsKey(AgreementTable.AGREEMENT.name())) {
+            root.problem(DrainsTable.DRAINS.name(), "no [agreement]",
+                    "a table [agreement] beside it, as copies have to agree on who leaves");
+        }
         root.done();
         document.check();
         return operator;
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -7,6 +7,11 @@
 import cedarrudder.Decide;
 import cedarrudder.budget.BudgetSettings;
 import cedarrudder.budget.Budgets;
+import cedarrudder.drainage.Flow;
+import cedarrudder.drainage.Node.Standing;
+import cedarrudder.drainage.Node;
+import cedarrudder.drainage.Policy;
+import cedarrudder.figures.Figures.End;
 import cedarrudder.figures.Figures;
 import cedarrudder.flow.HeldBytes;
 import cedarrudder.footprint.Footprint;
@@ -18,6 +23,8 @@
 import cedarrudder.operator.BudgetTable;
 import cedarrudder.operator.CallersTable;
 import cedarrudder.operator.DiscoveryTable;
+import cedarrudder.operator.DrainsFile;
+import cedarrudder.operator.DrainsTable;
 import cedarrudder.operator.FootprintSettings;
 import cedarrudder.operator.FootprintTable;
 import cedarrudder.operator.HistorySettings;
@@ -54,12 +61,17 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 /** One proxy: its parts, wired together. */
 final class Proxy {
@@ -94,6 +106,7 @@
     private final HistoryFile history;
     private final long clockOffset;
     private final Membership membership;
+    private final Removals removals;
     private final Together together;
     private final Figures figures;
     private final Rotation rotation = new Rotation();
@@ -159,6 +172,7 @@
             footprint.whenJudged(judged -> estimate.judged(judged, history));
         }
         membership = membership(operator.of(MembershipTable.MEMBERSHIP));
+        removals = removals(operator.of(DrainsTable.DRAINS));
         together = together(operator.of(AgreementTable.AGREEMENT));
     }
 
@@ -213,7 +227,7 @@
                 configuration.site().zones(), copies, module.self(), module.zone()), module.self(),
                 this::wallClock, new SplittableRandom(configuration.seed()).split().split().split().split(),
                 held -> estimate == null ? Room.ANY : estimate.room(held, footprint)),
-                driver, this::leaving, history, log);
+                driver, this::leaving, removals, history, log);
     }
 
     /** Begins to speak to the peers, as the process of this proxy that does; on the loop. */
@@ -221,6 +235,78 @@
         membership.start();
         if (together != null) {
             together.fleet().start();
+            if (removals != null) {
+                removals.propose(together.fleet());
+            }
+        }
+    }
+
+    /** Drains by policies; null where the operator's file has none. */
+    private Removals removals(DrainsFile file) {
+        if (file == null) {
+            return null;
+        }
+        List<String> zones = configuration.site().zones();
+        for (Policy policy : file.policies()) {
+            if (!policy.whom().zone().isEmpty() && !zones.contains(policy.whom().zone())) {
+                throw new IllegalArgumentException("drains.policy.zone: found " + policy.whom().zone()
+                        + " in '" + policy.name() + "'; allowed: " + String.join(", ", zones));
+            }
+        }
+        return new Removals(loop, configuration.peers().size(), configuration.site().module().self(), file,
+                new Seen(), history, log);
+    }
+
+    /** What this copy sees of nodes and calls. */
+    private final class Seen implements Removals.View {
+        @Override
+        public Collection<Node> nodes() {
+            var site = configuration.site();
+            int tier = site.module().tier();
+            String name = tier < site.tiers().size() ? site.tiers().get(tier) : "";
+            List<Node> nodes = new ArrayList<>();
+            rotation.listed().forEach((id, entry) -> nodes.add(new Node(entry.id(), name,
+                    named(site.zones(), entry.zone()), entry.cell(), named(site.kinds(), entry.kind()),
+                    entry.weight(), rotation.disabled().contains(id) ? Standing.DISABLED
+                    : entry.state() == State.DRAINING ? Standing.TERMINATING
+                    : channels.failing(entry.id()) ? Standing.FAILED : Standing.SERVING,
+                    reader.startMillis(id))));
+            return nodes;
+        }
+
+        private static String named(List<String> names, int index) {
+            return index >= 0 && index < names.size() ? names.get(index) : "";
+        }
+
+        @Override
+        public Map<Long, Integer> calls() {
+            return channels.calls();
+        }
+
+        @Override
+        public Set<Long> disabled() {
+            return rotation.disabled().stream().filter(rotation.listed()::containsKey)
+                    .map(id -> rotation.listed().get(id).id()).collect(Collectors.toSet());
+        }
+
+        @Override
+        public Flow ended() {
+            long served = 0;
+            long refused = 0;
+            long failed = 0;
+            for (int i = 0; i < figures.classes(); i++) {
+                served += figures.allEnded(i, End.FULFILLED);
+                refused += figures.allEnded(i, End.THROTTLED);
+                failed += figures.allEnded(i, End.FAULTED);
+            }
+            // Differences are what counts: these may pass the largest number and begin anew.
+            return new Flow((int) (served + refused + failed), (int) refused, (int) failed,
+                    (int) figures.allLate());
+        }
+
+        @Override
+        public long wallClock() {
+            return Proxy.this.wallClock();
         }
     }
 
@@ -582,6 +668,9 @@
             setLog(operator.of(LogTable.LOG));
             setBounds();
             discovery.apply(operator.of(DiscoveryTable.DISCOVERY));
+            if (removals != null) {
+                removals.apply(operator.of(DrainsTable.DRAINS));
+            }
             log.info("operator.read").write();
         });
     }
@@ -647,6 +736,28 @@
             return together.fleet().form() ? Done.YES : Done.NO;
         }
 
+        @Override
+        public byte[] drains() {
+            return removals == null ? null : DrainsPage.write(removals.progress(), rotation::name);
+        }
+
+        @Override
+        public void remove(Which which, String name, boolean cancel, Consumer<Done> then) {
+            List<Long> nodes = rotation.listed().entrySet().stream().filter(entry -> switch (which) {
+                case NODE -> entry.getKey().equals(name);
+                case ZONE -> configuration.site().zones().indexOf(name) == entry.getValue().zone()
+                        && entry.getValue().zone() >= 0;
+                case POD -> Integer.toString(entry.getValue().cell()).equals(name);
+                case KIND -> configuration.site().kinds().indexOf(name) == entry.getValue().kind()
+                        && entry.getValue().kind() >= 0;
+            }).map(entry -> entry.getValue().id()).sorted().toList();
+            if (nodes.isEmpty()) {
+                then.accept(Done.UNKNOWN);
+            } else {
+                removals.call(together.fleet(), cancel, nodes, then);
+            }
+        }
+
         @Override
         public Done disable(String node) {
             return !rotation.knows(node) ? Done.UNKNOWN : keep(() -> kept.disable(node), () -> {
--- a/daemon/src/main/java/cedarrudder/program/Together.java
+++ b/daemon/src/main/java/cedarrudder/program/Together.java
@@ -46,6 +46,7 @@
     private final TogetherSettings settings;
     private final Driver<?, ?> driver;
     private final Consumer<Set<Long>> leaving;
+    private final Removals removals;
     private final Notes notes;
     private final Logger log;
     private final Fleet fleet;
@@ -54,13 +55,17 @@
     private RouteTable table;
     private long saidAt;
 
-    /** @param leaving takes the numbers of all nodes that are being removed, whenever that changes */
+    /**
+     * @param leaving takes the numbers of all nodes that are being removed, whenever that changes
+     * @param removals null where operators have no policies
+     */
     Together(Loop loop, PeerSocket peers, Membership membership, TogetherSettings settings, Self self,
-            Driver<?, ?> driver, Consumer<Set<Long>> leaving, Notes notes, Logger log) {
+            Driver<?, ?> driver, Consumer<Set<Long>> leaving, Removals removals, Notes notes, Logger log) {
         this.settings = settings;
         this.self = self;
         this.driver = driver;
         this.leaving = leaving;
+        this.removals = removals;
         this.notes = notes;
         this.log = log;
         this.fleet = new Fleet(loop, peers, this, this, notes);
@@ -115,7 +120,8 @@
             notes.note("joins", Map.of("kept", kept.kept() == null ? 0 : 1));
         }
         return new FleetCopy(self.zones, self.number, Math.max(1, self.wallClock.getAsLong()),
-                settings.agreement(), settings.fleet(), kept, self.random, Shares.NONE, Removal.NONE,
+                settings.agreement(), settings.fleet(), kept, self.random, Shares.NONE,
+                removals == null ? Removal.NONE : removals.begin(now),
                 () -> self.room.apply(table), outlet, now);
     }
 
@@ -159,7 +165,9 @@
 
     @Override
     public void settled(Proposal proposal, Outcome outcome, LogNumber number) {
-        log.info("agreement.settled").with("outcome", outcome).write();
+        if (removals == null || !removals.settled(proposal, outcome)) {
+            log.info("agreement.settled").with("outcome", outcome).write();
+        }
     }
 
     @Override
--- a/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
+++ b/daemon/src/main/java/cedarrudder/protocol/ResolverResultReader.java
@@ -97,6 +97,12 @@
         return numbers.containsKey(id);
     }
 
+    /** When a node began by what discovery says, in milliseconds since 1970; 0: long ago, or not known. */
+    public long startMillis(String id) {
+        Start known = starts.get(id);
+        return known == null ? 0 : Math.max(0, (long) known.millis());
+    }
+
     /** Characters of all ids that have a number. */
     long idChars() {
         return idChars;
--- a/daemon/src/main/java/cedarrudder/transport/AdminListener.java
+++ b/daemon/src/main/java/cedarrudder/transport/AdminListener.java
@@ -22,6 +22,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * The operators' address: one call to a connection, answered at once. It routes calls to the {@link Desk} and
@@ -42,6 +43,7 @@
     private static final long LAST_WORD = 1_000_000_000L;
 
     private static final String NODES = "/-/nodes/";
+    private static final String DRAINS = "/-/drains";
     private static final Answer UNKNOWN_PATH = Answer.text(404, "unknown path");
 
     private final Loop loop;
@@ -94,10 +96,14 @@
         }
     }
 
-    private Answer route(String method, String target) throws BadMessageException {
+    /** Null where the answer comes later, to {@code later}. */
+    private Answer route(String method, String target, Consumer<Answer> later) throws BadMessageException {
         int query = target.indexOf('?');
         String path = query < 0 ? target : target.substring(0, query);
         int verb = path.lastIndexOf('/');
+        if (path.startsWith(DRAINS + "/") && desk.drains() != null) {
+            return remove(method, path.substring(DRAINS.length() + 1), later);
+        }
         if (path.startsWith(NODES) && verb > NODES.length()) {
             String node = decoded(path.substring(NODES.length(), verb));
             return node.contains("/") ? UNKNOWN_PATH : switch (path.substring(verb + 1)) {
@@ -111,6 +117,7 @@
             case "/-/drain", "/-/resume" -> "POST";
             case "/-/table" -> desk.table() == null ? null : "GET";
             case "/-/group" -> desk.table() == null ? null : "POST";
+            case DRAINS -> desk.drains() == null ? null : "GET";
             default -> null;
         };
         if (allowed == null) {
@@ -125,10 +132,35 @@
             case "/-/drain" -> Answer.done(desk.drain());
             case "/-/table" -> new Answer(200, "application/json", desk.table(), null);
             case "/-/group" -> Answer.done(desk.group());
+            case DRAINS -> new Answer(200, "application/json", desk.drains(), null);
             default -> Answer.done(desk.resume());
         };
     }
 
+    /** A call such as {@code zone/a/begin}. */
+    private Answer remove(String method, String call, Consumer<Answer> later) throws BadMessageException {
+        String[] parts = call.split("/", -1);
+        Desk.Which which = parts.length == 3 ? switch (parts[0]) {
+            case "node" -> Desk.Which.NODE;
+            case "zone" -> Desk.Which.ZONE;
+            case "pod" -> Desk.Which.POD;
+            case "kind" -> Desk.Which.KIND;
+            default -> null;
+        } : null;
+        if (which == null || parts[1].isEmpty() || !parts[2].equals("begin") && !parts[2].equals("cancel")) {
+            return UNKNOWN_PATH;
+        }
+        if (!method.equals("POST")) {
+            return wrong("POST");
+        }
+        desk.remove(which, decoded(parts[1]), parts[2].equals("cancel"), done -> later.accept(switch (done) {
+            case YES -> Answer.text(200, "done");
+            case UNKNOWN -> Answer.text(404, "no node that is listed is meant");
+            case NO -> Answer.text(503, "not known to be agreed on; to repeat it does no harm");
+        }));
+        return null;
+    }
+
     private static Answer wrong(String allowed) {
         return new Answer(405, "text/plain", "wrong method\n".getBytes(StandardCharsets.UTF_8), allowed);
     }
@@ -162,6 +194,7 @@
         private final HttpDecoder decoder = HttpDecoder.ofRequests(MOST_HEAD, MOST_BODY);
         private long said;
         private boolean answered;
+        private boolean waits;
         private Timers.Timer patience;
 
         Call(DuplexChannel channel) {
@@ -193,13 +226,19 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf in) {
             said += in.readableBytes();
-            if (answered) {
+            if (answered || waits) {
                 return; // what comes behind a call is read, since closing with bytes unread loses the answer
             }
             try {
                 Message call = decoder.decode(in);
                 if (call != null) {
-                    answer(route(call.head().method(), call.head().target()));
+                    Answer answer = route(call.head().method(), call.head().target(), this::answerLater);
+                    if (answer != null) {
+                        answer(answer);
+                    } else if (!answered) {
+                        closeIn(PATIENCE); // for those who have to agree on it
+                        waits = true;
+                    }
                 } else if (decoder.awaitsContinue()) {
                     channel.writeAndFlush(HttpEncoder.goOn(loop.buffers()));
                 }
@@ -208,6 +247,12 @@
             }
         }
 
+        private void answerLater(Answer answer) {
+            if (!answered && channel.isOpen()) {
+                answer(answer);
+            }
+        }
+
         private void answer(Answer answer) {
             answered = true;
             said = Long.MAX_VALUE; // it goes last where room is needed
--- a/daemon/src/main/java/cedarrudder/transport/Desk.java
+++ b/daemon/src/main/java/cedarrudder/transport/Desk.java
@@ -1,5 +1,7 @@
 package cedarrudder.transport;
 
+import java.util.function.Consumer;
+
 /** What operators may ask of the proxy; all of it happens on the loop. */
 public interface Desk {
 
@@ -25,6 +27,20 @@
     /** Puts a node back. */
     Done enable(String node);
 
+    /** Nodes that a call names at once. */
+    enum Which { NODE, ZONE, POD, KIND }
+
+    /**
+     * Has nodes leave by the policies of drains, or ends that; for all copies.
+     *
+     * @param name an id, or what all nodes have that are meant
+     * @param then takes what came of it, once it is committed or that can't be told any more
+     */
+    void remove(Which which, String name, boolean cancel, Consumer<Done> then);
+
+    /** The drains, as JSON; null where there are no policies. */
+    byte[] drains();
+
     /** Sends clients away. */
     Done drain();
 
--- a/daemon/src/main/java/cedarrudder/transport/Fleet.java
+++ b/daemon/src/main/java/cedarrudder/transport/Fleet.java
@@ -117,6 +117,11 @@
         return Boolean.TRUE.equals(act(part -> part.form(loop.now())));
     }
 
+    /** Proposes a command of a removal, whoever leads; null where nothing is taken now. */
+    public Proposal propose(byte[] command, long patience) {
+        return act(part -> part.propose(loop.now(), command, patience));
+    }
+
     private void heard(int from, byte[] message) {
         act(part -> {
             part.received(loop.now(), from, message);
--- a/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
+++ b/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
@@ -46,6 +46,9 @@
 public final class NodeChannels implements ClientSide<Message, Message> {
 
     /** How often idle channels are looked over. */
+    /** So many attempts in a row that nobody answered make a node a failing one. */
+    private static final int FAILING = 5;
+
     private static final long SWEEP = 1_000_000_000L;
 
     /** A node may close an idle channel a little early by our clock: ours goes this much earlier. */
@@ -146,6 +149,7 @@
         final InetSocketAddress address;
         final Deque<NodeChannel> idle = new ArrayDeque<>();
         boolean gone;
+        private int failures;
 
         Node(InetSocketAddress address) {
             this.address = address;
@@ -190,6 +194,19 @@
         }
     }
 
+    /** Attempts that are out, and answers that flow, by node. */
+    public Map<Long, Integer> calls() {
+        Map<Long, Integer> calls = new HashMap<>();
+        attempts.keySet().forEach(attempt -> calls.merge(attempt.endpoint(), 1, Integer::sum));
+        return calls;
+    }
+
+    /** Whether the last attempts at a node all failed, without an answer of any kind between them. */
+    public boolean failing(long endpoint) {
+        Node node = nodes.get(endpoint);
+        return node != null && node.failures >= FAILING;
+    }
+
     /** How many channels there are. */
     public int open() {
         return open;
@@ -398,6 +415,10 @@
         @Override
         void answered(Message answer) {
             attempts.remove(attempt);
+            Node node = nodes.get(attempt.endpoint());
+            if (node != null) {
+                node.failures = 0;
+            }
             Load load = load(answer);
             int status = answer.head().status();
             FromBelow below = attempt.handed() == null ? FromBelow.NOTHING : BudgetHeaders.result(answer);
@@ -412,6 +433,10 @@
         @Override
         void failed(Outcome outcome) {
             attempts.remove(attempt);
+            Node node = nodes.get(attempt.endpoint());
+            if (node != null && outcome != Outcome.MOOT) {
+                node.failures++;
+            }
             driver.ended(attempt, outcome, null);
         }
     }
@@ -447,6 +472,7 @@
                 return;
             }
             patience.cancel();
+            node.failures = 0;
             boolean ok = answer.head().status() == 200;
             var load = ok ? LoadReport.parse(new String(answer.body(), StandardCharsets.UTF_8)) : null;
             driver.probed(endpoint, ok ? Outcome.OK : declined(answer) ? Outcome.FULL : Outcome.ERROR,
--- a/lab/src/main/java/cedarrudder/lab/cluster/Act.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Act.java
@@ -33,5 +33,11 @@
     /** Nodes do so from now on, to all copies or to these. */
     NODES,
     /** An operator asks these copies something. */
-    CALL
+    CALL,
+    /** SIGKILL for the copy that leads, as it says itself; it has a new life some seconds later. */
+    KILL_LEADER,
+    /** Operators have nodes leave by drains, asked of these copies in turn, and take each off the list. */
+    REMOVE,
+    /** The same by hand: each node is disabled at one copy after another, and taken off the list. */
+    REMOVE_BY_HAND
 }
--- a/lab/src/main/java/cedarrudder/lab/cluster/Cluster.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Cluster.java
@@ -1,12 +1,19 @@
 package cedarrudder.lab.cluster;
 
+import cedarrudder.drainage.Policy;
+import cedarrudder.lab.attack.Answer;
 import cedarrudder.lab.attack.ScriptedNodes;
 import cedarrudder.lab.attack.ScriptedNodes.Mood;
 import cedarrudder.lab.attack.ToySite;
 import cedarrudder.lab.emulator.Place;
 import cedarrudder.lab.judge.Event;
 import cedarrudder.lab.judge.History;
+import cedarrudder.operator.DrainsFile;
+import cedarrudder.operator.DrainsTable;
+import cedarrudder.operator.Operator;
 import cedarrudder.protocol.ResolverResultReader;
+import cedarrudder.toml.BadFileException;
+import cedarrudder.toml.Document;
 import cedarrudder.toml.Table;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -14,6 +21,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -31,6 +40,8 @@
 
     private static final long READY = 120_000_000_000L;
     private static final long END_MILLIS = 10_000;
+    private static final long AWAY_MILLIS = 3_000;
+    private static final long END_OF_NODE_MILLIS = 3_000;
 
     private final Script script;
     private final Place place;
@@ -48,6 +59,7 @@
     });
     private final List<Future<?>> begun = new ArrayList<>();
     private final List<String> refusals = new CopyOnWriteArrayList<>();
+    private final Set<Integer> unlisted = ConcurrentHashMap.newKeySet();
     private long version = 1;
 
     private Cluster(Script script, long seed, Place place) throws IOException, InterruptedException {
@@ -94,13 +106,14 @@
     private String list(int copy) {
         List<InetSocketAddress> addresses = nodes.addresses(copy);
         return "{\"version\":" + version + ",\"full\":true,\"servers\":["
-                + IntStream.range(0, script.nodes()).mapToObj(node -> ToySite.server("node-" + node,
+                + IntStream.range(0, script.nodes()).filter(node -> !unlisted.contains(node))
+                        .mapToObj(node -> ToySite.server("node-" + node,
                         addresses.get(node), Script.zoneName(script.zone(node)), starts[node]))
                         .collect(Collectors.joining(",")) + "]}";
     }
 
     /** From now on these do so, to all copies; those that start anew are told of. */
-    private void mood(List<Integer> which, Mood mood) {
+    private synchronized void mood(List<Integer> which, Mood mood) {
         for (int node : which) {
             if (mood == moods[node]) {
                 continue;
@@ -174,6 +187,12 @@
 
     private Verdict play() throws IOException, InterruptedException {
         chronicle.tell(Chronicle.NOBODY, 0, "weather", Map.of("calm", "1"));
+        for (Policy policy : bounds()) {
+            chronicle.tell(Chronicle.NOBODY, 0, "bound", Map.of("name", policy.name(), "nodes",
+                    IntStream.range(0, script.nodes()).mapToObj(Cluster::name)
+                            .collect(Collectors.joining(",")),
+                    "most", Integer.toString(policy.tier().of(script.nodes()))));
+        }
         List<Path> logs = new ArrayList<>();
         for (Copy copy : copies) {
             logs.add(copy.start());
@@ -243,6 +262,14 @@
             }
         }
         switch (step.act()) {
+            case KILL_LEADER -> begun.add(beside.submit(() -> {
+                killLeader();
+                return null;
+            }));
+            case REMOVE, REMOVE_BY_HAND -> begun.add(beside.submit(() -> {
+                remove(step);
+                return null;
+            }));
             case CUT -> {
                 cut(step.copies(), true, true);
                 if (!step.nodes().isEmpty()) {
@@ -265,6 +292,66 @@
         }
     }
 
+    /** The copy that leads, as it says itself, ends; some seconds later it has another life. */
+    private void killLeader() throws IOException, InterruptedException {
+        for (Copy copy : copies) {
+            Answer said = null;
+            try {
+                said = copy.runs() ? new OperatorCall("GET", "/-/table", "", 200).answer(copy.admin(), 1_000)
+                        : null;
+            } catch (IOException e) {
+                // it stands still, or has just ended
+            }
+            if (said != null && said.body().contains("\"leads\":true")) {
+                copy.kill();
+                TimeUnit.MILLISECONDS.sleep(AWAY_MILLIS);
+                back(copy);
+                return;
+            }
+        }
+    }
+
+    private void remove(Step step) throws InterruptedException {
+        Removal removal = new Removal(copies.stream().map(Copy::admin).toList(), this::unlist);
+        long began = System.nanoTime();
+        if (step.act() == Act.REMOVE) {
+            removal.byDrains(step.nodes(), step.copies());
+        } else {
+            removal.byHand(step.nodes(), step.copies(), atOnce());
+        }
+        chronicle.tell(Chronicle.NOBODY, 0, "removed", Map.of("nodes", Integer.toString(step.nodes().size()),
+                "took", Long.toString(System.nanoTime() - began)));
+    }
+
+    /** As many as the policies of the script let go at once. */
+    private int atOnce() {
+        return bounds().stream().mapToInt(policy -> policy.tier().of(script.nodes())).min().orElse(1);
+    }
+
+    private List<Policy> bounds() {
+        try {
+            DrainsFile file = Operator.read(Document.parse("operator", script.operator()
+                    + ScriptReader.MEMBERSHIP)).of(DrainsTable.DRAINS);
+            return file == null ? List.of() : file.policies();
+        } catch (BadFileException e) {
+            throw new IllegalStateException("the script was read with it", e);
+        }
+    }
+
+    /** A node leaves the list of all copies, and ends a moment later. */
+    private synchronized void unlist(int node) {
+        unlisted.add(node);
+        version++;
+        for (int copy = 0; copy < discoveries.size(); copy++) {
+            discoveries.get(copy).list(list(copy));
+        }
+        beside.submit(() -> {
+            TimeUnit.MILLISECONDS.sleep(END_OF_NODE_MILLIS);
+            nodes.mood(node, Mood.DEAD);
+            return null;
+        });
+    }
+
     private static void back(Copy copy) throws IOException, InterruptedException {
         copy.awaitEnd(END_MILLIS);
         if (!copy.runs()) {
@@ -350,8 +437,10 @@
         heal();
         weather(Weather.CALM);
         for (int i = 0; i < script.nodes(); i++) {
-            nodes.mood(i, Mood.WELL); // also to those copies to which alone it did otherwise
-            mood(List.of(i), Mood.WELL);
+            if (!unlisted.contains(i)) {
+                nodes.mood(i, Mood.WELL); // also to those copies to which alone it did otherwise
+                mood(List.of(i), Mood.WELL);
+            }
         }
         for (Copy copy : copies) {
             copy.signal("CONT", "", "continued");
--- a/lab/src/main/java/cedarrudder/lab/cluster/OperatorCall.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/OperatorCall.java
@@ -21,13 +21,8 @@
     /** Asks; gives what is wrong with the answer, empty where nothing is. */
     String ask(InetSocketAddress address) {
         String found;
-        try (Socket socket = new Socket()) {
-            socket.connect(address, PATIENCE_MILLIS);
-            socket.setSoTimeout(PATIENCE_MILLIS);
-            socket.getOutputStream().write((method + " " + path + " HTTP/1.1\r\nHost: operators\r\n"
-                    + "Content-Length: " + body.length() + "\r\n\r\n" + body)
-                    .getBytes(StandardCharsets.ISO_8859_1));
-            Answer answer = Answer.read(socket.getInputStream(), false);
+        try {
+            Answer answer = answer(address, PATIENCE_MILLIS);
             if (answer != null && answer.status() == status) {
                 return "";
             }
@@ -37,4 +32,16 @@
         }
         return method + " " + path + ": found " + found + "; expected: status " + status;
     }
+
+    /** Asks; null where the connection ends without an answer. */
+    Answer answer(InetSocketAddress address, int patience) throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(address, patience);
+            socket.setSoTimeout(patience);
+            socket.getOutputStream().write((method + " " + path + " HTTP/1.1\r\nHost: operators\r\n"
+                    + "Content-Length: " + body.length() + "\r\n\r\n" + body)
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            return Answer.read(socket.getInputStream(), false);
+        }
+    }
 }
--- a/lab/src/main/java/cedarrudder/lab/cluster/Script.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Script.java
@@ -26,7 +26,7 @@
     /** Copies at the least and at the most. */
     public static final int LEAST = 3;
     public static final int MOST = 30;
-    static final int MOST_NODES = 20;
+    static final int MOST_NODES = 30;
     static final int MOST_ZONES = 8;
 
     private static final long SECOND = 1_000_000_000L;
--- a/lab/src/main/java/cedarrudder/lab/cluster/ScriptReader.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/ScriptReader.java
@@ -27,11 +27,14 @@
     private static final int MOST_STATUS = 599;
     private static final int MOST_CALL = 1_024;
 
+    /** As the lab writes it; behind the others, as errors name their lines. */
+    static final String MEMBERSHIP = "\n[membership]\n";
+
     /** Tables that the lab writes itself. */
     private static final Set<String> OWN = Set.of("membership", "history");
 
     private static final Set<Act> OF_COPIES = EnumSet.complementOf(
-            EnumSet.of(Act.HEAL, Act.WEATHER, Act.NODES));
+            EnumSet.of(Act.HEAL, Act.WEATHER, Act.NODES, Act.KILL_LEADER));
 
     private ScriptReader() { }
 
@@ -78,7 +81,7 @@
         document.root().keys().stream().filter(OWN::contains).forEach(name -> root.problem("operator",
                 "a table [" + name + "]", "others: the lab writes this one"));
         try {
-            Operator.read(Document.parse("operator", text));
+            Operator.read(Document.parse("operator", text + MEMBERSHIP));
         } catch (BadFileException e) {
             for (Problem problem : e.problems()) {
                 root.problem("operator", "line " + problem.line() + ", " + problem.key() + ": "
@@ -112,6 +115,8 @@
             mood = table.choice("mood", Mood.class, null);
             which = numbers(table, "nodes", counts.nodes, counts.zones);
             whom = table.has("copies") ? numbers(table, "copies", counts.copies) : List.of();
+        } else if (act == Act.REMOVE || act == Act.REMOVE_BY_HAND) {
+            which = numbers(table, "nodes", counts.nodes, counts.zones);
         } else if (act == Act.CUT && table.has("zones")) {
             which = ofZones(table, counts.nodes, counts.zones);
         } else if (act == Act.CALL) {
--- a/lab/src/main/java/cedarrudder/lab/cluster/Verdict.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Verdict.java
@@ -32,9 +32,11 @@
  * @param agreedSeconds from the end of the faults until all held one view
  * @param leaders that there were
  * @param tables that there were
+ * @param service what callers got
  */
 public record Verdict(List<Breach> breaches, List<String> found, int events, long rpcs, long deaths,
-        double slowestSeconds, long falseDeaths, double agreedSeconds, long leaders, long tables) {
+        double slowestSeconds, long falseDeaths, double agreedSeconds, long leaders, long tables,
+        Service service) {
 
     private static final long SECOND = 1_000_000_000L;
     private static final long LISTENS = 300_000_000L;
@@ -96,7 +98,7 @@
         return new Verdict(breaches, found, events.size(), answers.asked(), deaths.found(),
                 (double) deaths.longestToFind() / SECOND, deaths.falseDeaths(),
                 (double) views.agreedAfter() / SECOND, different(events, "leads", "term"),
-                different(events, "table", "number"));
+                different(events, "table", "number"), Service.of(events));
     }
 
     private static long different(List<Event> events, String what, String field) {
--- a/lab/src/main/java/cedarrudder/lab/command/ClusterCommand.java
+++ b/lab/src/main/java/cedarrudder/lab/command/ClusterCommand.java
@@ -3,6 +3,7 @@
 import cedarrudder.lab.cluster.Cluster;
 import cedarrudder.lab.cluster.Script;
 import cedarrudder.lab.cluster.ScriptReader;
+import cedarrudder.lab.cluster.Service;
 import cedarrudder.lab.cluster.Verdict;
 import cedarrudder.lab.cluster.VirtualRun;
 import cedarrudder.lab.emulator.Place;
@@ -98,6 +99,11 @@
                     verdict.events(), verdict.rpcs(), verdict.deaths(), verdict.slowestSeconds(),
                     verdict.falseDeaths(), verdict.agreedSeconds(), verdict.leaders(), verdict.tables(),
                     verdict.good() ? "kept" : "BROKEN");
+            Service service = verdict.service();
+            print.printf(Locale.ROOT, "      refused %d, failed %d, later than 0.3 s %d", service.refused(),
+                    service.failed(), service.late());
+            print.println(service.removals() == 0 ? ""
+                    : String.format(Locale.ROOT, "; nodes removed in %.1f s", service.removalSeconds()));
             verdict.breaches().forEach(breach ->
                     print.println("      " + breach.rule() + ": " + breach.why()));
             verdict.found().forEach(each -> print.println("      " + each));
