--- a/core/src/main/java/cedarrudder/drainage/Drains.java
+++ b/core/src/main/java/cedarrudder/drainage/Drains.java
@@ -4,12 +4,8 @@
 import cedarrudder.drainage.Command.Call;
 import cedarrudder.drainage.Command.Part;
 import cedarrudder.table.RouteTable.Leaving;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collection;
-import java.util.Deque;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
 import java.util.function.IntPredicate;
@@ -29,14 +25,15 @@
     public static final int MOST_IDS = Command.MOST_IDS;
 
     private static final long MILLI = 1_000_000L;
-    private static final int MOST_PENDING = 512;
-    private static final int MOST_CARRIED = 3;
-    private static final int MOST_QUEUED = 256;
     private static final int MOST_REPORTS = 2;
 
-    /** An event that changed something, and what follows beside the state. */
+    /**
+     * An event that changed something, and what follows beside the state.
+     *
+     * @param within the time that the node may take, in milliseconds, once its wave has begun
+     */
     public record Happened(long node, DrainEvent event, DrainState before, DrainState after, int wave,
-            Transitions.Effect effect) { }
+            long within, Transitions.Effect effect) { }
 
     /** How a node's drain ended. */
     public record Ended(long node, DrainEvent how) { }
@@ -45,9 +42,6 @@
     public interface Outlet {
         /** This was committed, and has taken effect here. */
         void happened(Happened happened);
-
-        /** A call of this copy's operators was committed; or it can't be told, or there was no room. */
-        void settled(long call, boolean committed);
     }
 
     /** What this copy has itself. */
@@ -74,48 +68,29 @@
     public record Progress(long revision, List<String> policies, List<String> paused, List<Shown> drains,
             Command.Told told, List<Ended> ended) { }
 
-    private static final class Pending {
-        private final long number;
-        private final boolean cancel;
-        private final List<Long> nodes;
-        private long ticket;
-
-        Pending(long number, boolean cancel, List<Long> nodes) {
-            this.number = number;
-            this.cancel = cancel;
-            this.nodes = nodes;
-        }
-    }
-
     private final int copies;
     private final int self;
-    private final long life;
     private final Conditions conditions;
     private final Outlet outlet;
     private final Heard heard;
     private final Scheduler scheduler;
-    private final Deque<Pending> pending = new ArrayDeque<>();
-    private final List<Command> queued = new ArrayList<>();
     private Agreed agreed = new Agreed();
     private Rules rules;
     private List<Part> own = List.of();
     private long reckoned;
     private long reckonedAt;
-    private long calls;
     private int from;
     private int somewhere;
 
     /**
      * @param copies how many there may be, and {@code self} the number of this one
-     * @param life larger than that of any earlier life of this copy
      */
-    public Drains(int copies, int self, long life, DrainSettings settings, Conditions conditions,
+    public Drains(int copies, int self, DrainSettings settings, Conditions conditions,
             Outlet outlet, long now) {
-        Policy.check(copies >= 1 && copies <= 0xffff && self >= 0 && self < copies && life >= 0, "copy", self
-                + " of " + copies + ", life " + life, "one of up to 65,535");
+        Policy.check(copies >= 1 && copies <= 0xffff && self >= 0 && self < copies, "copy", self
+                + " of " + copies, "one of up to 65,535");
         this.copies = copies;
         this.self = self;
-        this.life = life;
         this.conditions = conditions;
         this.outlet = outlet;
         this.reckonedAt = now;
@@ -160,19 +135,13 @@
     /** A command is committed. */
     public void apply(long now, byte[] command) {
         List<Policy> policies = agreed.policies();
-        Agreed.Applied applied = agreed.apply(command);
+        List<Happened> happened = agreed.apply(command);
         // What has passed here since it last heard of the clock counts. Guards against a clock that falls
         // behind by the time of a commit each time that it is committed.
         reckoned = Math.max(clock(now), agreed.clock());
         reckonedAt = now;
         readAnew(policies);
-        applied.happened().forEach(outlet::happened);
-        for (Call call : applied.calls()) {
-            if (call.copy() == self) {
-                settle(call);
-            }
-        }
-        overtaken(false);
+        happened.forEach(outlet::happened);
     }
 
     /** This state takes the place of the one that is; empty is that before the first command. */
@@ -184,7 +153,6 @@
             reckoned = agreed.clock();
             reckonedAt = now;
             readAnew(policies);
-            overtaken(true);
         }
     }
 
@@ -242,72 +210,32 @@
                 agreed.told(), agreed.ended());
     }
 
-    // ---- operators ----
+    // ---- what any copy proposes ----
 
     /**
-     * An operator of this copy asks for drains of nodes, or cancels them. The outlet is told what came of it.
+     * The command by which operators ask for drains of nodes, or cancel them.
      *
      * @param nodes from 1 to {@link #MOST_IDS}
-     * @return the call's number; -1 where too many are pending
      */
-    public long call(boolean cancel, List<Long> nodes) {
+    public static byte[] call(boolean cancel, List<Long> nodes) {
         Policy.check(!nodes.isEmpty() && nodes.size() <= MOST_IDS && nodes.stream().allMatch(node ->
                 node >= 0 && node <= MOST_NODE), "nodes", nodes, "1 to " + MOST_IDS + " numbers of nodes");
-        if (pending.size() >= MOST_PENDING) {
-            return -1;
-        }
-        Pending call = new Pending(++calls, cancel, List.copyOf(nodes));
-        call.ticket = nextTicket();
-        pending.addLast(call);
-        return call.number;
+        return new Call(cancel, nodes).encode();
     }
 
-    /** Nobody waits for a call any more; it may yet be committed. */
-    public void forget(long call) {
-        pending.removeIf(each -> each.number == call);
-    }
-
-    private long nextTicket() {
-        long last = agreed.ticket(self);
-        for (Pending each : pending) {
-            last = Math.max(last, each.ticket);
-        }
-        return last + 1;
-    }
-
-    private void settle(Call call) {
-        for (Iterator<Pending> each = pending.iterator(); each.hasNext();) {
-            Pending one = each.next();
-            if (one.ticket == call.ticket() && one.cancel == call.cancel()
-                    && one.nodes.equals(call.nodes())) {
-                each.remove();
-                // Where there is no room for another drain a node that was asked for has none.
-                outlet.settled(one.number, one.cancel
-                        || one.nodes.stream().noneMatch(node -> agreed.state(node) == DrainState.NONE));
-                return;
-            }
-        }
-    }
-
-    /** Calls whose ticket was passed by did not count, or nobody knows; the former get another ticket. */
-    private void overtaken(boolean unknown) {
-        for (Pending each : List.copyOf(pending)) {
-            if (each.ticket <= agreed.ticket(self)) {
-                pending.remove(each);
-                if (unknown) {
-                    outlet.settled(each.number, each.nodes.stream().map(agreed::state).allMatch(state ->
-                            each.cancel == (state == DrainState.NONE || state == DrainState.RETURNING)));
-                } else {
-                    each.ticket = nextTicket();
-                    pending.addLast(each);
-                }
+    /** A command by which the policies of this copy's file come to count for all; null where they may not. */
+    public byte[] wanted() {
+        for (Part part : own) {
+            if (!agreed.has(part)) {
+                return part.encode();
             }
         }
+        return null;
     }
 
     // ---- what copies say to the one that leads ----
 
-    /** What this copy has to say, in parts of at most 136 bytes that stand for themselves, at most four. */
+    /** What this copy has to say, in parts of at most 136 bytes that stand for themselves, at most two. */
     public List<byte[]> report(long now, Local local) {
         List<byte[]> parts = new ArrayList<>();
         List<Drain> open = agreed.drains().stream().filter(drain -> drain.state.open()).toList();
@@ -331,22 +259,12 @@
                 some.add(disabled.get(somewhere++ % disabled.size()));
             }
             somewhere = disabled.isEmpty() ? 0 : somewhere % disabled.size();
-            parts.add(new Report(life, agreed.version(), first, last, held, disabled.size(), some,
+            parts.add(new Report(agreed.version(), first, last, held, disabled.size(), some,
                     local.flow()).encode());
             if (from == 0) {
                 break;
             }
         }
-        for (Part part : own) {
-            if (parts.size() < MOST_REPORTS && !agreed.has(part)) {
-                parts.add(Report.carry(part.encode()));
-            }
-        }
-        for (Pending each : pending) {
-            if (parts.size() < MOST_REPORTS + MOST_CARRIED - 1) {
-                parts.add(Report.carry(new Call(self, each.ticket, each.cancel, each.nodes).encode()));
-            }
-        }
         return parts;
     }
 
@@ -354,7 +272,6 @@
     public void leads(long now, boolean leads) {
         heard.clear(now);
         scheduler.clear();
-        queued.clear();
     }
 
     /** At the copy that leads: a part of what another says, or this one itself. It may be no such part. */
@@ -365,12 +282,6 @@
         Report report = Report.decode(part);
         if (report != null) {
             heard.took(now, sender, report, agreed);
-            return;
-        }
-        Command command = Report.carried(part);
-        if (command != null && queued.size() < MOST_QUEUED
-                && !(command instanceof Call call && call.copy() != sender)) {
-            queued.add(command);
         }
     }
 
@@ -383,32 +294,7 @@
      */
     public byte[] next(long now, long utcMillis, Collection<Node> nodes, IntPredicate lives) {
         heard.look(now, copy -> copy == self || lives.test(copy));
-        List<Command> commands = new ArrayList<>();
-        Command step = scheduler.next(now, clock(now), utcMillis, agreed, rules,
-                nodes, copies);
-        if (step != null) {
-            commands.add(step);
-        }
-        List<byte[]> known = new ArrayList<>();
-        queued.stream().sorted((a, b) -> Long.compare(ticket(a), ticket(b))).forEach(each -> {
-            byte[] bytes = each.encode();
-            if (commands.size() < Command.MOST_TOGETHER && wanted(each)
-                    && known.stream().noneMatch(other -> Arrays.equals(other, bytes))) {
-                known.add(bytes);
-                commands.add(each);
-            }
-        });
-        queued.clear();
-        return commands.isEmpty() ? null : commands.size() == 1 ? commands.get(0).encode()
-                : new Command.Batch(commands).encode();
-    }
-
-    private static long ticket(Command command) {
-        return command instanceof Call call ? call.ticket() : 0;
-    }
-
-    private boolean wanted(Command command) {
-        return command instanceof Call call ? call.ticket() > agreed.ticket(call.copy())
-                : command instanceof Part part && !agreed.has(part);
+        Command step = scheduler.next(now, clock(now), utcMillis, agreed, rules, nodes, copies);
+        return step == null ? null : step.encode();
     }
 }
--- a/daemon/src/main/java/cedarrudder/program/CheckCommand.java
+++ b/daemon/src/main/java/cedarrudder/program/CheckCommand.java
@@ -1,6 +1,9 @@
 package cedarrudder.program;
 
+import cedarrudder.drainage.PolicyCheck.Both;
 import cedarrudder.footprint.Limits;
+import cedarrudder.operator.DrainsFile;
+import cedarrudder.operator.DrainsTable;
 import cedarrudder.operator.Operator;
 import cedarrudder.toml.BadFileException;
 import java.io.PrintWriter;
@@ -67,6 +70,7 @@
             try {
                 last = Operator.read(file);
                 out.println(file + ": good");
+                tell(file, last.of(DrainsTable.DRAINS), out);
             } catch (BadFileException e) {
                 e.problems().forEach(out::println);
                 code = ExitCode.SOFTWARE;
@@ -93,4 +97,13 @@
         return Long.parseLong(found.group(1)) << 10 * " kmg".indexOf(found.group(2).isEmpty() ? " "
                 : found.group(2));
     }
+
+    /** Which of two policies binds nodes that both are for. */
+    private static void tell(Path file, DrainsFile drains, PrintWriter out) {
+        for (Both both : drains == null ? List.<Both>of() : drains.both()) {
+            out.println(file + ": drains.policy: '" + drains.policies().get(both.one()).name() + "' and '"
+                    + drains.policies().get(both.other()).name() + "' are both for some nodes; stricter: "
+                    + (both.stricter().isEmpty() ? "neither" : String.join(", ", both.stricter())));
+        }
+    }
 }
