Tell since when a leader was surely in office, and believe only who answers

A lease needs a ground: that a majority answered the leader at most so long ago, known to each copy without trust in clocks or in how long a datagram took. The leader marks what it sends; an age goes from copy to copy by question and answer and counts from the question, longer by 1 in 400 for drift. The same answers let a copy follow a higher group, or a later life of a peer, only where the sender has answered: a forged datagram moves nobody.

Counting from the arrival, or without the drift, is caught, as is belief without an answer.

Ruled out: an age counted from receipt (a copy that stood still takes it for new), and stamps with an offset kept for each peer (peers of random digests meet too seldom).

--- a/core/src/main/java/cedarrudder/agreement/Agreement.java
+++ b/core/src/main/java/cedarrudder/agreement/Agreement.java
@@ -12,6 +12,7 @@
 import cedarrudder.agreement.Message.News;
 import cedarrudder.agreement.Message.SayAppend;
 import cedarrudder.agreement.Message.SayVote;
+import cedarrudder.agreement.Message.Sure;
 import cedarrudder.agreement.Message.Took;
 import java.util.ArrayList;
 import java.util.List;
@@ -85,6 +86,7 @@
     private final Log log;
     private final Pieces pieces;
     private final Allowance allowance;
+    private final Contact contact;
     private final Circle circle = new Own();
     private final Election election;
     private final Spreading spreading;
@@ -133,9 +135,11 @@
         this.tier = new Tier(self, zones, now);
         this.log = new Log(store);
         this.pieces = new Pieces(conduct, random.nextInt());
+        this.contact = new Contact(conduct);
         this.allowance = new Allowance(settings.bytesPerSecond(), now);
         this.election = new Election(circle, settings, conduct, random, now);
-        this.spreading = new Spreading(circle, settings, tier, random, allowance, now);
+        this.spreading = new Spreading(circle, settings, tier, random, allowance, contact,
+                now);
         this.seats = new Seats(circle, settings, tier, random);
         this.proposing = new Proposing(circle, outlet, life, random.nextInt() & Integer.MAX_VALUE);
         this.handed = new Allowance(settings.bytesPerSecond(), now);
@@ -247,6 +251,16 @@
         return new LogNumber(group, applied);
     }
 
+    /**
+     * The latest instant of this copy's clock at which a leader whom a majority answered was surely in
+     * office, all of whose commits until then are loaded here; {@link Long#MIN_VALUE} where none is
+     * known. It rises within a group. It is never later than it truly was, however late datagrams came and
+     * however long this copy stood still, where clocks drift by no more than 1 in 1,000.
+     */
+    public long sureSince() {
+        return contact.since();
+    }
+
     public Counts counts() {
         return new Counts(malformed, notItsSender, stale);
     }
@@ -460,18 +474,43 @@
     /** Looks at what every piece says, before anything of it is kept. */
     private boolean admits(long now, Piece piece) {
         int from = piece.sender();
-        if (piece.group().compareTo(group) < 0 || piece.life() < tier.life(from)) {
+        int byGroup = piece.group().compareTo(group);
+        boolean raises = byGroup > 0 || piece.life() > tier.life(from) && tier.life(from) > 0;
+        if (raises && !conduct.believes(answers(from, piece))) {
+            spreading.refuse(now, from, digest(piece), true);
+            return false;
+        }
+        if (piece.life() < tier.life(from)) {
             stale++;
-            spreading.correct(now, from);
+            spreading.refuse(now, from, digest(piece), true);
+            return false;
+        }
+        if (byGroup < 0) {
+            stale++;
+            if (piece.part()[0] != Message.SURE) {
+                spreading.refuse(now, from, digest(piece), false);
+            }
             return false;
         }
         tier.heard(now, from, piece.life());
-        if (piece.group().compareTo(group) > 0) {
+        if (byGroup > 0) {
             join(now, piece.group());
         }
         return true;
     }
 
+    /** A raise is only believed of one who answers: whoever sends from a peer's address can't do that. */
+    private boolean answers(int from, Piece piece) {
+        return piece.count() == 1 && piece.part()[0] == Message.SURE
+                && Message.decode(piece.part()) instanceof Sure sure && spreading.answers(from, sure);
+    }
+
+    /** The question of a piece that is not admitted; null where it is none. */
+    private static Digest digest(Piece piece) {
+        return piece.count() == 1 && piece.part()[0] == Message.DIGEST
+                && Message.decode(piece.part()) instanceof Digest digest ? digest : null;
+    }
+
     /** Leaves all that was, and has nothing of the other group yet. */
     private void join(long now, Group other) {
         group = other;
@@ -480,6 +519,7 @@
         election.reset(now);
         spreading.reset(now);
         proposing.reset();
+        contact.reset();
         proposers = new Proposers();
         waitAnew(now);
         replication = null;
@@ -544,6 +584,8 @@
             } else if (takes(now, m.proposal())) {
                 circle.post(from.copy(), new Took(m.proposal().life(), m.proposal().sequence()));
             }
+        } else if (message instanceof Sure m) {
+            spreading.took(now, from.copy(), m);
         } else if (message instanceof Took m) {
             proposing.heard(now, from.copy(), m);
         } else if (message instanceof Lack m) {
@@ -562,7 +604,7 @@
         if (!election.leads()) {
             replication = null;
         } else if (replication == null) {
-            replication = new Replication(circle, settings, conduct, now);
+            replication = new Replication(circle, settings, conduct, random, now);
             log.voters().all().forEach(voter -> tier.expect(now, voter.copy()));
             append(now, new Entry(election.term(), Kind.BEGIN, new byte[0]));
         }
@@ -577,7 +619,7 @@
 
     private void follow(long now, int leader, long term, Append append) {
         if (term < election.term()) {
-            circle.post(leader, new SayAppend(false, log.last()));
+            circle.post(leader, new SayAppend(false, log.last(), append.ask()));
             return;
         }
         election.heard(now, leader, term);
@@ -587,7 +629,8 @@
         boolean behind = after < log.committed();
         if (!behind && (after > log.last() || log.term(after) != (skip == 0 ? append.afterTerm()
                 : append.entries().get(skip - 1).term()))) {
-            circle.post(leader, new SayAppend(false, Math.max(0, Math.min(log.last(), after - 1))));
+            circle.post(leader, new SayAppend(false, Math.max(0, Math.min(log.last(), after - 1)),
+                    append.ask()));
             if (append.committed() > log.last()) {
                 spreading.ask(now, leader);
             }
@@ -606,7 +649,7 @@
             }
         }
         sync();
-        circle.post(leader, new SayAppend(true, after));
+        circle.post(leader, new SayAppend(true, after, append.ask()));
         long known = Math.min(append.committed(), after);
         if (known > log.committed()) {
             log.commit(known);
@@ -686,6 +729,10 @@
     private void end(long now) {
         proposing.loaded(proposers.last(self.copy()));
         proposing.tick(now);
+        if (election.leads() && log.voters().size() >= LEAST_VOTERS
+                && log.term(log.committed()) == election.term()) {
+            contact.sure(replication.answeredSince(now));
+        }
         if (promised) {
             sync();
         }
--- a/core/src/main/java/cedarrudder/agreement/Conduct.java
+++ b/core/src/main/java/cedarrudder/agreement/Conduct.java
@@ -40,6 +40,21 @@
         return isNew;
     }
 
+    /** How long a time may be on this clock that another measured: each is off by up to 1 in 1,000. */
+    long lengthened(long nanos) {
+        return nanos + nanos / 400;
+    }
+
+    /** From when the age of a contact counts: from the question, whenever the answer came. */
+    long countsFrom(long askedAt, long answeredAt) {
+        return askedAt;
+    }
+
+    /** Whether a higher group or life is followed: only where its sender has answered a question. */
+    boolean believes(boolean answered) {
+        return answered;
+    }
+
     /** Whether a piece belongs to the message of which another piece is held. */
     boolean same(Piece held, Piece other) {
         return held.message() == other.message() && held.life() == other.life()
--- /dev/null
+++ b/core/src/main/java/cedarrudder/agreement/Contact.java
@@ -0,0 +1,45 @@
+package cedarrudder.agreement;
+
+/**
+ * Since when a leader was surely in office, as far as that has come to this copy: an instant of its own clock
+ * at or after which a majority answered a leader, of whose commits until then this copy has loaded all.
+ *
+ * <p>It comes from copy to copy as an age. Nobody knows how long a datagram was on its way or lay unread, so
+ * an age counts from the instant at which this copy asked for it, never from when it came.
+ */
+final class Contact {
+
+    static final long UNKNOWN = Long.MIN_VALUE;
+
+    private static final long MILLI = 1_000_000L;
+
+    private final Conduct conduct;
+    private long since = UNKNOWN;
+
+    Contact(Conduct conduct) {
+        this.conduct = conduct;
+    }
+
+    long since() {
+        return since;
+    }
+
+    /** Another group: of its commits this copy has loaded none. */
+    void reset() {
+        since = UNKNOWN;
+    }
+
+    void sure(long instant) {
+        since = Math.max(since, instant);
+    }
+
+    /** In milliseconds, not shorter than it is; -1 where there is none. */
+    int age(long now) {
+        return since == UNKNOWN ? -1 : (int) Math.min(Integer.MAX_VALUE, (now - since) / MILLI + 1);
+    }
+
+    /** One who had this age at the time of answering was asked at that instant; the answer came now. */
+    void told(long now, long askedAt, int age) {
+        sure(conduct.countsFrom(askedAt, now) - conduct.lengthened(age * MILLI));
+    }
+}
--- a/core/src/main/java/cedarrudder/agreement/Message.java
+++ b/core/src/main/java/cedarrudder/agreement/Message.java
@@ -11,6 +11,9 @@
 
     /** What the fields of any message take, without entries and parts. */
     int MOST_FIXED = 128;
+    /** The first byte of {@link Digest} and of {@link Sure}. */
+    byte DIGEST = 5;
+    byte SURE = 12;
 
     /**
      * Asks for a vote in the term of the message, or whether there would be one.
@@ -23,26 +26,41 @@
     /** The answer; the message's term is that of the one who answers. */
     record SayVote(boolean ahead, boolean granted, long askedTerm) implements Message { }
 
-    /** A leader's entries after one that both must have. */
-    record Append(long after, long afterTerm, long committed, List<Entry> entries) implements Message { }
+    /**
+     * A leader's entries after one that both must have.
+     *
+     * @param ask what the answer is to name
+     */
+    record Append(long after, long afterTerm, long committed, int ask, List<Entry> entries)
+            implements Message { }
 
     /** Up to where the follower's log is that of the leader, or up to where it may be. */
-    record SayAppend(boolean same, long index) implements Message { }
+    record SayAppend(boolean same, long index, int answers) implements Message { }
 
     /** The one who gets it asks for votes at once. */
     record Lead() implements Message { }
 
     /**
-     * What a copy has.
+     * What a copy has; also asks for a {@link Sure}.
      *
      * @param beatTerm the term of the newest sign of a leader that it heard of
      * @param beat the number of that sign
      * @param leader the copy that it is of
      * @param yourLife the largest life that it knows of the one it tells
+     * @param age of the contact that it knows of, as in {@link Sure}
+     * @param ask what the answer is to name
      */
-    record Digest(long committed, long beatTerm, long beat, int leader, long yourLife)
+    record Digest(long committed, long beatTerm, long beat, int leader, long yourLife, int age, int ask)
             implements Message { }
 
+    /**
+     * Answers a digest: a majority answered a leader so long ago, all of whose commits until then are among
+     * those that the sender has.
+     *
+     * @param age in milliseconds; -1 where it knows of none
+     */
+    record Sure(int answers, int age, long committed) implements Message { }
+
     /**
      * Asks for committed entries.
      *
@@ -78,15 +96,16 @@
         } else if (this instanceof SayVote m) {
             out.put((byte) 1).put(bit(m.ahead)).put(bit(m.granted)).putLong(m.askedTerm);
         } else if (this instanceof Append m) {
-            out.put((byte) 2).putLong(m.after).putLong(m.afterTerm).putLong(m.committed);
+            out.put((byte) 2).putLong(m.after).putLong(m.afterTerm).putLong(m.committed)
+                    .putInt(m.ask);
             put(out, m.entries);
         } else if (this instanceof SayAppend m) {
-            out.put((byte) 3).put(bit(m.same)).putLong(m.index);
+            out.put((byte) 3).put(bit(m.same)).putLong(m.index).putInt(m.answers);
         } else if (this instanceof Lead) {
             out.put((byte) 4);
         } else if (this instanceof Digest m) {
-            out.put((byte) 5).putLong(m.committed).putLong(m.beatTerm).putLong(m.beat)
-                    .putShort((short) m.leader).putLong(m.yourLife);
+            out.put(DIGEST).putLong(m.committed).putLong(m.beatTerm).putLong(m.beat)
+                    .putShort((short) m.leader).putLong(m.yourLife).putInt(m.age).putInt(m.ask);
         } else if (this instanceof Ask m) {
             out.put((byte) 6).putLong(m.after).putLong(m.snapshot).putInt(m.offset);
         } else if (this instanceof News m) {
@@ -102,6 +121,8 @@
             out.put((byte) 10).put(m.proposal.encode());
         } else if (this instanceof Took m) {
             out.put((byte) 11).putLong(m.life).putLong(m.sequence);
+        } else if (this instanceof Sure m) {
+            out.put(SURE).putInt(m.answers).putInt(m.age).putLong(m.committed);
         }
         byte[] bytes = new byte[out.position()];
         out.flip().get(bytes);
@@ -118,12 +139,12 @@
                 case 2 -> {
                     long after = in.getLong();
                     long term = in.getLong();
-                    yield new Append(after, term, in.getLong(), entries(in));
+                    yield new Append(after, term, in.getLong(), in.getInt(), entries(in));
                 }
-                case 3 -> new SayAppend(in.get() != 0, in.getLong());
+                case 3 -> new SayAppend(in.get() != 0, in.getLong(), in.getInt());
                 case 4 -> new Lead();
-                case 5 -> new Digest(in.getLong(), in.getLong(), in.getLong(), in.getShort() & 0xffff,
-                        in.getLong());
+                case DIGEST -> new Digest(in.getLong(), in.getLong(), in.getLong(), in.getShort() & 0xffff,
+                        in.getLong(), in.getInt(), in.getInt());
                 case 6 -> new Ask(in.getLong(), in.getLong(), in.getInt());
                 case 7 -> new News(in.getLong(), entries(in));
                 case 8 -> new Chunk(in.getLong(), in.getLong(), Voters.decode(take(in, in.get() & 0xff)),
@@ -131,6 +152,7 @@
                 case 9 -> new Lack(in.getInt(), take(in, in.remaining()));
                 case 10 -> new Hand(Proposal.decode(take(in, in.remaining())));
                 case 11 -> new Took(in.getLong(), in.getLong());
+                case SURE -> new Sure(in.getInt(), in.getInt(), in.getLong());
                 default -> null;
             };
             return read != null && !in.hasRemaining() && read.plausible() ? read : null;
@@ -159,7 +181,10 @@
         } else if (this instanceof SayAppend m) {
             return m.index >= 0;
         } else if (this instanceof Digest m) {
-            return m.committed >= 0 && m.yourLife >= 0 && m.yourLife < Long.MAX_VALUE >> 1;
+            return m.committed >= 0 && m.yourLife >= 0 && m.yourLife < Long.MAX_VALUE >> 1
+                    && m.age >= -1;
+        } else if (this instanceof Sure m) {
+            return m.age >= -1 && m.committed >= 0;
         } else if (this instanceof Ask m) {
             return m.after >= 0 && m.offset >= 0;
         } else if (this instanceof News m) {
--- a/core/src/main/java/cedarrudder/agreement/Replication.java
+++ b/core/src/main/java/cedarrudder/agreement/Replication.java
@@ -3,9 +3,11 @@
 import cedarrudder.agreement.Message.Append;
 import cedarrudder.agreement.Message.SayAppend;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.random.RandomGenerator;
 
 /**
  * What a leader does in its term: sends entries to the other voters, and counts who has them (paper,
@@ -27,6 +29,8 @@
         long match;
         long next;
         long sentAt;
+        /** When it was sent what it answered last. */
+        long askedAt = Asks.NEVER;
         boolean underWay;
         long answeredAt;
 
@@ -40,14 +44,19 @@
     private final AgreementSettings settings;
     private final Conduct conduct;
     private final Map<Voter, Progress> others = new HashMap<>();
+    private final Asks asks;
+    private int ask;
     private Voter trainee;
     private long heartbeatAt;
 
-    Replication(Circle circle, AgreementSettings settings, Conduct conduct, long now) {
+    Replication(Circle circle, AgreementSettings settings, Conduct conduct, RandomGenerator random,
+            long now) {
         this.circle = circle;
         this.settings = settings;
         this.conduct = conduct;
         this.heartbeatAt = now;
+        this.asks = new Asks(random);
+        this.ask = asks.ask(now, Asks.ANY);
         targets().forEach(voter -> progress(now, voter));
     }
 
@@ -86,6 +95,16 @@
         return ages.isEmpty() ? 0 : ages.get(ages.size() / 2);
     }
 
+    /**
+     * The latest instant at which something was sent that a majority has answered: until then nobody else had
+     * been elected. {@link Asks#NEVER} where none has.
+     */
+    long answeredSince(long now) {
+        List<Long> asked = circle.log().voters().all().stream().map(voter -> voter.equals(circle.self()) ? now
+                : progress(now, voter).askedAt).sorted(Comparator.reverseOrder()).toList();
+        return asked.isEmpty() ? Asks.NEVER : asked.get(asked.size() / 2);
+    }
+
     long due() {
         return heartbeatAt;
     }
@@ -97,6 +116,7 @@
         }
         heartbeatAt = now + settings.heartbeat();
         others.keySet().retainAll(targets());
+        ask = asks.ask(now, Asks.ANY);
         for (Voter voter : targets()) {
             send(now, voter, true);
         }
@@ -119,7 +139,7 @@
             if (beats) {
                 // What it lacks is on its way, or it has to ask for a snapshot, which it learns from this.
                 long after = progress.next > log.last() ? log.last() : Math.max(progress.match, log.base());
-                circle.post(to.copy(), new Append(after, log.term(after), log.committed(), List.of()));
+                circle.post(to.copy(), new Append(after, log.term(after), log.committed(), ask, List.of()));
             }
             return;
         }
@@ -136,7 +156,7 @@
         progress.underWay = true;
         progress.sentAt = now;
         long after = progress.next - 1;
-        circle.post(to.copy(), new Append(after, log.term(after), log.committed(), batch));
+        circle.post(to.copy(), new Append(after, log.term(after), log.committed(), ask, batch));
     }
 
     void said(long now, Voter by, SayAppend say) {
@@ -145,6 +165,7 @@
             return;
         }
         progress.answeredAt = now;
+        progress.askedAt = Math.max(progress.askedAt, asks.at(by.copy(), say.answers()));
         Log log = circle.log();
         if (say.same()) {
             if (say.index() > progress.match && say.index() <= log.last()) {
--- a/core/src/main/java/cedarrudder/agreement/Spreading.java
+++ b/core/src/main/java/cedarrudder/agreement/Spreading.java
@@ -4,6 +4,7 @@
 import cedarrudder.agreement.Message.Chunk;
 import cedarrudder.agreement.Message.Digest;
 import cedarrudder.agreement.Message.News;
+import cedarrudder.agreement.Message.Sure;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -18,6 +19,7 @@
 
     private static final int MOST_PUSHED = 2_048;
     private static final int MOST_NEWS = 4_096;
+    private static final long MILLI = 1_000_000L;
     private static final int CHUNK = 4_096;
     private static final long REPLIES = 10_000_000L;
     private static final long PATIENCE = 250_000_000L;
@@ -30,6 +32,8 @@
     private final Tier tier;
     private final RandomGenerator random;
     private final Allowance allowance;
+    private final Contact contact;
+    private final Asks asks;
     private Fetch fetch;
     private long askedAt;
     private long digestAt;
@@ -40,12 +44,14 @@
     private int leader = -1;
 
     Spreading(Circle circle, AgreementSettings settings, Tier tier, RandomGenerator random,
-            Allowance allowance, long now) {
+            Allowance allowance, Contact contact, long now) {
         this.circle = circle;
         this.settings = settings;
         this.tier = tier;
         this.random = random;
         this.allowance = allowance;
+        this.contact = contact;
+        this.asks = new Asks(random);
         this.digestAt = now + (long) (random.nextDouble() * settings.spreadPeriod());
         this.askedAt = now - PATIENCE;
         this.repliedAt = now - REPLIES;
@@ -91,22 +97,61 @@
     void tick(long now) {
         if (now >= digestAt) {
             digestAt = now + settings.spreadPeriod();
-            tell(tier.any(random));
+            tell(now, tier.any(random));
         }
     }
 
-    private void tell(int to) {
+    private void tell(long now, int to) {
         if (to >= 0) {
             circle.post(to, new Digest(circle.log().committed(), beatTerm, beat, Math.max(0, leader),
-                    tier.life(to)));
+                    tier.life(to), contact.age(now), asks.ask(now, to)));
         }
     }
 
-    /** Tells one that is behind in its group or life, at most one each 10 ms. */
-    void correct(long now, int to) {
+    /**
+     * Answers one whose piece is not admitted, at most one each 10 ms: its question, if it is one, and where
+     * it has to learn or to prove something, with a question.
+     */
+    void refuse(long now, int to, Digest asks, boolean tells) {
         if (now - repliedAt >= REPLIES) {
             repliedAt = now;
-            tell(to);
+            if (asks != null) {
+                answer(now, to, asks);
+            }
+            if (tells || asks == null) {
+                tell(now, to);
+            }
+        }
+    }
+
+    private void answer(long now, int to, Digest asks) {
+        circle.post(to, new Sure(asks.ask(), contact.age(now), circle.log().committed()));
+    }
+
+    /** Whether this one answers what was asked of it. */
+    boolean answers(int by, Sure sure) {
+        return asks.at(by, sure.answers()) != Asks.NEVER;
+    }
+
+    /** Takes a contact, where this copy has loaded all that it is of. */
+    void took(long now, int from, Sure sure) {
+        long askedAt = asks.at(from, sure.answers());
+        if (askedAt != Asks.NEVER && sure.age() >= 0 && circle.log().committed() >= sure.committed()) {
+            contact.told(now, askedAt, sure.age());
+        }
+    }
+
+    /** Answers one who knows of an older contact; asks one who knows of a newer one. */
+    private void compare(long now, int from, Digest digest) {
+        long margin = settings.spreadPeriod() / 2 / MILLI;
+        int own = contact.age(now);
+        int other = digest.age();
+        if (own >= 0 && (other < 0 || own + margin < other)) {
+            if (allowance.spend(now, Piece.HEAD)) {
+                answer(now, from, digest);
+            }
+        } else if (other >= 0 && (own < 0 || other + margin < own) && allowance.spend(now, Piece.HEAD)) {
+            tell(now, from);
         }
     }
 
@@ -121,7 +166,7 @@
             if (small && to >= 0 && allowance.spend(now, size(news.entries()))) {
                 circle.post(to, news);
             } else {
-                tell(to);
+                tell(now, to);
             }
         }
     }
@@ -151,6 +196,11 @@
             beatAt = now;
             leader = digest.leader() < tier.copies() ? digest.leader() : -1;
         }
+        if (digest.yourLife() != 0 && digest.yourLife() < circle.self().life()) {
+            answer(now, from, digest);
+        } else {
+            compare(now, from, digest);
+        }
         Log log = circle.log();
         if (digest.committed() > log.committed()) {
             ask(now, from);
@@ -158,7 +208,7 @@
             if (digest.committed() >= log.base()) {
                 feed(now, from, digest.committed());
             } else {
-                tell(from);
+                tell(now, from);
             }
         }
     }
--- a/core/src/test/java/cedarrudder/agreement/PiecesTest.java
+++ b/core/src/test/java/cedarrudder/agreement/PiecesTest.java
@@ -184,12 +184,13 @@
         }
         assertEquals(copy.counts().malformed(), 200_000);
         Message[] kinds = {new Message.AskVote(false, true, 4, 2), new Message.SayVote(false, true, 2),
-            new Message.Append(2, 2, 1, List.of(new Entry(3, Entry.Kind.CONTENT, new byte[20]))),
-            new Message.SayAppend(true, 2), new Message.Lead(), new Message.Digest(3, 2, 1, 1, 4),
+            new Message.Append(2, 2, 1, 7, List.of(new Entry(3, Entry.Kind.CONTENT, new byte[20]))),
+            new Message.SayAppend(true, 2, 7), new Message.Lead(), new Message.Digest(3, 2, 1, 1, 4, 5, 6),
             new Message.Ask(0, 0, 0), new Message.News(1, List.of(new Entry(2, Entry.Kind.BEGIN,
                     new byte[0]))),
             new Message.Chunk(9, 2, new Voters(List.of(SENDER)), 1, 900, 0, new byte[100]),
-            new Message.Lack(3, new byte[] {7}), new Message.Took(1, 2), new Message.Hand(
+            new Message.Lack(3, new byte[] {7}), new Message.Took(1, 2), new Message.Sure(1, 2, 3),
+            new Message.Hand(
                     new Proposal(1, 9, 1, new LogNumber(GROUP, 1), new byte[20]))};
         for (int i = 0; i < 200_000; i++) {
             byte[] body = kinds[i % kinds.length].encode();
--- a/lab/src/main/java/cedarrudder/lab/agreement/Copies.java
+++ b/lab/src/main/java/cedarrudder/lab/agreement/Copies.java
@@ -16,6 +16,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -82,6 +83,13 @@
         long sum;
         long messages;
         long bytes;
+        long believed;
+        /** The latest contact of a leader with a majority of which word can have come here, by any way. */
+        long reached;
+        /** When what this one sent to each other left, of what has come there. */
+        final long[] sentTo = new long[zones.length];
+        /** The latest of what each other had of this one, when it sent something that has come here. */
+        final long[] answered = new long[zones.length];
 
         Place(int number) {
             this.number = number;
@@ -100,6 +108,11 @@
             stalledUntil = 0;
             waiting.clear();
             settled.clear();
+            believed = Long.MIN_VALUE;
+            reached = Long.MIN_VALUE;
+            Arrays.fill(sentTo, Long.MIN_VALUE);
+            Arrays.fill(answered, Long.MIN_VALUE);
+            places.forEach(each -> each.sentTo[number] = Long.MIN_VALUE);
             say("started", Map.of("kept", keeps ? "1" : "0"));
             agreement = maker.make(zones, number, life, settings, on, random.split(), this, own());
             ticksAt = Long.MAX_VALUE;
@@ -118,13 +131,40 @@
                 return;
             }
             what.run();
+            look();
             wake();
         }
 
+        /** Something of another has come: what that one knew when it sent it may be known here. */
+        void heard(Place from, long sentAt, long itsReach, long hadOfThis) {
+            reached = Math.max(reached, itsReach);
+            from.sentTo[number] = Math.max(from.sentTo[number], sentAt);
+            answered[from.number] = Math.max(answered[from.number], hadOfThis);
+        }
+
+        /** Who believes in a contact says so, with that which it can have heard of. */
+        private void look() {
+            if (listener == null) {
+                return;
+            }
+            if (agreement.leads()) {
+                List<Long> asked = agreement.voters().all().stream().map(voter -> voter.copy() == number ? now
+                        : answered[voter.copy()]).sorted(Comparator.reverseOrder()).toList();
+                reached = Math.max(reached, asked.get(asked.size() / 2));
+            }
+            long since = agreement.sureSince();
+            if (since != believed && since != Long.MIN_VALUE) {
+                say("sure", Map.of("since", Long.toString((long) Math.floor((since - offset) / drift)),
+                        "reached", Long.toString(reached)));
+            }
+            believed = since;
+        }
+
         void resume(long of) {
             if (of == process && agreement != null && now >= stalledUntil) {
                 while (!waiting.isEmpty()) {
                     waiting.remove().run();
+                    look();
                 }
                 wake();
             }
@@ -170,10 +210,15 @@
                 }
                 byte[] comes = sent;
                 Place target = places.get(to);
+                long sentAt = now;
+                long reach = reached;
+                long had = target.sentTo[number];
                 at(now + random.nextLong(network.leastDelay, network.mostDelay + 1), () -> {
                     if (!blocked(number, to)) {
-                        target.run(target.process,
-                                () -> target.agreement.received(target.own(), number, comes));
+                        target.run(target.process, () -> {
+                            target.heard(this, sentAt, reach, had);
+                            target.agreement.received(target.own(), number, comes);
+                        });
                     }
                 });
             }
@@ -467,6 +512,13 @@
         return places.get(number).agreement != null;
     }
 
+    /** How old the last sure contact is, on a copy's own clock; -1 where it knows of none. */
+    public long contactAge(int number) {
+        Place place = places.get(number);
+        long since = place.agreement.sureSince();
+        return since == Long.MIN_VALUE ? -1 : place.own() - since;
+    }
+
     /** Whether it runs and does not stand still. */
     public boolean awake(int number) {
         return runs(number) && now >= places.get(number).stalledUntil;
--- a/lab/src/main/java/cedarrudder/lab/agreement/Storm.java
+++ b/lab/src/main/java/cedarrudder/lab/agreement/Storm.java
@@ -7,6 +7,7 @@
 import cedarrudder.lab.judge.OneLeader;
 import cedarrudder.lab.judge.OneTable;
 import cedarrudder.lab.judge.Rule;
+import cedarrudder.lab.judge.SureContact;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -31,11 +32,12 @@
      * @param loaded how often a copy loaded something
      * @param leaders how often a copy began to lead
      * @param answered how often a copy was told what became of something that it had handed on
+     * @param contacts how often a copy came to believe in a newer contact
      * @param settled how long after the last fault all copies held the same, in nanoseconds; -1 where they
      * did not
      */
     public record Result(long seed, List<Breach> breaches, long loaded, long leaders, long answered,
-            long settled) { }
+            long contacts, long settled) { }
 
     private Storm() { }
 
@@ -49,13 +51,15 @@
                 3 + 2 * random.nextInt(3), 2_500 * MILLI, 400 * MILLI, 4, 16_384, 8,
                 random.nextBoolean() ? 4 * SECOND : 0);
         Copies.Network network = new Copies.Network(loss, 0.02, 0.01, 2 * MILLI, 21 * MILLI);
-        List<Rule> rules = List.of(new OneTable(), new OneLeader(), new OneEffect());
-        long[] counts = new long[3];
+        List<Rule> rules = List.of(new OneTable(), new OneLeader(), new OneEffect(),
+                new SureContact());
+        long[] counts = new long[4];
         Copies copies = new Copies(size, network, settings, disks, 600, random.nextLong(), maker, event -> {
             rules.forEach(rule -> rule.took(event));
             counts[0] += event.what().equals("loaded") ? 1 : 0;
             counts[1] += event.what().equals("leads") ? 1 : 0;
             counts[2] += event.what().equals("settled") ? 1 : 0;
+            counts[3] += event.what().equals("sure") ? 1 : 0;
         });
         copies.form(random.nextInt(size));
         copies.play(3 * SECOND);
@@ -74,7 +78,7 @@
             rule.ended(copies.now());
             breaches.addAll(rule.breaches());
         });
-        return new Result(seed, breaches, counts[0], counts[1], counts[2], settled);
+        return new Result(seed, breaches, counts[0], counts[1], counts[2], counts[3], settled);
     }
 
     private static void fault(Copies copies, SplittableRandom random) {
--- a/lab/src/main/java/cedarrudder/lab/agreement/Trial.java
+++ b/lab/src/main/java/cedarrudder/lab/agreement/Trial.java
@@ -24,13 +24,15 @@
      * @param missed commits that not all copies had loaded, or leaders that did not come, within a minute
      * @param commitP99 from the proposal until the last copy had loaded it, over commits
      * @param leaderP99 from the death of a leader until another leads, over deaths
+     * @param ageP99 of the last sure contact that a copy knows, over copies and seconds
      * @param idle bytes a copy a second, the mean of all copies
      * @param idleMost that of the copy that sent most
      * @param busy the same while something is committed each second
      */
     public record Figures(int size, double loss, int seeds, long missed, long commits, double commitP50,
             double commitP99, double commitMost, long deaths, double leaderP50, double leaderP99,
-            double leaderMost, double idle, double idleMost, double busy, double busyMost) { }
+            double leaderMost, double ageP50, double ageP99, double ageMost, double idle,
+            double idleMost, double busy, double busyMost) { }
 
     private final int size;
     private final Copies.Network network;
@@ -38,6 +40,7 @@
     private final int contentBytes;
     private final int deathsOfSeed;
     private final Histogram commits = new Histogram(3);
+    private final Histogram ages = new Histogram(3);
     private final Histogram leaders = new Histogram(3);
     private final double[] bytes = new double[4];
     private int seeds;
@@ -101,6 +104,10 @@
                 commit(copies);
             }
             copies.play(Math.max(0, from + SECOND - copies.now()));
+            for (int i = 0; i < size; i++) {
+                long age = copies.contactAge(i);
+                ages.recordValue((age < 0 ? PATIENCE : age) / MILLI);
+            }
         }
         double all = 0;
         double most = 0;
@@ -131,7 +138,8 @@
     public Figures figures() {
         return new Figures(size, network.loss(), seeds, missed, commits.getTotalCount(), at(commits, 50),
                 at(commits, 99), commits.getMaxValue() / 1e3, leaders.getTotalCount(), at(leaders, 50),
-                at(leaders, 99), leaders.getMaxValue() / 1e3, bytes[0] / seeds, bytes[1] / seeds,
+                at(leaders, 99), leaders.getMaxValue() / 1e3, at(ages, 50), at(ages, 99),
+                ages.getMaxValue() / 1e3, bytes[0] / seeds, bytes[1] / seeds,
                 bytes[2] / seeds, bytes[3] / seeds);
     }
 
--- a/lab/src/main/java/cedarrudder/lab/command/AgreementCommand.java
+++ b/lab/src/main/java/cedarrudder/lab/command/AgreementCommand.java
@@ -97,7 +97,8 @@
     private boolean trials(long[] range, PrintWriter out) {
         List<List<String>> rows = new ArrayList<>();
         rows.add(List.of("copies", "loss", "seeds", "missed", "commits", "p50 s", "p99 s", "max s", "deaths",
-                "leader p50 s", "p99 s", "max s", "idle bytes/s", "most", "busy bytes/s", "most"));
+                "leader p50 s", "p99 s", "max s", "contact p50 s", "p99 s", "max s", "idle bytes/s", "most",
+                "busy bytes/s", "most"));
         boolean all = true;
         for (int size : sizes) {
             for (double loss : losses) {
@@ -112,6 +113,7 @@
                         Long.toString(f.missed()), Long.toString(f.commits()), figure(f.commitP50(), 2),
                         figure(f.commitP99(), 2), figure(f.commitMost(), 2), Long.toString(f.deaths()),
                         figure(f.leaderP50(), 2), figure(f.leaderP99(), 2), figure(f.leaderMost(), 2),
+                        figure(f.ageP50(), 2), figure(f.ageP99(), 2), figure(f.ageMost(), 2),
                         figure(f.idle(), 0), figure(f.idleMost(), 0), figure(f.busy(), 0),
                         figure(f.busyMost(), 0)));
             }
--- a/lab/src/test/java/cedarrudder/agreement/BrokenTest.java
+++ b/lab/src/test/java/cedarrudder/agreement/BrokenTest.java
@@ -11,6 +11,7 @@
 import cedarrudder.lab.judge.History;
 import cedarrudder.lab.judge.OneLeader;
 import cedarrudder.lab.judge.OneTable;
+import cedarrudder.lab.judge.SureContact;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -69,6 +70,77 @@
         assertTrue(rules.contains("A3"), rules.toString());
     }
 
+    /** What lay unread for as long as a copy stood still would make a contact as much younger. */
+    @Test
+    public void aContactThatCountsFromItsArrivalIsTooYoung() {
+        Set<String> rules = broken(new Conduct() {
+            @Override
+            long countsFrom(long askedAt, long answeredAt) {
+                return answeredAt;
+            }
+        }, 20);
+        assertTrue(rules.contains("contact"), rules.toString());
+    }
+
+    /** Clocks that differ by 2 in 1,000, and a contact that stays the last for minutes. */
+    @Test
+    public void withoutTheDriftAContactThatIsHandedOnIsTooYoung() {
+        assertEquals(handedOnForMinutes(new Conduct()), Set.of());
+        assertEquals(handedOnForMinutes(new Conduct() {
+            @Override
+            long lengthened(long nanos) {
+                return nanos;
+            }
+        }), Set.of("contact"));
+    }
+
+    private static Set<String> handedOnForMinutes(Conduct conduct) {
+        List<Event> events = new ArrayList<>();
+        Copies copies = started(10, false, conduct, events);
+        for (Voter voter : copies.view(copies.leader()).voters().all()) {
+            copies.kill(voter.copy());
+        }
+        for (int round = 0; round < 10; round++) {
+            for (int i = 0; i < 10; i++) {
+                if (i % 2 == round % 2 && copies.runs(i)) {
+                    copies.kill(i);
+                    copies.restart(i);
+                }
+            }
+            copies.play(90 * SECOND);
+        }
+        return judged(copies, events);
+    }
+
+    /** One datagram with a peer's address that names a higher group, or a later life of that peer. */
+    @Test
+    public void aForgedDatagramMovesNobody() {
+        assertTrue(staysAfterForgeries(new Conduct()));
+        assertTrue(!staysAfterForgeries(new Conduct() {
+            @Override
+            boolean believes(boolean answered) {
+                return true;
+            }
+        }));
+    }
+
+    private static boolean staysAfterForgeries(Conduct conduct) {
+        Copies copies = started(5, false, conduct, new ArrayList<>());
+        Group group = copies.view(0).group();
+        long life = copies.view(1).life();
+        for (int i = 0; i < 100; i++) {
+            Message message = i % 2 == 0 ? new Message.Digest(9, 9, 9, 1, 0, 0, i)
+                    : new Message.Sure(i, 0, 9);
+            Group other = new Group(group.era() + i % 3, 1, life);
+            copies.inject(0, 1, new Piece(other, 9, 1, life + i % 5, i, 0, 1, 0, message.encode()).encode());
+            copies.play(20 * MILLI);
+        }
+        copies.play(5 * SECOND);
+        LogNumber number = copies.leader() < 0 ? null : copies.propose(copies.leader(), new byte[8]);
+        copies.play(2 * SECOND);
+        return number != null && number.group().equals(group) && copies.allLoaded(number);
+    }
+
     /**
      * The plain paper without a disk: the copy says that it is who it was, and remembers no vote and no
      * entry.
@@ -272,13 +344,13 @@
                 events::add);
         copies.form(0);
         copies.play(12 * SECOND);
-        assertEquals(copies.view(copies.leader()).voters().size(), size);
+        assertEquals(copies.view(copies.leader()).voters().size(), 5);
         return copies;
     }
 
     private static Set<String> judged(Copies copies, List<Event> events) {
         Set<String> rules = new HashSet<>();
-        History.judged(events, copies.now(), List.of(new OneTable(), new OneLeader()))
+        History.judged(events, copies.now(), List.of(new OneTable(), new OneLeader(), new SureContact()))
                 .forEach(breach -> rules.add(breach.rule()));
         return rules;
     }
--- a/lab/src/test/java/cedarrudder/lab/agreement/CopiesTest.java
+++ b/lab/src/test/java/cedarrudder/lab/agreement/CopiesTest.java
@@ -191,6 +191,22 @@
         commit(copies);
     }
 
+    /** It stood still, and all that was sent to it waited: at its first look it knows how old that is. */
+    @Test
+    public void aCopyThatStoodStillKnowsThatItsContactIsOld() {
+        Copies copies = started(12, SETTINGS, 8);
+        copies.play(3 * SECOND);
+        for (int i = 0; i < 12; i++) {
+            assertTrue(copies.contactAge(i) >= 0 && copies.contactAge(i) < 3 * SECOND, "copy " + i);
+        }
+        int still = (copies.leader() + 1) % 12;
+        copies.stall(still, 6 * SECOND);
+        copies.play(6 * SECOND + 1);
+        assertTrue(copies.contactAge(still) > 5_900 * MILLI, "age " + copies.contactAge(still));
+        copies.play(3 * SECOND);
+        assertTrue(copies.contactAge(still) < 3 * SECOND);
+    }
+
     /** What copies that don't lead hand on is committed, one after another, and said once each. */
     @Test
     public void anyCopyProposesAndIsToldOnce() {
