Keep what took effect while a copy goes from one group to the next

A copy that had just left its group and had nothing of the next one yet kept its state but not the record of proposals that had taken effect; where it then formed a group itself, they could take effect again. The record now stays with the state.

--- a/core/src/main/java/cedarrudder/agreement/Agreement.java
+++ b/core/src/main/java/cedarrudder/agreement/Agreement.java
@@ -511,7 +511,11 @@
                 && Message.decode(piece.part()) instanceof Digest digest ? digest : null;
     }
 
-    /** Leaves all that was, and has nothing of the other group yet. */
+    /**
+     * Leaves all that was, and has nothing of the other group yet. What the copy has loaded, and what of it
+     * was handed on, stays together until another state takes its place: it may be the first of the next
+     * group.
+     */
     private void join(long now, Group other) {
         group = other;
         log.install(Snapshot.EMPTY);
@@ -520,7 +524,6 @@
         spreading.reset(now);
         proposing.reset();
         contact.reset();
-        proposers = new Proposers();
         waitAnew(now);
         replication = null;
         applied = 0;
--- a/lab/src/test/java/cedarrudder/lab/agreement/CopiesTest.java
+++ b/lab/src/test/java/cedarrudder/lab/agreement/CopiesTest.java
@@ -15,6 +15,9 @@
 import cedarrudder.agreement.Store;
 import cedarrudder.agreement.Voter;
 import cedarrudder.lab.judge.Event;
+import cedarrudder.lab.judge.History;
+import cedarrudder.lab.judge.OneEffect;
+import cedarrudder.lab.judge.OneTable;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
@@ -269,6 +272,37 @@
         assertEquals(copies.settled(by).get(1).outcome(), Outcome.COMMITTED);
     }
 
+    /** One that left its group and has nothing of the next forms one: it still knows what took effect. */
+    @Test
+    public void aProposalTakesEffectOnceThoughGroupsFollowOneAnother() {
+        List<Event> events = new ArrayList<>();
+        Copies copies = new Copies(7, CALM, SETTINGS, false, 8, 7, Agreement::new, events::add);
+        copies.form(0);
+        copies.play(15 * SECOND);
+        int by = (copies.leader() + 1) % 7;
+        int founder = (by + 1) % 7;
+        for (int i = 0; i < 7; i++) {
+            copies.cut(i, by, true);
+        }
+        Proposal proposal = copies.hand(by, new byte[] {7}, 2 * SECOND);
+        copies.play(3 * SECOND);
+        copies.form((by + 2) % 7);
+        int era = copies.view(founder).group().era();
+        for (int i = 0; i < 10_000 && copies.view(founder).group().era() == era; i++) {
+            copies.play(MILLI / 10);
+        }
+        assertEquals(copies.view(founder).loaded().index(), 0);
+        copies.form(founder);
+        copies.play(8 * SECOND);
+        copies.heal();
+        copies.again(by, proposal, 5 * SECOND);
+        copies.play(5 * SECOND);
+        assertEquals(copies.settled(by).get(1).outcome(), Outcome.COMMITTED);
+        assertEquals(copies.settled(by).get(1).number().group().era(), era);
+        assertEquals(History.judged(events, copies.now(), List.of(new OneTable(), new OneEffect())),
+                List.of());
+    }
+
     /** Its clock went back: what a former life proposed does not stand for what this one does. */
     @Test
     public void aCopyThatComesBackWithAnEarlierLifeIsNotTakenForItsFormerSelf() {
