Load a commit at all copies within 1 s where three datagrams in ten are lost

Followed slow commits through the copies at 30 % loss: the leader waited 600 ms where a voter's answer was lost (p99 of its own commit 0.98 s of 1.8 s), a copy that no push had come to waited for digests 400 ms apart, and one whose question was lost put no other for 250 ms. Now a leader asks after 60 ms if its entries came, who has learned something sends ten digests 50 ms apart, a lost piece is asked for after 40 ms and what is lacking again after 100 ms. A contact names the index it is of, so that copies that are behind take it too.

--- a/core/src/main/java/cedarrudder/agreement/Agreement.java
+++ b/core/src/main/java/cedarrudder/agreement/Agreement.java
@@ -734,7 +734,7 @@
         proposing.tick(now);
         if (election.leads() && log.voters().size() >= LEAST_VOTERS
                 && log.term(log.committed()) == election.term()) {
-            contact.sure(replication.answeredSince(now));
+            contact.sure(replication.answeredSince(now), log.committed());
         }
         if (promised) {
             sync();
--- a/core/src/main/java/cedarrudder/agreement/Contact.java
+++ b/core/src/main/java/cedarrudder/agreement/Contact.java
@@ -15,6 +15,7 @@
 
     private final Conduct conduct;
     private long since = UNKNOWN;
+    private long index;
 
     Contact(Conduct conduct) {
         this.conduct = conduct;
@@ -27,10 +28,19 @@
     /** Another group: of its commits this copy has loaded none. */
     void reset() {
         since = UNKNOWN;
+        index = 0;
     }
 
-    void sure(long instant) {
-        since = Math.max(since, instant);
+    /** Up to which index that leader may have committed something by then. */
+    long index() {
+        return index;
+    }
+
+    void sure(long instant, long committed) {
+        if (instant > since) {
+            since = instant;
+            index = committed;
+        }
     }
 
     /** In milliseconds, not shorter than it is; -1 where there is none. */
@@ -38,8 +48,8 @@
         return since == UNKNOWN ? -1 : (int) Math.min(Integer.MAX_VALUE, (now - since) / MILLI + 1);
     }
 
-    /** One who had this age at the time of answering was asked at that instant; the answer came now. */
-    void told(long now, long askedAt, int age) {
-        sure(conduct.countsFrom(askedAt, now) - conduct.lengthened(age * MILLI));
+    /** One who was asked at that instant, and has answered now, knew of a contact of this age. */
+    void told(long now, long askedAt, int age, long committed) {
+        sure(conduct.countsFrom(askedAt, now) - conduct.lengthened(age * MILLI), committed);
     }
 }
--- a/core/src/main/java/cedarrudder/agreement/Message.java
+++ b/core/src/main/java/cedarrudder/agreement/Message.java
@@ -54,8 +54,8 @@
             implements Message { }
 
     /**
-     * Answers a digest: a majority answered a leader so long ago, all of whose commits until then are among
-     * those that the sender has.
+     * Answers a digest: a majority answered a leader so long ago, who had committed no more than this by
+     * then.
      *
      * @param age in milliseconds; -1 where it knows of none
      */
--- a/core/src/main/java/cedarrudder/agreement/Pieces.java
+++ b/core/src/main/java/cedarrudder/agreement/Pieces.java
@@ -20,7 +20,7 @@
     private static final int MOST_SENT = 16;
     private static final int MOST_DONE = 64;
     private static final long STALE = 2_000_000_000L;
-    private static final long PATIENCE = 80_000_000L;
+    private static final long PATIENCE = 40_000_000L;
     private static final int MOST_LACKS = 8;
 
     /** A message of which some pieces have come. */
--- a/core/src/main/java/cedarrudder/agreement/Replication.java
+++ b/core/src/main/java/cedarrudder/agreement/Replication.java
@@ -23,12 +23,17 @@
      * themselves.
      */
     private static final int REPEAT_HEARTBEATS = 4;
+    /** So long after entries went out it asks if they came, and again after twice that: answers get lost. */
+    private static final long PROBE = 60_000_000L;
 
     /** How far one other is. */
     private static final class Progress {
         long match;
         long next;
         long sentAt;
+        /** The last entry that was sent. */
+        long sentEnd;
+        long probeAt;
         /** When it was sent what it answered last. */
         long askedAt = Asks.NEVER;
         boolean underWay;
@@ -106,12 +111,18 @@
     }
 
     long due() {
-        return heartbeatAt;
+        long due = heartbeatAt;
+        for (Voter voter : targets()) {
+            Progress progress = others.get(voter);
+            due = progress == null || !progress.underWay ? due : Math.min(due, progress.probeAt);
+        }
+        return due;
     }
 
     /** Whether it was time for a heartbeat, which went out. */
     boolean tick(long now) {
         if (now < heartbeatAt) {
+            targets().forEach(voter -> probe(now, voter));
             return false;
         }
         heartbeatAt = now + settings.heartbeat();
@@ -123,6 +134,18 @@
         return true;
     }
 
+    private void probe(long now, Voter to) {
+        Progress progress = progress(now, to);
+        if (progress.underWay && now >= progress.probeAt) {
+            progress.probeAt = now + 2 * Math.max(PROBE, progress.probeAt - progress.sentAt);
+            Log log = circle.log();
+            if (progress.sentEnd >= log.base()) {
+                circle.post(to.copy(), new Append(progress.sentEnd, log.term(progress.sentEnd),
+                        log.committed(), ask, List.of()));
+            }
+        }
+    }
+
     /** There is more to send. */
     void appended(long now) {
         for (Voter voter : targets()) {
@@ -155,6 +178,8 @@
         }
         progress.underWay = true;
         progress.sentAt = now;
+        progress.sentEnd = progress.next + batch.size() - 1;
+        progress.probeAt = now + PROBE;
         long after = progress.next - 1;
         circle.post(to.copy(), new Append(after, log.term(after), log.committed(), ask, batch));
     }
--- a/core/src/main/java/cedarrudder/agreement/Spreading.java
+++ b/core/src/main/java/cedarrudder/agreement/Spreading.java
@@ -21,8 +21,11 @@
     private static final int MOST_NEWS = 4_096;
     private static final long MILLI = 1_000_000L;
     private static final int CHUNK = 4_096;
+    /** Who has just learned something tells of it more often for a while: it may have passed others by. */
+    private static final long HOT_PERIOD = 50_000_000L;
+    private static final int HOT_DIGESTS = 10;
     private static final long REPLIES = 10_000_000L;
-    private static final long PATIENCE = 250_000_000L;
+    private static final long PATIENCE = 100_000_000L;
 
     /** A snapshot of which the beginning is there. */
     private record Fetch(Chunk first, byte[] state, int got) { }
@@ -37,6 +40,7 @@
     private Fetch fetch;
     private long askedAt;
     private long digestAt;
+    private int hotDigests;
     private long repliedAt;
     private long beatTerm;
     private long beat;
@@ -96,7 +100,9 @@
 
     void tick(long now) {
         if (now >= digestAt) {
-            digestAt = now + settings.spreadPeriod();
+            long period = settings.spreadPeriod();
+            digestAt = now + (hotDigests > 0 ? Math.min(HOT_PERIOD, period) : period);
+            hotDigests = Math.max(0, hotDigests - 1);
             tell(now, tier.any(random));
         }
     }
@@ -125,7 +131,7 @@
     }
 
     private void answer(long now, int to, Digest asks) {
-        circle.post(to, new Sure(asks.ask(), contact.age(now), circle.log().committed()));
+        circle.post(to, new Sure(asks.ask(), contact.age(now), contact.index()));
     }
 
     /** Whether this one answers what was asked of it. */
@@ -137,7 +143,7 @@
     void took(long now, int from, Sure sure) {
         long askedAt = asks.at(from, sure.answers());
         if (askedAt != Asks.NEVER && sure.age() >= 0 && circle.log().committed() >= sure.committed()) {
-            contact.told(now, askedAt, sure.age());
+            contact.told(now, askedAt, sure.age(), sure.committed());
         }
     }
 
@@ -150,7 +156,8 @@
             if (allowance.spend(now, Piece.HEAD)) {
                 answer(now, from, digest);
             }
-        } else if (other >= 0 && (own < 0 || other + margin < own) && allowance.spend(now, Piece.HEAD)) {
+        } else if (other >= 0 && (own < 0 || other + margin < own)
+                && digest.committed() <= circle.log().committed() && allowance.spend(now, Piece.HEAD)) {
             tell(now, from);
         }
     }
@@ -169,6 +176,8 @@
                 tell(now, to);
             }
         }
+        hotDigests = HOT_DIGESTS;
+        digestAt = Math.min(digestAt, now + HOT_PERIOD);
     }
 
     private News news(long after, int most) {
--- a/lab/src/main/java/cedarrudder/lab/agreement/Storm.java
+++ b/lab/src/main/java/cedarrudder/lab/agreement/Storm.java
@@ -44,7 +44,7 @@
     /** Plays a seed with these parts in the copies. */
     public static Result play(long seed, Copies.Maker maker) {
         SplittableRandom random = new SplittableRandom(seed);
-        int size = 3 + random.nextInt(8);
+        int size = random.nextInt(8) == 0 ? 11 + random.nextInt(20) : 3 + random.nextInt(8);
         boolean disks = random.nextInt(4) == 0;
         double loss = LOSSES[random.nextInt(LOSSES.length)];
         AgreementSettings settings = new AgreementSettings(150 * MILLI, 600 * MILLI, 1_200 * MILLI,
--- a/lab/src/test/java/cedarrudder/agreement/BrokenTest.java
+++ b/lab/src/test/java/cedarrudder/agreement/BrokenTest.java
@@ -82,7 +82,7 @@
         assertTrue(rules.contains("contact"), rules.toString());
     }
 
-    /** Clocks that differ by 2 in 1,000, and a contact that stays the last for minutes. */
+    /** Clocks that differ by 2 in 1,000, and a contact that stays the last for 40 minutes. */
     @Test
     public void withoutTheDriftAContactThatIsHandedOnIsTooYoung() {
         assertEquals(handedOnForMinutes(new Conduct()), Set.of());
@@ -100,14 +100,14 @@
         for (Voter voter : copies.view(copies.leader()).voters().all()) {
             copies.kill(voter.copy());
         }
-        for (int round = 0; round < 10; round++) {
+        for (int round = 0; round < 4; round++) {
             for (int i = 0; i < 10; i++) {
                 if (i % 2 == round % 2 && copies.runs(i)) {
                     copies.kill(i);
                     copies.restart(i);
                 }
             }
-            copies.play(90 * SECOND);
+            copies.play(600 * SECOND);
         }
         return judged(copies, events);
     }
