--- a/core/src/main/java/cedarrudder/footprint/CopyFootprint.java
+++ b/core/src/main/java/cedarrudder/footprint/CopyFootprint.java
@@ -17,21 +17,14 @@
     /** With references of eight bytes, so much more is taken by what was measured with those of four. */
     private static final double WIDE = 1.39;
 
-    /** A process with an operator's file, before anybody has spoken to it. */
-    private static final long PROCESS = 2_970_000;
-    private static final long PROCESS_RESIDENT = 66_300_000;
-    private static final long PROCESS_DIRECT = 538_000;
-    private static final int PROCESS_DESCRIPTORS = 13;
-
-    /** Of its young generation, as the flags of the platform's command make it: touched as it fills. */
-    private static final long YOUNG = 6_000_000;
+    /** Of the young generation, as the flags of the platform's command make it: touched as it fills. */
+    private static final long YOUNG = 4_500_000;
 
     /** So many times what a list takes at its peak is allocated while it is read. */
     private static final int ALLOCATED = 3;
 
-    /** What discovery's first word leaves behind: its connections, and what reading begins. */
+    /** What discovery's first word leaves behind. */
     private static final long WATCH = 51_500;
-    private static final int WATCH_DESCRIPTORS = 2;
 
     /** The parser's buffer has so many characters at the least; those of longer texts are read in parts. */
     private static final int LEAST_PARSED = 4_000;
@@ -41,9 +34,13 @@
     private static final int CHANNEL = 2_530;
     private static final int UNDER_WAY = 460;
 
-    /** Direct memory comes in pieces of so many bytes; of bodies that flow, so much waits in each. */
+    /** Direct memory comes in pieces of so many bytes. */
     private static final int CHUNK = 1 << 18;
 
+    /** A body that flows holds so much of the heap, and so much waits in direct memory to be written. */
+    private static final int FLOWS = 1 << 16;
+    private static final int WAITS = 1 << 15;
+
     private static final int NAME = 10;
 
     /** What binds a copy. */
@@ -71,47 +68,48 @@
     private final Layout layout;
     private final Footprint lists;
     private final TableFootprint tables;
-    private final long process;
+    private final Ground ground;
 
     /** Of a process that the platform's command starts with an operator's file. */
     public CopyFootprint(Layout layout) {
-        this(layout, measured(layout, PROCESS));
+        this(layout, Ground.usual(layout));
     }
 
-    /** @param process bytes of the heap that are there before the first list, as the process says itself */
-    public CopyFootprint(Layout layout, long process) {
+    /** @param ground what there is before the first list, as the process itself says */
+    public CopyFootprint(Layout layout, Ground ground) {
         this.layout = Objects.requireNonNull(layout);
         this.lists = new Footprint(layout);
         this.tables = new TableFootprint(layout);
-        this.process = process;
+        this.ground = Objects.requireNonNull(ground);
     }
 
-    /** Bytes of the heap that are there before the first list. */
-    public long process() {
-        return process;
+    /** What there is before the first list. */
+    public Ground ground() {
+        return ground;
     }
 
     /** All that counts, one after the other. */
     public List<Term> terms(CopyShape copy) {
         ListShape list = copy.list();
         List<Term> terms = new ArrayList<>();
-        terms.add(new Term("process", 1, new Takes(process, process, PROCESS_DIRECT, PROCESS_DESCRIPTORS)));
+        terms.add(new Term("process", 1, new Takes(ground.heap(), ground.heap(), ground.direct(),
+                ground.descriptors())));
         terms.add(term("zones", copy.zones(), name()));
         terms.add(term("kinds", copy.kinds(), name()));
         terms.add(term("classes", copy.classes(), name() + layout.object(1, 10 * 8) + layout.object(0, 3 * 8)));
         terms.add(term("tenants", copy.tenants(), name() + layout.object(1, 2 * 8) + 3 * 8));
         long rest = lists.atRest(list) + watch(list);
         terms.add(new Term("nodes", list.nodes(), new Takes(rest,
-                rest + (list.nodes() == 0 ? 0 : lists.reading(list, list.nodes())), 0,
-                list.textBytes() == 0 ? 0 : WATCH_DESCRIPTORS)));
+                rest + (list.nodes() == 0 ? 0 : lists.reading(list, list.nodes())), 0, 0)));
         long table = tables.atRest(copy.table());
         terms.add(new Term("table", copy.table() == null ? 0 : 1, new Takes(table,
                 copy.table() == null ? 0 : tables.atPeak(copy.table(), copy.table()), 0, 0)));
         terms.add(connections("callers", copy.callers(), CALLER));
         terms.add(connections("channels", copy.channels(), CHANNEL));
+        long flowing = Math.min(copy.bodies(), copy.bodyBytes() / FLOWS) * WAITS;
         long bodies = copy.bodies() * measured(UNDER_WAY) + copy.bodyBytes();
         terms.add(new Term("bodies", copy.bodies(), new Takes(bodies, bodies,
-                (copy.bodyBytes() + CHUNK - 1) / CHUNK * CHUNK, 0)));
+                (flowing + CHUNK - 1) / CHUNK * CHUNK, 0)));
         return terms;
     }
 
@@ -133,7 +131,7 @@
         return measured(layout, bytes);
     }
 
-    private static long measured(Layout layout, long bytes) {
+    static long measured(Layout layout, long bytes) {
         return layout.reference() == Integer.BYTES ? bytes : (long) (bytes * WIDE);
     }
 
@@ -162,9 +160,9 @@
     /** What the copy takes of the machine's memory, in bytes. */
     public long resident(CopyShape copy) {
         Takes all = takes(copy);
-        long grown = all.peak() - process;
+        long grown = all.peak() - ground.heap();
         long young = copy.callers() > 0 ? YOUNG : Math.min(YOUNG, ALLOCATED * grown);
-        return PROCESS_RESIDENT + young + grown + all.direct() - PROCESS_DIRECT;
+        return ground.resident() + young + grown + all.direct() - ground.direct();
     }
 
     /** What of the heap is left for nodes and their lists, beside all else that the copy may come to hold. */
--- /dev/null
+++ b/core/src/main/java/cedarrudder/footprint/Ground.java
@@ -0,0 +1,17 @@
+package cedarrudder.footprint;
+
+/**
+ * What a process takes before the first list and the first caller.
+ *
+ * @param heap bytes of the heap after a collection
+ * @param resident bytes of the machine's memory
+ * @param direct bytes of direct memory
+ * @param descriptors so many, those of the watch with them
+ */
+public record Ground(long heap, long resident, long direct, int descriptors) {
+
+    /** Measured on a process that the platform's command starts with an operator's file. */
+    static Ground usual(Layout layout) {
+        return new Ground(CopyFootprint.measured(layout, 2_970_000), 68_600_000, 538_000, 13);
+    }
+}
--- a/daemon/src/main/java/cedarrudder/program/CopyEstimate.java
+++ b/daemon/src/main/java/cedarrudder/program/CopyEstimate.java
@@ -2,6 +2,7 @@
 
 import cedarrudder.footprint.CopyFootprint;
 import cedarrudder.footprint.CopyShape;
+import cedarrudder.footprint.Ground;
 import cedarrudder.footprint.Layout;
 import cedarrudder.footprint.Limits;
 import cedarrudder.footprint.ListShape;
@@ -21,6 +22,9 @@
     /** The collector compacts all of the heap at each fourth of its collections. */
     private static final int COLLECTIONS = 4;
 
+    /** What a start still adds: listeners, and the classes that its warm-up loads. */
+    private static final long STARTING = 175_000;
+
     /** What a process holds beside its nodes. */
     record Load(int callers, int channels, int bodies, long bodyBytes) { }
 
@@ -35,17 +39,20 @@
     private final Limits limits;
     private final Now now;
     private CopyFootprint copy;
+    private boolean measured;
     private int judged;
     private String loads;
-    private long needed;
 
-    CopyEstimate(SiteSettings site, Layout layout, Limits limits, Now now) {
+    /** @param further so many descriptors more than usual are open for good */
+    CopyEstimate(SiteSettings site, Layout layout, Limits limits, int further, Now now) {
         this.site = site;
         this.layout = layout;
         this.tables = new TableFootprint(layout);
         this.limits = limits;
         this.now = now;
-        this.copy = new CopyFootprint(layout);
+        Ground usual = new CopyFootprint(layout).ground();
+        this.copy = new CopyFootprint(layout, new Ground(usual.heap(), usual.resident(), usual.direct(),
+                usual.descriptors() + further));
     }
 
     private CopyShape shape(ListShape list, Load load) {
@@ -63,11 +70,20 @@
     }
 
     /**
-     * From now on what was there before the first list is what this process says, after a collection. Guards
-     * against an estimate that knows nothing of other tables of the operator's file.
+     * From now on what was there before the first list is what this process says, after a collection. To be
+     * called in the loop's first turn, when nobody waits. Guards against an estimate that knows nothing of
+     * the other tables of the operator's file.
      */
     void measure(ListShape held) {
-        copy = new CopyFootprint(layout, live() - copy.takes(shape(held, now.load())).rest() + copy.process());
+        long known = copy.takes(shape(held, now.load())).rest() - copy.ground().heap();
+        copy = new CopyFootprint(layout, new Ground(live() - known + STARTING, copy.ground().resident(),
+                copy.ground().direct(), copy.ground().descriptors()));
+        measured = true;
+    }
+
+    /** Whether estimates are by what this process has measured. */
+    boolean measured() {
+        return measured;
     }
 
     private static long live() {
@@ -97,9 +113,8 @@
     }
 
     private void note(Notes history, ListShape list, boolean fits) {
-        needed = copy.takes(shape(list, now.load())).rest();
         history.note("estimate", Map.of("load", loads, "bound", "heap_at_rest", "fits", fits ? 1 : 0,
-                "needed", needed));
+                "needed", copy.takes(shape(list, now.load())).rest()));
     }
 
     /** What was judged last is loaded: says so, and what the process then holds, on a thread of its own. */
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -149,7 +149,11 @@
         driver.connect(channels, discovery, peers);
         history = recorded == null ? null : new HistoryFile(recorded.file(), site.module().self());
         if (estimate != null && history != null) {
-            footprint.whenJudged(judged -> estimate.judged(judged, history));
+            footprint.whenJudged(judged -> {
+                if (estimate.measured()) {
+                    estimate.judged(judged, history);
+                }
+            });
         }
         membership = membership(operator.of(MembershipTable.MEMBERSHIP));
     }
@@ -160,8 +164,11 @@
     }
 
     private CopyEstimate estimate() {
+        // Usual are an operators' address, with the file of this proxy's processes, and one for its peers.
+        int further = (operator.of(HistoryTable.HISTORY) == null ? 0 : 1)
+                - (configuration.admin() == null ? 2 : 0) - (configuration.peerListen() == null ? 1 : 0);
         return new CopyEstimate(configuration.site(), MachineLayout.read(),
-                MachineLayout.limits(configuration.memory()), () -> new CopyEstimate.Load(listener.callers(),
+                MachineLayout.limits(configuration.memory()), further, () -> new CopyEstimate.Load(listener.callers(),
                 channels.open(), (int) figures.open(), held.held()));
     }
 
@@ -236,6 +243,9 @@
             } else {
                 driver.resolved(ListKind.CACHED, List.of());
             }
+            if (estimate != null) {
+                measure();
+            }
             told.countDown();
         });
         told.await();
@@ -254,9 +264,6 @@
         CountDownLatch warmed = new CountDownLatch(1);
         loop.run(() -> warmUp(own, warmed));
         warmed.await();
-        if (estimate != null) {
-            measure();
-        }
         if (replacing) {
             fresh.await(FRESH, TimeUnit.NANOSECONDS);
         }
@@ -282,14 +289,13 @@
                 : reader.read(footprint == null ? list : footprint.read(list));
     }
 
-    /** On the loop, before the first caller comes: nobody waits for the collection. */
-    private void measure() throws InterruptedException {
-        CountDownLatch measured = new CountDownLatch(1);
-        loop.run(() -> {
-            estimate.measure(footprint.held());
-            measured.countDown();
-        });
-        measured.await();
+    /** What this process takes beside nodes, once it has the list with which it starts. */
+    private void measure() {
+        estimate.measure(footprint.held());
+        if (history != null && footprint.last() != null) {
+            estimate.judged(footprint.last(), history); // by what was measured, not by what is usual
+            estimate.took(history, loop::run);
+        }
     }
 
     /** Finds out who else runs for this proxy; one that can't find out takes itself to be alone. */
@@ -449,7 +455,7 @@
         }
         driver.resolved(kind, rotation.listed(kind, result.nodes().stream()
                 .map(node -> new Named(node.name(), node.endpoint())).toList()));
-        if (estimate != null && history != null) {
+        if (estimate != null && history != null && estimate.measured()) {
             estimate.took(history, loop::run);
         }
     }
--- /dev/null
+++ b/daemon/src/test/java/cedarrudder/program/Collecting.java
@@ -0,0 +1,51 @@
+package cedarrudder.program;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryMXBean;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/**
+ * The daemon with a thread beside it that collects without end once a file is there, and says each time that
+ * more lives than ever. The program moves on between two collections alone, so that none of its peaks is
+ * missed.
+ */
+final class Collecting {
+
+    /** Names the file. */
+    static final String FILE = "collecting.file";
+
+    private static final String SAYS = "most ";
+
+    private Collecting() { }
+
+    public static void main(String[] args) throws Exception {
+        Path file = Path.of(System.getProperty(FILE));
+        Thread collecting = new Thread(() -> {
+            try {
+                while (!Files.exists(file)) {
+                    Thread.sleep(10);
+                }
+                MemoryMXBean heap = ManagementFactory.getMemoryMXBean();
+                for (long most = 0;;) {
+                    System.gc();
+                    long now = heap.getHeapMemoryUsage().getUsed();
+                    if (now > most) {
+                        most = now;
+                        System.err.println(SAYS + now);
+                    }
+                }
+            } catch (InterruptedException e) {
+                // nobody does
+            }
+        });
+        collecting.setDaemon(true);
+        collecting.start();
+        Main.main(args);
+    }
+
+    /** What a line says; 0 where it is another one. */
+    static long most(String line) {
+        return line.startsWith(SAYS) ? Long.parseLong(line.substring(SAYS.length())) : 0;
+    }
+}
