--- a/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
@@ -118,6 +118,7 @@
                 || name.startsWith("cedarrudder.table.") || name.equals("cedarrudder.transport.Fleet")
                 || name.equals("cedarrudder.program.Together")
                 || name.equals("cedarrudder.program.FileStore")
+                || name.startsWith("cedarrudder.program.CopyEstimate")
                 || name.equals("cedarrudder.transport.Membership")).toList(), List.of());
     }
 
