--- a/core/src/test/java/cedarrudder/RulesWorld.java
+++ b/core/src/test/java/cedarrudder/RulesWorld.java
@@ -315,7 +315,7 @@
         }
     }
 
-    /** In one seed of two a table of shares takes the place of another, or of none; a zone may have no node. */
+    /** In one seed of two shares take the place of others, or of none; a zone may have no node. */
     private void share() {
         if (shared && random.nextInt(3) == 0) {
             int far = random.nextInt(4);
@@ -325,7 +325,8 @@
                 shares.add(new ZoneShare(1 - far % 2, parts, 20 * random.nextInt(3)));
             }
             if (parts < 8_000) {
-                shares.add(new ZoneShare(far, 10_000 - parts - random.nextInt(2_000), 20 * random.nextInt(3)));
+                shares.add(new ZoneShare(far, 10_000 - parts - random.nextInt(2_000),
+                        20 * random.nextInt(3)));
             }
             driver.shares(random.nextInt(4) == 0 ? List.of() : shares);
         }
--- a/lab/src/main/java/cedarrudder/lab/model/Proxy.java
+++ b/lab/src/main/java/cedarrudder/lab/model/Proxy.java
@@ -46,8 +46,8 @@
     protected abstract Pending take(Caller caller, Try what);
 
     /**
-     * Tells its decisions which part of its calls each zone may get; without effect where it is down, and at a
-     * process, which has it from the other processes. Its next life knows nothing of it.
+     * Tells its decisions which part of its calls each zone may get; without effect where it is down, and at
+     * a process, which has it from the other processes. Its next life knows nothing of it.
      */
     public void shares(List<ZoneShare> shares) { }
 
