Add failover's evidence, assessment and planner, which nothing uses yet

Copies that each leave a zone by their own eyes move too much. Here many copies' evidence is put together, and one plan of shares made of it.

--- /dev/null
+++ b/core/src/main/java/cedarrudder/failover/Assessment.java
@@ -0,0 +1,355 @@
+package cedarrudder.failover;
+
+import cedarrudder.failover.Evidence.Seen;
+import cedarrudder.failover.Picture.Away;
+import cedarrudder.failover.Picture.State;
+import cedarrudder.failover.Picture.Zone;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Puts together what many copies saw. A copy's later word replaces its earlier one, an older life counts
+ * nothing, and what is old ages out. Not thread-safe.
+ *
+ * <p>Copies vote, and zones of copies: within a zone each copy that has seen enough has one vote, however many
+ * calls it has, and a zone of copies says <i>bad</i> or <i>well</i> by the most of its votes. Guards against one
+ * copy's broken link, and against the word of copies of one zone alone while others are served.
+ */
+public final class Assessment {
+
+    /** What is left, each period, of what was counted before. */
+    private static final double KEPT = 0.6;
+    /** Calls that a copy must have seen end, or wait, before it has a whole vote; with fewer, a part of one. */
+    private static final double WHOLE_VOTE = 3;
+    /** The least part of a vote that counts. */
+    private static final double LEAST_VOTE = 0.3;
+    /** Calls out with nothing back for so many periods count as silent. */
+    private static final int STILL_PERIODS = 2;
+    /** Of the votes of a zone's copies. */
+    private static final double MOST = 0.6;
+    /** Where other zones can't tell, the zone's own copies must have said so for so many periods. */
+    private static final int ALONE_PERIODS = 6;
+    /** A zone's copies say that it is strained where so much of their calls is turned away, ... */
+    private static final double TURNED_AWAY = 0.05;
+    /** ... or where its nodes say that they are so full, in hundredths. */
+    private static final int FULL = 96;
+    /** Rates are smoothed by this weight of the newest. */
+    private static final double NEWEST = 0.4;
+    /** The capacity learned falls, and rises, by these weights. */
+    private static final double FALLS = 0.4;
+    private static final double RISES = 0.2;
+    /** Below this use of a zone, and this rate, nothing is learned of its capacity. */
+    private static final double LEAST_LOAD = 0.15;
+    private static final double LEAST_RATE = 5;
+    /** Calls that nobody tells of count where they are over this share of the capacity. */
+    private static final double UNSEEN = 0.05;
+    private static final double HUNDREDTHS = 100;
+    private static final double MILLIS = 1_000;
+
+    /** What a copy last said of a zone, with what it said before fading away. */
+    private static final class Word {
+        long sequence = -1;
+        /** The period that it told of last. */
+        long basis = -1;
+        long at;
+        double served;
+        double failed;
+        double refused;
+        double rate;
+        double ended;
+        Seen seen;
+
+        double bad(long period) {
+            boolean still = seen.age() == 0 && seen.still() * 1_000_000L >= STILL_PERIODS * period;
+            return failed + (still ? seen.out() : 0);
+        }
+    }
+
+    private static final class Copy {
+        long life = -1;
+        long sequence = -1;
+        long heardAt;
+        double came;
+        double unserved;
+        long table;
+        Word[] words;
+    }
+
+    private final FailoverSettings settings;
+    private final int[] zoneOf;
+    private final int zones;
+    private final Copy[] copies;
+    /** Calls a second that one warm node of weight 1 serves; 0: not known. */
+    private final double[] each;
+    private final long[] aloneSince;
+    private final boolean[] alone;
+    private long learnedAt = Long.MIN_VALUE;
+
+    /** @param zoneOf the zone of each copy */
+    public Assessment(FailoverSettings settings, int[] zoneOf, int zones) {
+        this.settings = settings;
+        this.zoneOf = zoneOf.clone();
+        this.zones = zones;
+        this.each = new double[zones];
+        this.aloneSince = new long[zones];
+        this.alone = new boolean[zones];
+        this.copies = new Copy[zoneOf.length];
+        Arrays.setAll(copies, i -> new Copy());
+        for (Copy copy : copies) {
+            forget(copy);
+        }
+    }
+
+    private void forget(Copy copy) {
+        copy.words = new Word[zones];
+        Arrays.setAll(copy.words, i -> new Word());
+        copy.sequence = -1;
+        copy.came = 0;
+        copy.unserved = 0;
+    }
+
+    /** A part of a copy's evidence has come; what is of no known copy or zone, or old, changes nothing. */
+    public void heard(long now, Evidence evidence) {
+        if (evidence.copy() >= copies.length || zoneOf[evidence.copy()] != evidence.zone()) {
+            return;
+        }
+        Copy copy = copies[evidence.copy()];
+        if (evidence.life() < copy.life) {
+            return;
+        }
+        if (evidence.life() > copy.life) {
+            forget(copy);
+            copy.life = evidence.life();
+        }
+        double seconds = evidence.millis() / MILLIS;
+        if (evidence.sequence() > copy.sequence) {
+            boolean first = copy.sequence < 0;
+            double rate = evidence.came() / seconds;
+            copy.came = first ? rate : copy.came + NEWEST * (rate - copy.came);
+            copy.unserved = first ? evidence.unserved() / seconds
+                    : copy.unserved + NEWEST * (evidence.unserved() / seconds - copy.unserved);
+            copy.sequence = evidence.sequence();
+            copy.heardAt = now;
+            copy.table = evidence.table();
+        }
+        for (Seen seen : evidence.seen()) {
+            if (seen.zone() < zones) {
+                heard(now, copy.words[seen.zone()], evidence.sequence(), seen, seconds);
+            }
+        }
+    }
+
+    private void heard(long now, Word word, long sequence, Seen seen, double seconds) {
+        if (sequence <= word.sequence) {
+            return;
+        }
+        long basis = sequence - seen.age();
+        if (basis > word.basis) {
+            // A period of which nothing came fades what was said as one that came does.
+            double kept = word.basis < 0 ? 0 : Math.pow(KEPT, Math.min(Evidence.MOST_AGE, basis - word.basis));
+            word.served = kept * word.served + seen.served();
+            word.failed = kept * word.failed + seen.failed() + seen.silent();
+            word.refused = kept * word.refused + seen.refused();
+            word.ended = kept * word.ended + seen.ended();
+            double rate = seen.served() / seconds;
+            word.rate = word.basis < 0 ? rate : word.rate + NEWEST * (rate - word.rate);
+            word.basis = basis;
+        } else {
+            word.rate *= 1 - NEWEST; // nothing was asked of it since
+        }
+        word.sequence = sequence;
+        word.seen = seen;
+        word.at = now - seen.age() * settings.period();
+    }
+
+    /** What is held now; to be asked once a period, as it also learns what zones can do. */
+    public Picture picture(long now) {
+        boolean learns = learnedAt == Long.MIN_VALUE || now - learnedAt >= settings.period() / 2;
+        if (learns) {
+            learnedAt = now;
+        }
+        List<Zone> pictures = new ArrayList<>();
+        for (int zone = 0; zone < zones; zone++) {
+            pictures.add(zone(now, zone, learns));
+        }
+        List<Away> away = new ArrayList<>();
+        for (int i = 0; i < copies.length; i++) {
+            if (copies[i].life >= 0 && !fresh(now, copies[i]) && copies[i].came > 0) {
+                away.add(new Away(zoneOf[i], copies[i].came, copies[i].table));
+            }
+        }
+        return new Picture(pictures, away);
+    }
+
+    /** When a copy was last heard of; Long.MIN_VALUE where it never was. */
+    public long heardAt(int copy) {
+        return copies[copy].life < 0 ? Long.MIN_VALUE : copies[copy].heardAt;
+    }
+
+    /**
+     * Copies whose lease is over for certain, so that their calls are reckoned with no longer.
+     *
+     * @param lease how long a copy that hears nothing may use a table, by its own clock
+     */
+    public void lapse(long now, long lease) {
+        for (Copy copy : copies) {
+            if (copy.life >= 0 && now - copy.heardAt > lease + lease / 500 + settings.evidenceAge()) {
+                copy.came = 0;
+            }
+        }
+    }
+
+    private boolean fresh(long now, Copy copy) {
+        return copy.life >= 0 && copy.sequence >= 0 && now - copy.heardAt <= settings.evidenceAge();
+    }
+
+    private Zone zone(long now, int zone, boolean learns) {
+        Set<Integer> bad = new TreeSet<>();
+        Set<Integer> well = new TreeSet<>();
+        for (int from = 0; from < zones; from++) {
+            int said = word(now, from, zone);
+            if (said != 0) {
+                (said < 0 ? bad : well).add(from);
+            }
+        }
+        double demand = 0;
+        double served = 0;
+        double loads = 0;
+        double reports = 0;
+        double strained = 0;
+        int fresh = 0;
+        int[] able = new int[copies.length];
+        int known = 0;
+        for (int i = 0; i < copies.length; i++) {
+            Copy copy = copies[i];
+            if (!fresh(now, copy)) {
+                continue;
+            }
+            Word word = copy.words[zone];
+            if (word.seen != null) {
+                served += word.rate;
+                if (word.seen.age() == 0 && word.seen.load() > 0) {
+                    double weight = Math.max(1, word.seen.ended());
+                    loads += weight * (word.seen.load() - 1) / HUNDREDTHS;
+                    reports += weight;
+                }
+                able[known++] = word.seen.able();
+            }
+            if (zoneOf[i] == zone) {
+                fresh++;
+                demand += copy.came;
+                strained += strained(copy, word) ? 1 : 0;
+            }
+        }
+        Arrays.sort(able, 0, known);
+        double units = known == 0 ? 0 : able[known / 2] / HUNDREDTHS;
+        double load = reports == 0 ? Double.NaN : loads / reports;
+        State state = state(now, zone, bad, well, fresh);
+        boolean full = fresh > 0 && strained >= Math.min(settings.leastCopies(), fresh)
+                && strained > MOST * fresh;
+        if (learns && state == State.WELL && units > 0 && served >= LEAST_RATE) {
+            learn(zone, served / units, load, full);
+        }
+        double capacity = each[zone] * units;
+        double unseen = Double.isNaN(load) ? 0 : Math.max(0, load * capacity - served);
+        return new Zone(state, full, demand, served, capacity, Double.isNaN(load),
+                unseen > UNSEEN * capacity ? unseen : 0, fresh, bad, well);
+    }
+
+    private static boolean strained(Copy copy, Word word) {
+        return copy.came >= 1 && copy.unserved > TURNED_AWAY * copy.came
+                || word.seen != null && (word.ended >= WHOLE_VOTE && word.refused > TURNED_AWAY * word.ended
+                || word.seen.age() == 0 && word.seen.load() > FULL);
+    }
+
+    private void learn(int zone, double rate, double load, boolean full) {
+        if (Double.isNaN(load)) {
+            // Without reports: a zone that is full serves what it can, another can do no less than it does.
+            each[zone] = full ? each[zone] + FALLS * (rate - each[zone]) : Math.max(each[zone], rate);
+        } else if (load >= LEAST_LOAD) {
+            double sample = rate / Math.min(1, load);
+            each[zone] += each[zone] == 0 ? sample
+                    : (sample < each[zone] ? FALLS : RISES) * (sample - each[zone]);
+        }
+    }
+
+    /** What the copies of a zone say of another: 1 that it is well, -1 that it is bad, 0 nothing. */
+    private int word(long now, int from, int zone) {
+        double bad = 0;
+        double well = 0;
+        int said = 0;
+        int able = 0;
+        for (int i = 0; i < copies.length; i++) {
+            Copy copy = copies[i];
+            if (zoneOf[i] != from || !fresh(now, copy)) {
+                continue;
+            }
+            able++;
+            Word word = copy.words[zone];
+            if (word.seen == null || now - word.at > 2 * settings.evidenceAge() || servedNowhere(copy)) {
+                continue;
+            }
+            double ill = word.bad(settings.period());
+            double all = word.served + word.refused + ill;
+            double vote = Math.min(1, all / WHOLE_VOTE);
+            if (vote >= LEAST_VOTE) {
+                said++;
+                if (ill > settings.badShare() * all) {
+                    bad += vote;
+                } else {
+                    well += vote;
+                }
+            }
+        }
+        if (said == 0 || said < Math.min(settings.leastCopies(), able)) {
+            return 0;
+        }
+        return bad >= MOST * (bad + well) ? -1 : well >= MOST * (bad + well) ? 1 : 0;
+    }
+
+    /**
+     * Whether nobody serves a copy that asked more than one zone. Guards against a copy whose own link is
+     * broken: it says of every zone that it is lost.
+     */
+    private boolean servedNowhere(Copy copy) {
+        int asked = 0;
+        for (Word word : copy.words) {
+            if (word.seen != null && word.served + word.refused + word.failed >= LEAST_VOTE * WHOLE_VOTE) {
+                asked++;
+                if (word.served + word.refused > word.failed) {
+                    return false;
+                }
+            }
+        }
+        return asked > 1;
+    }
+
+    private State state(long now, int zone, Set<Integer> bad, Set<Integer> well, int fresh) {
+        boolean ownBad = bad.contains(zone);
+        boolean ownWell = well.contains(zone);
+        int othersBad = bad.size() - (ownBad ? 1 : 0);
+        int othersWell = well.size() - (ownWell ? 1 : 0);
+        boolean alone = ownBad && othersBad + othersWell == 0;
+        if (!alone) {
+            this.alone[zone] = false;
+        } else if (!this.alone[zone]) {
+            this.alone[zone] = true;
+            aloneSince[zone] = now;
+        }
+        if (ownBad) {
+            boolean lost = alone ? now - aloneSince[zone] >= ALONE_PERIODS * settings.period()
+                    && fresh >= settings.leastCopies() : othersBad > othersWell;
+            return lost ? State.LOST : State.UNKNOWN;
+        }
+        if (ownWell) {
+            return othersBad > othersWell ? State.CUT_OFF : State.WELL;
+        }
+        if (othersBad > 1 && othersBad > othersWell) {
+            return State.LOST;
+        }
+        return othersWell > othersBad ? State.WELL : State.UNKNOWN;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/failover/Evidence.java
@@ -0,0 +1,159 @@
+package cedarrudder.failover;
+
+import cedarrudder.membership.Varint;
+import cedarrudder.table.RouteTable;
+import java.nio.BufferOverflowException;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * What one copy saw of the zones in a period. It tells what happened to its calls and judges nothing.
+ *
+ * <p>As bytes: a version, then {@link Varint}s in the order of the components. What does not fit one part goes
+ * into several, split between zones; each begins with the same head.
+ *
+ * @param copy who saw it, below {@value #MOST_COPIES}
+ * @param zone its zone
+ * @param life its life; a later one replaces what an earlier one said
+ * @param sequence rises by one each period of that life
+ * @param table the number of the table that it uses; 0 for none
+ * @param millis how long the period was, in milliseconds; from 1
+ * @param came calls that came to it
+ * @param unserved of those that ended, the ones that it refused or failed
+ * @param seen what it saw, ordered by zone
+ */
+public record Evidence(int copy, int zone, long life, long sequence, long table, int millis, int came,
+        int unserved, List<Seen> seen) {
+
+    /** What a part takes at the most, so that a datagram has room for more. */
+    public static final int MOST_BYTES = 200;
+
+    public static final int MOST_COPIES = 1 << 16;
+
+    /** Counts are below this; what is more is said to be one less. */
+    public static final int MOST_COUNT = 1 << 20;
+
+    /** Periods after which what was seen of a zone is forgotten. */
+    public static final int MOST_AGE = 20;
+
+    private static final int VERSION = 1;
+    private static final int MOST_MILLIS = 1 << 20;
+
+    /**
+     * What it saw of one zone.
+     *
+     * @param age how many periods ago that was; 0: in this one
+     * @param served its calls there that were answered well
+     * @param failed that were answered with an error, or broke off
+     * @param silent that got no answer in time, or no connection
+     * @param refused that were turned away unseen
+     * @param out that are out
+     * @param still for how many milliseconds nothing has come back while calls were out
+     * @param load the mean of the utilisations that nodes there reported, in hundredths and one more; 0: none
+     * @param nodes nodes that are listed as ready
+     * @param cold of those the ones that have just started
+     * @param able what all of them can do now, in hundredths of what a warm one of weight 1 can
+     */
+    public record Seen(int zone, int age, int served, int failed, int silent, int refused, int out, int still,
+            int load, int nodes, int cold, int able) {
+
+        /** Calls that came to an end there. */
+        public int ended() {
+            return served + failed + silent + refused;
+        }
+
+        private int[] figures() {
+            return new int[] {zone, age, served, failed, silent, refused, out, still, load, nodes, cold, able};
+        }
+
+        private static Seen of(int[] f) {
+            return new Seen(f[0], f[1], f[2], f[3], f[4], f[5], f[6], f[7], f[8], f[9], f[10], f[11]);
+        }
+    }
+
+    private static final int FIGURES = 12;
+
+    public Evidence {
+        seen = List.copyOf(seen);
+    }
+
+    /** The parts, of at most {@link #MOST_BYTES} each; one at the least. */
+    public List<byte[]> encode() {
+        List<byte[]> parts = new ArrayList<>();
+        ByteBuffer out = head();
+        for (Seen each : seen) {
+            int before = out.position();
+            try {
+                put(out, each);
+            } catch (BufferOverflowException e) {
+                parts.add(Arrays.copyOf(out.array(), before));
+                out = head();
+                put(out, each);
+            }
+        }
+        parts.add(Arrays.copyOf(out.array(), out.position()));
+        return parts;
+    }
+
+    private ByteBuffer head() {
+        ByteBuffer out = ByteBuffer.allocate(MOST_BYTES);
+        out.put((byte) VERSION);
+        for (long figure : new long[] {copy, zone, life, sequence, table, millis, came, unserved}) {
+            Varint.put(out, figure);
+        }
+        return out;
+    }
+
+    private static void put(ByteBuffer out, Seen seen) {
+        for (int figure : seen.figures()) {
+            Varint.put(out, figure);
+        }
+    }
+
+    /** Reads a part; null where the bytes are none. Throws nothing, whatever they are. */
+    public static Evidence decode(byte[] bytes) {
+        if (bytes.length < 2 || bytes.length > MOST_BYTES || bytes[0] != VERSION) {
+            return null;
+        }
+        ByteBuffer in = ByteBuffer.wrap(bytes, 1, bytes.length - 1);
+        try {
+            int copy = figure(in, MOST_COPIES);
+            int zone = figure(in, RouteTable.MOST_ZONES);
+            long life = Varint.get(in);
+            long sequence = Varint.get(in);
+            long table = Varint.get(in);
+            int millis = figure(in, MOST_MILLIS);
+            int came = figure(in, MOST_COUNT);
+            int unserved = figure(in, MOST_COUNT);
+            List<Seen> seen = new ArrayList<>();
+            int least = 0;
+            while (in.hasRemaining()) {
+                int[] figures = new int[FIGURES];
+                for (int i = 0; i < FIGURES; i++) {
+                    figures[i] = figure(in, MOST_COUNT);
+                }
+                Seen each = Seen.of(figures);
+                if (each.zone < least || each.zone >= RouteTable.MOST_ZONES || each.age > MOST_AGE) {
+                    return null;
+                }
+                least = each.zone + 1;
+                seen.add(each);
+            }
+            return life < 0 || sequence < 0 || table < 0 || millis < 1 ? null
+                    : new Evidence(copy, zone, life, sequence, table, millis, came, unserved, seen);
+        } catch (BufferUnderflowException e) {
+            return null; // it ends too soon, or has a number in another form or out of its range
+        }
+    }
+
+    private static int figure(ByteBuffer in, int bound) {
+        long value = Varint.get(in);
+        if (value < 0 || value >= bound) {
+            throw new BufferUnderflowException();
+        }
+        return (int) value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/failover/Planner.java
@@ -0,0 +1,462 @@
+package cedarrudder.failover;
+
+import cedarrudder.failover.Picture.Away;
+import cedarrudder.failover.Picture.State;
+import cedarrudder.failover.Picture.Zone;
+import cedarrudder.table.RouteTable;
+import cedarrudder.table.RouteTable.Share;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Which zone serves which part of a zone's calls: near while that is safe, else as near as there is room. Every
+ * copy has one and tells it of each table that it loads; the one that leads asks it for the next shares. Not
+ * thread-safe.
+ *
+ * <p>Of each zone it holds a <i>ceiling</i>: the part of its own calls that it may get. A loss takes it to
+ * nothing, calls that are turned away to what the zone can do, and it comes back by steps. What is over the
+ * ceiling goes to other zones, to each up to its target share and no further. How often the shares of one
+ * zone's calls change is bounded here, whatever the evidence says.
+ */
+public final class Planner {
+
+    /** Changes of fewer parts of a zone's whole are not made, and are no moves. */
+    public static final int LEAST_MOVE = 200;
+
+    /** The window of the bound on moves: a minute, and what one table takes longer to a copy than another. */
+    private static final long WINDOW = 63_000_000_000L;
+
+    /** Of the moves that a zone has, so many are kept for leaving it. */
+    private static final int KEPT_FOR_LEAVING = 2;
+    /** A zone must be strained for so many periods before calls leave it for that. */
+    private static final int STRAIN_PERIODS = 3;
+    /** Room is dealt out in so many rounds, so that zones that want the same share it. */
+    private static final int ROUNDS = 20;
+    /** A target may be found so far past its share before calls are taken from it at once. */
+    private static final double PAST_TARGET = 1.1;
+    /** A zone whose nodes don't report may be given so much more than it serves, each time it did well. */
+    private static final double BLIND_GROWTH = 1.25;
+    /** A zone's calls that are fewer a second are not moved. */
+    private static final double LEAST_DEMAND = 0.5;
+    private static final int KNOWN_TABLES = 16;
+
+    /** Why the shares of a zone's calls change. */
+    public enum Reason {
+        /** It is lost. */
+        LOST,
+        /** It can't serve all of its calls. */
+        STRAINED,
+        /** An operator has it left. */
+        EVACUATED,
+        /** It does well again. */
+        RETURN,
+        /** Where they go has less room, or more. */
+        TARGETS
+    }
+
+    /**
+     * One zone's shares change.
+     *
+     * @param bad the zones whose copies say that it does not serve them
+     * @param well the zones whose copies say that it does
+     */
+    public record Move(int zone, Reason reason, Set<Integer> bad, Set<Integer> well) { }
+
+    /** What this planner knows of one zone. */
+    private static final class Course {
+        double ceiling = 1;
+        /** Whether its own calls are held to what it can do. */
+        boolean limited;
+        boolean left;
+        boolean evacuated;
+        boolean cut;
+        long badSince = Long.MAX_VALUE;
+        long strainedSince = Long.MAX_VALUE;
+        long wellSince = Long.MAX_VALUE;
+        long hold;
+        long cutAt = Long.MIN_VALUE / 2;
+        long steppedAt = Long.MIN_VALUE / 2;
+        long movedAt = Long.MIN_VALUE / 2;
+        final Deque<Long> moves = new ArrayDeque<>();
+    }
+
+    private final FailoverSettings settings;
+    private final int[][] ranks;
+    private final int zones;
+    private final Course[] courses;
+    private final TreeMap<Long, Shares> known = new TreeMap<>();
+    private final List<Move> moves = new ArrayList<>();
+    private boolean planning;
+    private long plannedAt = Long.MIN_VALUE / 2;
+
+    /**
+     * In its first minute it knows of no moves that others made, and reckons with all but those for leaving.
+     *
+     * @param ranks how far each zone is from each, as {@link Regions#ranks} has it
+     */
+    public Planner(FailoverSettings settings, int[][] ranks, long now) {
+        this.settings = settings;
+        this.ranks = ranks;
+        this.zones = ranks.length;
+        this.courses = new Course[zones];
+        Arrays.setAll(courses, i -> new Course());
+        for (Course course : courses) {
+            course.hold = settings.returnHold();
+            for (int i = 0; i < settings.movesPerMinute() - KEPT_FOR_LEAVING; i++) {
+                course.moves.add(now);
+            }
+        }
+    }
+
+    /** A table is loaded; all copies tell this of each, since any may lead next. */
+    public void loaded(long now, RouteTable table) {
+        Shares next = Shares.of(table, zones);
+        Shares before = known.isEmpty() ? Shares.of(null, zones) : known.lastEntry().getValue();
+        for (int zone = 0; zone < zones; zone++) {
+            if (next.moved(zone, before) >= LEAST_MOVE) {
+                courses[zone].moves.add(now);
+                courses[zone].movedAt = now;
+            }
+        }
+        known.put(table.number(), next);
+        while (known.size() > KNOWN_TABLES) {
+            known.pollFirstEntry();
+        }
+    }
+
+    /** The moves of the last plan. */
+    public List<Move> moves() {
+        return List.copyOf(moves);
+    }
+
+    /**
+     * The shares of the next table; those of the present one where nothing is to change.
+     *
+     * @param current the table that is loaded; null for none
+     * @param evacuated zones that an operator has left
+     */
+    public List<Share> plan(long now, RouteTable current, Picture picture, Collection<Integer> evacuated) {
+        Shares held = Shares.of(current, zones);
+        // Guards against what a copy knew when it led before, and has not seen since, being acted on.
+        if (!planning || now - plannedAt > settings.evidenceAge()) {
+            planning = true;
+            Arrays.setAll(courses, zone -> resumed(now, courses[zone], held, current, zone));
+        }
+        plannedAt = now;
+        for (int zone = 0; zone < zones; zone++) {
+            follow(now, courses[zone], picture.zones().get(zone), evacuated.contains(zone));
+        }
+        boolean[] moving = new boolean[zones];
+        Arrays.fill(moving, true);
+        Shares wanted = allocate(held, picture, moving);
+        moves.clear();
+        for (int zone = 0; zone < zones; zone++) {
+            Reason reason = reason(now, held, wanted, picture, zone);
+            moving[zone] = reason != null || current == null;
+            if (reason != null) {
+                Zone seen = picture.zones().get(zone);
+                moves.add(new Move(zone, reason, seen.bad(), seen.well()));
+            }
+        }
+        Shares next = allocate(held, picture, moving);
+        // What the rows that stay hold is only known now; a change that came to nothing is none.
+        moves.removeIf(move -> next.moved(move.zone(), held) < LEAST_MOVE
+                && !outgrown(held, picture, move.zone()));
+        for (int zone = 0; zone < zones; zone++) {
+            int each = zone;
+            if (current != null && moves.stream().noneMatch(move -> move.zone() == each)) {
+                next.row(zone, held);
+            }
+        }
+        boolean[] left = new boolean[zones];
+        for (int zone = 0; zone < zones; zone++) {
+            left[zone] = courses[zone].left || courses[zone].evacuated;
+        }
+        return next.list(left);
+    }
+
+    /** Begins to lead: what the table says is all that is known of a zone's course. */
+    private Course resumed(long now, Course course, Shares held, RouteTable current, int zone) {
+        Course fresh = new Course();
+        fresh.moves.addAll(course.moves);
+        fresh.movedAt = course.movedAt;
+        fresh.hold = Math.max(settings.returnHold(), course.hold);
+        int near = held.parts[zone][zone];
+        if (near < RouteTable.WHOLE - 2 * watch() - LEAST_MOVE) {
+            fresh.ceiling = near <= 2 * watch() ? 0 : near / (double) RouteTable.WHOLE;
+            fresh.limited = true;
+            fresh.left = current.shares().stream().anyMatch(share -> share.from() == zone
+                    && share.way() == RouteTable.Way.MOVED);
+            fresh.cutAt = now;
+            fresh.steppedAt = now;
+        }
+        return fresh;
+    }
+
+    /** Takes one zone's course to now. */
+    private void follow(long now, Course course, Zone zone, boolean evacuated) {
+        course.cut = false;
+        course.badSince = zone.state() != State.LOST ? Long.MAX_VALUE : Math.min(course.badSince, now);
+        course.strainedSince = !zone.strained() ? Long.MAX_VALUE : Math.min(course.strainedSince, now);
+        boolean well = zone.state() == State.WELL && !zone.strained();
+        course.wellSince = !well ? Long.MAX_VALUE : Math.min(course.wellSince, now);
+        course.evacuated = evacuated;
+        if (evacuated) {
+            course.ceiling = 0;
+            course.steppedAt = now;
+            return;
+        }
+        double able = zone.demand() <= 0 ? 1
+                : Math.min(1, settings.nearShare() * zone.capacity() / zone.demand());
+        if (zone.state() == State.LOST && now - course.badSince >= settings.lossHold()) {
+            cut(now, course, 0);
+            course.left = true;
+        } else if (zone.state() == State.WELL && zone.capacity() > 0 && now - course.strainedSince
+                >= STRAIN_PERIODS * settings.period() && able < course.ceiling) {
+            cut(now, course, able);
+        } else if (course.ceiling < 1 && course.wellSince != Long.MAX_VALUE
+                && now - Math.max(course.wellSince, course.steppedAt) >= course.hold) {
+            course.ceiling = Math.min(1, course.ceiling + settings.returnStep());
+            course.steppedAt = now;
+        } else if (course.ceiling == 1 && course.limited && now - course.steppedAt >= course.hold
+                && (zone.blind() || able >= 1)) {
+            course.limited = false;
+            course.left = false;
+        }
+        if (now - course.cutAt > 2 * settings.returnHoldMost() && course.ceiling == 1) {
+            course.hold = settings.returnHold();
+        }
+    }
+
+    /** The ceiling comes down; where it had gone up a step shortly before, the next one takes longer. */
+    private void cut(long now, Course course, double ceiling) {
+        if (ceiling < course.ceiling) {
+            if (now - course.cutAt < 2 * settings.returnHoldMost() && course.steppedAt > course.cutAt) {
+                course.hold = Math.min(2 * course.hold, settings.returnHoldMost());
+            }
+            course.cut = true;
+            course.ceiling = ceiling;
+            course.cutAt = now;
+        }
+        course.limited = true;
+        course.steppedAt = now;
+    }
+
+    /** Why a zone's row is to change now; null where it stays. */
+    private Reason reason(long now, Shares held, Shares wanted, Picture picture, int zone) {
+        Course course = courses[zone];
+        while (!course.moves.isEmpty() && now - course.moves.peek() > WINDOW) {
+            course.moves.remove();
+        }
+        boolean bounds = outgrown(held, picture, zone);
+        if (picture.zones().get(zone).fresh() == 0 || picture.zones().get(zone).demand() < LEAST_DEMAND
+                || wanted.moved(zone, held) < LEAST_MOVE && !bounds) {
+            return null;
+        }
+        boolean leaves = wanted.parts[zone][zone] < held.parts[zone][zone];
+        Reason reason = course.evacuated && leaves ? Reason.EVACUATED
+                : leaves && course.ceiling == 0 ? Reason.LOST
+                : leaves && course.limited ? Reason.STRAINED
+                : wanted.parts[zone][zone] > held.parts[zone][zone] ? Reason.RETURN : Reason.TARGETS;
+        boolean urgent = course.cut || course.evacuated && leaves || reason == Reason.LOST
+                || badTarget(held, picture, zone);
+        int most = settings.movesPerMinute() - (urgent ? 0 : KEPT_FOR_LEAVING);
+        // A step that waits out its hold is taken at once; all else that is not urgent comes no sooner.
+        boolean soon = urgent || reason == Reason.RETURN && course.steppedAt == now
+                || now - course.movedAt >= settings.returnHold();
+        return soon && course.moves.size() < most ? reason : null;
+    }
+
+    /** Whether some zone that serves a part of this one's calls can't, or has no room for them any more. */
+    private boolean badTarget(Shares held, Picture picture, int from) {
+        for (int to = 0; to < zones; to++) {
+            Zone zone = picture.zones().get(to);
+            if (to != from && held.parts[from][to] > LEAST_MOVE && (!zone.takes(from)
+                    || courses[to].evacuated || zone.capacity() > 0 && load(held, picture, to)
+                    > PAST_TARGET * settings.targetShare() * zone.capacity())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whether the bound on what a zone gets from there holds calls back, while it has room. */
+    private boolean outgrown(Shares held, Picture picture, int from) {
+        for (int to = 0; to < zones; to++) {
+            double rate = picture.zones().get(from).demand() * held.parts[from][to] / RouteTable.WHOLE;
+            if (to != from && held.parts[from][to] > LEAST_MOVE && held.perSecond[from][to] > 0
+                    && rate > held.perSecond[from][to] && load(held, picture, to)
+                    < settings.targetShare() * picture.zones().get(to).capacity()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** What a zone gets by these shares, and of calls that nobody tells of. */
+    private double load(Shares shares, Picture picture, int to) {
+        double load = hidden(picture, to);
+        for (int from = 0; from < zones; from++) {
+            double rate = picture.zones().get(from).demand() * shares.parts[from][to] / RouteTable.WHOLE;
+            load += shares.perSecond[from][to] == 0 ? rate : Math.min(rate, shares.perSecond[from][to]);
+        }
+        return load;
+    }
+
+    /**
+     * Calls of copies that are cut off. Where nodes report their load they are seen there; else they are
+     * reckoned with where their last table sent them.
+     */
+    private double hidden(Picture picture, int to) {
+        if (!picture.zones().get(to).blind()) {
+            return picture.zones().get(to).unseen();
+        }
+        double hidden = 0;
+        for (Away away : picture.away()) {
+            Shares last = known.get(away.table());
+            double part = last != null ? last.parts[away.zone()][to] / (double) RouteTable.WHOLE
+                    : away.zone() == to ? 1 : 0;
+            hidden += part * away.rate();
+        }
+        return hidden;
+    }
+
+    private int watch() {
+        return (int) Math.ceil(settings.watchShare() * RouteTable.WHOLE);
+    }
+
+    /** What a zone's own calls may take of it. */
+    private double near(Zone zone, Course course) {
+        double near = course.ceiling * zone.demand();
+        return course.limited && !zone.blind() ? Math.min(near, settings.nearShare() * zone.capacity()) : near;
+    }
+
+    /** What there is to deal out: rows of zones that don't move are as they are held. */
+    private Shares allocate(Shares held, Picture picture, boolean[] moving) {
+        double[][] dealt = new double[zones][zones];
+        double[] excess = new double[zones];
+        double[] room = new double[zones];
+        for (int zone = 0; zone < zones; zone++) {
+            Zone seen = picture.zones().get(zone);
+            dealt[zone][zone] = near(seen, courses[zone]);
+            excess[zone] = moving[zone] ? seen.demand() - dealt[zone][zone] : 0;
+            room[zone] = room(seen, courses[zone], picture, zone);
+        }
+        for (int from = 0; from < zones; from++) {
+            for (int to = 0; to < zones && !moving[from]; to++) {
+                if (to != from) {
+                    double rate = picture.zones().get(from).demand() * held.parts[from][to] / RouteTable.WHOLE;
+                    room[to] -= held.perSecond[from][to] == 0 ? rate
+                            : Math.min(rate, held.perSecond[from][to]);
+                }
+            }
+        }
+        int farthest = Arrays.stream(ranks).flatMapToInt(Arrays::stream).max().orElse(0);
+        for (int rank = 1; rank <= farthest; rank++) {
+            double[] whole = excess.clone();
+            for (int round = 0; round < ROUNDS; round++) {
+                for (int from = 0; from < zones; from++) {
+                    deal(dealt, excess, room, picture, from, rank, whole[from] / ROUNDS);
+                }
+            }
+        }
+        Shares next = new Shares(zones);
+        for (int zone = 0; zone < zones; zone++) {
+            if (moving[zone] && picture.zones().get(zone).demand() >= LEAST_DEMAND) {
+                write(next, dealt[zone], excess[zone], room, picture, zone);
+            } else {
+                next.row(zone, held);
+                watched(next, zone);
+            }
+        }
+        return next;
+    }
+
+    private double room(Zone zone, Course course, Picture picture, int number) {
+        if (zone.state() != State.WELL || course.evacuated || course.left || course.ceiling < 1
+                || zone.strained()) {
+            return 0;
+        }
+        double most = zone.blind() && course.wellSince != Long.MAX_VALUE
+                ? Math.max(settings.targetShare() * zone.capacity(), BLIND_GROWTH * zone.served())
+                : settings.targetShare() * zone.capacity();
+        return Math.max(0, most - zone.demand() - hidden(picture, number));
+    }
+
+    /** Deals some of one zone's calls to zones of this rank, to each by its room. */
+    private void deal(double[][] dealt, double[] excess, double[] room, Picture picture, int from, int rank,
+            double most) {
+        double wanted = Math.min(most, excess[from]);
+        double all = 0;
+        for (int to = 0; to < zones; to++) {
+            all += suits(picture, from, to, rank) ? Math.max(0, room[to]) : 0;
+        }
+        double part = all <= 0 || wanted <= 0 ? 0 : Math.min(1, wanted / all);
+        for (int to = 0; to < zones && part > 0; to++) {
+            if (suits(picture, from, to, rank) && room[to] > 0) {
+                double amount = part * room[to];
+                dealt[from][to] += amount;
+                room[to] -= amount;
+                excess[from] -= amount;
+            }
+        }
+    }
+
+    private boolean suits(Picture picture, int from, int to, int rank) {
+        return ranks[from][to] == rank && picture.zones().get(to).takes(from);
+    }
+
+    /** Writes one zone's row. */
+    private void write(Shares next, double[] dealt, double left, double[] room, Picture picture, int zone) {
+        Zone seen = picture.zones().get(zone);
+        Course course = courses[zone];
+        double near = dealt[zone];
+        if (course.evacuated || !course.left) {
+            near += left; // none is turned away for a zone that serves
+        } else if (course.ceiling > 0) {
+            near = Math.max(near, Math.min(near + left, settings.nearShare() * seen.capacity()));
+        }
+        long moved = 0;
+        for (int to = 0; to < zones; to++) {
+            int parts = (int) (RouteTable.WHOLE * (to == zone ? near : dealt[to]) / seen.demand());
+            next.parts[zone][to] = Math.min(RouteTable.WHOLE, parts);
+            if (to != zone && parts > 0) {
+                // What is left of its room is for those that come beyond what is seen now.
+                next.perSecond[zone][to] = (int) Math.max(1, dealt[to] + Math.max(0, room[to]) / zones);
+                moved += parts;
+            }
+        }
+        if (near + 1e-9 >= seen.demand() - moved * seen.demand() / RouteTable.WHOLE || !course.left) {
+            next.parts[zone][zone] = (int) (RouteTable.WHOLE - moved); // no part is lost by rounding
+        }
+        watched(next, zone);
+    }
+
+    /** A zone to which nothing goes is not seen: a few calls go there, as well as to one's own that is lost. */
+    private void watched(Shares next, int zone) {
+        if (watch() == 0 || zones == 1) {
+            return;
+        }
+        int[] row = next.parts[zone];
+        int each = Math.max(1, watch() / (zones - 1));
+        for (int to = 0; to < zones; to++) {
+            int least = to == zone ? watch() : each;
+            int lacks = least - row[to];
+            if (lacks > 0) {
+                int most = 0;
+                for (int other = 0; other < zones; other++) {
+                    most = row[other] > row[most] ? other : most;
+                }
+                lacks = Math.min(lacks, next.unserved(zone) + Math.max(0, row[most] - least));
+                row[most] -= Math.max(0, lacks - next.unserved(zone));
+                row[to] += lacks;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/failover/Regions.java
@@ -0,0 +1,103 @@
+package cedarrudder.failover;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Which zones make a region, and which other regions are near to it. A zone that is in none is a region of its
+ * own.
+ */
+public record Regions(List<Region> regions) {
+
+    /** Every zone by itself. */
+    public static final Regions NONE = new Regions(List.of());
+
+    /**
+     * A region.
+     *
+     * @param zones the names of its zones, as the platform's settings have them
+     * @param nearest the names of other regions, the nearest first; those that are not named are farther
+     */
+    public record Region(String name, List<String> zones, List<String> nearest) {
+        public Region {
+            zones = List.copyOf(zones);
+            nearest = List.copyOf(nearest);
+        }
+    }
+
+    /** Something that can't be so: of which region, which key, what was found and what is allowed. */
+    public record Problem(int region, String key, String found, String allowed) { }
+
+    public Regions {
+        regions = List.copyOf(regions);
+    }
+
+    /**
+     * All that contradicts itself.
+     *
+     * @param known the zones that there are; null where that is not known yet
+     */
+    public List<Problem> problems(Collection<String> known) {
+        List<Problem> problems = new ArrayList<>();
+        Map<String, String> regionOf = new HashMap<>();
+        List<String> names = regions.stream().map(Region::name).toList();
+        for (int i = 0; i < regions.size(); i++) {
+            Region region = regions.get(i);
+            if (names.indexOf(region.name) < i) {
+                problems.add(new Problem(i, "name", '"' + region.name + "\" twice", "each name once"));
+            }
+            if (region.zones.isEmpty()) {
+                problems.add(new Problem(i, "zones", "none", "one or more"));
+            }
+            for (String zone : region.zones) {
+                String other = regionOf.putIfAbsent(zone, region.name);
+                if (other != null) {
+                    problems.add(new Problem(i, "zones", '"' + zone + "\", which is in \"" + other + '"',
+                            "each zone in one region"));
+                } else if (known != null && !known.contains(zone)) {
+                    problems.add(new Problem(i, "zones", '"' + zone + '"',
+                            "the zones of the settings: " + String.join(", ", known)));
+                }
+            }
+            Set<String> named = new HashSet<>();
+            for (String near : region.nearest) {
+                if (!names.contains(near) || near.equals(region.name) || !named.add(near)) {
+                    problems.add(new Problem(i, "nearest", '"' + near + '"', "other regions, each once"));
+                }
+            }
+        }
+        return problems;
+    }
+
+    /**
+     * How far each zone is from each: 0 itself, 1 in its region, 2 and more in others, the nearest first.
+     *
+     * @param zones their names, in the order of their numbers
+     */
+    public int[][] ranks(List<String> zones) {
+        int[][] ranks = new int[zones.size()][zones.size()];
+        for (int from = 0; from < ranks.length; from++) {
+            for (int to = 0; to < ranks.length; to++) {
+                ranks[from][to] = from == to ? 0 : rank(of(zones.get(from)), of(zones.get(to)));
+            }
+        }
+        return ranks;
+    }
+
+    private static int rank(Region from, Region to) {
+        if (from != null && from.equals(to)) {
+            return 1;
+        }
+        int place = from == null || to == null ? -1 : from.nearest.indexOf(to.name);
+        return 2 + (place >= 0 ? place : from == null ? 0 : from.nearest.size());
+    }
+
+    private Region of(String zone) {
+        return regions.stream().filter(region -> region.zones.contains(zone)).findFirst().orElse(null);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/failover/Shares.java
@@ -0,0 +1,71 @@
+package cedarrudder.failover;
+
+import cedarrudder.table.RouteTable;
+import cedarrudder.table.RouteTable.Share;
+import cedarrudder.table.RouteTable.Way;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** Shares as rows, one for each zone of callers: parts and bounds by the zone that serves. */
+final class Shares {
+
+    final int[][] parts;
+    final int[][] perSecond;
+
+    Shares(int zones) {
+        parts = new int[zones][zones];
+        perSecond = new int[zones][zones];
+    }
+
+    /** Those of a table; without one, or a row of a zone in it, a zone serves its own. */
+    static Shares of(RouteTable table, int zones) {
+        Shares shares = new Shares(zones);
+        boolean[] there = new boolean[zones];
+        for (Share share : table == null ? List.<Share>of() : table.shares()) {
+            if (share.from() < zones && share.to() < zones) {
+                there[share.from()] = true;
+                shares.parts[share.from()][share.to()] = share.parts();
+                shares.perSecond[share.from()][share.to()] = share.perSecond();
+            }
+        }
+        for (int zone = 0; zone < zones; zone++) {
+            shares.parts[zone][zone] = there[zone] ? shares.parts[zone][zone] : RouteTable.WHOLE;
+        }
+        return shares;
+    }
+
+    /** Copies a zone's row. */
+    void row(int from, Shares of) {
+        parts[from] = of.parts[from].clone();
+        perSecond[from] = of.perSecond[from].clone();
+    }
+
+    /** What is left of a zone's whole, and is refused where it came. */
+    int unserved(int from) {
+        return RouteTable.WHOLE - Arrays.stream(parts[from]).sum();
+    }
+
+    /** The parts of a zone's calls that go elsewhere in one than in the other. */
+    int moved(int from, Shares other) {
+        int moved = Math.abs(unserved(from) - other.unserved(from));
+        for (int to = 0; to < parts.length; to++) {
+            moved += Math.abs(parts[from][to] - other.parts[from][to]);
+        }
+        return moved / 2;
+    }
+
+    /** As a table has them. {@code left}: zones that have been left. */
+    List<Share> list(boolean[] left) {
+        List<Share> list = new ArrayList<>();
+        for (int from = 0; from < parts.length; from++) {
+            for (int to = 0; to < parts.length; to++) {
+                if (parts[from][to] > 0) {
+                    list.add(new Share(from, to, from == to ? Way.NEAR : left[from] ? Way.MOVED : Way.SPILLED,
+                            parts[from][to], perSecond[from][to]));
+                }
+            }
+        }
+        return list;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/cedarrudder/failover/ZoneTally.java
@@ -0,0 +1,228 @@
+package cedarrudder.failover;
+
+import cedarrudder.Balancer.Endpoint;
+import cedarrudder.Balancer.ListKind;
+import cedarrudder.Balancer.Load;
+import cedarrudder.Balancer.Outcome;
+import cedarrudder.Balancer.Safety;
+import cedarrudder.Balancer.State;
+import cedarrudder.failover.Evidence.Seen;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Counts, by zones, what one copy's calls and probes came to, and closes a period as {@link Evidence}. It is
+ * fed where outcomes are told to the decision module, and costs one look-up each. Not thread-safe.
+ */
+public final class ZoneTally {
+
+    /** A period that took so many times longer tells of a process that stood still, not of zones. */
+    private static final double STOOD_STILL = 1.4;
+    private static final double HUNDREDTHS = 100;
+    private static final int MILLION = 1_000_000;
+
+    /** One zone in this period. */
+    private static final class Zone {
+        int served;
+        int failed;
+        int silent;
+        int refused;
+        int out;
+        long backAt;
+        double loads;
+        int reports;
+        Seen last;
+    }
+
+    private final int copy;
+    private final int own;
+    private final long life;
+    private final long period;
+    private final Safety safety;
+    private final Zone[] zones;
+    private final Map<Long, Endpoint> listed = new HashMap<>();
+    private long openedAt;
+    private long sequence;
+    private int came;
+    private int unserved;
+    private boolean shaken;
+
+    /**
+     * @param zones how many there are
+     * @param period how long periods are to be, in nanoseconds
+     */
+    public ZoneTally(int copy, int own, long life, int zones, long period, Safety safety, long now) {
+        this.copy = copy;
+        this.own = own;
+        this.life = life;
+        this.period = period;
+        this.safety = safety;
+        this.zones = new Zone[zones];
+        this.openedAt = now;
+        for (int i = 0; i < zones; i++) {
+            this.zones[i] = new Zone();
+        }
+    }
+
+    /** The list of nodes, or changes to it. */
+    public void listed(ListKind kind, List<Endpoint> entries) {
+        if (kind != ListKind.CHANGES) {
+            listed.clear();
+        }
+        for (Endpoint entry : entries) {
+            if (entry.state() == State.GONE) {
+                listed.remove(entry.id());
+            } else {
+                listed.put(entry.id(), entry);
+            }
+        }
+    }
+
+    /** A call came to this copy. */
+    public void came() {
+        came++;
+    }
+
+    /** A call was refused or failed here. */
+    public void unserved() {
+        unserved++;
+    }
+
+    private Zone zone(long endpoint) {
+        Endpoint entry = listed.get(endpoint);
+        return entry == null || entry.zone() < 0 || entry.zone() >= zones.length ? null : zones[entry.zone()];
+    }
+
+    /** An attempt goes out; its zone's number to be given back at its end, or -1. */
+    public int sent(long now, long endpoint) {
+        Zone zone = zone(endpoint);
+        if (zone == null) {
+            return -1;
+        }
+        if (zone.out++ == 0) {
+            zone.backAt = now;
+        }
+        return listed.get(endpoint).zone();
+    }
+
+    /**
+     * An attempt ended.
+     *
+     * @param of what {@link #sent} gave
+     */
+    public void ended(long now, int of, Outcome outcome, Load load) {
+        if (of >= 0) {
+            zones[of].out--;
+            count(now, zones[of], outcome, load);
+        }
+    }
+
+    /** A probe came back, or did not. */
+    public void probed(long now, long endpoint, Outcome outcome, Load load) {
+        Zone zone = zone(endpoint);
+        if (zone != null) {
+            count(now, zone, outcome, load);
+        }
+    }
+
+    private static void count(long now, Zone zone, Outcome outcome, Load load) {
+        switch (outcome) {
+            case OK -> zone.served++;
+            case ERROR, RESET -> zone.failed++;
+            case TIMEOUT, CONNECT_FAILED -> zone.silent++;
+            case FULL -> zone.refused++;
+            default -> { } // called off, or never sent: says nothing of the zone
+        }
+        if (outcome == Outcome.OK || outcome == Outcome.ERROR || outcome == Outcome.FULL) {
+            zone.backAt = now;
+        }
+        if (load != null && load.utilisation() >= 0) {
+            zone.loads += Math.min(2, load.utilisation());
+            zone.reports++;
+        }
+    }
+
+    /**
+     * Ends the period and begins the next; null where this copy stood still in it or in the one before, for
+     * then what it saw is of its own making. Guards against a copy that was stopped telling that every zone
+     * was silent.
+     *
+     * @param table the number of the table in use; 0 for none
+     */
+    public Evidence close(long now, long table) {
+        long length = now - openedAt;
+        boolean stood = length > STOOD_STILL * period;
+        boolean counts = !stood && !shaken && length > 0;
+        shaken = stood;
+        List<Seen> seen = new ArrayList<>();
+        int[][] nodes = nodes(now);
+        for (int i = 0; i < zones.length; i++) {
+            Seen each = close(now, i, zones[i], nodes[i], counts);
+            if (each != null) {
+                seen.add(each);
+            }
+        }
+        Evidence evidence = counts ? new Evidence(copy, own, life, ++sequence, table,
+                (int) Math.max(1, Math.min(length / MILLION, MILLION)), bound(came), bound(unserved), seen)
+                : null;
+        openedAt = now;
+        came = 0;
+        unserved = 0;
+        return evidence;
+    }
+
+    /** What is said of a zone; null where nothing is known of it. */
+    private static Seen close(long now, int number, Zone zone, int[] nodes, boolean counts) {
+        Seen fresh = new Seen(number, 0, bound(zone.served), bound(zone.failed), bound(zone.silent),
+                bound(zone.refused), bound(zone.out),
+                zone.out > 0 ? bound((int) Math.min((now - zone.backAt) / MILLION, MILLION)) : 0,
+                zone.reports == 0 ? 0 : 1 + (int) Math.round(HUNDREDTHS * zone.loads / zone.reports),
+                bound(nodes[0]), bound(nodes[1]), bound(nodes[2]));
+        zone.served = 0;
+        zone.failed = 0;
+        zone.silent = 0;
+        zone.refused = 0;
+        zone.loads = 0;
+        zone.reports = 0;
+        if (!counts) {
+            zone.last = null;
+            zone.backAt = now;
+            return null;
+        }
+        Seen last = zone.last;
+        if (fresh.ended() == 0 && fresh.out() == 0 && last != null && last.age() < Evidence.MOST_AGE) {
+            // Nothing was asked of it: what was seen last, with its age, and the nodes as they are now.
+            zone.last = new Seen(number, last.age() + 1, last.served(), last.failed(), last.silent(),
+                    last.refused(), 0, 0, last.load(), fresh.nodes(), fresh.cold(), fresh.able());
+        } else {
+            zone.last = fresh.ended() == 0 && fresh.out() == 0 && fresh.nodes() == 0 ? null : fresh;
+        }
+        return zone.last;
+    }
+
+    /** Of each zone: nodes that are ready, those of them that are cold, and what all can do, in hundredths. */
+    private int[][] nodes(long now) {
+        int[][] nodes = new int[zones.length][3];
+        double[] able = new double[zones.length];
+        for (Endpoint entry : listed.values()) {
+            if (entry.state() == State.READY && entry.zone() >= 0 && entry.zone() < zones.length) {
+                boolean cold = entry.startedAt() != 0 && now - entry.startedAt() < safety.rampTime();
+                double ramp = Math.max(0, now - entry.startedAt()) / (double) safety.rampTime();
+                nodes[entry.zone()][0]++;
+                nodes[entry.zone()][1] += cold ? 1 : 0;
+                able[entry.zone()] += entry.weight()
+                        * (cold ? safety.coldShare() + (1 - safety.coldShare()) * ramp : 1);
+            }
+        }
+        for (int i = 0; i < nodes.length; i++) {
+            nodes[i][2] = (int) Math.min(Evidence.MOST_COUNT - 1, Math.round(HUNDREDTHS * able[i]));
+        }
+        return nodes;
+    }
+
+    private static int bound(int count) {
+        return Math.max(0, Math.min(count, Evidence.MOST_COUNT - 1));
+    }
+}
--- a/core/src/main/java/cedarrudder/membership/Varint.java
+++ b/core/src/main/java/cedarrudder/membership/Varint.java
@@ -4,14 +4,14 @@
 import java.nio.ByteBuffer;
 
 /** Whole numbers in as few bytes as they need: seven bits a byte, the lowest first. One number, one form. */
-final class Varint {
+public final class Varint {
 
     private static final int LONGEST = 10;
 
     private Varint() { }
 
     /** Writes a number; a negative one takes ten bytes. */
-    static void put(ByteBuffer out, long value) {
+    public static void put(ByteBuffer out, long value) {
         long rest = value;
         while ((rest & ~0x7fL) != 0) {
             out.put((byte) (rest & 0x7f | 0x80));
@@ -21,7 +21,7 @@
     }
 
     /** How many bytes that takes. */
-    static int size(long value) {
+    public static int size(long value) {
         return Math.max(1, (70 - Long.numberOfLeadingZeros(value)) / 7);
     }
 
@@ -30,7 +30,7 @@
      *
      * @throws BufferUnderflowException if it does not end, or has another form than {@link #put} gives it
      */
-    static long get(ByteBuffer in) {
+    public static long get(ByteBuffer in) {
         long value = 0;
         for (int i = 0; i < LONGEST; i++) {
             byte next = in.get();
@@ -46,12 +46,12 @@
     }
 
     /** A number that may be negative, as one that is not: small where it is near to zero. */
-    static long folded(long value) {
+    public static long folded(long value) {
         return value << 1 ^ value >> 63;
     }
 
     /** What was folded. */
-    static long unfolded(long value) {
+    public static long unfolded(long value) {
         return value >>> 1 ^ -(value & 1);
     }
 }
