Sum up what many copies saw of zones, plan shares of it, and read [failover]

Need: copies that each leave a zone by their own eyes move too much, or against one another. Change: ZoneTally counts by zones where the driver tells outcomes, Evidence carries it, Assessment holds what enough copies in enough zones say, Planner makes the shares of it; the operator's table [failover]. Nothing uses them yet; without the table the driver counts nothing. Ruled out: health by one copy's eyes; leaving a zone all at once.

--- a/core/src/main/java/cedarrudder/failover/Assessment.java
+++ b/core/src/main/java/cedarrudder/failover/Assessment.java
@@ -9,23 +9,28 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.IntToLongFunction;
 
 /**
  * Puts together what many copies saw. A copy's later word replaces its earlier one, an older life counts
  * nothing, and what is old ages out. Not thread-safe.
  *
- * <p>Copies vote, and zones of copies: within a zone each copy that has seen enough has one vote, however many
- * calls it has, and a zone of copies says <i>bad</i> or <i>well</i> by the most of its votes. Guards against one
- * copy's broken link, and against the word of copies of one zone alone while others are served.
+ * <p>Copies vote, and zones of copies: within a zone each copy that has seen enough has one vote, however
+ * many calls it has, and a zone of copies says <i>bad</i> or <i>well</i> by the most of its votes. Guards
+ * against one copy's broken link, and against the word of copies of one zone alone while others are served.
  */
 public final class Assessment {
 
     /** What is left, each period, of what was counted before. */
     private static final double KEPT = 0.6;
-    /** Calls that a copy must have seen end, or wait, before it has a whole vote; with fewer, a part of one. */
+    /**
+     * Calls that a copy must have seen end, or wait, before it has a whole vote; with fewer, a part of one.
+     */
     private static final double WHOLE_VOTE = 3;
     /** The least part of a vote that counts. */
     private static final double LEAST_VOTE = 0.3;
+    /** What is so many times older than evidence may be says nothing of a zone. */
+    private static final int OLD = 4;
     /** Calls out with nothing back for so many periods count as silent. */
     private static final int STILL_PERIODS = 2;
     /** Of the votes of a zone's copies. */
@@ -149,7 +154,8 @@
         long basis = sequence - seen.age();
         if (basis > word.basis) {
             // A period of which nothing came fades what was said as one that came does.
-            double kept = word.basis < 0 ? 0 : Math.pow(KEPT, Math.min(Evidence.MOST_AGE, basis - word.basis));
+            double kept = word.basis < 0 ? 0
+                    : Math.pow(KEPT, Math.min(Evidence.MOST_AGE, basis - word.basis));
             word.served = kept * word.served + seen.served();
             word.failed = kept * word.failed + seen.failed() + seen.silent();
             word.refused = kept * word.refused + seen.refused();
@@ -184,20 +190,15 @@
         return new Picture(pictures, away);
     }
 
-    /** When a copy was last heard of; Long.MIN_VALUE where it never was. */
-    public long heardAt(int copy) {
-        return copies[copy].life < 0 ? Long.MIN_VALUE : copies[copy].heardAt;
-    }
-
     /**
-     * Copies whose lease is over for certain, so that their calls are reckoned with no longer.
+     * Copies whose lease is over for certain: their calls are reckoned with no longer.
      *
-     * @param lease how long a copy that hears nothing may use a table, by its own clock
+     * @param leaseOver of each copy, when that is where it stays silent
      */
-    public void lapse(long now, long lease) {
-        for (Copy copy : copies) {
-            if (copy.life >= 0 && now - copy.heardAt > lease + lease / 500 + settings.evidenceAge()) {
-                copy.came = 0;
+    public void lapse(long now, IntToLongFunction leaseOver) {
+        for (int i = 0; i < copies.length; i++) {
+            if (!fresh(now, copies[i]) && now - leaseOver.applyAsLong(i) > 0) {
+                copies[i].came = 0;
             }
         }
     }
@@ -209,12 +210,20 @@
     private Zone zone(long now, int zone, boolean learns) {
         Set<Integer> bad = new TreeSet<>();
         Set<Integer> well = new TreeSet<>();
+        double othersBad = 0;
+        double othersWell = 0;
+        int others = 0;
         for (int from = 0; from < zones; from++) {
-            int said = word(now, from, zone);
-            if (said != 0) {
-                (said < 0 ? bad : well).add(from);
+            Votes votes = votes(now, from, zone);
+            if (votes.word() != 0) {
+                (votes.word() < 0 ? bad : well).add(from);
             }
+            othersBad += from == zone ? 0 : votes.bad;
+            othersWell += from == zone ? 0 : votes.well;
+            others += from == zone ? 0 : votes.copies;
         }
+        int said = others < settings.leastCopies() ? 0
+                : new Votes(othersBad, othersWell, others).word();
         double demand = 0;
         double served = 0;
         double loads = 0;
@@ -247,7 +256,7 @@
         Arrays.sort(able, 0, known);
         double units = known == 0 ? 0 : able[known / 2] / HUNDREDTHS;
         double load = reports == 0 ? Double.NaN : loads / reports;
-        State state = state(now, zone, bad, well, fresh);
+        State state = state(now, zone, bad, well, said, fresh);
         boolean full = fresh > 0 && strained >= Math.min(settings.leastCopies(), fresh)
                 && strained > MOST * fresh;
         if (learns && state == State.WELL && units > 0 && served >= LEAST_RATE) {
@@ -276,8 +285,18 @@
         }
     }
 
-    /** What the copies of a zone say of another: 1 that it is well, -1 that it is bad, 0 nothing. */
-    private int word(long now, int from, int zone) {
+    /** What the copies of one zone say of another; copies that say nothing are not counted. */
+    private record Votes(double bad, double well, int copies) {
+
+        /** 1 that it is well, -1 that it is bad, 0 nothing. */
+        int word() {
+            double all = bad + well;
+            return all == 0 ? 0 : bad >= MOST * all ? -1 : well >= MOST * all ? 1 : 0;
+        }
+    }
+
+    /** What was seen longer ago weighs less: guards against a zone that is well by what was seen before. */
+    private Votes votes(long now, int from, int zone) {
         double bad = 0;
         double well = 0;
         int said = 0;
@@ -289,25 +308,24 @@
             }
             able++;
             Word word = copy.words[zone];
-            if (word.seen == null || now - word.at > 2 * settings.evidenceAge() || servedNowhere(copy)) {
+            long age = now - word.at;
+            if (word.seen == null || age > OLD * settings.evidenceAge() || servedNowhere(copy)) {
                 continue;
             }
             double ill = word.bad(settings.period());
             double all = word.served + word.refused + ill;
-            double vote = Math.min(1, all / WHOLE_VOTE);
+            boolean listed = word.seen.nodes() > 0;
+            double vote = listed ? Math.min(1, all / WHOLE_VOTE) : 1;
             if (vote >= LEAST_VOTE) {
                 said++;
-                if (ill > settings.badShare() * all) {
-                    bad += vote;
-                } else {
-                    well += vote;
-                }
+                vote *= Math.pow(2, -(double) age / settings.evidenceAge());
+                bad += !listed || ill > settings.badShare() * all ? vote : 0;
+                well += listed && ill <= settings.badShare() * all ? vote : 0;
             }
         }
-        if (said == 0 || said < Math.min(settings.leastCopies(), able)) {
-            return 0;
-        }
-        return bad >= MOST * (bad + well) ? -1 : well >= MOST * (bad + well) ? 1 : 0;
+        // Of its own zone several must have said so; others send few calls there.
+        return from == zone && said < Math.min(settings.leastCopies(), able) ? new Votes(0, 0, 0)
+                : new Votes(bad, well, said);
     }
 
     /**
@@ -327,29 +345,25 @@
         return asked > 1;
     }
 
-    private State state(long now, int zone, Set<Integer> bad, Set<Integer> well, int fresh) {
+    /** @param said what the copies of all other zones say together, as {@link Votes#word} has it */
+    private State state(long now, int zone, Set<Integer> bad, Set<Integer> well, int said, int fresh) {
         boolean ownBad = bad.contains(zone);
-        boolean ownWell = well.contains(zone);
-        int othersBad = bad.size() - (ownBad ? 1 : 0);
-        int othersWell = well.size() - (ownWell ? 1 : 0);
-        boolean alone = ownBad && othersBad + othersWell == 0;
-        if (!alone) {
-            this.alone[zone] = false;
-        } else if (!this.alone[zone]) {
-            this.alone[zone] = true;
+        int zonesBad = bad.size() - (ownBad ? 1 : 0);
+        boolean unheard = ownBad && said == 0 && zonesBad == 0 && !well.stream().anyMatch(z -> z != zone);
+        if (!unheard) {
+            alone[zone] = false;
+        } else if (!alone[zone]) {
+            alone[zone] = true;
             aloneSince[zone] = now;
         }
         if (ownBad) {
-            boolean lost = alone ? now - aloneSince[zone] >= ALONE_PERIODS * settings.period()
-                    && fresh >= settings.leastCopies() : othersBad > othersWell;
+            boolean lost = unheard ? now - aloneSince[zone] >= ALONE_PERIODS * settings.period()
+                    && fresh >= settings.leastCopies() : said < 0 && zonesBad > 0;
             return lost ? State.LOST : State.UNKNOWN;
         }
-        if (ownWell) {
-            return othersBad > othersWell ? State.CUT_OFF : State.WELL;
-        }
-        if (othersBad > 1 && othersBad > othersWell) {
-            return State.LOST;
+        if (well.contains(zone)) {
+            return said < 0 && zonesBad > 0 ? State.CUT_OFF : State.WELL;
         }
-        return othersWell > othersBad ? State.WELL : State.UNKNOWN;
+        return said < 0 && zonesBad > 1 ? State.LOST : said > 0 ? State.WELL : State.UNKNOWN;
     }
 }
--- a/core/src/main/java/cedarrudder/failover/Evidence.java
+++ b/core/src/main/java/cedarrudder/failover/Evidence.java
@@ -12,8 +12,8 @@
 /**
  * What one copy saw of the zones in a period. It tells what happened to its calls and judges nothing.
  *
- * <p>As bytes: a version, then {@link Varint}s in the order of the components. What does not fit one part goes
- * into several, split between zones; each begins with the same head.
+ * <p>As bytes: a version, then {@link Varint}s in the order of the components. What does not fit one part
+ * goes into several, split between zones; each begins with the same head.
  *
  * @param copy who saw it, below {@value #MOST_COPIES}
  * @param zone its zone
@@ -31,6 +31,9 @@
     /** What a part takes at the most, so that a datagram has room for more. */
     public static final int MOST_BYTES = 200;
 
+    /** The longest head and one zone fit into so many. */
+    public static final int LEAST_BYTES = 88;
+
     public static final int MOST_COPIES = 1 << 16;
 
     /** Counts are below this; what is more is said to be one less. */
@@ -66,7 +69,8 @@
         }
 
         private int[] figures() {
-            return new int[] {zone, age, served, failed, silent, refused, out, still, load, nodes, cold, able};
+            return new int[] {zone, age, served, failed, silent, refused, out, still, load, nodes, cold,
+                able};
         }
 
         private static Seen of(int[] f) {
@@ -80,17 +84,21 @@
         seen = List.copyOf(seen);
     }
 
-    /** The parts, of at most {@link #MOST_BYTES} each; one at the least. */
-    public List<byte[]> encode() {
+    /**
+     * The parts; one at the least.
+     *
+     * @param most bytes of each, from {@link #LEAST_BYTES} to {@link #MOST_BYTES}
+     */
+    public List<byte[]> encode(int most) {
         List<byte[]> parts = new ArrayList<>();
-        ByteBuffer out = head();
+        ByteBuffer out = head(most);
         for (Seen each : seen) {
             int before = out.position();
             try {
                 put(out, each);
             } catch (BufferOverflowException e) {
                 parts.add(Arrays.copyOf(out.array(), before));
-                out = head();
+                out = head(most);
                 put(out, each);
             }
         }
@@ -98,8 +106,8 @@
         return parts;
     }
 
-    private ByteBuffer head() {
-        ByteBuffer out = ByteBuffer.allocate(MOST_BYTES);
+    private ByteBuffer head(int most) {
+        ByteBuffer out = ByteBuffer.allocate(most);
         out.put((byte) VERSION);
         for (long figure : new long[] {copy, zone, life, sequence, table, millis, came, unserved}) {
             Varint.put(out, figure);
--- /dev/null
+++ b/core/src/main/java/cedarrudder/failover/Failover.java
@@ -0,0 +1,98 @@
+package cedarrudder.failover;
+
+import cedarrudder.table.RouteTable;
+import cedarrudder.table.RouteTable.Share;
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+import java.util.function.IntToLongFunction;
+
+/**
+ * One copy's part in failover: it says what it saw, and where it leads plans from what all said. Not
+ * thread-safe.
+ */
+public final class Failover {
+
+    private final FailoverSettings settings;
+    private final ZoneTally tally;
+    private final int[] zoneOf;
+    private final int zones;
+    private final Planner planner;
+    private Assessment assessment;
+    private Set<Integer> evacuated = Set.of();
+    private long table;
+
+    /**
+     * @param names of the zones, in the order of their numbers
+     * @param zoneOf the zone of each copy of the tier
+     * @param tally what this copy counts
+     * @throws IllegalArgumentException if a region names a zone that there is not
+     */
+    public Failover(FailoverSettings settings, List<String> names, int[] zoneOf, ZoneTally tally, long now) {
+        List<Regions.Problem> problems = settings.regions().problems(names);
+        if (!problems.isEmpty()) {
+            Regions.Problem first = problems.get(0);
+            throw new IllegalArgumentException("failover.region[" + first.region() + "]." + first.key()
+                    + ": found " + first.found() + "; allowed: " + first.allowed());
+        }
+        this.settings = settings;
+        this.tally = tally;
+        this.zoneOf = zoneOf.clone();
+        this.zones = names.size();
+        this.planner = new Planner(settings, settings.regions().ranks(names), now);
+        this.assessment = new Assessment(settings, zoneOf, zones);
+    }
+
+    /**
+     * Ends the period and says what was seen in it; nothing where this copy stood still.
+     *
+     * @param most bytes of a part, as {@link Evidence#encode} takes it
+     */
+    public List<byte[]> report(long now, int most) {
+        Evidence evidence = tally.close(now, table);
+        return evidence == null ? List.of() : evidence.encode(most);
+    }
+
+    /** At the copy that leads: a part of what another saw, or it itself. It may be no such part. */
+    public void reported(long now, int from, byte[] part) {
+        Evidence evidence = Evidence.decode(part);
+        if (evidence != null && evidence.copy() == from) {
+            assessment.heard(now, evidence);
+        }
+    }
+
+    /**
+     * At the copy that leads, each period: the shares that should hold.
+     *
+     * @param agreed the table that is agreed on; null before the first
+     * @param leaseOver when a copy that is silent has certainly left its table
+     */
+    public List<Share> plan(long now, RouteTable agreed, IntToLongFunction leaseOver) {
+        assessment.lapse(now, leaseOver);
+        return planner.plan(now, agreed, assessment.picture(now), evacuated);
+    }
+
+    /** The moves of the last plan, for the log. */
+    public List<Planner.Move> moves() {
+        return planner.moves();
+    }
+
+    /** This copy leads from here on, or no longer: what was reported to it before counts no more. */
+    public void leads() {
+        assessment = new Assessment(settings, zoneOf, zones);
+        planner.leads();
+    }
+
+    /** A table counts here from now on; null: none does. */
+    public void loaded(long now, RouteTable loaded) {
+        table = loaded == null ? 0 : loaded.number();
+        if (loaded != null) {
+            planner.loaded(now, loaded);
+        }
+    }
+
+    /** Zones that operators have left, by number. */
+    public void evacuated(Collection<Integer> left) {
+        evacuated = Set.copyOf(left);
+    }
+}
--- a/core/src/main/java/cedarrudder/failover/FailoverSettings.java
+++ b/core/src/main/java/cedarrudder/failover/FailoverSettings.java
@@ -11,14 +11,15 @@
  * @param badShare a copy says that a zone is lost where more than this share of its calls there failed or was
  * silent; over 0, below 1
  * @param targetShare other zones' calls don't take a zone past this share of what it can do now; over 0, to 1
- * @param nearShare a zone that can't serve all of its own calls gets so much of what it can do now; over 0, to
- * 1
+ * @param nearShare a zone that can't serve all of its own calls gets so much of what it can do now; over 0,
+ * to 1
  * @param lossHold a loss must be seen for so long; from 0
  * @param returnStep calls come back by this share of the zone's at once; over 0, to 1
  * @param returnHold so long a zone must do well before each step; over the period
  * @param returnHoldMost that time doubles up to this for a zone that comes and goes; no less than it
  * @param movesPerMinute the shares of one zone's calls change no more often within 60 s; from 4
- * @param watchShare this share of a zone's calls goes to all others together, so that they are seen; 0 to 0.05
+ * @param watchShare this share of a zone's calls goes to all others together, so that they are seen; 0 to
+ * 0.05
  */
 public record FailoverSettings(Regions regions, long period, long evidenceAge, int leastCopies,
         double badShare, double targetShare, double nearShare, long lossHold, double returnStep,
@@ -49,6 +50,12 @@
         check(watchShare >= 0 && watchShare <= MOST_WATCH, "watchShare", watchShare, "0 to " + MOST_WATCH);
     }
 
+    /** The same with other regions. */
+    public FailoverSettings regions(Regions other) {
+        return new FailoverSettings(other, period, evidenceAge, leastCopies, badShare, targetShare, nearShare,
+                lossHold, returnStep, returnHold, returnHoldMost, movesPerMinute, watchShare);
+    }
+
     private static void check(boolean allowed, String name, Object found, String range) {
         if (!allowed) {
             throw new IllegalArgumentException(name + ": found " + found + "; allowed: " + range);
--- a/core/src/main/java/cedarrudder/failover/Picture.java
+++ b/core/src/main/java/cedarrudder/failover/Picture.java
@@ -30,8 +30,8 @@
      * @param demand calls that come to its copies
      * @param served calls of all copies that it serves
      * @param capacity what it can do now; 0 where nothing is known
-     * @param blind whether its nodes don't report their load: then the capacity is the most that it was seen to
-     * serve well
+     * @param blind whether its nodes don't report their load: then the capacity is the most that it was seen
+     * to serve well
      * @param unseen what it serves of calls of which no evidence tells
      * @param fresh copies of this zone whose evidence is fresh
      * @param bad the zones whose copies say that they are not served there
--- a/core/src/main/java/cedarrudder/failover/Planner.java
+++ b/core/src/main/java/cedarrudder/failover/Planner.java
@@ -15,9 +15,9 @@
 import java.util.TreeMap;
 
 /**
- * Which zone serves which part of a zone's calls: near while that is safe, else as near as there is room. Every
- * copy has one and tells it of each table that it loads; the one that leads asks it for the next shares. Not
- * thread-safe.
+ * Which zone serves which part of a zone's calls: near while that is safe, else as near as there is room.
+ * Every copy has one and tells it of each table that it loads; the one that leads asks it for the next
+ * shares. Not thread-safe.
  *
  * <p>Of each zone it holds a <i>ceiling</i>: the part of its own calls that it may get. A loss takes it to
  * nothing, calls that are turned away to what the zone can do, and it comes back by steps. What is over the
@@ -93,7 +93,6 @@
     private final TreeMap<Long, Shares> known = new TreeMap<>();
     private final List<Move> moves = new ArrayList<>();
     private boolean planning;
-    private long plannedAt = Long.MIN_VALUE / 2;
 
     /**
      * In its first minute it knows of no moves that others made, and reckons with all but those for leaving.
@@ -108,7 +107,7 @@
         Arrays.setAll(courses, i -> new Course());
         for (Course course : courses) {
             course.hold = settings.returnHold();
-            for (int i = 0; i < settings.movesPerMinute() - KEPT_FOR_LEAVING; i++) {
+            for (int i = 0; i < settings.movesPerMinute() - KEPT_FOR_LEAVING - 1; i++) {
                 course.moves.add(now);
             }
         }
@@ -119,7 +118,7 @@
         Shares next = Shares.of(table, zones);
         Shares before = known.isEmpty() ? Shares.of(null, zones) : known.lastEntry().getValue();
         for (int zone = 0; zone < zones; zone++) {
-            if (next.moved(zone, before) >= LEAST_MOVE) {
+            if (!next.same(zone, before)) {
                 courses[zone].moves.add(now);
                 courses[zone].movedAt = now;
             }
@@ -130,6 +129,14 @@
         }
     }
 
+    /**
+     * This copy leads from here on, or no longer. Guards against what it knew when it led before being acted
+     * on.
+     */
+    public void leads() {
+        planning = false;
+    }
+
     /** The moves of the last plan. */
     public List<Move> moves() {
         return List.copyOf(moves);
@@ -143,12 +150,10 @@
      */
     public List<Share> plan(long now, RouteTable current, Picture picture, Collection<Integer> evacuated) {
         Shares held = Shares.of(current, zones);
-        // Guards against what a copy knew when it led before, and has not seen since, being acted on.
-        if (!planning || now - plannedAt > settings.evidenceAge()) {
+        if (!planning) {
             planning = true;
             Arrays.setAll(courses, zone -> resumed(now, courses[zone], held, current, zone));
         }
-        plannedAt = now;
         for (int zone = 0; zone < zones; zone++) {
             follow(now, courses[zone], picture.zones().get(zone), evacuated.contains(zone));
         }
@@ -303,12 +308,17 @@
     private double load(Shares shares, Picture picture, int to) {
         double load = hidden(picture, to);
         for (int from = 0; from < zones; from++) {
-            double rate = picture.zones().get(from).demand() * shares.parts[from][to] / RouteTable.WHOLE;
-            load += shares.perSecond[from][to] == 0 ? rate : Math.min(rate, shares.perSecond[from][to]);
+            load += rate(shares, picture, from, to);
         }
         return load;
     }
 
+    /** Calls a second of one zone that these shares let another serve. */
+    private static double rate(Shares shares, Picture picture, int from, int to) {
+        double rate = picture.zones().get(from).demand() * shares.parts[from][to] / RouteTable.WHOLE;
+        return shares.perSecond[from][to] == 0 ? rate : Math.min(rate, shares.perSecond[from][to]);
+    }
+
     /**
      * Calls of copies that are cut off. Where nodes report their load they are seen there; else they are
      * reckoned with where their last table sent them.
@@ -334,7 +344,8 @@
     /** What a zone's own calls may take of it. */
     private double near(Zone zone, Course course) {
         double near = course.ceiling * zone.demand();
-        return course.limited && !zone.blind() ? Math.min(near, settings.nearShare() * zone.capacity()) : near;
+        return course.limited && !zone.blind() ? Math.min(near, settings.nearShare() * zone.capacity())
+                : near;
     }
 
     /** What there is to deal out: rows of zones that don't move are as they are held. */
@@ -351,9 +362,7 @@
         for (int from = 0; from < zones; from++) {
             for (int to = 0; to < zones && !moving[from]; to++) {
                 if (to != from) {
-                    double rate = picture.zones().get(from).demand() * held.parts[from][to] / RouteTable.WHOLE;
-                    room[to] -= held.perSecond[from][to] == 0 ? rate
-                            : Math.min(rate, held.perSecond[from][to]);
+                    room[to] -= rate(held, picture, from, to);
                 }
             }
         }
@@ -438,7 +447,9 @@
         watched(next, zone);
     }
 
-    /** A zone to which nothing goes is not seen: a few calls go there, as well as to one's own that is lost. */
+    /**
+     * A zone to which nothing goes is not seen: a few calls go there, as well as to one's own that is lost.
+     */
     private void watched(Shares next, int zone) {
         if (watch() == 0 || zones == 1) {
             return;
--- a/core/src/main/java/cedarrudder/failover/Regions.java
+++ b/core/src/main/java/cedarrudder/failover/Regions.java
@@ -9,8 +9,8 @@
 import java.util.Set;
 
 /**
- * Which zones make a region, and which other regions are near to it. A zone that is in none is a region of its
- * own.
+ * Which zones make a region, and which other regions are near to it. A zone that is in none is a region of
+ * its own.
  */
 public record Regions(List<Region> regions) {
 
--- a/core/src/main/java/cedarrudder/failover/Shares.java
+++ b/core/src/main/java/cedarrudder/failover/Shares.java
@@ -41,6 +41,12 @@
         perSecond[from] = of.perSecond[from].clone();
     }
 
+    /** Whether a zone's row is the same in both. */
+    boolean same(int from, Shares other) {
+        return Arrays.equals(parts[from], other.parts[from])
+                && Arrays.equals(perSecond[from], other.perSecond[from]);
+    }
+
     /** What is left of a zone's whole, and is refused where it came. */
     int unserved(int from) {
         return RouteTable.WHOLE - Arrays.stream(parts[from]).sum();
--- a/core/src/main/java/cedarrudder/failover/ZoneTally.java
+++ b/core/src/main/java/cedarrudder/failover/ZoneTally.java
@@ -160,7 +160,7 @@
         int[][] nodes = nodes(now);
         for (int i = 0; i < zones.length; i++) {
             Seen each = close(now, i, zones[i], nodes[i], counts);
-            if (each != null) {
+            if (each != null && !listed.isEmpty()) {
                 seen.add(each);
             }
         }
@@ -197,12 +197,14 @@
             zone.last = new Seen(number, last.age() + 1, last.served(), last.failed(), last.silent(),
                     last.refused(), 0, 0, last.load(), fresh.nodes(), fresh.cold(), fresh.able());
         } else {
-            zone.last = fresh.ended() == 0 && fresh.out() == 0 && fresh.nodes() == 0 ? null : fresh;
+            zone.last = fresh;
         }
         return zone.last;
     }
 
-    /** Of each zone: nodes that are ready, those of them that are cold, and what all can do, in hundredths. */
+    /**
+     * Of each zone: nodes that are ready, those of them that are cold, and what all can do, in hundredths.
+     */
     private int[][] nodes(long now) {
         int[][] nodes = new int[zones.length][3];
         double[] able = new double[zones.length];
--- a/core/src/main/java/cedarrudder/routing/CallAttempt.java
+++ b/core/src/main/java/cedarrudder/routing/CallAttempt.java
@@ -9,6 +9,7 @@
     private final int number;
     private final long endpoint;
     private final long startedAt;
+    private int zone;
     private boolean ended;
     private long countsFrom;
     private long begunAt;
@@ -70,6 +71,15 @@
         return (begunAt == 0 ? now : begunAt) - countsFrom;
     }
 
+    /** The zone where it is counted, as the count by zones gave it. */
+    int zone() {
+        return zone;
+    }
+
+    void zone(int number) {
+        zone = number;
+    }
+
     /** What goes down with it; null where there are no budgets. */
     public Carried handed() {
         return handed;
--- a/core/src/main/java/cedarrudder/routing/Driver.java
+++ b/core/src/main/java/cedarrudder/routing/Driver.java
@@ -7,6 +7,7 @@
 import cedarrudder.Balancer.Outcome;
 import cedarrudder.budget.Budgets;
 import cedarrudder.budget.FromBelow;
+import cedarrudder.failover.ZoneTally;
 import cedarrudder.figures.Figures;
 import cedarrudder.figures.Figures.End;
 import cedarrudder.logging.Logger;
@@ -39,6 +40,7 @@
     private ClientSide<Q, A> client;
     private Resolver resolver;
     private Peers peers;
+    private ZoneTally tally;
     private boolean delivering;
 
     public Driver(Function<Balancer.Actions, Balancer> module, int maxAttempts, Timers timers, Logger log) {
@@ -66,6 +68,11 @@
         peers = others;
     }
 
+    /** Has what becomes of calls counted by zones from now on; to be called before the first event. */
+    public void count(ZoneTally byZones) {
+        tally = byZones;
+    }
+
     // ---- events ----
 
     /** Takes an RPC; its reply is called exactly once unless the caller leaves. */
@@ -74,6 +81,9 @@
         if (figures != null) {
             figures.taken(exchange.request().classIndex());
         }
+        if (tally != null) {
+            tally.came();
+        }
         exchange.expiresBy(timers.at(exchange.request().deadline(), () -> expire(exchange)));
         post(() -> {
             if (budgets == null) {
@@ -127,6 +137,9 @@
         if (figures != null) {
             figures.ended(exchange.request().classIndex(), how);
         }
+        if (tally != null && (how == End.THROTTLED || how == End.FAULTED)) {
+            tally.unserved();
+        }
     }
 
     /**
@@ -147,6 +160,7 @@
                 return;
             }
             attempt.begin(timers.now());
+            told(attempt, Outcome.OK, load);
             exchange.begin(attempt);
             exchange.forget();
             exchange.result(budgets == null ? null : exchange.budget().served());
@@ -196,7 +210,9 @@
                 exchange.reply().served(answer);
             }
             forgetIfDone(exchange);
-            if (attempt.begun()) {
+            if (!attempt.begun()) {
+                told(attempt, outcome, load);
+            } else {
                 if (outcome != Outcome.OK && outcome != Outcome.CANCELLED) {
                     balancer.brokeOff(timers.now(), attempt.endpoint(), attempt.startedAt());
                 }
@@ -207,8 +223,17 @@
         });
     }
 
+    private void told(CallAttempt<Q, A> attempt, Outcome outcome, Load load) {
+        if (tally != null) {
+            tally.ended(timers.now(), attempt.zone(), outcome, load);
+        }
+    }
+
     /** A probe came back; {@code load} is null unless it brought a report. */
     public void probed(long endpoint, Outcome outcome, long latency, Load load) {
+        if (tally != null) {
+            tally.probed(timers.now(), endpoint, outcome, load);
+        }
         if (budgets != null && outcome == Outcome.OK) {
             budgets.probed(latency);
         }
@@ -217,6 +242,9 @@
 
     /** A resolver result: the list of nodes, or changes to it. */
     public void resolved(ListKind kind, List<Endpoint> entries) {
+        if (tally != null) {
+            tally.listed(kind, entries);
+        }
         post(() -> balancer.endpoints(timers.now(), kind, entries));
     }
 
@@ -339,6 +367,7 @@
             }
             long now = timers.now();
             CallAttempt<Q, A> attempt = exchange.attempt(endpoint, now);
+            attempt.zone(tally == null ? -1 : tally.sent(now, endpoint));
             if (exchange.over() || exchange.spent() || now >= exchange.expiry()
                     || attempt.number() >= maxAttempts) {
                 ended(attempt, Outcome.MOOT, null);
--- /dev/null
+++ b/core/src/test/java/cedarrudder/failover/PlannerTest.java
@@ -0,0 +1,266 @@
+package cedarrudder.failover;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.failover.Evidence.Seen;
+import cedarrudder.failover.Picture.State;
+import cedarrudder.failover.Regions.Region;
+import cedarrudder.table.RouteTable;
+import cedarrudder.table.RouteTable.Share;
+import cedarrudder.table.RouteTable.Way;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import org.testng.annotations.Test;
+
+/**
+ * What many copies' evidence comes to, and what is planned upon it. Zones 0 to 2 are one region, 3 and 4
+ * another.
+ */
+public class PlannerTest {
+
+    private static final long MILLI = 1_000_000L;
+    private static final long PERIOD = 500 * MILLI;
+    private static final List<String> NAMES = List.of("a", "b", "c", "d", "e");
+    private static final int ZONES = 5;
+    private static final int COPIES = 4;
+    private static final double CAPACITY = 480;
+    private static final double DEMAND = 240;
+    private static final FailoverSettings SETTINGS = FailoverSettings.DEFAULT.regions(new Regions(List.of(
+            new Region("east", List.of("a", "b", "c"), List.of()),
+            new Region("west", List.of("d", "e"), List.of()))));
+
+    /** What is true, seen by copies without any noise; calls go where the table says. */
+    private static final class Play {
+        final int[] zoneOf = new int[ZONES * COPIES];
+        final Assessment assessment;
+        final Planner planner = new Planner(SETTINGS, SETTINGS.regions().ranks(NAMES), 0);
+        final boolean[] lost = new boolean[ZONES];
+        final double[] able = new double[ZONES];
+        final double[] demand = new double[ZONES];
+        final Set<Integer> broken = new TreeSet<>();
+        final Set<Integer> silent = new TreeSet<>();
+        final Set<Integer> evacuated = new TreeSet<>();
+        final List<Long> moves = new ArrayList<>();
+        final Random random = new Random(4);
+        final Seen[][] last = new Seen[ZONES * COPIES][ZONES];
+        double loss;
+        RouteTable table;
+        long now;
+        long sequence;
+
+        Play() {
+            Arrays.setAll(zoneOf, copy -> copy / COPIES);
+            Arrays.fill(able, 1);
+            Arrays.fill(demand, DEMAND);
+            assessment = new Assessment(SETTINGS, zoneOf, ZONES);
+        }
+
+        int parts(int from, int to) {
+            return table.shares().stream().filter(share -> share.from() == from && share.to() == to)
+                    .mapToInt(Share::parts).sum();
+        }
+
+        double load(int to) {
+            double load = 0;
+            for (int from = 0; from < ZONES; from++) {
+                load += demand[from] * (table == null ? from == to ? 1 : 0 : parts(from, to) / 1e4);
+            }
+            return load;
+        }
+
+        void period() {
+            now += PERIOD;
+            sequence++;
+            double[] loads = new double[ZONES];
+            Arrays.setAll(loads, this::load);
+            for (int copy = 0; copy < zoneOf.length; copy++) {
+                List<Seen> seen = new ArrayList<>();
+                for (int zone = 0; zone < ZONES; zone++) {
+                    double part = table == null ? zone == zoneOf[copy] ? 1 : 0
+                            : parts(zoneOf[copy], zone) / 1e4;
+                    double calls = demand[zoneOf[copy]] / COPIES / 2 * part;
+                    int ended = (int) (calls + random.nextDouble());
+                    double capacity = CAPACITY * able[zone];
+                    int served = lost[zone] || broken.contains(copy) ? 0
+                            : (int) Math.round(ended * Math.min(1, capacity / loads[zone]));
+                    int refused = lost[zone] || broken.contains(copy) ? 0 : ended - served;
+                    Seen before = last[copy][zone];
+                    Seen now = ended == 0 && before != null && before.age() < Evidence.MOST_AGE
+                            ? new Seen(zone, before.age() + 1, before.served(), 0, before.silent(),
+                            before.refused(), 0, 0, before.load(), 6, 0, 600)
+                            : new Seen(zone, 0, served, 0, ended - served - refused, refused, 0, 0, ended == 0
+                            ? 0 : 1 + (int) (100 * Math.min(1, loads[zone] / capacity)), 6, 0, 600);
+                    last[copy][zone] = now;
+                    seen.add(now);
+                }
+                Evidence evidence = new Evidence(copy, zoneOf[copy], 1, sequence, 0, 500,
+                        (int) (demand[zoneOf[copy]] / COPIES / 2), 0, seen);
+                for (byte[] part : evidence.encode(136)) {
+                    if (!silent.contains(copy) && random.nextDouble() >= loss) {
+                        assessment.heard(now, Evidence.decode(part));
+                    }
+                }
+            }
+            List<Share> shares = planner.plan(now, table, assessment.picture(now), evacuated);
+            if (table == null || !shares.equals(table.shares())) {
+                if (table != null) {
+                    moves.add(now);
+                }
+                table = new RouteTable(table == null ? 1 : table.number() + 1, 1, 1, 1, shares, List.of(),
+                        List.of());
+                planner.loaded(now, table);
+            }
+        }
+
+        void seconds(double seconds) {
+            for (int i = 0; i < 2 * seconds; i++) {
+                period();
+            }
+        }
+    }
+
+    private static Play calm() {
+        Play play = new Play();
+        play.seconds(70);
+        return play;
+    }
+
+    /** Guards against calls that leave their zone for nothing. */
+    @Test
+    public void onACalmDayNothingMoves() {
+        Play play = calm();
+        play.loss = 0.1;
+        play.seconds(300);
+        assertEquals(play.moves, List.of());
+        for (int zone = 0; zone < ZONES; zone++) {
+            assertTrue(play.parts(zone, zone) > 9_900, play.table.toString());
+        }
+    }
+
+    /** A zone is left for its region at once, no target goes past its share, and it comes back by steps. */
+    @Test
+    public void aLostZoneIsLeftAndComesBackByStepsWithinItsTargetsRoom() {
+        Play play = calm();
+        play.lost[1] = true;
+        play.seconds(4);
+        assertTrue(play.parts(1, 1) <= 60, play.table.toString());
+        assertTrue(play.parts(1, 0) + play.parts(1, 2) > 9_000, play.table.toString());
+        assertEquals(play.table.shares().stream().filter(s -> s.from() == 1 && s.to() == 0).findFirst()
+                .orElseThrow().way(), Way.MOVED);
+        for (int zone = 0; zone < ZONES; zone++) {
+            assertTrue(play.load(zone) < 0.87 * CAPACITY, zone + ": " + play.load(zone));
+        }
+        play.seconds(20);
+        play.lost[1] = false;
+        play.able[1] = 0.3; // cold
+        int last = play.parts(1, 1);
+        for (int i = 0; i < 120; i++) {
+            play.period();
+            assertTrue(play.parts(1, 1) - last <= 2_600, "a step of " + (play.parts(1, 1) - last));
+            assertTrue(play.load(1) < 0.95 * CAPACITY * play.able[1], "cold, and gets " + play.load(1));
+            last = play.parts(1, 1);
+            play.able[1] = Math.min(1, play.able[1] + 0.02);
+        }
+        assertTrue(last > 9_900, play.table.toString());
+    }
+
+    /** Guards against the second zone falling over what the first one lost. */
+    @Test
+    public void whatFitsNowhereStaysUnserved() {
+        Play play = calm();
+        Arrays.fill(play.demand, 0.75 * CAPACITY);
+        play.seconds(10);
+        play.lost[0] = true;
+        play.seconds(10);
+        int sum = 0;
+        for (int zone = 1; zone < ZONES; zone++) {
+            assertTrue(play.load(zone) < 0.87 * CAPACITY, zone + ": " + play.load(zone));
+            sum += play.parts(0, zone);
+        }
+        assertTrue(sum > 4_000 && sum < 6_000, play.table.toString());
+        assertTrue(play.parts(0, 3) > 0 && play.parts(0, 1) > play.parts(0, 3) / 2, play.table.toString());
+    }
+
+    /** Calls leave a slow zone in the share that it can't serve, not all of them. */
+    @Test
+    public void aSlowZoneKeepsWhatItCanServe() {
+        Play play = calm();
+        play.able[2] = 0.33;
+        play.seconds(15);
+        assertTrue(play.parts(2, 2) > 4_000 && play.parts(2, 2) < 7_000, play.table.toString());
+        play.able[2] = 1;
+        play.seconds(60);
+        assertTrue(play.parts(2, 2) > 9_900, play.table.toString());
+    }
+
+    /** F1. Guards against one copy's broken link, and one zone's copies, moving what others are served. */
+    @Test
+    public void theWordOfOneCopyOrOfOneZoneIsNoGround() {
+        Play play = calm();
+        play.broken.add(5);
+        play.seconds(60);
+        assertEquals(play.moves, List.of());
+        play.broken.addAll(List.of(4, 6, 7)); // all copies of zone 1: the others are served there
+        play.seconds(60);
+        assertEquals(play.moves, List.of());
+    }
+
+    /** Guards against a zone that comes and goes taking the traffic with it each time. */
+    @Test
+    public void aZoneThatComesAndGoesMovesABoundedNumberOfTimes() {
+        for (int half : new int[] {3, 10, 20}) {
+            Play play = calm();
+            for (int i = 0; i < 600 / half; i++) {
+                play.lost[3] = i % 2 == 0;
+                play.seconds(half / 2.0);
+            }
+            for (int i = 0; i + SETTINGS.movesPerMinute() < play.moves.size(); i++) {
+                assertTrue(play.moves.get(i + SETTINGS.movesPerMinute()) - play.moves.get(i) > 60_000 * MILLI,
+                        "half a period of " + half + " halves of a second, moves at " + play.moves);
+            }
+            assertFalse(play.moves.isEmpty());
+            assertTrue(play.moves.size() < 40, play.moves.size() + " moves in 300 s");
+        }
+    }
+
+    /** What an operator leaves goes as a loss does, but nothing of it is turned away. */
+    @Test
+    public void anEvacuatedZoneServesWhatFitsNowhereElse() {
+        Play play = calm();
+        Arrays.fill(play.demand, 0.75 * CAPACITY);
+        play.seconds(10);
+        play.evacuated.add(4);
+        play.seconds(10);
+        assertTrue(play.parts(4, 4) > 3_000 && play.parts(4, 4) < 7_000, play.table.toString());
+        int sum = 0;
+        for (int zone = 0; zone < ZONES; zone++) {
+            sum += play.parts(4, zone);
+        }
+        assertTrue(sum > 9_990, play.table.toString());
+    }
+
+    /** Guards against words that are old, of a former life, or of copies that are cut off. */
+    @Test
+    public void oldWordsCountNothing() {
+        Play play = calm();
+        long then = play.now;
+        Evidence stale = new Evidence(4, 1, 0, 1L << 40, 0, 500, 9_000, 9_000, List.of());
+        play.assessment.heard(then, stale);
+        assertEquals(play.assessment.picture(then).zones().get(1).demand(), DEMAND, 5);
+        play.silent.addAll(List.of(4, 5, 6, 7));
+        play.seconds(4);
+        Picture picture = play.assessment.picture(play.now);
+        assertEquals(picture.zones().get(1).fresh(), 0);
+        assertEquals(picture.away().size(), COPIES);
+        assertEquals(picture.zones().get(1).state(), State.WELL, "others are served there");
+        assertEquals(play.moves, List.of());
+        play.assessment.lapse(play.now, copy -> play.now - 1);
+        assertEquals(play.assessment.picture(play.now).away(), List.of());
+    }
+}
--- a/daemon/src/main/java/cedarrudder/operator/Operator.java
+++ b/daemon/src/main/java/cedarrudder/operator/Operator.java
@@ -31,7 +31,7 @@
     private static List<Section<?>> sections() {
         return List.of(LogTable.LOG, CallersTable.CALLERS, NodesTable.NODES, DiscoveryTable.DISCOVERY,
                 BudgetTable.BUDGET, MembershipTable.MEMBERSHIP, HistoryTable.HISTORY,
-                FootprintTable.FOOTPRINT);
+                FootprintTable.FOOTPRINT, FailoverTable.FAILOVER);
     }
 
     /**
--- a/daemon/src/test/java/cedarrudder/operator/OperatorTest.java
+++ b/daemon/src/test/java/cedarrudder/operator/OperatorTest.java
@@ -12,6 +12,9 @@
 import cedarrudder.logging.Level;
 import cedarrudder.logging.LogSettings;
 import cedarrudder.routing.ResolverPatience;
+import cedarrudder.failover.FailoverSettings;
+import cedarrudder.failover.Regions;
+import cedarrudder.failover.Regions.Region;
 import cedarrudder.toml.BadFileException;
 import cedarrudder.toml.Document;
 import cedarrudder.toml.Problem;
@@ -52,6 +55,11 @@
         assertEquals(read(uncommented).of(HistoryTable.HISTORY),
                 new HistorySettings(Path.of("history.jsonl"), 0));
         assertEquals(read(uncommented).of(FootprintTable.FOOTPRINT), FootprintSettings.DEFAULT);
+        assertNull(read(text).of(FailoverTable.FAILOVER));
+        FailoverSettings failover = read(uncommented).of(FailoverTable.FAILOVER);
+        assertEquals(failover.regions().regions(), List.of(new Region("east", List.of("a", "b"),
+                List.of())));
+        assertEquals(failover.regions(Regions.NONE), FailoverSettings.DEFAULT);
         assertNull(read(text).of(MembershipTable.MEMBERSHIP));
         assertEquals(read(uncommented).of(MembershipTable.MEMBERSHIP), MembershipSettings.DEFAULT);
     }
@@ -67,6 +75,38 @@
         assertEquals(bad.problems().size(), 2, bad.problems().toString());
     }
 
+    /** Guards against a zone in two regions, and times of which one makes the other void. */
+    @Test
+    public void failoverSaysAllThatContradictsItself() throws Exception {
+        assertEquals(read("[failover]\n").of(FailoverTable.FAILOVER), FailoverSettings.DEFAULT);
+        BadFileException bad = expectThrows(BadFileException.class, () -> read("""
+                [failover]
+                period_ms = 3000
+                target_share = 1.5
+                return_hold_ms = 9000
+                return_hold_most_ms = 8000
+                [[failover.region]]
+                name = "east"
+                zones = ["a", "b"]
+                nearest = ["south"]
+                [[failover.region]]
+                name = "west"
+                zones = ["b"]
+                nearst = ["east"]
+                """));
+        assertEquals(bad.problems().stream().map(Object::toString).toList(), List.of(
+                "o.toml:1: failover.evidence_age_ms: found 2500 with period_ms = 3000; "
+                        + "allowed: two periods or more",
+                "o.toml:3: failover.target_share: found 1.5; allowed: a number from 0.1 to 1",
+                "o.toml:5: failover.return_hold_most_ms: found 8000 with return_hold_ms = 9000; "
+                        + "allowed: no less than return_hold_ms",
+                "o.toml:9: failover.region[0].nearest: found \"south\"; allowed: other regions, each once",
+                "o.toml:12: failover.region[1].zones: found \"b\", which is in \"east\"; "
+                        + "allowed: each zone in one region",
+                "o.toml:13: failover.region[1].nearst: found an unknown key; "
+                        + "allowed: did you mean 'nearest'?"));
+    }
+
     @Test
     public void membershipMayNotWaitForAnAnswerForLongerThanItsPeriod() throws Exception {
         try {
--- a/daemon/src/test/java/cedarrudder/program/OperatorsPageTest.java
+++ b/daemon/src/test/java/cedarrudder/program/OperatorsPageTest.java
@@ -30,7 +30,7 @@
     public void itNamesEveryKey() throws IOException {
         Set<String> keys = found("(?m)^#([a-z_]+) = ", Files.readString(Path.of("deploy", "operator.toml")));
         assertTrue(keys.size() > 10);
-        String row = "(?m)^\\| (?:`\\[\\w+\\]`)? ?\\| `([a-z_]+)` \\|";
+        String row = "(?m)^\\| (?:`\\[{1,2}[\\w.]+\\]{1,2}`)? ?\\| `([a-z_]+)` \\|";
         assertEquals(found(row, page("## Keys", "## Signals")), keys);
     }
 
