--- a/core/src/main/java/cedarrudder/failover/Failover.java
+++ b/core/src/main/java/cedarrudder/failover/Failover.java
@@ -68,6 +68,9 @@
      * @param leaseOver when a copy that is silent has certainly left its table
      */
     public List<Share> plan(long now, RouteTable agreed, IntToLongFunction leaseOver) {
+        if (agreed != null) {
+            planner.loaded(now, agreed); // it may be agreed on, and not count yet
+        }
         assessment.lapse(now, leaseOver);
         return planner.plan(now, agreed, assessment.picture(now), evacuated);
     }
--- a/core/src/main/java/cedarrudder/failover/Planner.java
+++ b/core/src/main/java/cedarrudder/failover/Planner.java
@@ -113,8 +113,13 @@
         }
     }
 
-    /** A table is loaded; all copies tell this of each, since any may lead next. */
+    /**
+     * A table is loaded; all copies tell this of each, since any may lead next. Said twice it counts once.
+     */
     public void loaded(long now, RouteTable table) {
+        if (known.containsKey(table.number())) {
+            return;
+        }
         Shares next = Shares.of(table, zones);
         Shares before = known.isEmpty() ? Shares.of(null, zones) : known.lastEntry().getValue();
         for (int zone = 0; zone < zones; zone++) {
