--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/failover/Copy.java
@@ -0,0 +1,296 @@
+package cedarrudder.lab.failover;
+
+import cedarrudder.Balancer.Endpoint;
+import cedarrudder.Balancer.ListKind;
+import cedarrudder.Balancer.Load;
+import cedarrudder.Balancer.Outcome;
+import cedarrudder.Balancer.Safety;
+import cedarrudder.Balancer.State;
+import cedarrudder.failover.ZoneTally;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+/**
+ * What a copy does with calls: a zone by its shares, in it the less busy of two nodes, a repeat where nothing
+ * can have run twice. It stands in for the decision module, and does the same whatever the policy.
+ */
+final class Copy {
+
+    static final Safety SAFETY = new Safety(2 * Site.SECOND, Node.COLD_SHARE, Node.RAMP, Node.FALL_MULTIPLE,
+            Node.FALL_WINDOW, 0);
+
+    private static final long CONNECT = 250 * Site.MILLI;
+    /** A node that took no connection is left out for so long where there is another. */
+    private static final long SHUNNED = Site.SECOND;
+    /** What copies of a node's own zone, and all others, may send it while it is cold, of what it can do. */
+    private static final double NEAR_COLD = 1;
+    private static final double FAR_COLD = 0.6;
+    private static final int MOST_WAITING = 5_000;
+
+    /** How an attempt ended. */
+    record Ended(int zone, int node, Outcome outcome) { }
+
+    final int number;
+    final int zone;
+    boolean up = true;
+    /** The share of what it sends and is sent that is lost. */
+    double broken;
+    /** The part of its calls that each zone gets; what is left is refused by worth. */
+    final double[] shares = new double[Site.ZONES];
+    /** What a zone may get a second from this copy; 0: no bound. */
+    final double[] bounds = new double[Site.ZONES];
+    ZoneTally tally;
+    /** Hears how attempts end; or null. */
+    Consumer<Ended> eyes;
+
+    private final Site site;
+    private final SplittableRandom random;
+    private final boolean[] ready = new boolean[Site.ZONES * Site.NODES];
+    private final long[] shunned = new long[ready.length];
+    private final double[] allowance = new double[ready.length];
+    private final long[] allowanceAt = new long[ready.length];
+    private final double[] tokens = new double[Site.ZONES];
+    private final long[] tokensAt = new long[Site.ZONES];
+    private final Deque<Runnable> waiting = new ArrayDeque<>();
+    private long stalledUntil;
+    private int life;
+
+    Copy(Site site, int number, int zone, SplittableRandom random) {
+        this.site = site;
+        this.number = number;
+        this.zone = zone;
+        this.random = random;
+        Arrays.fill(ready, true);
+        near();
+    }
+
+    /** All of its calls go to its own zone. */
+    void near() {
+        Arrays.fill(shares, 0);
+        Arrays.fill(bounds, 0);
+        shares[zone] = 1;
+    }
+
+    void told(List<Endpoint> entries) {
+        for (Endpoint entry : entries) {
+            ready[(int) entry.id()] = entry.state() == State.READY;
+        }
+        if (tally != null) {
+            tally.listed(ListKind.CHANGES, entries);
+        }
+    }
+
+    /** The process is gone, with its calls. */
+    void dies() {
+        up = false;
+        life++;
+        waiting.clear();
+        stalledUntil = 0;
+    }
+
+    void starts() {
+        up = true;
+        near();
+    }
+
+    void stalls(long length) {
+        stalledUntil = site.now() + length;
+        int of = life;
+        site.after(length, () -> {
+            if (of == life && site.now() >= stalledUntil) {
+                while (!waiting.isEmpty()) {
+                    waiting.remove().run();
+                }
+            }
+        });
+    }
+
+    /** Does it now, or once it goes on where it stands still; not at all in another life. */
+    private void run(int of, Runnable what) {
+        if (of != life || !up) {
+            return;
+        }
+        if (site.now() < stalledUntil) {
+            if (waiting.size() < MOST_WAITING) {
+                waiting.add(what);
+            }
+        } else {
+            what.run();
+        }
+    }
+
+    private void later(long length, Runnable what) {
+        int of = life;
+        site.after(length, () -> run(of, what));
+    }
+
+    // ---- calls ----
+
+    void takes(Call call) {
+        run(life, () -> {
+            if (tally != null) {
+                tally.came();
+            }
+            attempt(call);
+        });
+    }
+
+    private void ends(Call call, boolean served) {
+        if (call.over) {
+            return;
+        }
+        call.over = true;
+        if (served && site.now() <= call.deadline()) {
+            site.total.served(call);
+        } else if (tally != null) {
+            tally.unserved();
+        }
+    }
+
+    private void attempt(Call call) {
+        int to = draw(call);
+        Node node = to < 0 || site.now() >= call.deadline() ? null : pick(to);
+        if (node == null) {
+            ends(call, false);
+            return;
+        }
+        call.attempts++;
+        site.total.sent(zone, to);
+        Attempt attempt = new Attempt(call, node, tally == null ? -1 : tally.sent(site.now(), node.id));
+        boolean lost = random.nextDouble() < broken;
+        if (site.cut[zone][to] || !node.up && !lost) {
+            later(CONNECT, () -> attempt.ended(Outcome.CONNECT_FAILED, Double.NaN));
+        } else {
+            later(call.deadline() - site.now() + 1, () -> attempt.ended(Outcome.TIMEOUT, Double.NaN));
+            if (!lost) {
+                site.after(Site.delay(zone, to), () -> node.arrives(attempt));
+            }
+        }
+    }
+
+    /** One attempt that is out. */
+    private final class Attempt implements Node.Asked {
+        final Call call;
+        final Node node;
+        final int counted;
+        boolean over;
+
+        Attempt(Call call, Node node, int counted) {
+            this.call = call;
+            this.node = node;
+            this.counted = counted;
+        }
+
+        private void answered(Outcome outcome, double load) {
+            if (!site.cut[zone][node.zone]) {
+                later(Site.delay(zone, node.zone), () -> ended(outcome, load));
+            }
+        }
+
+        @Override
+        public void served(double load) {
+            answered(Outcome.OK, load);
+        }
+
+        @Override
+        public void full(double load) {
+            answered(Outcome.FULL, load);
+        }
+
+        void ended(Outcome outcome, double load) {
+            if (over) {
+                return;
+            }
+            over = true;
+            if (tally != null) {
+                tally.ended(site.now(), counted, outcome, new Load(Double.NaN, Double.NaN, load, Double.NaN,
+                        Double.NaN, Double.NaN));
+            }
+            if (eyes != null) {
+                eyes.accept(new Ended(node.zone, node.id, outcome));
+            }
+            if (outcome == Outcome.CONNECT_FAILED) {
+                shunned[node.id] = site.now() + SHUNNED;
+            }
+            if (outcome == Outcome.OK) {
+                ends(call, true);
+            } else if (!call.over && call.attempts < Call.ATTEMPTS && (call.safe || outcome.provesNotRun())) {
+                attempt(call);
+            } else {
+                ends(call, false);
+            }
+        }
+    }
+
+    /** The zone that gets it; -1 where it is refused. The less it is worth the sooner it is. */
+    private int draw(Call call) {
+        double all = Arrays.stream(shares).sum();
+        double unserved = Math.max(0, 1 - all);
+        double refused = call.safe ? unserved / Call.SAFE_SHARE
+                : (unserved - Call.SAFE_SHARE) / (1 - Call.SAFE_SHARE);
+        if (call.attempts == 0 && unserved > 1e-3 && random.nextDouble() < refused) {
+            return -1;
+        }
+        double at = random.nextDouble() * all;
+        for (int to = 0; to < shares.length; to++) {
+            at -= shares[to];
+            if (shares[to] > 0 && at <= 0) {
+                return bounds[to] == 0 || token(to) ? to : -1;
+            }
+        }
+        return -1;
+    }
+
+    private boolean token(int to) {
+        double most = Math.max(2, bounds[to] / 2);
+        tokens[to] = Math.min(most, tokens[to] + bounds[to] * (site.now() - tokensAt[to]) / 1e9);
+        tokensAt[to] = site.now();
+        if (tokens[to] < 1) {
+            return false;
+        }
+        tokens[to]--;
+        return true;
+    }
+
+    /** The less busy of two that may get one, which stands for what probes tell. */
+    private Node pick(int to) {
+        List<Node> may = new ArrayList<>();
+        for (int i = to * Site.NODES; i < (to + 1) * Site.NODES; i++) {
+            if (ready[i] && site.now() >= shunned[i] && withinColdBudget(site.nodes[i])) {
+                may.add(site.nodes[i]);
+            }
+        }
+        for (int i = to * Site.NODES; i < (to + 1) * Site.NODES && may.isEmpty(); i++) {
+            if (ready[i] && withinColdBudget(site.nodes[i])) {
+                may.add(site.nodes[i]);
+            }
+        }
+        if (may.isEmpty()) {
+            return null;
+        }
+        Node one = may.get(random.nextInt(may.size()));
+        Node other = may.get(random.nextInt(may.size()));
+        Node node = one.held / one.listedAble() <= other.held / other.listedAble() ? one : other;
+        allowance[node.id]--;
+        return node;
+    }
+
+    /** As the module holds to it: no copy alone, and not all together, send a cold node too much. */
+    private boolean withinColdBudget(Node node) {
+        double able = node.listedAble();
+        if (able >= 1) {
+            return true;
+        }
+        double rate = able * Node.RATE * (node.zone == zone ? NEAR_COLD / Site.COPIES
+                : FAR_COLD / (Site.COPIES * (Site.ZONES - 1)));
+        allowance[node.id] = Math.min(rate / 2,
+                allowance[node.id] + rate * (site.now() - allowanceAt[node.id]) / 1e9);
+        allowanceAt[node.id] = site.now();
+        return allowance[node.id] >= 0;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/failover/FailoverRun.java
@@ -0,0 +1,137 @@
+package cedarrudder.lab.failover;
+
+import cedarrudder.failover.FailoverSettings;
+import cedarrudder.lab.judge.Breach;
+import cedarrudder.lab.judge.Event;
+import cedarrudder.table.RouteTable;
+import cedarrudder.table.RouteTable.Share;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** One world under one policy from one seed. */
+public final class FailoverRun {
+
+    private static final long STEP = 10 * Site.MILLI;
+    private static final long CALM_FROM = 30 * Site.SECOND;
+    private static final long WINDOW = 60 * Site.SECOND;
+
+    /**
+     * What it came to.
+     *
+     * @param goodput the worth that was served in time, of what came in the 60 s from the fault on
+     * @param out of the attempts on the calm half minute before, the share that left their zone
+     * @param fallen cold nodes that were pushed over
+     * @param moves tables after the first that changed some zone's shares
+     * @param mostMoves changes of one zone's shares within 60 s, the most
+     */
+    public record Result(double goodput, double out, int fallen, int moves, int mostMoves,
+            List<Breach> breaches) { }
+
+    /**
+     * How it is played.
+     *
+     * @param load what comes to a zone, of what it can do
+     * @param loss datagrams that are lost
+     * @param stalls whether copies stand still now and then
+     */
+    public record Conditions(double load, double loss, boolean stalls) {
+        /** What serves where nothing else is said. */
+        public static final Conditions USUAL = new Conditions(0.5, 0, false);
+    }
+
+    private final Site site;
+    private final Policy policy;
+    private final List<Event> events = new ArrayList<>();
+    private final List<Deque<Long>> changes = new ArrayList<>();
+    private RouteTable last;
+    private int moves;
+    private int mostMoves;
+
+    private FailoverRun(World world, Policy.Kind kind, Conditions conditions, long seed,
+            FailoverSettings settings, Together.Maker maker, boolean keepsPastLease) {
+        SplittableRandom random = new SplittableRandom(seed);
+        site = new Site(random.nextLong(), conditions.load);
+        Together together = kind != Policy.Kind.TOGETHER ? null : new Together(site, settings, maker,
+                keepsPastLease, conditions.loss, random.nextLong(), events::add);
+        policy = switch (kind) {
+            case NONE -> new Policy.Near();
+            case OWN_EYES -> new Policy.OwnEyes(site);
+            case ALL_SEEING -> new Policy.AllSeeing();
+            case TOGETHER -> together;
+        };
+        for (int i = 0; i < Site.ZONES; i++) {
+            changes.add(new ArrayDeque<>());
+        }
+        SplittableRandom script = new SplittableRandom(seed ^ 0x5eed);
+        world.script(site, together, script);
+        if (conditions.stalls) {
+            stall(together, script);
+        }
+    }
+
+    private void stall(Together together, SplittableRandom random) {
+        site.after(Site.SECOND + (long) (random.nextDouble() * 6 * Site.SECOND), () -> {
+            Copy copy = site.copies[random.nextInt(site.copies.length)];
+            long length = (long) (random.nextDouble() * 4 * Site.SECOND);
+            if (copy.up) {
+                copy.stalls(length);
+                if (together != null) {
+                    together.stall(copy.number, length);
+                }
+            }
+            stall(together, random);
+        });
+    }
+
+    /** The names of the policies. */
+    public static List<String> policies() {
+        return Arrays.stream(Policy.Kind.values()).map(Enum::name).toList();
+    }
+
+    /** Plays as it is built. */
+    public static Result play(World world, String policy, Conditions conditions, long seed) {
+        return play(world, Policy.Kind.valueOf(policy), conditions, seed, Together.SETTINGS, null, false);
+    }
+
+    static Result play(World world, Policy.Kind kind, Conditions conditions, long seed,
+            FailoverSettings settings, Together.Maker maker, boolean keepsPastLease) {
+        FailoverRun run = new FailoverRun(world, kind, conditions, seed, settings, maker, keepsPastLease);
+        while (run.site.now() < World.END) {
+            run.site.play(run.site.now() + STEP);
+            run.policy.step(run.site);
+            if (run.policy instanceof Together together) {
+                run.look(together.newest());
+            }
+        }
+        return new Result(run.site.total.goodput(World.AT, World.AT + WINDOW),
+                run.site.total.out(CALM_FROM, World.AT), run.site.fallen, run.moves, run.mostMoves, List.of());
+    }
+
+    private void look(RouteTable newest) {
+        if (newest == null || last != null && newest.number() <= last.number()) {
+            return;
+        }
+        boolean moved = false;
+        for (int zone = 0; zone < Site.ZONES && last != null; zone++) {
+            if (!row(newest, zone).equals(row(last, zone))) {
+                moved = true;
+                Deque<Long> of = changes.get(zone);
+                of.add(site.now());
+                while (of.peek() <= site.now() - WINDOW) {
+                    of.remove();
+                }
+                mostMoves = Math.max(mostMoves, of.size());
+            }
+        }
+        moves += moved ? 1 : 0;
+        last = newest;
+    }
+
+    private static List<Share> row(RouteTable table, int zone) {
+        return table.shares().stream().filter(share -> share.from() == zone).toList();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/failover/Policy.java
@@ -0,0 +1,154 @@
+package cedarrudder.lab.failover;
+
+import cedarrudder.Balancer.Outcome;
+import cedarrudder.Balancer.State;
+import java.util.Arrays;
+
+/** How copies divide their calls among zones. */
+abstract class Policy {
+
+    /** What can be chosen. */
+    enum Kind {
+        /** Every copy stays in its zone. */
+        NONE,
+        /** Each by what it sees itself, as Envoy documents its priorities. */
+        OWN_EYES,
+        /** What is true decides, at once. */
+        ALL_SEEING,
+        /** What is built here. */
+        TOGETHER
+    }
+
+    /** Time passes; each copy's shares are set. */
+    abstract void step(Site site);
+
+    /** Every copy stays in its zone. */
+    static final class Near extends Policy {
+        @Override
+        void step(Site site) { }
+    }
+
+    /**
+     * Envoy's priorities: own zone, own region, other regions; a priority gets what its share of healthy
+     * nodes times 1.4 allows, the next one the rest. A node is ejected by five failures in a row, longer each
+     * time.
+     */
+    static final class OwnEyes extends Policy {
+        private static final double OVERPROVISIONED = 1.4;
+        private static final int IN_A_ROW = 5;
+        private static final long EJECTED = 10 * Site.SECOND;
+        private static final int PRIORITIES = 3;
+
+        private final int[][] failures;
+        private final int[][] times;
+        private final long[][] until;
+
+        OwnEyes(Site site) {
+            failures = new int[site.copies.length][site.nodes.length];
+            times = new int[site.copies.length][site.nodes.length];
+            until = new long[site.copies.length][site.nodes.length];
+            for (Copy copy : site.copies) {
+                copy.eyes = ended -> saw(site.now(), copy.number, ended);
+            }
+        }
+
+        private void saw(long now, int copy, Copy.Ended ended) {
+            if (ended.outcome() == Outcome.OK) {
+                failures[copy][ended.node()] = 0;
+            } else if (ended.outcome() != Outcome.FULL && ++failures[copy][ended.node()] >= IN_A_ROW
+                    && now >= until[copy][ended.node()]) {
+                failures[copy][ended.node()] = 0;
+                until[copy][ended.node()] = now + EJECTED * ++times[copy][ended.node()];
+            }
+        }
+
+        @Override
+        void step(Site site) {
+            for (Copy copy : site.copies) {
+                double left = 1;
+                Arrays.fill(copy.shares, 0);
+                for (int priority = 0; priority < PRIORITIES; priority++) {
+                    double[] healthy = new double[Site.ZONES];
+                    double all = 0;
+                    int total = 0;
+                    for (Node node : site.nodes) {
+                        if (Site.rank(copy.zone, node.zone) == priority) {
+                            total++;
+                            if (node.listed == State.READY
+                                    && site.now() >= until[copy.number][node.id]) {
+                                healthy[node.zone]++;
+                                all++;
+                            }
+                        }
+                    }
+                    double part = Math.min(left, total == 0 ? 0 : Math.min(1, OVERPROVISIONED * all / total));
+                    for (int zone = 0; zone < Site.ZONES && all > 0; zone++) {
+                        copy.shares[zone] += part * healthy[zone] / all;
+                    }
+                    left -= all > 0 ? part : 0;
+                }
+                double sum = Arrays.stream(copy.shares).sum();
+                if (sum == 0) {
+                    copy.near();
+                } else {
+                    for (int zone = 0; zone < Site.ZONES; zone++) {
+                        copy.shares[zone] /= sum;
+                    }
+                }
+            }
+        }
+    }
+
+    /** Near as far as a zone truly can now, the rest as near as there truly is room. */
+    static final class AllSeeing extends Policy {
+        private static final double MOST = 0.95;
+        private static final int ROUNDS = 20;
+
+        @Override
+        void step(Site site) {
+            double[] comes = site.comesTo();
+            double[] room = new double[Site.ZONES];
+            double[][] dealt = new double[Site.ZONES][Site.ZONES];
+            double[] left = comes.clone();
+            for (int zone = 0; zone < Site.ZONES; zone++) {
+                room[zone] = MOST * site.capacity(zone);
+                dealt[zone][zone] = Math.min(room[zone], comes[zone]);
+                room[zone] -= dealt[zone][zone];
+                left[zone] -= dealt[zone][zone];
+            }
+            for (int rank = 1; rank <= 2; rank++) {
+                double[] whole = left.clone();
+                for (int round = 0; round < ROUNDS * Site.ZONES; round++) {
+                    deal(site, dealt, room, left, whole, round % Site.ZONES, rank);
+                }
+            }
+            for (Copy copy : site.copies) {
+                for (int to = 0; to < Site.ZONES; to++) {
+                    copy.shares[to] = comes[copy.zone] == 0 ? 0 : dealt[copy.zone][to] / comes[copy.zone];
+                }
+            }
+        }
+
+        private static void deal(Site site, double[][] dealt, double[] room, double[] left, double[] whole,
+                int from, int rank) {
+            double all = 0;
+            for (int to = 0; to < Site.ZONES; to++) {
+                all += may(site, from, to, rank) ? room[to] : 0;
+            }
+            double wanted = Math.min(left[from], whole[from] / ROUNDS);
+            double part = all <= 0 ? 0 : Math.min(1, wanted / all);
+            for (int to = 0; to < Site.ZONES; to++) {
+                if (may(site, from, to, rank)) {
+                    double amount = part * room[to];
+                    dealt[from][to] += amount;
+                    room[to] -= amount;
+                    left[from] -= amount;
+                }
+            }
+        }
+
+        private static boolean may(Site site, int from, int to, int rank) {
+            return Site.rank(from, to) == rank && !site.cut[from][to];
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/cedarrudder/lab/failover/Together.java
@@ -0,0 +1,292 @@
+package cedarrudder.lab.failover;
+
+import cedarrudder.Balancer.ListKind;
+import cedarrudder.agreement.AgreementSettings;
+import cedarrudder.failover.Failover;
+import cedarrudder.failover.FailoverSettings;
+import cedarrudder.failover.Regions;
+import cedarrudder.failover.Regions.Region;
+import cedarrudder.failover.ZoneTally;
+import cedarrudder.fleet.FleetCopy;
+import cedarrudder.fleet.FleetSettings;
+import cedarrudder.fleet.Removal;
+import cedarrudder.fleet.Room;
+import cedarrudder.fleet.Shares;
+import cedarrudder.fleet.Tier;
+import cedarrudder.fleet.ZoneShares;
+import cedarrudder.lab.agreement.Copies.Network;
+import cedarrudder.lab.fleet.FleetWorld;
+import cedarrudder.lab.judge.Event;
+import cedarrudder.table.RouteTable;
+import cedarrudder.table.RouteTable.Share;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+
+/** Copies that decide in common: the parts that the daemon has, with their datagrams. */
+final class Together extends Policy {
+
+    static final FailoverSettings SETTINGS = FailoverSettings.DEFAULT.regions(new Regions(List.of(
+            new Region("east", List.of("a", "b", "c"), List.of()),
+            new Region("west", List.of("d", "e"), List.of()))));
+
+    private static final long LEAST_DELAY = 2 * Site.MILLI;
+    private static final long MOST_DELAY = 21 * Site.MILLI;
+    private static final int VOTERS_ZONE = 1;
+
+    /** What makes a copy's plan, so that a broken one can be put in its place. */
+    interface Maker {
+        /** The shares of a copy, and where to tell of the tables it loads. */
+        Part make(FailoverSettings settings, int[] zoneOf, ZoneTally tally, long now);
+    }
+
+    /** One copy's part in it. */
+    record Part(Shares shares, Consumer<RouteTable> loaded) { }
+
+    /** As it is built. */
+    static Part real(FailoverSettings settings, int[] zoneOf, ZoneTally tally, long now, Site site) {
+        Failover failover = new Failover(settings, Site.NAMES, zoneOf, tally, now);
+        return new Part(new ZoneShares(failover), table -> failover.loaded(site.now(), table));
+    }
+
+    private final Site site;
+    private final Consumer<Event> listener;
+    private final FleetWorld world;
+    private final int[] zoneOf;
+    private final Part[] parts;
+    private final RouteTable[] held;
+    private final long[] lives;
+    private final long startedAt;
+    private final long worldStartedAt;
+    private final boolean keepsPastLease;
+    private long saidAt;
+
+    /**
+     * @param settings as the operator's file has them
+     * @param maker null: what is built
+     * @param keepsPastLease a broken one, that goes on with a table whose lease is over
+     * @param listener hears what a judge needs
+     */
+    Together(Site site, FailoverSettings settings, Maker maker, boolean keepsPastLease, double loss, long seed,
+            Consumer<Event> listener) {
+        this.site = site;
+        this.listener = listener;
+        this.keepsPastLease = keepsPastLease;
+        this.zoneOf = Arrays.stream(site.copies).mapToInt(copy -> copy.zone).toArray();
+        this.parts = new Part[zoneOf.length];
+        this.held = new RouteTable[zoneOf.length];
+        this.lives = new long[zoneOf.length];
+        this.startedAt = site.now();
+        this.world = new FleetWorld(zoneOf, new Network(loss, 0.01, 0, LEAST_DELAY, MOST_DELAY), false, seed,
+                (zones, self, life, store, random, outlet, now) -> {
+                    Copy copy = site.copies[self];
+                    copy.tally = new ZoneTally(self, copy.zone, life, Site.ZONES, settings.period(),
+                            Copy.SAFETY, site.now());
+                    copy.tally.listed(ListKind.FULL, site.list());
+                    lives[self] = life;
+                    held[self] = null;
+                    parts[self] = maker == null ? real(settings, zones, copy.tally, site.now(), site)
+                            : maker.make(settings, zones, copy.tally, site.now());
+                    return new FleetCopy(zones, self, life, AgreementSettings.DEFAULT, FleetSettings.DEFAULT,
+                            store, random, new OnSiteTime(parts[self].shares), Removal.NONE, () -> Room.ANY,
+                            outlet, now);
+                }, event -> listener.accept(at(event)));
+        this.worldStartedAt = world.now();
+        for (Copy copy : site.copies) {
+            say(copy.number, "placed", Map.of("zone", Integer.toString(copy.zone)));
+            say(copy.number, "speaks", Map.of());
+        }
+        world.form(VOTERS_ZONE * Site.COPIES);
+    }
+
+    /** What a copy counts runs on the time of the site, which its own clock is beside by a part in 1,000. */
+    private final class OnSiteTime implements Shares {
+        private final Shares shares;
+
+        OnSiteTime(Shares shares) {
+            this.shares = shares;
+        }
+
+        @Override
+        public List<byte[]> report(long now) {
+            return shares.report(site.now());
+        }
+
+        @Override
+        public void reported(long now, int from, byte[] part) {
+            shares.reported(site.now(), from, part);
+        }
+
+        @Override
+        public List<Share> plan(long now, Tier tier) {
+            return shares.plan(site.now(), new Tier() {
+                @Override
+                public int copies() {
+                    return tier.copies();
+                }
+
+                @Override
+                public int self() {
+                    return tier.self();
+                }
+
+                @Override
+                public int zone(int copy) {
+                    return tier.zone(copy);
+                }
+
+                @Override
+                public boolean lives(int copy) {
+                    return tier.lives(copy);
+                }
+
+                @Override
+                public RouteTable agreed() {
+                    return tier.agreed();
+                }
+
+                @Override
+                public long leaseOver(int copy) {
+                    return site.now() + tier.leaseOver(copy) - now;
+                }
+            });
+        }
+
+        @Override
+        public void leads(long now, boolean leads) {
+            shares.leads(site.now(), leads);
+        }
+    }
+
+    private Event at(Event event) {
+        return new Event(site.now(), event.copy(), life(event.copy()), event.what(), event.fields());
+    }
+
+    private long life(int copy) {
+        return copy < 0 ? 0 : (long) copy << 16 | lives[copy];
+    }
+
+    private void say(int copy, String what, Map<String, String> fields) {
+        listener.accept(new Event(site.now(), copy, life(copy), what, fields));
+    }
+
+    // ---- time ----
+
+    @Override
+    void step(Site of) {
+        world.play(site.now() - startedAt - (world.now() - worldStartedAt));
+        boolean says = site.now() - saidAt >= SETTINGS.period();
+        for (Copy copy : site.copies) {
+            RouteTable uses = copy.up ? world.uses(copy.number) : null;
+            if (uses == null && keepsPastLease && copy.up) {
+                uses = held[copy.number];
+            }
+            if (uses != null && uses != held[copy.number]) {
+                parts[copy.number].loaded.accept(uses);
+                say(copy.number, "table", Map.of("number", Long.toString(uses.number()), "lease_ms",
+                        Long.toString(uses.lease() / Site.MILLI), "age_ms", "0", "shares", text(uses)));
+                held[copy.number] = uses;
+                apply(copy, uses);
+            } else if (uses == null) {
+                held[copy.number] = null;
+                copy.near();
+            }
+            if (says && uses != null) {
+                String number = Long.toString(uses.number());
+                say(copy.number, "renewed", Map.of("number", number, "age_ms", "0"));
+                say(copy.number, "used", Map.of("number", number));
+            }
+        }
+        if (says) {
+            saidAt = site.now();
+        }
+    }
+
+    private static String text(RouteTable table) {
+        return table.shares().stream().map(share -> share.from() + ">" + share.to() + ":"
+                + share.way().name().toLowerCase(Locale.ROOT) + ":" + share.parts() + ":" + share.perSecond())
+                .collect(Collectors.joining(","));
+    }
+
+    /** The bound on a zone's calls is divided among the copies of it that are there. */
+    private void apply(Copy copy, RouteTable table) {
+        Arrays.fill(copy.shares, 0);
+        Arrays.fill(copy.bounds, 0);
+        for (Share share : table.shares()) {
+            if (share.from() == copy.zone) {
+                copy.shares[share.to()] = share.parts() / (double) RouteTable.WHOLE;
+                copy.bounds[share.to()] = share.perSecond() / (double) Site.COPIES;
+            }
+        }
+    }
+
+    // ---- faults ----
+
+    int leader() {
+        return world.leader();
+    }
+
+    void kill(int copy) {
+        world.kill(copy);
+        say(copy, "silent", Map.of());
+        say(copy, "ended", Map.of());
+    }
+
+    void restart(int copy) {
+        world.restart(copy);
+        say(copy, "started", Map.of());
+        say(copy, "speaks", Map.of());
+    }
+
+    void stall(int copy, long length) {
+        world.stall(copy, length);
+        say(copy, "stopped", Map.of());
+        site.after(length, () -> say(copy, "continued", Map.of()));
+    }
+
+    /** Datagrams between a copy and all others pass, or don't. */
+    void link(int copy, boolean passes) {
+        for (int other = 0; other < zoneOf.length; other++) {
+            if (other != copy) {
+                world.cut(copy, other, !passes);
+                world.cut(other, copy, !passes);
+            }
+        }
+    }
+
+    /** Nothing passes between a zone's copies and all others, or all does. */
+    void cutOff(int zone, boolean off) {
+        List<Integer> these = new ArrayList<>();
+        for (Copy copy : site.copies) {
+            if (copy.zone == zone) {
+                these.add(copy.number);
+            }
+        }
+        if (off) {
+            world.cutOff(these);
+        } else {
+            world.heal();
+        }
+        for (int one : these) {
+            for (Copy other : site.copies) {
+                if (other.zone != zone) {
+                    say(one, off ? "cut" : "healed", Map.of("to", Integer.toString(other.number)));
+                    say(other.number, off ? "cut" : "healed", Map.of("to", Integer.toString(one)));
+                }
+            }
+        }
+    }
+
+    /** The newest table that any copy uses; null where none does. */
+    RouteTable newest() {
+        RouteTable newest = null;
+        for (RouteTable table : held) {
+            newest = table != null && (newest == null || table.number() > newest.number()) ? table : newest;
+        }
+        return newest;
+    }
+}
