--- a/core/src/main/java/cedarrudder/failover/Assessment.java
+++ b/core/src/main/java/cedarrudder/failover/Assessment.java
@@ -39,13 +39,13 @@
     private static final int ALONE_PERIODS = 6;
     /** A zone's copies say that it is strained where so much of their calls is turned away, ... */
     private static final double TURNED_AWAY = 0.05;
-    /** ... or where its nodes say that they are so full, in hundredths. */
-    private static final int FULL = 96;
+    /** ... or where its nodes say, over some periods, that they are so full. */
+    private static final double FULL = 0.97;
     /** Rates are smoothed by this weight of the newest. */
     private static final double NEWEST = 0.4;
-    /** The capacity learned falls, and rises, by these weights. */
+    /** What a zone can do is learned by this weight, and by this one where it turns calls away. */
+    private static final double LEARNS = 0.1;
     private static final double FALLS = 0.4;
-    private static final double RISES = 0.2;
     /** Below this use of a zone, and this rate, nothing is learned of its capacity. */
     private static final double LEAST_LOAD = 0.15;
     private static final double LEAST_RATE = 5;
@@ -89,6 +89,8 @@
     private final Copy[] copies;
     /** Calls a second that one warm node of weight 1 serves; 0: not known. */
     private final double[] each;
+    /** How full zones are, smoothed; NaN: not known. */
+    private final double[] full;
     private final long[] aloneSince;
     private final boolean[] alone;
     private long learnedAt = Long.MIN_VALUE;
@@ -99,6 +101,8 @@
         this.zoneOf = zoneOf.clone();
         this.zones = zones;
         this.each = new double[zones];
+        this.full = new double[zones];
+        Arrays.fill(full, Double.NaN);
         this.aloneSince = new long[zones];
         this.alone = new boolean[zones];
         this.copies = new Copy[zoneOf.length];
@@ -257,31 +261,35 @@
         double units = known == 0 ? 0 : able[known / 2] / HUNDREDTHS;
         double load = reports == 0 ? Double.NaN : loads / reports;
         State state = state(now, zone, bad, well, said, fresh);
-        boolean full = fresh > 0 && strained >= Math.min(settings.leastCopies(), fresh)
+        if (learns) {
+            full[zone] = Double.isNaN(load) || Double.isNaN(full[zone]) ? load
+                    : full[zone] + NEWEST * (load - full[zone]);
+        }
+        boolean turnsAway = fresh > 0 && strained >= Math.min(settings.leastCopies(), fresh)
                 && strained > MOST * fresh;
+        boolean strains = turnsAway || full[zone] > FULL;
         if (learns && state == State.WELL && units > 0 && served >= LEAST_RATE) {
-            learn(zone, served / units, load, full);
+            learn(zone, served / units, load, strains);
         }
         double capacity = each[zone] * units;
         double unseen = Double.isNaN(load) ? 0 : Math.max(0, load * capacity - served);
-        return new Zone(state, full, demand, served, capacity, Double.isNaN(load),
+        return new Zone(state, strains, demand, served, capacity, Double.isNaN(load),
                 unseen > UNSEEN * capacity ? unseen : 0, fresh, bad, well);
     }
 
     private static boolean strained(Copy copy, Word word) {
         return copy.came >= 1 && copy.unserved > TURNED_AWAY * copy.came
-                || word.seen != null && (word.ended >= WHOLE_VOTE && word.refused > TURNED_AWAY * word.ended
-                || word.seen.age() == 0 && word.seen.load() > FULL);
+                || word.ended >= WHOLE_VOTE && word.refused > TURNED_AWAY * word.ended;
     }
 
-    private void learn(int zone, double rate, double load, boolean full) {
+    private void learn(int zone, double rate, double load, boolean strains) {
         if (Double.isNaN(load)) {
             // Without reports: a zone that is full serves what it can, another can do no less than it does.
-            each[zone] = full ? each[zone] + FALLS * (rate - each[zone]) : Math.max(each[zone], rate);
+            each[zone] = strains ? each[zone] + FALLS * (rate - each[zone]) : Math.max(each[zone], rate);
         } else if (load >= LEAST_LOAD) {
             double sample = rate / Math.min(1, load);
             each[zone] += each[zone] == 0 ? sample
-                    : (sample < each[zone] ? FALLS : RISES) * (sample - each[zone]);
+                    : (strains && sample < each[zone] ? FALLS : LEARNS) * (sample - each[zone]);
         }
     }
 
--- a/core/src/main/java/cedarrudder/failover/FailoverSettings.java
+++ b/core/src/main/java/cedarrudder/failover/FailoverSettings.java
@@ -31,7 +31,7 @@
 
     /** What serves where nothing else is said. */
     public static final FailoverSettings DEFAULT = new FailoverSettings(Regions.NONE, 500 * MILLI,
-            2_500 * MILLI, 2, 0.5, 0.85, 0.92, 500 * MILLI, 0.25, 5_000 * MILLI, 60_000 * MILLI, 8, 0.006);
+            2_500 * MILLI, 2, 0.5, 0.85, 0.92, 500 * MILLI, 0.25, 5_000 * MILLI, 60_000 * MILLI, 8, 0.008);
 
     /** Checks the ranges above; what lies outside is an IllegalArgumentException that names it. */
     public FailoverSettings {
--- a/core/src/main/java/cedarrudder/failover/Planner.java
+++ b/core/src/main/java/cedarrudder/failover/Planner.java
@@ -40,11 +40,17 @@
     private static final int ROUNDS = 20;
     /** A target may be found so far past its share before calls are taken from it at once. */
     private static final double PAST_TARGET = 1.1;
+    /** Calls so far over the bound of their share are held back, and not only by chance. */
+    private static final double OUTGROWN = 1.1;
     /** A zone whose nodes don't report may be given so much more than it serves, each time it did well. */
     private static final double BLIND_GROWTH = 1.25;
     /** A zone's calls that are fewer a second are not moved. */
     private static final double LEAST_DEMAND = 0.5;
     private static final int KNOWN_TABLES = 16;
+    /** A ceiling so near to the whole is the whole. */
+    private static final double WATCHED = 0.06;
+    /** Where calls go that are moved already changes for so many parts more that are served, or nearer. */
+    private static final int LEAST_GAIN = 500;
 
     /** Why the shares of a zone's calls change. */
     public enum Reason {
@@ -160,7 +166,8 @@
             Arrays.setAll(courses, zone -> resumed(now, courses[zone], held, current, zone));
         }
         for (int zone = 0; zone < zones; zone++) {
-            follow(now, courses[zone], picture.zones().get(zone), evacuated.contains(zone));
+            follow(now, courses[zone], picture.zones().get(zone), evacuated.contains(zone),
+                    held.parts[zone][zone] / (double) RouteTable.WHOLE);
         }
         boolean[] moving = new boolean[zones];
         Arrays.fill(moving, true);
@@ -209,8 +216,12 @@
         return fresh;
     }
 
-    /** Takes one zone's course to now. */
-    private void follow(long now, Course course, Zone zone, boolean evacuated) {
+    /**
+     * Takes one zone's course to now.
+     *
+     * @param near the share of its own calls that it gets by the table; a step is from there
+     */
+    private void follow(long now, Course course, Zone zone, boolean evacuated, double near) {
         course.cut = false;
         course.badSince = zone.state() != State.LOST ? Long.MAX_VALUE : Math.min(course.badSince, now);
         course.strainedSince = !zone.strained() ? Long.MAX_VALUE : Math.min(course.strainedSince, now);
@@ -224,7 +235,10 @@
         }
         double able = zone.demand() <= 0 ? 1
                 : Math.min(1, settings.nearShare() * zone.capacity() / zone.demand());
-        if (zone.state() == State.LOST && now - course.badSince >= settings.lossHold()) {
+        if (zone.fresh() == 0) {
+            // Nobody there loads a table now, and what they are served is not known: it stays as it was.
+            course.steppedAt = Math.max(course.steppedAt, now);
+        } else if (zone.state() == State.LOST && now - course.badSince >= settings.lossHold()) {
             cut(now, course, 0);
             course.left = true;
         } else if (zone.state() == State.WELL && zone.capacity() > 0 && now - course.strainedSince
@@ -232,7 +246,8 @@
             cut(now, course, able);
         } else if (course.ceiling < 1 && course.wellSince != Long.MAX_VALUE
                 && now - Math.max(course.wellSince, course.steppedAt) >= course.hold) {
-            course.ceiling = Math.min(1, course.ceiling + settings.returnStep());
+            course.ceiling = Math.max(course.ceiling, Math.min(1, near + settings.returnStep()));
+            course.ceiling = course.ceiling + WATCHED > 1 ? 1 : course.ceiling;
             course.steppedAt = now;
         } else if (course.ceiling == 1 && course.limited && now - course.steppedAt >= course.hold
                 && (zone.blind() || able >= 1)) {
@@ -269,13 +284,18 @@
                 || wanted.moved(zone, held) < LEAST_MOVE && !bounds) {
             return null;
         }
+        boolean bad = badTarget(held, picture, zone);
         boolean leaves = wanted.parts[zone][zone] < held.parts[zone][zone];
         Reason reason = course.evacuated && leaves ? Reason.EVACUATED
                 : leaves && course.ceiling == 0 ? Reason.LOST
                 : leaves && course.limited ? Reason.STRAINED
                 : wanted.parts[zone][zone] > held.parts[zone][zone] ? Reason.RETURN : Reason.TARGETS;
         boolean urgent = course.cut || course.evacuated && leaves || reason == Reason.LOST
-                || badTarget(held, picture, zone);
+                || bad;
+        // Guards against calls going to and fro among zones that serve them as well.
+        if (!urgent && !bounds && course.steppedAt != now && gain(held, wanted, zone) < LEAST_GAIN) {
+            return null;
+        }
         int most = settings.movesPerMinute() - (urgent ? 0 : KEPT_FOR_LEAVING);
         // A step that waits out its hold is taken at once; all else that is not urgent comes no sooner.
         boolean soon = urgent || reason == Reason.RETURN && course.steppedAt == now
@@ -283,6 +303,20 @@
         return soon && course.moves.size() < most ? reason : null;
     }
 
+    /** Parts more that are served, or served nearer. */
+    private int gain(Shares held, Shares wanted, int zone) {
+        int gain = 0;
+        int sum = 0;
+        int farthest = Arrays.stream(ranks[zone]).max().orElse(0);
+        for (int rank = 0; rank <= farthest; rank++) {
+            for (int to = 0; to < zones; to++) {
+                sum += ranks[zone][to] == rank ? wanted.parts[zone][to] - held.parts[zone][to] : 0;
+            }
+            gain = Math.max(gain, sum);
+        }
+        return gain;
+    }
+
     /** Whether some zone that serves a part of this one's calls can't, or has no room for them any more. */
     private boolean badTarget(Shares held, Picture picture, int from) {
         for (int to = 0; to < zones; to++) {
@@ -301,7 +335,7 @@
         for (int to = 0; to < zones; to++) {
             double rate = picture.zones().get(from).demand() * held.parts[from][to] / RouteTable.WHOLE;
             if (to != from && held.parts[from][to] > LEAST_MOVE && held.perSecond[from][to] > 0
-                    && rate > held.perSecond[from][to] && load(held, picture, to)
+                    && rate > OUTGROWN * held.perSecond[from][to] && load(held, picture, to)
                     < settings.targetShare() * picture.zones().get(to).capacity()) {
                 return true;
             }
@@ -380,10 +414,17 @@
                 }
             }
         }
+        int[] sharers = new int[zones];
+        for (int from = 0; from < zones; from++) {
+            for (int to = 0; to < zones; to++) {
+                sharers[to] += to != from && (moving[from] ? dealt[from][to] > 0
+                        : held.parts[from][to] > LEAST_MOVE) ? 1 : 0;
+            }
+        }
         Shares next = new Shares(zones);
         for (int zone = 0; zone < zones; zone++) {
             if (moving[zone] && picture.zones().get(zone).demand() >= LEAST_DEMAND) {
-                write(next, dealt[zone], excess[zone], room, picture, zone);
+                write(next, dealt[zone], excess[zone], room, sharers, picture, zone);
             } else {
                 next.row(zone, held);
                 watched(next, zone);
@@ -427,7 +468,8 @@
     }
 
     /** Writes one zone's row. */
-    private void write(Shares next, double[] dealt, double left, double[] room, Picture picture, int zone) {
+    private void write(Shares next, double[] dealt, double left, double[] room, int[] sharers,
+            Picture picture, int zone) {
         Zone seen = picture.zones().get(zone);
         Course course = courses[zone];
         double near = dealt[zone];
@@ -442,7 +484,8 @@
             next.parts[zone][to] = Math.min(RouteTable.WHOLE, parts);
             if (to != zone && parts > 0) {
                 // What is left of its room is for those that come beyond what is seen now.
-                next.perSecond[zone][to] = (int) Math.max(1, dealt[to] + Math.max(0, room[to]) / zones);
+                next.perSecond[zone][to] = (int) Math.max(1, dealt[to]
+                        + Math.max(0, room[to]) / Math.max(1, sharers[to]));
                 moved += parts;
             }
         }
--- a/lab/src/main/java/cedarrudder/lab/command/Lab.java
+++ b/lab/src/main/java/cedarrudder/lab/command/Lab.java
@@ -18,7 +18,8 @@
         subcommands = {CheckCommand.class, ModelCommand.class, ExperimentCommand.class, ReportCommand.class,
             CorrelateCommand.class, PoliciesCommand.class, AttackCommand.class, BenchmarkCommand.class,
             MemoryCommand.class, LoadCommand.class, RelayCommand.class, EmulateCommand.class,
-            MembersCommand.class, AgreementCommand.class, FailoverCommand.class, ClusterCommand.class, JudgeCommand.class,
+            MembersCommand.class, AgreementCommand.class, FailoverCommand.class, ClusterCommand.class,
+            JudgeCommand.class,
             DemoCommand.class,
             OverheadCommand.class, VersionCommand.class})
 public final class Lab implements Runnable {
--- a/lab/src/main/java/cedarrudder/lab/failover/FailoverRun.java
+++ b/lab/src/main/java/cedarrudder/lab/failover/FailoverRun.java
@@ -128,6 +128,9 @@
             }
         }
         moves += moved ? 1 : 0;
+        if (System.getenv("DBG") != null) {
+            System.err.println(site.now() / 1e9 + " " + newest.number() % 1000 + " leader " + ((Together) policy).leader() + " " + newest.shares().stream().filter(s -> s.parts() > 30).map(s -> s.from() + ">" + s.to() + ":" + s.parts() + "/" + s.perSecond()).toList());
+        }
         last = newest;
     }
 
