--- a/lab/src/main/java/cedarrudder/lab/failover/Copy.java
+++ b/lab/src/main/java/cedarrudder/lab/failover/Copy.java
@@ -45,6 +45,8 @@
     /** What a zone may get a second from this copy; 0: no bound. */
     final double[] bounds = new double[Site.ZONES];
     ZoneTally tally;
+    /** Attempts that ended since somebody looked, by zones: served, failed, silent. */
+    final int[][] saw = new int[Site.ZONES][3];
     /** Hears how attempts end; or null. */
     Consumer<Ended> eyes;
 
@@ -98,6 +100,10 @@
         near();
     }
 
+    boolean stalled() {
+        return site.now() < stalledUntil;
+    }
+
     void stalls(long length) {
         stalledUntil = site.now() + length;
         int of = life;
@@ -211,6 +217,12 @@
                 tally.ended(site.now(), counted, outcome, new Load(Double.NaN, Double.NaN, load, Double.NaN,
                         Double.NaN, Double.NaN));
             }
+            switch (outcome) {
+                case OK -> saw[node.zone][0]++;
+                case TIMEOUT, CONNECT_FAILED -> saw[node.zone][2]++;
+                case FULL -> { } // its own word, and no ground for more than a part
+                default -> saw[node.zone][1]++;
+            }
             if (eyes != null) {
                 eyes.accept(new Ended(node.zone, node.id, outcome));
             }
--- a/lab/src/main/java/cedarrudder/lab/failover/FailoverRun.java
+++ b/lab/src/main/java/cedarrudder/lab/failover/FailoverRun.java
@@ -3,6 +3,12 @@
 import cedarrudder.failover.FailoverSettings;
 import cedarrudder.lab.judge.Breach;
 import cedarrudder.lab.judge.Event;
+import cedarrudder.lab.judge.History;
+import cedarrudder.lab.judge.Leases;
+import cedarrudder.lab.judge.OneLeader;
+import cedarrudder.lab.judge.OneTable;
+import cedarrudder.lab.judge.ZoneLeft;
+import cedarrudder.lab.judge.ZoneLoad;
 import cedarrudder.table.RouteTable;
 import cedarrudder.table.RouteTable.Share;
 import java.util.ArrayDeque;
@@ -19,6 +25,14 @@
     private static final long CALM_FROM = 30 * Site.SECOND;
     private static final long WINDOW = 60 * Site.SECOND;
 
+    /** What was seen longer ago is no ground for leaving a zone. */
+    private static final long GROUND = 10 * Site.SECOND;
+    private static final long UNDER_WAY = 100 * Site.MILLI;
+    /** Of what it can serve, a zone gets no more for longer than it takes to see that and to agree. */
+    private static final double PART = 0.95;
+    private static final double TOLERANCE = 0.08;
+    private static final long WITHIN = 8 * Site.SECOND;
+
     /**
      * What it came to.
      *
@@ -108,7 +122,14 @@
             }
         }
         return new Result(run.site.total.goodput(World.AT, World.AT + WINDOW),
-                run.site.total.out(CALM_FROM, World.AT), run.site.fallen, run.moves, run.mostMoves, List.of());
+                run.site.total.out(CALM_FROM, World.AT), run.site.fallen, run.moves, run.mostMoves,
+                kind == Policy.Kind.TOGETHER ? run.judged(settings) : List.of());
+    }
+
+    private List<Breach> judged(FailoverSettings settings) {
+        return History.judged(events, site.now(), List.of(new OneTable(), new OneLeader(),
+                new ZoneLeft(GROUND), new Leases(UNDER_WAY), new ZoneLoad(new ZoneLoad.Bounds(PART, TOLERANCE,
+                WITHIN, settings.movesPerMinute()))));
     }
 
     private void look(RouteTable newest) {
@@ -128,9 +149,6 @@
             }
         }
         moves += moved ? 1 : 0;
-        if (System.getenv("DBG") != null) {
-            System.err.println(site.now() / 1e9 + " " + newest.number() % 1000 + " leader " + ((Together) policy).leader() + " " + newest.shares().stream().filter(s -> s.parts() > 30).map(s -> s.from() + ">" + s.to() + ":" + s.parts() + "/" + s.perSecond()).toList());
-        }
         last = newest;
     }
 
--- a/lab/src/main/java/cedarrudder/lab/failover/Together.java
+++ b/lab/src/main/java/cedarrudder/lab/failover/Together.java
@@ -22,10 +22,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 
 /** Copies that decide in common: the parts that the daemon has, with their datagrams. */
 final class Together extends Policy {
@@ -36,6 +34,8 @@
 
     private static final long LEAST_DELAY = 2 * Site.MILLI;
     private static final long MOST_DELAY = 21 * Site.MILLI;
+    /** More calls a second than are sent to a zone so that it is seen, with their repeats. */
+    private static final double WATCHED = 30;
 
     /** What makes a copy's plan, so that a broken one can be put in its place. */
     interface Maker {
@@ -62,6 +62,8 @@
     private final long startedAt;
     private final long worldStartedAt;
     private final boolean keepsPastLease;
+    private final boolean[][] said = new boolean[Site.ZONES * Site.COPIES][Site.ZONES];
+    private final long[] capacities = new long[Site.ZONES];
     private long saidAt;
 
     /**
@@ -93,10 +95,11 @@
                     return new FleetCopy(zones, self, life, AgreementSettings.DEFAULT, FleetSettings.DEFAULT,
                             store, random, new OnSiteTime(parts[self].shares), Removal.NONE, () -> Room.ANY,
                             outlet, now);
-                }, event -> listener.accept(at(event)));
+                }, this::hears);
         this.worldStartedAt = world.now();
         for (Copy copy : site.copies) {
             say(copy.number, "placed", Map.of("zone", Integer.toString(copy.zone)));
+            say(copy.number, "started", Map.of());
             say(copy.number, "speaks", Map.of());
         }
         world.form(0);
@@ -161,8 +164,11 @@
         }
     }
 
-    private Event at(Event event) {
-        return new Event(site.now(), event.copy(), life(event.copy()), event.what(), event.fields());
+    /** What copies say, but for their starts, which are told once it is known what life that is. */
+    private void hears(Event event) {
+        if (!event.what().equals("started")) {
+            say(event.copy(), event.what(), event.fields());
+        }
     }
 
     private long life(int copy) {
@@ -180,35 +186,50 @@
         world.play(site.now() - startedAt - (world.now() - worldStartedAt));
         boolean says = site.now() - saidAt >= SETTINGS.period();
         for (Copy copy : site.copies) {
-            RouteTable uses = copy.up ? world.uses(copy.number) : null;
-            if (uses == null && keepsPastLease && copy.up) {
+            if (!copy.up || copy.stalled()) {
+                continue;
+            }
+            RouteTable uses = world.uses(copy.number);
+            if (uses == null && keepsPastLease) {
                 uses = held[copy.number];
             }
             if (uses != null && uses != held[copy.number]) {
                 parts[copy.number].loaded.accept(uses);
-                say(copy.number, "table", Map.of("number", Long.toString(uses.number()), "lease_ms",
-                        Long.toString(uses.lease() / Site.MILLI), "age_ms", "0", "shares", text(uses)));
-                held[copy.number] = uses;
                 apply(copy, uses);
             } else if (uses == null) {
-                held[copy.number] = null;
                 copy.near();
             }
+            held[copy.number] = uses;
             if (says && uses != null) {
-                String number = Long.toString(uses.number());
-                say(copy.number, "renewed", Map.of("number", number, "age_ms", "0"));
-                say(copy.number, "used", Map.of("number", number));
+                say(copy.number, "used", Map.of("number", Long.toString(uses.number())));
+            }
+            if (says) {
+                saw(copy);
             }
         }
-        if (says) {
-            saidAt = site.now();
+        for (int zone = 0; zone < Site.ZONES && says; zone++) {
+            // The watch share goes to one that is lost; the judge is not to take that for too much.
+            long now = Math.round(Math.max(WATCHED, site.capacity(zone)));
+            if (Math.abs(now - capacities[zone]) > capacities[zone] / 20) {
+                capacities[zone] = now;
+                say(-1, "capacity", Map.of("zone", Integer.toString(zone), "per_s", Long.toString(now)));
+            }
         }
+        saidAt = says ? site.now() : saidAt;
     }
 
-    private static String text(RouteTable table) {
-        return table.shares().stream().map(share -> share.from() + ">" + share.to() + ":"
-                + share.way().name().toLowerCase(Locale.ROOT) + ":" + share.parts() + ":" + share.perSecond())
-                .collect(Collectors.joining(","));
+    private void saw(Copy copy) {
+        for (int zone = 0; zone < Site.ZONES; zone++) {
+            int[] saw = copy.saw[zone];
+            boolean any = saw[0] + saw[1] + saw[2] > 0;
+            if (any || said[copy.number][zone]) {
+                say(copy.number, "saw", Map.of("zone", Integer.toString(zone), "served",
+                        Integer.toString(saw[0]), "failed", Integer.toString(saw[1]), "silent",
+                        Integer.toString(saw[2]), "span", Long.toString(site.now() - saidAt)));
+            }
+            said[copy.number][zone] = any;
+            Arrays.fill(saw, 0);
+        }
     }
 
     /** The bound on a zone's calls is divided among the copies of it that are there. */
@@ -251,12 +272,17 @@
     void link(int copy, boolean passes) {
         for (int other = 0; other < zoneOf.length; other++) {
             if (other != copy) {
-                world.cut(copy, other, !passes);
-                world.cut(other, copy, !passes);
+                way(copy, other, passes);
+                way(other, copy, passes);
             }
         }
     }
 
+    private void way(int from, int to, boolean passes) {
+        world.cut(from, to, !passes);
+        say(from, passes ? "healed" : "cut", Map.of("to", Integer.toString(to)));
+    }
+
     /** Nothing passes between a zone's copies and all others, or all does. */
     void cutOff(int zone, boolean off) {
         List<Integer> these = new ArrayList<>();
