--- a/core/src/main/java/cedarrudder/failover/Assessment.java
+++ b/core/src/main/java/cedarrudder/failover/Assessment.java
@@ -42,7 +42,7 @@
     /** ... or where its nodes say, over some periods, that they are so full. */
     private static final double FULL = 0.97;
     /** Rates are smoothed by this weight of the newest. */
-    private static final double NEWEST = 0.4;
+    private static final double NEWEST = 0.25;
     /** What a zone can do is learned by this weight, and by this one where it turns calls away. */
     private static final double LEARNS = 0.1;
     private static final double FALLS = 0.4;
--- a/core/src/main/java/cedarrudder/failover/Failover.java
+++ b/core/src/main/java/cedarrudder/failover/Failover.java
@@ -21,6 +21,7 @@
     private Assessment assessment;
     private Set<Integer> evacuated = Set.of();
     private long table;
+    private long closedAt;
 
     /**
      * @param names of the zones, in the order of their numbers
@@ -37,6 +38,7 @@
         }
         this.settings = settings;
         this.tally = tally;
+        this.closedAt = now;
         this.zoneOf = zoneOf.clone();
         this.zones = names.size();
         this.planner = new Planner(settings, settings.regions().ranks(names), now);
@@ -44,11 +46,15 @@
     }
 
     /**
-     * Ends the period and says what was seen in it; nothing where this copy stood still.
+     * Ends the period and says what was seen in it; nothing where this copy stood still, or has just said it.
      *
      * @param most bytes of a part, as {@link Evidence#encode} takes it
      */
     public List<byte[]> report(long now, int most) {
+        if (now - closedAt < settings.period() / 2) {
+            return List.of(); // asked again so soon: guards against a period of which nothing can be told
+        }
+        closedAt = now;
         Evidence evidence = tally.close(now, table);
         return evidence == null ? List.of() : evidence.encode(most);
     }
--- a/core/src/main/java/cedarrudder/failover/FailoverSettings.java
+++ b/core/src/main/java/cedarrudder/failover/FailoverSettings.java
@@ -17,7 +17,7 @@
  * @param returnStep calls come back by this share of the zone's at once; over 0, to 1
  * @param returnHold so long a zone must do well before each step; over the period
  * @param returnHoldMost that time doubles up to this for a zone that comes and goes; no less than it
- * @param movesPerMinute the shares of one zone's calls change no more often within 60 s; from 4
+ * @param movesPerMinute the shares of one zone's calls change no more often within 60 s; from 8
  * @param watchShare this share of a zone's calls goes to all others together, so that they are seen; 0 to
  * 0.05
  */
@@ -26,7 +26,7 @@
         long returnHold, long returnHoldMost, int movesPerMinute, double watchShare) {
 
     private static final long MILLI = 1_000_000L;
-    private static final int LEAST_MOVES = 4;
+    private static final int LEAST_MOVES = 8;
     private static final double MOST_WATCH = 0.05;
 
     /** What serves where nothing else is said. */
--- a/core/src/main/java/cedarrudder/failover/Planner.java
+++ b/core/src/main/java/cedarrudder/failover/Planner.java
@@ -34,6 +34,8 @@
 
     /** Of the moves that a zone has, so many are kept for leaving it. */
     private static final int KEPT_FOR_LEAVING = 2;
+    /** And so many for its return. */
+    private static final int KEPT_FOR_RETURN = 4;
     /** A zone must be strained for so many periods before calls leave it for that. */
     private static final int STRAIN_PERIODS = 3;
     /** Room is dealt out in so many rounds, so that zones that want the same share it. */
@@ -79,11 +81,15 @@
         double ceiling = 1;
         /** Whether its own calls are held to what it can do. */
         boolean limited;
+        /** It was lost, and is not yet back whole. */
         boolean left;
+        /** That is why its calls are elsewhere, and not that it can't serve all of them. */
+        boolean moved;
         boolean evacuated;
         boolean cut;
         long badSince = Long.MAX_VALUE;
         long strainedSince = Long.MAX_VALUE;
+        long overSince = Long.MAX_VALUE;
         long wellSince = Long.MAX_VALUE;
         long hold;
         long cutAt = Long.MIN_VALUE / 2;
@@ -166,8 +172,11 @@
             Arrays.setAll(courses, zone -> resumed(now, courses[zone], held, current, zone));
         }
         for (int zone = 0; zone < zones; zone++) {
-            follow(now, courses[zone], picture.zones().get(zone), evacuated.contains(zone),
+            follow(now, zone, picture.zones().get(zone), evacuated.contains(zone),
                     held.parts[zone][zone] / (double) RouteTable.WHOLE);
+            boolean over = picture.zones().get(zone).capacity() > 0 && load(held, picture, zone)
+                    > PAST_TARGET * settings.targetShare() * picture.zones().get(zone).capacity();
+            courses[zone].overSince = over ? Math.min(courses[zone].overSince, now) : Long.MAX_VALUE;
         }
         boolean[] moving = new boolean[zones];
         Arrays.fill(moving, true);
@@ -193,7 +202,7 @@
         }
         boolean[] left = new boolean[zones];
         for (int zone = 0; zone < zones; zone++) {
-            left[zone] = courses[zone].left || courses[zone].evacuated;
+            left[zone] = courses[zone].moved || courses[zone].evacuated;
         }
         return next.list(left);
     }
@@ -210,6 +219,7 @@
             fresh.limited = true;
             fresh.left = current.shares().stream().anyMatch(share -> share.from() == zone
                     && share.way() == RouteTable.Way.MOVED);
+            fresh.moved = fresh.left;
             fresh.cutAt = now;
             fresh.steppedAt = now;
         }
@@ -221,9 +231,12 @@
      *
      * @param near the share of its own calls that it gets by the table; a step is from there
      */
-    private void follow(long now, Course course, Zone zone, boolean evacuated, double near) {
+    private void follow(long now, int number, Zone zone, boolean evacuated, double near) {
+        Course course = courses[number];
         course.cut = false;
-        course.badSince = zone.state() != State.LOST ? Long.MAX_VALUE : Math.min(course.badSince, now);
+        // Where its own copies say nothing it may be lost to the others alone.
+        boolean lost = zone.state() == State.LOST && zone.bad().contains(number);
+        course.badSince = !lost ? Long.MAX_VALUE : Math.min(course.badSince, now);
         course.strainedSince = !zone.strained() ? Long.MAX_VALUE : Math.min(course.strainedSince, now);
         boolean well = zone.state() == State.WELL && !zone.strained();
         course.wellSince = !well ? Long.MAX_VALUE : Math.min(course.wellSince, now);
@@ -238,12 +251,15 @@
         if (zone.fresh() == 0) {
             // Nobody there loads a table now, and what they are served is not known: it stays as it was.
             course.steppedAt = Math.max(course.steppedAt, now);
-        } else if (zone.state() == State.LOST && now - course.badSince >= settings.lossHold()) {
+        } else if (lost && now - course.badSince >= settings.lossHold()) {
             cut(now, course, 0);
             course.left = true;
+            course.moved = true;
         } else if (zone.state() == State.WELL && zone.capacity() > 0 && now - course.strainedSince
                 >= STRAIN_PERIODS * settings.period() && able < course.ceiling) {
             cut(now, course, able);
+            course.moved = false;
+            course.strainedSince = now; // what that came to is to be seen first
         } else if (course.ceiling < 1 && course.wellSince != Long.MAX_VALUE
                 && now - Math.max(course.wellSince, course.steppedAt) >= course.hold) {
             course.ceiling = Math.max(course.ceiling, Math.min(1, near + settings.returnStep()));
@@ -253,6 +269,7 @@
                 && (zone.blind() || able >= 1)) {
             course.limited = false;
             course.left = false;
+            course.moved = false;
         }
         if (now - course.cutAt > 2 * settings.returnHoldMost() && course.ceiling == 1) {
             course.hold = settings.returnHold();
@@ -284,7 +301,7 @@
                 || wanted.moved(zone, held) < LEAST_MOVE && !bounds) {
             return null;
         }
-        boolean bad = badTarget(held, picture, zone);
+        boolean bad = badTarget(now, held, picture, zone);
         boolean leaves = wanted.parts[zone][zone] < held.parts[zone][zone];
         Reason reason = course.evacuated && leaves ? Reason.EVACUATED
                 : leaves && course.ceiling == 0 ? Reason.LOST
@@ -296,7 +313,8 @@
         if (!urgent && !bounds && course.steppedAt != now && gain(held, wanted, zone) < LEAST_GAIN) {
             return null;
         }
-        int most = settings.movesPerMinute() - (urgent ? 0 : KEPT_FOR_LEAVING);
+        int most = settings.movesPerMinute() - (urgent ? 0 : KEPT_FOR_LEAVING)
+                - (urgent || reason == Reason.RETURN ? 0 : KEPT_FOR_RETURN);
         // A step that waits out its hold is taken at once; all else that is not urgent comes no sooner.
         boolean soon = urgent || reason == Reason.RETURN && course.steppedAt == now
                 || now - course.movedAt >= settings.returnHold();
@@ -318,12 +336,12 @@
     }
 
     /** Whether some zone that serves a part of this one's calls can't, or has no room for them any more. */
-    private boolean badTarget(Shares held, Picture picture, int from) {
+    private boolean badTarget(long now, Shares held, Picture picture, int from) {
         for (int to = 0; to < zones; to++) {
             Zone zone = picture.zones().get(to);
             if (to != from && held.parts[from][to] > LEAST_MOVE && (!zone.takes(from)
-                    || courses[to].evacuated || zone.capacity() > 0 && load(held, picture, to)
-                    > PAST_TARGET * settings.targetShare() * zone.capacity())) {
+                    || courses[to].evacuated
+                    || now - courses[to].overSince >= STRAIN_PERIODS * settings.period())) {
                 return true;
             }
         }
--- a/core/src/main/java/cedarrudder/failover/Shares.java
+++ b/core/src/main/java/cedarrudder/failover/Shares.java
@@ -10,6 +10,9 @@
 /** Shares as rows, one for each zone of callers: parts and bounds by the zone that serves. */
 final class Shares {
 
+    /** So few are not what left a zone: they go there to be seen. */
+    private static final int FEW = 100;
+
     final int[][] parts;
     final int[][] perSecond;
 
@@ -67,7 +70,8 @@
         for (int from = 0; from < parts.length; from++) {
             for (int to = 0; to < parts.length; to++) {
                 if (parts[from][to] > 0) {
-                    list.add(new Share(from, to, from == to ? Way.NEAR : left[from] ? Way.MOVED : Way.SPILLED,
+                    list.add(new Share(from, to, from == to ? Way.NEAR
+                            : left[from] && parts[from][to] > FEW ? Way.MOVED : Way.SPILLED,
                             parts[from][to], perSecond[from][to]));
                 }
             }
--- a/daemon/src/main/java/cedarrudder/operator/FailoverTable.java
+++ b/daemon/src/main/java/cedarrudder/operator/FailoverTable.java
@@ -20,7 +20,7 @@
     private static final double LEAST_PART = 0.1;
     private static final double MOST_BAD = 0.95;
     private static final double MOST_WATCH = 0.05;
-    private static final int LEAST_MOVES = 4;
+    private static final int LEAST_MOVES = 8;
     private static final int MOST_MOVES = 60;
     private static final long NANOS_A_MILLI = 1_000_000;
 
