--- a/lab/src/main/java/cedarrudder/lab/judge/Plans.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/Plans.java
@@ -59,7 +59,8 @@
     /** What a zone gets of its own calls: all of them where nothing is said of them. */
     private static int near(List<Part> of, int from) {
         List<Part> own = of.stream().filter(part -> part.from == from).toList();
-        return own.isEmpty() ? WHOLE : own.stream().filter(part -> part.to == from).mapToInt(Part::parts).sum();
+        return own.isEmpty() ? WHOLE
+                : own.stream().filter(part -> part.to == from).mapToInt(Part::parts).sum();
     }
 
     private static int moved(List<Part> of, int from) {
--- a/lab/src/main/java/cedarrudder/lab/judge/ZoneLeft.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/ZoneLeft.java
@@ -10,9 +10,9 @@
 
 /**
  * F1: no zone is left on the word of copies of one zone alone, while most others were served there. A table
- * leaves a zone when calls of it are moved, and it gets fewer of its own than by the table before. A copy
- * speaks against a zone where in some period of the window before that more of its calls there failed or were
- * silent than were served; it was served there where none was such.
+ * leaves a zone when it moves more of its calls away than the table before. A copy speaks against a zone
+ * where in some period of the window before that more of its calls there failed or were silent than were served; it was
+ * served there where none was such.
  *
  * <p>It reads {@code placed}, {@code saw}, {@code table}, {@code evacuated}, {@code reopened}.
  */
--- a/lab/src/main/java/cedarrudder/lab/judge/ZoneLoad.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/ZoneLoad.java
@@ -13,8 +13,7 @@
  * stated time; and the shares of one zone's callers change no more often in a minute than stated.
  *
  * <p>It reads {@code capacity}, {@code saw}, {@code table}, and which copies run. A zone gets
- * what copies last said that they saw of it, until they say something else. A zone of which the world tells
- * no capacity is not looked at.
+ * what copies last said that they saw of it, until they say something else. A zone of which the world tells no capacity is not looked at.
  */
 public final class ZoneLoad implements Rule {
 
--- /dev/null
+++ b/lab/src/test/java/cedarrudder/lab/failover/FailoverRunTest.java
@@ -0,0 +1,159 @@
+package cedarrudder.lab.failover;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.failover.Assessment;
+import cedarrudder.failover.Evidence;
+import cedarrudder.failover.FailoverSettings;
+import cedarrudder.failover.Picture;
+import cedarrudder.failover.ZoneTally;
+import cedarrudder.fleet.FleetCopy;
+import cedarrudder.fleet.Shares;
+import cedarrudder.fleet.Tier;
+import cedarrudder.lab.failover.FailoverRun.Conditions;
+import cedarrudder.lab.failover.FailoverRun.Result;
+import cedarrudder.lab.judge.Breach;
+import cedarrudder.table.RouteTable.Share;
+import cedarrudder.table.RouteTable.Way;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.Test;
+
+/** Short worlds under the judge, and planners that are broken on purpose. */
+public class FailoverRunTest {
+
+    private static final long SEED = 1;
+
+    /** A planner without one of the things that hold the real one back. */
+    private static final class Naive implements Shares {
+        private final boolean oneWord;
+        private final boolean capped;
+        private final ZoneTally tally;
+        private final Assessment assessment;
+        private final Set<Integer> accused = new HashSet<>();
+
+        Naive(boolean oneWord, boolean capped, FailoverSettings settings, int[] zoneOf, ZoneTally tally) {
+            this.oneWord = oneWord;
+            this.capped = capped;
+            this.tally = tally;
+            this.assessment = new Assessment(settings, zoneOf, Site.ZONES);
+        }
+
+        @Override
+        public List<byte[]> report(long now) {
+            Evidence evidence = tally.close(now, 0);
+            return evidence == null ? List.of() : evidence.encode(FleetCopy.MOST_PART);
+        }
+
+        @Override
+        public void reported(long now, int from, byte[] part) {
+            Evidence evidence = Evidence.decode(part);
+            assessment.heard(now, evidence);
+            evidence.seen().stream().filter(seen -> seen.zone() == evidence.zone() && seen.ended() > 2
+                    && 2 * (seen.silent() + seen.failed()) > seen.ended())
+                    .forEach(seen -> accused.add(seen.zone()));
+        }
+
+        @Override
+        public List<Share> plan(long now, Tier tier) {
+            Picture picture = assessment.picture(now);
+            List<Share> shares = new ArrayList<>();
+            for (int zone = 0; zone < Site.ZONES; zone++) {
+                Picture.Zone seen = picture.zones().get(zone);
+                boolean left = oneWord ? accused.contains(zone) : seen.fresh() > 0
+                        && seen.state() == Picture.State.LOST;
+                if (!left) {
+                    shares.add(new Share(zone, zone, Way.NEAR, 9_900, 0));
+                    shares.add(new Share(zone, (zone + 1) % Site.ZONES, Way.SPILLED, 100, 0));
+                } else if (capped) {
+                    shares.add(new Share(zone, (zone + 1) % Site.ZONES, Way.MOVED, 5_000, 0));
+                    shares.add(new Share(zone, (zone + 2) % Site.ZONES, Way.MOVED, 4_900, 0));
+                    shares.add(new Share(zone, zone, Way.NEAR, 100, 0));
+                } else {
+                    shares.add(new Share(zone, (zone + 1) % Site.ZONES, Way.MOVED, 9_900, 0));
+                    shares.add(new Share(zone, zone, Way.NEAR, 100, 0));
+                }
+            }
+            accused.clear();
+            return shares;
+        }
+
+        @Override
+        public void leads(long now, boolean leads) { }
+    }
+
+    private static Result broken(World world, boolean oneWord, boolean capped) {
+        return FailoverRun.play(world, Policy.Kind.TOGETHER, Conditions.USUAL, SEED, Together.SETTINGS,
+                (settings, zoneOf, tally, now) -> new Together.Part(new Naive(oneWord, capped, settings, zoneOf,
+                tally), table -> { }), false);
+    }
+
+    private static void assertCaught(Result result, String rule, String word) {
+        assertTrue(result.breaches().stream().anyMatch(breach -> breach.rule().equals(rule)
+                && breach.why().contains(word)), "seed " + SEED + ": " + result.breaches());
+    }
+
+    private static Result kept(World world) {
+        Result result = FailoverRun.play(world, "TOGETHER", Conditions.USUAL, SEED);
+        assertEquals(result.breaches(), List.<Breach>of(), world + ", seed " + SEED);
+        assertTrue(result.mostMoves() <= Together.SETTINGS.movesPerMinute(), result.toString());
+        return result;
+    }
+
+    /** Guards against rules that are kept on paper only, and against failover that wins nothing. */
+    @Test
+    public void itServesMoreThanStayingAndKeepsTheRules() {
+        for (World world : List.of(World.ZONE, World.CASCADE, World.SLOW)) {
+            Result result = kept(world);
+            double none = FailoverRun.play(world, "NONE", Conditions.USUAL, SEED).goodput();
+            double most = FailoverRun.play(world, "ALL_SEEING", Conditions.USUAL, SEED).goodput();
+            assertTrue(result.goodput() > none + 0.03 && result.goodput() > 0.95 * most, world + ", seed "
+                    + SEED + ": " + result.goodput() + ", without " + none + ", all-seeing " + most);
+            assertEquals(result.fallen(), 0);
+        }
+    }
+
+    /** Guards against moves for one copy's broken link, for copies that stood still, and for a cut. */
+    @Test
+    public void nothingMovesOnAFalseGround() {
+        assertEquals(kept(World.LINK).moves(), 0);
+        assertEquals(kept(World.CUT).moves(), 0);
+        Result calm = FailoverRun.play(World.CALM, Policy.Kind.TOGETHER, new Conditions(0.5, 0.1, true), SEED,
+                Together.SETTINGS, null, false);
+        assertEquals(calm.moves(), 0);
+        assertTrue(calm.out() < 0.01, "out of the zone " + calm.out());
+    }
+
+    /** One seed, one history: guards against a run that depends on anything else. */
+    @Test
+    public void oneSeedGivesOneResult() {
+        assertEquals(kept(World.FLAP_20).toString(), kept(World.FLAP_20).toString());
+    }
+
+    @Test
+    public void theWordOfOneCopyIsCaught() {
+        assertCaught(broken(World.LINK, true, true), "F1", "on the word of copies of zones");
+    }
+
+    @Test
+    public void aTargetWithoutACapIsCaught() {
+        assertCaught(broken(World.CASCADE, false, false), "F2", "while another had room");
+    }
+
+    @Test
+    public void movesWithoutAHoldAreCaught() {
+        assertCaught(broken(World.FLAP_3, false, true), "F2", "times in a minute");
+    }
+
+    @Test
+    public void aTableUsedPastItsLeaseIsCaught() {
+        Result result = FailoverRun.play(World.CUT, Policy.Kind.TOGETHER, Conditions.USUAL, SEED,
+                Together.SETTINGS, null, true);
+        assertCaught(result, "F3", "uses table");
+        assertTrue(Arrays.asList("F3").containsAll(result.breaches().stream().map(Breach::rule).toList()));
+    }
+}
