--- a/core/src/test/java/cedarrudder/LayersTest.java
+++ b/core/src/test/java/cedarrudder/LayersTest.java
@@ -30,6 +30,7 @@
             entry("cedarrudder.membership", Set.of()),
             entry("cedarrudder.table", Set.of()),
             entry("cedarrudder.footprint", Set.of()),
+            entry("cedarrudder.drainage", Set.of("cedarrudder.table")),
             entry("cedarrudder.agreement", Set.of("cedarrudder.membership")),
             entry("cedarrudder.failover", Set.of(MODULE, "cedarrudder.membership", "cedarrudder.table")),
             entry("cedarrudder.fleet", Set.of("cedarrudder.agreement", "cedarrudder.failover",
