--- a/core/src/main/java/cedarrudder/failover/Assessment.java
+++ b/core/src/main/java/cedarrudder/failover/Assessment.java
@@ -45,7 +45,7 @@
     private static final double NEWEST = 0.25;
     /** What a zone can do is learned by this weight, and by this one where it turns calls away. */
     private static final double LEARNS = 0.1;
-    private static final double FALLS = 0.4;
+    private static final double FALLS = 0.6;
     /** Below this use of a zone, and this rate, nothing is learned of its capacity. */
     private static final double LEAST_LOAD = 0.15;
     private static final double LEAST_RATE = 5;
