--- a/daemon/src/main/java/cedarrudder/operator/Operator.java
+++ b/daemon/src/main/java/cedarrudder/operator/Operator.java
@@ -31,7 +31,8 @@
     private static List<Section<?>> sections() {
         return List.of(LogTable.LOG, CallersTable.CALLERS, NodesTable.NODES, DiscoveryTable.DISCOVERY,
                 BudgetTable.BUDGET, MembershipTable.MEMBERSHIP, HistoryTable.HISTORY,
-                FootprintTable.FOOTPRINT, AgreementTable.AGREEMENT, DrainsTable.DRAINS);
+                FootprintTable.FOOTPRINT, AgreementTable.AGREEMENT, DrainsTable.DRAINS,
+                FailoverTable.FAILOVER);
     }
 
     /**
