--- a/daemon/src/main/java/cedarrudder/operator/Operator.java
+++ b/daemon/src/main/java/cedarrudder/operator/Operator.java
@@ -75,6 +75,11 @@
             root.problem(DrainsTable.DRAINS.name(), "no [agreement]",
                     "a table [agreement] beside it, as copies have to agree on who leaves");
         }
+        if (values.containsKey(FailoverTable.FAILOVER.name())
+                && !values.containsKey(AgreementTable.AGREEMENT.name())) {
+            root.problem(FailoverTable.FAILOVER.name(), "no [agreement]",
+                    "a table [agreement] beside it, as copies have to agree on where calls go");
+        }
         root.done();
         document.check();
         return operator;
--- /dev/null
+++ b/daemon/src/main/java/cedarrudder/program/Failovers.java
@@ -0,0 +1,107 @@
+package cedarrudder.program;
+
+import cedarrudder.failover.Evidence;
+import cedarrudder.failover.Evidence.Seen;
+import cedarrudder.failover.Failover;
+import cedarrudder.failover.FailoverSettings;
+import cedarrudder.failover.Planner;
+import cedarrudder.failover.ZoneTally;
+import cedarrudder.fleet.Shares;
+import cedarrudder.fleet.Tier;
+import cedarrudder.fleet.ZoneShares;
+import cedarrudder.logging.Logger;
+import cedarrudder.protocol.SiteSettings;
+import cedarrudder.routing.Driver;
+import cedarrudder.table.RouteTable;
+import cedarrudder.transport.Notes;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** Failover that copies decide together, wired to what this copy sees. On the loop's thread. */
+final class Failovers implements Shares {
+
+    private static final long MILLI = 1_000_000L;
+
+    private final Failover failover;
+    private final ZoneShares shares;
+    private final List<String> zones;
+    private final Notes notes;
+    private final Logger log;
+    private List<Planner.Move> said = List.of();
+
+    /**
+     * @param reports how often copies report
+     * @param zoneOf the zone of each copy
+     * @param life larger than that of any process of this copy before
+     * @param notes takes what was seen of zones; null where nobody asked for that
+     * @throws IllegalArgumentException if the settings don't fit the site or the reports
+     */
+    Failovers(FailoverSettings settings, SiteSettings site, long reports, int[] zoneOf, long life, long now,
+            Driver<?, ?> driver, Notes notes, Logger log) {
+        if (settings.period() != reports) {
+            throw new IllegalArgumentException("failover.period_ms: found " + settings.period() / MILLI
+                    + "; allowed: " + reports / MILLI + ", by which " + zoneOf.length + " copies report");
+        }
+        ZoneTally tally = new ZoneTally(site.module().self(), site.module().zone(), life,
+                site.zones().size(), reports, site.module().safety(), now);
+        this.failover = new Failover(settings, site.zones(), zoneOf, tally, now);
+        this.shares = new ZoneShares(failover);
+        this.zones = site.zones();
+        this.notes = notes;
+        this.log = log;
+        driver.count(tally);
+    }
+
+    /** This table counts from now on; null: none does. */
+    void loaded(long now, RouteTable table) {
+        failover.loaded(now, table);
+    }
+
+    @Override
+    public List<byte[]> report(long now) {
+        List<byte[]> parts = shares.report(now);
+        if (notes != null) {
+            parts.forEach(part -> saw(Evidence.decode(part)));
+        }
+        return parts;
+    }
+
+    private void saw(Evidence evidence) {
+        for (Seen seen : evidence.seen()) {
+            if (seen.age() == 0) {
+                notes.note("saw", Map.of("zone", seen.zone(), "served", seen.served(), "failed", seen.failed(),
+                        "silent", seen.silent(), "span", evidence.millis() * MILLI));
+            }
+        }
+    }
+
+    @Override
+    public void reported(long now, int from, byte[] part) {
+        shares.reported(now, from, part);
+    }
+
+    @Override
+    public List<RouteTable.Share> plan(long now, Tier tier) {
+        List<RouteTable.Share> planned = shares.plan(now, tier);
+        List<Planner.Move> moves = failover.moves();
+        // Once: a plan is made again each period until it counts.
+        moves.stream().filter(move -> !said.contains(move)).forEach(move -> log.info("failover.moves")
+                .with("zone", zones.get(move.zone()))
+                .with("reason", move.reason().name().toLowerCase(Locale.ROOT))
+                .with("bad", names(move.bad())).with("well", names(move.well())).write());
+        said = moves;
+        return planned;
+    }
+
+    private String names(Iterable<Integer> numbers) {
+        StringBuilder names = new StringBuilder();
+        numbers.forEach(zone -> names.append(names.length() == 0 ? "" : ",").append(zones.get(zone)));
+        return names.toString();
+    }
+
+    @Override
+    public void leads(long now, boolean leads) {
+        shares.leads(now, leads);
+    }
+}
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -12,6 +12,7 @@
 import cedarrudder.drainage.Node;
 import cedarrudder.drainage.Policy;
 import cedarrudder.figures.Figures.End;
+import cedarrudder.failover.FailoverSettings;
 import cedarrudder.figures.Figures;
 import cedarrudder.flow.HeldBytes;
 import cedarrudder.footprint.Footprint;
@@ -25,6 +26,7 @@
 import cedarrudder.operator.DiscoveryTable;
 import cedarrudder.operator.DrainsFile;
 import cedarrudder.operator.DrainsTable;
+import cedarrudder.operator.FailoverTable;
 import cedarrudder.operator.FootprintSettings;
 import cedarrudder.operator.FootprintTable;
 import cedarrudder.operator.HistorySettings;
@@ -230,11 +232,14 @@
                     + " with " + copies + " peers; allowed: " + set.fleet().leastLease(copies) / 1_000_000
                     + " or more");
         }
-        return new Together(loop, peers, membership, set, new Together.Self(Together.zones(set,
-                configuration.site().zones(), copies, module.self(), module.zone()), module.self(),
+        int[] zones = Together.zones(set, configuration.site().zones(), copies, module.self(), module.zone());
+        FailoverSettings moves = operator.of(FailoverTable.FAILOVER);
+        Failovers failovers = moves == null ? null : new Failovers(moves, configuration.site(),
+                set.fleet().reports(copies), zones, Math.max(1, wallClock()), loop.now(), driver, history, log);
+        return new Together(loop, peers, membership, set, new Together.Self(zones, module.self(),
                 this::wallClock, new SplittableRandom(configuration.seed()).split().split().split().split(),
                 held -> estimate == null ? Room.ANY : estimate.room(held, footprint)),
-                driver, this::leaving, removals, history, log);
+                driver, this::leaving, failovers, removals, history, log);
     }
 
     /** Begins to speak to the peers, as the process of this proxy that does; on the loop. */
--- a/daemon/src/main/java/cedarrudder/program/Together.java
+++ b/daemon/src/main/java/cedarrudder/program/Together.java
@@ -46,7 +46,9 @@
     private final TogetherSettings settings;
     private final Driver<?, ?> driver;
     private final Consumer<Set<Long>> leaving;
+    private final Failovers failovers;
     private final Removals removals;
+    private final Loop loop;
     private final Notes notes;
     private final Logger log;
     private final Fleet fleet;
@@ -57,15 +59,19 @@
 
     /**
      * @param leaving takes the numbers of all nodes that are being removed, whenever that changes
+     * @param failovers null where operators have not asked for them
      * @param removals null where operators have no policies
      */
     Together(Loop loop, PeerSocket peers, Membership membership, TogetherSettings settings, Self self,
-            Driver<?, ?> driver, Consumer<Set<Long>> leaving, Removals removals, Notes notes, Logger log) {
+            Driver<?, ?> driver, Consumer<Set<Long>> leaving, Failovers failovers, Removals removals, Notes notes,
+            Logger log) {
         this.settings = settings;
         this.self = self;
         this.driver = driver;
         this.leaving = leaving;
+        this.failovers = failovers;
         this.removals = removals;
+        this.loop = loop;
         this.notes = notes;
         this.log = log;
         this.fleet = new Fleet(loop, peers, this, this, notes);
@@ -120,7 +126,8 @@
             notes.note("joins", Map.of("kept", kept.kept() == null ? 0 : 1));
         }
         return new FleetCopy(self.zones, self.number, Math.max(1, self.wallClock.getAsLong()),
-                settings.agreement(), settings.fleet(), kept, self.random, Shares.NONE,
+                settings.agreement(), settings.fleet(), kept, self.random,
+                failovers == null ? Shares.NONE : failovers,
                 removals == null ? Removal.NONE : removals.begin(now),
                 () -> self.room.apply(table), outlet, now);
     }
@@ -143,6 +150,9 @@
     /** Shares of this copy's zone; what a zone's callers may send a second is divided by its live copies. */
     @Override
     public void table(RouteTable next) {
+        if (failovers != null && next != table) {
+            failovers.loaded(loop.now(), next);
+        }
         table = next;
         int own = self.zones[self.number];
         int living = 0;
--- a/daemon/src/test/java/cedarrudder/operator/OperatorTest.java
+++ b/daemon/src/test/java/cedarrudder/operator/OperatorTest.java
@@ -25,6 +25,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.stream.Stream;
 import org.testng.annotations.Test;
 
 /** The operator's file: what it says, what counts without it, and all that is wrong with it. */
@@ -83,7 +84,7 @@
     /** Guards against a zone in two regions, and times of which one makes the other void. */
     @Test
     public void failoverSaysAllThatContradictsItself() throws Exception {
-        assertEquals(read("[failover]\n").of(FailoverTable.FAILOVER), FailoverSettings.DEFAULT);
+        assertEquals(read("[failover]\n[membership]\n[agreement]\n").of(FailoverTable.FAILOVER), FailoverSettings.DEFAULT);
         BadFileException bad = expectThrows(BadFileException.class, () -> read("""
                 [failover]
                 period_ms = 3000
@@ -99,7 +100,9 @@
                 zones = ["b"]
                 nearst = ["east"]
                 """));
-        assertEquals(bad.problems().stream().map(Object::toString).toList(), List.of(
+        assertEquals(bad.problems().stream().map(Object::toString).sorted().toList(), Stream.of(
+                "o.toml:1: failover: found no [agreement]; allowed: a table [agreement] beside it, as copies "
+                        + "have to agree on where calls go",
                 "o.toml:1: failover.evidence_age_ms: found 2500 with period_ms = 3000; "
                         + "allowed: two periods or more",
                 "o.toml:3: failover.target_share: found 1.5; allowed: a number from 0.1 to 1",
@@ -109,7 +112,7 @@
                 "o.toml:12: failover.region[1].zones: found \"b\", which is in \"east\"; "
                         + "allowed: each zone in one region",
                 "o.toml:13: failover.region[1].nearst: found an unknown key; "
-                        + "allowed: did you mean 'nearest'?"));
+                        + "allowed: did you mean 'nearest'?").sorted().toList());
     }
 
     @Test
--- a/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
@@ -116,6 +116,8 @@
                 || name.equals("cedarrudder.program.MachineLayout")
                 || name.startsWith("cedarrudder.agreement.") || name.startsWith("cedarrudder.fleet.")
                 || name.startsWith("cedarrudder.table.") || name.equals("cedarrudder.transport.Fleet")
+                || name.equals("cedarrudder.program.Failovers")
+                || name.startsWith("cedarrudder.failover.")
                 || name.equals("cedarrudder.program.Together")
                 || name.equals("cedarrudder.program.FileStore")
                 || name.startsWith("cedarrudder.program.CopyEstimate")
