--- a/core/src/main/java/cedarrudder/agreement/Replication.java
+++ b/core/src/main/java/cedarrudder/agreement/Replication.java
@@ -3,9 +3,11 @@
 import cedarrudder.agreement.Message.Append;
 import cedarrudder.agreement.Message.SayAppend;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.random.RandomGenerator;
 
 /**
  * What a leader does in its term: sends entries to the other voters, and counts who has them (paper,
@@ -21,12 +23,19 @@
      * themselves.
      */
     private static final int REPEAT_HEARTBEATS = 4;
+    /** So long after entries went out it asks if they came, and again after twice that: answers get lost. */
+    private static final long PROBE = 60_000_000L;
 
     /** How far one other is. */
     private static final class Progress {
         long match;
         long next;
         long sentAt;
+        /** The last entry that was sent. */
+        long sentEnd;
+        long probeAt;
+        /** When it was sent what it answered last. */
+        long askedAt = Asks.NEVER;
         boolean underWay;
         long answeredAt;
 
@@ -40,14 +49,19 @@
     private final AgreementSettings settings;
     private final Conduct conduct;
     private final Map<Voter, Progress> others = new HashMap<>();
+    private final Asks asks;
+    private int ask;
     private Voter trainee;
     private long heartbeatAt;
 
-    Replication(Circle circle, AgreementSettings settings, Conduct conduct, long now) {
+    Replication(Circle circle, AgreementSettings settings, Conduct conduct, RandomGenerator random,
+            long now) {
         this.circle = circle;
         this.settings = settings;
         this.conduct = conduct;
         this.heartbeatAt = now;
+        this.asks = new Asks(random);
+        this.ask = asks.ask(now, Asks.ANY);
         targets().forEach(voter -> progress(now, voter));
     }
 
@@ -86,23 +100,52 @@
         return ages.isEmpty() ? 0 : ages.get(ages.size() / 2);
     }
 
+    /**
+     * The latest instant at which something was sent that a majority has answered: until then nobody else had
+     * been elected. {@link Asks#NEVER} where none has.
+     */
+    long answeredSince(long now) {
+        List<Long> asked = circle.log().voters().all().stream().map(voter -> voter.equals(circle.self()) ? now
+                : progress(now, voter).askedAt).sorted(Comparator.reverseOrder()).toList();
+        return asked.isEmpty() ? Asks.NEVER : asked.get(asked.size() / 2);
+    }
+
     long due() {
-        return heartbeatAt;
+        long due = heartbeatAt;
+        for (Voter voter : targets()) {
+            Progress progress = others.get(voter);
+            due = progress == null || !progress.underWay ? due : Math.min(due, progress.probeAt);
+        }
+        return due;
     }
 
     /** Whether it was time for a heartbeat, which went out. */
     boolean tick(long now) {
         if (now < heartbeatAt) {
+            targets().forEach(voter -> probe(now, voter));
             return false;
         }
         heartbeatAt = now + settings.heartbeat();
         others.keySet().retainAll(targets());
+        ask = asks.ask(now, Asks.ANY);
         for (Voter voter : targets()) {
             send(now, voter, true);
         }
         return true;
     }
 
+    private void probe(long now, Voter to) {
+        Progress progress = progress(now, to);
+        if (progress.underWay && now >= progress.probeAt) {
+            progress.probeAt = now + 2 * Math.max(PROBE, progress.probeAt - progress.sentAt);
+            Log log = circle.log();
+            if (progress.sentEnd >= log.base()) {
+                circle.post(to.copy(), new Append(progress.sentEnd, log.term(progress.sentEnd),
+                        log.committed(), ask, List.of()));
+            }
+        }
+    }
+
     /** There is more to send. */
     void appended(long now) {
         for (Voter voter : targets()) {
@@ -119,7 +162,7 @@
             if (beats) {
                 // What it lacks is on its way, or it has to ask for a snapshot, which it learns from this.
                 long after = progress.next > log.last() ? log.last() : Math.max(progress.match, log.base());
-                circle.post(to.copy(), new Append(after, log.term(after), log.committed(), List.of()));
+                circle.post(to.copy(), new Append(after, log.term(after), log.committed(), ask, List.of()));
             }
             return;
         }
@@ -135,8 +178,10 @@
         }
         progress.underWay = true;
         progress.sentAt = now;
+        progress.sentEnd = progress.next + batch.size() - 1;
+        progress.probeAt = now + PROBE;
         long after = progress.next - 1;
-        circle.post(to.copy(), new Append(after, log.term(after), log.committed(), batch));
+        circle.post(to.copy(), new Append(after, log.term(after), log.committed(), ask, batch));
     }
 
     void said(long now, Voter by, SayAppend say) {
@@ -145,6 +190,7 @@
             return;
         }
         progress.answeredAt = now;
+        progress.askedAt = Math.max(progress.askedAt, asks.at(by.copy(), say.answers()));
         Log log = circle.log();
         if (say.same()) {
             if (say.index() > progress.match && say.index() <= log.last()) {
--- a/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
@@ -108,14 +108,19 @@
         assertEquals(run.sources.keySet().stream().filter(name -> name.startsWith("picocli.")
                 || name.startsWith("org.tomlj.") || name.startsWith("org.antlr.")
                 || name.startsWith("cedarrudder.program.HistoryFile")
+                || name.startsWith("cedarrudder.drainage.") || name.startsWith("cedarrudder.conditions.")
+                || name.startsWith("dev.cel.")
                 || name.equals("cedarrudder.transport.Drift")
                 || name.startsWith("cedarrudder.footprint.")
                 || name.startsWith("cedarrudder.protocol.ListGate")
                 || name.equals("cedarrudder.program.MachineLayout")
                 || name.startsWith("cedarrudder.agreement.") || name.startsWith("cedarrudder.fleet.")
                 || name.startsWith("cedarrudder.table.") || name.equals("cedarrudder.transport.Fleet")
+                || name.equals("cedarrudder.program.Failovers")
+                || name.startsWith("cedarrudder.failover.")
                 || name.equals("cedarrudder.program.Together")
                 || name.equals("cedarrudder.program.FileStore")
+                || name.startsWith("cedarrudder.program.CopyEstimate")
                 || name.equals("cedarrudder.transport.Membership")).toList(), List.of());
     }
 
--- a/lab/src/main/java/cedarrudder/lab/cluster/ScriptReader.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/ScriptReader.java
@@ -27,11 +27,14 @@
     private static final int MOST_STATUS = 599;
     private static final int MOST_CALL = 1_024;
 
+    /** As the lab writes it; behind the others, as errors name their lines. */
+    static final String MEMBERSHIP = "\n[membership]\n";
+
     /** Tables that the lab writes itself. */
     private static final Set<String> OWN = Set.of("membership", "history");
 
     private static final Set<Act> OF_COPIES = EnumSet.complementOf(
-            EnumSet.of(Act.HEAL, Act.WEATHER, Act.NODES));
+            EnumSet.of(Act.HEAL, Act.WEATHER, Act.NODES, Act.KILL_LEADER));
 
     private static final Set<Act> CUTS = EnumSet.of(Act.CUT, Act.MUTE, Act.DEAFEN);
 
@@ -80,7 +83,7 @@
         document.root().keys().stream().filter(OWN::contains).forEach(name -> root.problem("operator",
                 "a table [" + name + "]", "others: the lab writes this one"));
         try {
-            Operator.read(Document.parse("operator", text + "\n[membership]\n")); // which some tables need
+            Operator.read(Document.parse("operator", text + MEMBERSHIP));
         } catch (BadFileException e) {
             for (Problem problem : e.problems()) {
                 root.problem("operator", "line " + problem.line() + ", " + problem.key() + ": "
@@ -118,6 +121,8 @@
             whom = table.has("copies") ? numbers(table, "copies", counts.copies) : List.of();
         } else if (CUTS.contains(act)) {
             sides = sides(table, act, counts);
+        } else if (act == Act.REMOVE || act == Act.REMOVE_BY_HAND) {
+            which = numbers(table, "nodes", counts.nodes, counts.zones);
         } else if (act == Act.CALL) {
             call = call(table);
         }
--- a/lab/src/main/java/cedarrudder/lab/command/ClusterCommand.java
+++ b/lab/src/main/java/cedarrudder/lab/command/ClusterCommand.java
@@ -1,8 +1,10 @@
 package cedarrudder.lab.command;
 
 import cedarrudder.lab.cluster.Cluster;
+import cedarrudder.lab.cluster.DrawnScript;
 import cedarrudder.lab.cluster.Script;
 import cedarrudder.lab.cluster.ScriptReader;
+import cedarrudder.lab.cluster.Service;
 import cedarrudder.lab.cluster.Verdict;
 import cedarrudder.lab.cluster.VirtualRun;
 import cedarrudder.lab.emulator.Place;
@@ -91,13 +93,18 @@
             Verdict verdict = what.virtual ? VirtualRun.play(copies,
                     new Mesh.Network(loss, 100 * MICRO, 2_000 * MICRO), MembershipSettings.DEFAULT, seed,
                     SETTLE)
-                    : Cluster.play(script == null ? Script.drawn(seed, copies) : script, seed,
+                    : Cluster.play(script == null ? DrawnScript.of(seed, copies) : script, seed,
                             Place.of(root, out.resolve("seed-" + seed), List.of(), 0, 0));
             good &= verdict.good();
             print.printf(Locale.ROOT, "%5d %6d %8d %7d %7d %9.1f %7d %9.1f %7d %6d  %s%n", seed, playing,
                     verdict.events(), verdict.rpcs(), verdict.deaths(), verdict.slowestSeconds(),
                     verdict.falseDeaths(), verdict.agreedSeconds(), verdict.leaders(), verdict.tables(),
                     verdict.good() ? "kept" : "BROKEN");
+            Service service = verdict.service();
+            print.printf(Locale.ROOT, "      refused %d, failed %d, later than 0.3 s %d", service.refused(),
+                    service.failed(), service.late());
+            print.println(service.removals() == 0 ? ""
+                    : String.format(Locale.ROOT, "; nodes removed in %.1f s", service.removalSeconds()));
             verdict.breaches().forEach(breach ->
                     print.println("      " + breach.rule() + ": " + breach.why()));
             verdict.found().forEach(each -> print.println("      " + each));
--- a/lab/src/test/java/cedarrudder/lab/cluster/ScriptTest.java
+++ b/lab/src/test/java/cedarrudder/lab/cluster/ScriptTest.java
@@ -104,14 +104,14 @@
 
     @Test
     public void theScriptsThatComeWithTheLabAreSound() throws BadFileException {
-        for (String name : List.of("short", "hard")) {
+        for (String name : List.of("short", "hard", "agreed")) {
             ScriptReader.read(Path.of("lab", "clusters", name + ".toml"));
         }
     }
 
     @Test
     public void aSeedDrawsOneScript() {
-        assertEquals(Script.drawn(5, 12), Script.drawn(5, 12));
+        assertEquals(DrawnScript.of(5, 12), DrawnScript.of(5, 12));
     }
 
     /** Each kind of harm comes as often as asked; one seed, one fate; what is under way is bounded. */
