Tell plans apart by what their variants set

The hash of a plan took the variants' figures from Tuning's hash code, which is gone: it now takes them in writing, as the manifest holds them. FullDiskTest failed without this.

--- a/lab/src/main/java/cedarrudder/lab/experiment/Manifest.java
+++ b/lab/src/main/java/cedarrudder/lab/experiment/Manifest.java
@@ -35,14 +35,14 @@
 
     /** The manifest of a plan. */
     public static Manifest of(Plan plan, String codeHash) {
-        String makesRuns = plan.entries().stream().map(Plan.Entry::scenario).toList() + "\n" + plan.variants()
+        List<Contestant> variants = plan.variants().stream()
+                .map(v -> new Contestant(v.name(), v.policy(), v.differences())).toList();
+        String makesRuns = plan.entries().stream().map(Plan.Entry::scenario).toList() + "\n" + variants
                 + "\n" + plan.firstSeed() + " " + plan.lastSeed() + " " + plan.measured();
         return new Manifest(plan.name(), plan.about(), hash(makesRuns), codeHash, plan.baseline(),
                 plan.entries().stream().map(e -> new Stage(e.scenario().name(), e.scenario().about(),
                         e.family())).toList(),
-                plan.variants().stream().map(v -> new Contestant(v.name(), v.policy(), v.differences()))
-                        .toList(),
-                plan.firstSeed(), plan.lastSeed(), plan.metrics(), !plan.measured());
+                variants, plan.firstSeed(), plan.lastSeed(), plan.metrics(), !plan.measured());
     }
 
     /** How many runs the plan has. */
