--- a/core/src/test/java/cedarrudder/SharesTest.java
+++ b/core/src/test/java/cedarrudder/SharesTest.java
@@ -301,6 +301,17 @@
         assertEquals(zones[2], 2_000 - zones[1]);
     }
 
+    /** Guards against a bound that holds only until the other zones are full. */
+    @Test
+    public void aBoundHoldsWhereTheOtherZonesAreFull() {
+        decide.shares(now, List.of(new ZoneShare(1, 5_000, 2), share(2, 5_000)));
+        for (int i = 0; i < 100; i++) {
+            decide.request(now, new Request(++last, 0, 0, now + SECOND, 0, false, false, 20 * MS));
+        }
+        assertEquals(did.sent.stream().filter(sent -> sent.endpoint() / 10 == 1).count(), 1);
+        assertEquals(did.sent.size(), 1 + EACH * 4, "each holds four");
+    }
+
     /** Guards against calls that wait for a bound: they are refused at once, and none that may run is. */
     @Test
     public void whatIsOverAllBoundsIsRefusedAtOnce() {
