--- a/core/src/main/java/cedarrudder/failover/Planner.java
+++ b/core/src/main/java/cedarrudder/failover/Planner.java
@@ -40,8 +40,10 @@
     private static final int STRAIN_PERIODS = 3;
     /** Room is dealt out in so many rounds, so that zones that want the same share it. */
     private static final int ROUNDS = 20;
-    /** A target may be found so far past its share before calls are taken from it at once. */
-    private static final double PAST_TARGET = 1.1;
+    /**
+     * A target may be found so far past what its own calls may take before others are taken from it at once.
+     */
+    private static final double PAST_MOST = 1.05;
     /** Calls so far over the bound of their share are held back, and not only by chance. */
     private static final double OUTGROWN = 1.1;
     /** A zone whose nodes don't report may be given so much more than it serves, each time it did well. */
@@ -175,7 +177,7 @@
             follow(now, zone, picture.zones().get(zone), evacuated.contains(zone),
                     held.parts[zone][zone] / (double) RouteTable.WHOLE);
             boolean over = picture.zones().get(zone).capacity() > 0 && load(held, picture, zone)
-                    > PAST_TARGET * settings.targetShare() * picture.zones().get(zone).capacity();
+                    > PAST_MOST * settings.nearShare() * picture.zones().get(zone).capacity();
             courses[zone].overSince = over ? Math.min(courses[zone].overSince, now) : Long.MAX_VALUE;
         }
         boolean[] moving = new boolean[zones];
@@ -423,15 +425,15 @@
                 }
             }
         }
-        int farthest = Arrays.stream(ranks).flatMapToInt(Arrays::stream).max().orElse(0);
-        for (int rank = 1; rank <= farthest; rank++) {
-            double[] whole = excess.clone();
-            for (int round = 0; round < ROUNDS; round++) {
-                for (int from = 0; from < zones; from++) {
-                    deal(dealt, excess, room, picture, from, rank, whole[from] / ROUNDS);
-                }
-            }
+        dealAll(dealt, excess, room, picture);
+        // What would be turned away elsewhere may take zones as far as their own calls may.
+        double more = settings.nearShare() - settings.targetShare();
+        for (int zone = 0; zone < zones && more > 0; zone++) {
+            Zone seen = picture.zones().get(zone);
+            room[zone] += serves(seen, courses[zone]) && !seen.blind() ? more * seen.capacity() : 0;
+            excess[zone] = courses[zone].left ? excess[zone] : 0;
         }
+        dealAll(dealt, excess, room, picture);
         int[] sharers = new int[zones];
         for (int from = 0; from < zones; from++) {
             for (int to = 0; to < zones; to++) {
@@ -451,15 +453,33 @@
         return next;
     }
 
+    /** Whether a zone may serve calls of others. */
+    private static boolean serves(Zone zone, Course course) {
+        return zone.state() == State.WELL && !course.evacuated && !course.left && course.ceiling >= 1
+                && !zone.strained();
+    }
+
     private double room(Zone zone, Course course, Picture picture, int number) {
-        if (zone.state() != State.WELL || course.evacuated || course.left || course.ceiling < 1
-                || zone.strained()) {
+        if (!serves(zone, course)) {
             return 0;
         }
         double most = zone.blind() && course.wellSince != Long.MAX_VALUE
                 ? Math.max(settings.targetShare() * zone.capacity(), BLIND_GROWTH * zone.served())
                 : settings.targetShare() * zone.capacity();
-        return Math.max(0, most - zone.demand() - hidden(picture, number));
+        return most - zone.demand() - hidden(picture, number);
+    }
+
+    /** Deals what is over to the nearest that have room. */
+    private void dealAll(double[][] dealt, double[] excess, double[] room, Picture picture) {
+        int farthest = Arrays.stream(ranks).flatMapToInt(Arrays::stream).max().orElse(0);
+        for (int rank = 1; rank <= farthest; rank++) {
+            double[] whole = excess.clone();
+            for (int round = 0; round < ROUNDS; round++) {
+                for (int from = 0; from < zones; from++) {
+                    deal(dealt, excess, room, picture, from, rank, whole[from] / ROUNDS);
+                }
+            }
+        }
     }
 
     /** Deals some of one zone's calls to zones of this rank, to each by its room. */
