--- a/core/src/main/java/cedarrudder/failover/Assessment.java
+++ b/core/src/main/java/cedarrudder/failover/Assessment.java
@@ -159,7 +159,7 @@
         if (basis > word.basis) {
             // A period of which nothing came fades what was said as one that came does.
             double kept = word.basis < 0 ? 0
-                    : Math.pow(KEPT, Math.min(Evidence.MOST_AGE, basis - word.basis));
+                    : StrictMath.pow(KEPT, Math.min(Evidence.MOST_AGE, basis - word.basis));
             word.served = kept * word.served + seen.served();
             word.failed = kept * word.failed + seen.failed() + seen.silent();
             word.refused = kept * word.refused + seen.refused();
@@ -326,7 +326,7 @@
             double vote = listed ? Math.min(1, all / WHOLE_VOTE) : 1;
             if (vote >= LEAST_VOTE) {
                 said++;
-                vote *= Math.pow(2, -(double) age / settings.evidenceAge());
+                vote *= StrictMath.pow(2, -(double) age / settings.evidenceAge());
                 bad += !listed || ill > settings.badShare() * all ? vote : 0;
                 well += listed && ill <= settings.badShare() * all ? vote : 0;
             }
--- a/lab/src/main/java/cedarrudder/lab/failover/Node.java
+++ b/lab/src/main/java/cedarrudder/lab/failover/Node.java
@@ -124,7 +124,7 @@
             came.remove();
         }
         double most = FALL_MULTIPLE * able() * RATE * FALL_WINDOW / 1e9;
-        if (!cold() || came.size() <= most + ROOM * Math.sqrt(most) + ROOM) {
+        if (!cold() || came.size() <= most + ROOM * StrictMath.sqrt(most) + ROOM) {
             return false;
         }
         site.fell(this);
@@ -136,7 +136,7 @@
         busy.put(asked, true);
         held++;
         int of = life;
-        double time = -Math.log(1 - random.nextDouble()) * SERVICE / able();
+        double time = -StrictMath.log(1 - random.nextDouble()) * SERVICE / able();
         site.after((long) Math.min(time, 60e9) + 1, () -> {
             if (of == life) {
                 use();
--- a/lab/src/main/java/cedarrudder/lab/failover/Site.java
+++ b/lab/src/main/java/cedarrudder/lab/failover/Site.java
@@ -81,7 +81,7 @@
     // ---- callers ----
 
     private void comes(int zone, SplittableRandom own) {
-        after((long) (-Math.log(1 - own.nextDouble()) * 1e9 / Math.max(1e-3, demand[zone])) + 1, () -> {
+        after((long) (-StrictMath.log(1 - own.nextDouble()) * 1e9 / Math.max(1e-3, demand[zone])) + 1, () -> {
             Copy copy = copyFor(zone, own);
             Call call = new Call(own.nextDouble() < Call.SAFE_SHARE, now);
             total.came(call);
