--- a/core/src/test/java/cedarrudder/footprint/FootprintTest.java
+++ b/core/src/test/java/cedarrudder/footprint/FootprintTest.java
@@ -6,6 +6,7 @@
 
 import cedarrudder.footprint.Footprint.Bound;
 import cedarrudder.footprint.Footprint.Verdict;
+import java.util.List;
 import org.testng.annotations.Test;
 
 public class FootprintTest {
@@ -43,6 +44,22 @@
         assertTrue(FOOTPRINT.atPeak(list, list, other.step() + 1, other.step() + 1) > room);
     }
 
+    /** Guards against operators who hear only that a list does not fit, where it gets in by itself. */
+    @Test
+    public void theStepsAreThoseThatComeWhenTheListIsToldAgainAndAgain() {
+        ListShape list = list(5_000);
+        long room = FOOTPRINT.atRest(list) + FOOTPRINT.reading(list, 5_000) + 1_000_000;
+        List<Integer> steps = FOOTPRINT.steps(list, list, 5_000, true, room);
+        assertEquals(steps.stream().mapToInt(Integer::intValue).sum(), 5_000);
+        assertEquals(steps.get(0), (Integer) FOOTPRINT.judge(list, list, 5_000, true, room).step());
+        assertEquals(FOOTPRINT.steps(ListShape.NONE, list, 5_000, true, room), List.of(5_000), "at once");
+        List<Integer> never = FOOTPRINT.steps(list, list(50_000), 45_000, true, room);
+        assertTrue(never.stream().mapToInt(Integer::intValue).sum() < 45_000, never.toString());
+        int most = FOOTPRINT.most(list, room);
+        assertTrue(FOOTPRINT.judge(ListShape.NONE, list(most), most, true, room).fits());
+        assertFalse(FOOTPRINT.judge(ListShape.NONE, list(most + 50), most + 50, true, room).fits());
+    }
+
     /** Guards against changes that are held and can't be told again: of a drain nothing would be heard. */
     @Test
     public void changesLeaveRoomForTheWholeListToBeReadAgain() {
--- a/daemon/src/main/java/cedarrudder/program/ListCheck.java
+++ b/daemon/src/main/java/cedarrudder/program/ListCheck.java
@@ -112,10 +112,13 @@
         Footprint.Verdict verdict = footprint.judge(before, list, added, true, room);
         List<Integer> steps = footprint.steps(before, list, added, true, room);
         int never = added - steps.stream().mapToInt(Integer::intValue).sum();
+        int least = set == null ? FootprintSettings.DEFAULT.fromNodes() : set.fromNodes();
+        boolean few = list.nodes() < least;
         String outcome = verdict.fits() ? "fit" : never == 0 ? "fit in steps of " + steps
                 : "don't fit, " + never + " of them in no step";
-        out.println("nodes: " + outcome + "; " + told(verdict.bound(), verdict.needed(), room));
-        return never == 0;
+        out.println("nodes: " + outcome + "; " + told(verdict.bound(), verdict.needed(), room)
+                + (few && !verdict.fits() ? "; all are loaded, since from_nodes is " + least : ""));
+        return few || never == 0;
     }
 
     private static Set<String> ids(JsonObject list) {
--- a/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
@@ -111,6 +111,8 @@
                 || name.startsWith("cedarrudder.footprint.")
                 || name.startsWith("cedarrudder.protocol.ListGate")
                 || name.equals("cedarrudder.program.MachineLayout")
+                || name.startsWith("cedarrudder.program.CopyEstimate")
+                || name.startsWith("cedarrudder.table.")
                 || name.equals("cedarrudder.transport.Membership")).toList(), List.of());
     }
 
--- a/daemon/src/test/java/cedarrudder/program/FootprintIT.java
+++ b/daemon/src/test/java/cedarrudder/program/FootprintIT.java
@@ -87,6 +87,41 @@
         }
     }
 
+    /** Guards against a process that dies of the list in its configuration, or never hears of the rest. */
+    @Test
+    public void aListInTheConfigurationThatDoesNotFitIsLoadedAsFarAsItDoes() throws Exception {
+        Path operator = Files.createTempFile("operator", ".toml");
+        Files.writeString(operator, "[footprint]\n");
+        try (World world = new World(2)) {
+            String list = list(world);
+            int nodes = 20_000;
+            String entries = list.substring(list.indexOf('[') + 1);
+            for (int i = 0, at = 0; ; i++, at++) {
+                at = entries.indexOf('}', at);
+                if (i == nodes - 1) {
+                    entries = entries.substring(0, at + 1);
+                    break;
+                }
+            }
+            world.with("\"servers\": []", "\"servers\": [" + entries + "]")
+                    .with("\"version\": 0", "\"version\": 5");
+            Nodes.play(world, call -> call.reply("200 OK", "done"));
+            try (Version proxy = new Version(world, Files.createTempDirectory("fit"), "", MACHINE,
+                    List.of("--operator", operator.toString()))) {
+                proxy.awaitLine("footprint.refused bound=heap_at_");
+                proxy.awaitLine("proxy.listens");
+                for (int i = 0; i < 50; i++) {
+                    assertEquals(serve(world, "id-" + i).body(), "done");
+                }
+                JsonObject page = JsonObject.parse(proxy.call("GET", "/-/metrics").body());
+                long held = page.whole("registry_entries");
+                assertTrue(held > 2_000 && held < nodes, "held " + held);
+                assertEquals(page.child("footprint").whole("waits"), nodes - held);
+                assertTrue(World.await(world.lookups).first().contains("since=0"), "what waits is asked for");
+            }
+        }
+    }
+
     /** Guards against a list that the first test's process could have loaded as it is. */
     @Test
     public void withoutTheTableTheSameListIsSeenToEndOrStallIt() throws Exception {
--- a/daemon/src/test/java/cedarrudder/program/FootprintOfGraphsTest.java
+++ b/daemon/src/test/java/cedarrudder/program/FootprintOfGraphsTest.java
@@ -4,9 +4,13 @@
 
 import cedarrudder.footprint.Footprint;
 import cedarrudder.footprint.ListShape;
+import cedarrudder.footprint.TableFootprint;
 import cedarrudder.protocol.SiteSettings;
+import cedarrudder.table.RouteTable;
+import cedarrudder.table.TableCodec;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 import org.testng.annotations.Test;
 
 /** What is worked out beside the objects themselves, as JOL counts them on this virtual machine. */
@@ -68,4 +72,45 @@
         }
         assertTrue(wrong.isEmpty(), wrong.toString());
     }
+
+    private static RouteTable table(int zones, int leaving, int limits) {
+        List<RouteTable.Share> shares = new ArrayList<>();
+        for (int i = 0; i < zones * zones; i++) {
+            shares.add(new RouteTable.Share(i / zones, i % zones, RouteTable.Way.SPILLED,
+                    RouteTable.WHOLE / zones, i));
+        }
+        List<RouteTable.Leaving> nodes = new ArrayList<>();
+        for (int i = 0; i < leaving; i++) {
+            nodes.add(new RouteTable.Leaving(i * 0x9E3779B9L, i / 8));
+        }
+        List<RouteTable.Limit> classes = new ArrayList<>();
+        for (int i = 0; i < limits; i++) {
+            classes.add(new RouteTable.Limit(i, 100));
+        }
+        return new RouteTable(1, 1, 1, 1, shares, nodes, classes);
+    }
+
+    /** Guards against a part of the route table that grew, or is forgotten. */
+    @Test
+    public void ofARouteTableLikewise() {
+        TableFootprint tables = new TableFootprint(MachineLayout.read());
+        StringBuilder wrong = new StringBuilder();
+        for (int[] size : new int[][] {{1, 0, 0}, {2, 1, 2}, {3, 10, 3}, {12, 100, 5}, {20, 1_000, 20},
+            {64, 10_000, 256}}) {
+            RouteTable table = table(size[0], size[1], size[2]);
+            byte[] bytes = TableCodec.encode(table);
+            // What all lists share, and the ways, are the virtual machine's.
+            List<Object> shared = List.of(RouteTable.Way.SPILLED, List.of(), Stream.of(1).toList());
+            List<Object> all = new ArrayList<>(shared);
+            all.addAll(List.of(table, bytes));
+            long counted = Held.graph(all).totalSize() - Held.graph(shared).totalSize();
+            wrong.append(compare("table of " + size[0] + " zones, " + size[1] + " leaving", tables.atRest(table),
+                    counted));
+            RouteTable read = TableCodec.decode(bytes).table();
+            all.addAll(List.of(read, bytes.clone()));
+            long both = Held.graph(all).totalSize() - Held.graph(shared).totalSize();
+            assertTrue(tables.atPeak(table, read) >= both, "both " + both);
+        }
+        assertTrue(wrong.isEmpty(), wrong.toString());
+    }
 }
--- /dev/null
+++ b/daemon/src/test/java/cedarrudder/program/ListCheckTest.java
@@ -0,0 +1,99 @@
+package cedarrudder.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.footprint.Limits;
+import cedarrudder.operator.FootprintSettings;
+import cedarrudder.operator.FootprintTable;
+import cedarrudder.operator.Operator;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.testng.annotations.Test;
+
+/** What {@code check --list} says. */
+public class ListCheckTest {
+
+    private static final long MEGABYTE = 1 << 20;
+    private static final Limits RUN = new Limits(56 * MEGABYTE, 192 * MEGABYTE, 20 * MEGABYTE, 1_024);
+
+    /** What was said, and whether all fits. */
+    private record Said(boolean fits, String text) {
+        String line(String start) {
+            return text.lines().filter(line -> line.startsWith(start)).findFirst().orElse("");
+        }
+    }
+
+    private static Path file(String text) throws IOException {
+        Path file = Files.createTempFile("list", ".json");
+        Files.writeString(file, text);
+        return file;
+    }
+
+    private static Said check(Limits limits, Path list, Path before) {
+        StringWriter said = new StringWriter();
+        Operator operator = Operator.NONE.with(FootprintTable.FOOTPRINT,
+                new FootprintSettings(0.5, 1_000, 1_000_000_000L));
+        boolean fits = new ListCheck(operator, limits, new PrintWriter(said, true)).check(list, before);
+        return new Said(fits, said.toString());
+    }
+
+    /** Guards against an operator who hears of a list that does not fit only once a proxy is told it. */
+    @Test
+    public void aListFitsOrFitsInStepsOrSaysWhichBoundBindsAndByHowMuch() throws Exception {
+        Path list = file(Held.list(0, 10_000, 3));
+        Said fits = check(RUN, list, null);
+        assertTrue(fits.fits, fits.text);
+        assertTrue(fits.line("nodes: ").startsWith("nodes: fit; heap_at_peak needs "), fits.text);
+        assertTrue(fits.line("one more node: ").matches("one more node: 1\\d{3} at rest, 2\\d{3} at the peak"));
+        Said steps = check(RUN, list, file(Held.list(100_000, 10_000, 3)));
+        assertTrue(steps.fits && steps.line("nodes: ").startsWith("nodes: fit in steps of ["), steps.text);
+        Said never = check(RUN, file(Held.list(0, 28_000, 3)), null);
+        assertTrue(!never.fits && never.line("nodes: ").matches("nodes: don't fit, \\d+ of them in no step; "
+                + "heap_at_rest needs \\d+ of \\d+, \\d+ too many"), never.text);
+        Said few = check(new Limits(8 * MEGABYTE, 0, 0, 0), file(Held.list(0, 999, 3)), null);
+        assertTrue(few.line("nodes: ").endsWith("; all are loaded, since from_nodes is 1000"), few.text);
+    }
+
+    /** Guards against limits that are taken and then left out of the verdict. */
+    @Test
+    public void eachLimitBindsTheProcess() throws Exception {
+        Path list = file(Held.list(0, 100, 3));
+        assertTrue(check(RUN, list, null).line("process: fits; ").endsWith(" to spare"));
+        for (Limits tight : new Limits[] {new Limits(20 * MEGABYTE, 0, 0, 0),
+            new Limits(1 << 30, 60 * MEGABYTE, 0, 0), new Limits(1 << 30, 0, MEGABYTE, 0),
+            new Limits(1 << 30, 0, 0, 700)}) {
+            Said said = check(tight, list, null);
+            String bound = tight.resident() > 0 ? "resident" : tight.direct() > 0 ? "direct"
+                    : tight.descriptors() > 0 ? "descriptors" : "heap_at_rest";
+            assertTrue(said.line("process: ").startsWith("process: does not fit; " + bound), said.text);
+        }
+    }
+
+    /** Guards against settings and limits of a configuration that count for nothing. */
+    @Test
+    public void aConfigurationSaysItsListAndSettingsToo() throws Exception {
+        String example = Files.readString(Path.of("example", "config.json")).replace("\"servers\": []",
+                Held.list(0, 50, 1).replaceFirst("^.*\"servers\":", "\"servers\":").replaceFirst("}$", ""));
+        Said said = check(RUN, file(example.replace("\"sockets\": 1024", "\"sockets\": 200")), null);
+        assertTrue(said.fits, said.text);
+        assertEquals(said.line("classes").split(" +")[1], "3");
+        assertEquals(said.line("callers").split(" +")[1], "100");
+    }
+
+    /** Guards against a fault in place of what is wrong with the file. */
+    @Test
+    public void whatIsNoListIsSaidWithFoundAndAllowed() throws Exception {
+        for (String text : new String[] {"", "[]", "{}", "{\"servers\":[]}", "{\"servers\":5}",
+            "{\"known\":{\"servers\":[{}]}}"}) {
+            Path file = file(text);
+            Said said = check(RUN, file, null);
+            assertTrue(!said.fits && said.text.matches(file + ": found .+; allowed: .+\\R"), said.text);
+        }
+        Said gone = check(RUN, Path.of("nowhere.json"), null);
+        assertTrue(gone.text.startsWith("nowhere.json: can't be read: "), gone.text);
+    }
+}
--- a/daemon/src/test/java/cedarrudder/protocol/ListGateTest.java
+++ b/daemon/src/test/java/cedarrudder/protocol/ListGateTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertSame;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
@@ -117,4 +118,44 @@
                     () -> reader.read(gate.read(text))).getMessage(), why, text);
         }
     }
+
+    /** Guards against a list of the configuration that is loaded as it is, and against a text that it has not. */
+    @Test
+    public void theListOfTheConfigurationIsHeldToTheSameRoom() {
+        ListGate gate = gate(ROOM, 0);
+        JsonObject list = JsonObject.parse(list(true, "5," + entry("x", "terminated"), "b", 5_000));
+        List<Node> nodes = reader.read(gate.read(list)).nodes();
+        assertTrue(nodes.size() > 100 && nodes.size() < 1_000, "read " + nodes.size());
+        assertEquals(gate.last().waits(), 5_001 - reader.size() - 1);
+        assertEquals(gate.last().outcome(), "does_not_fit");
+        assertEquals(gate.held().textBytes(), 0, "no watch has told anything");
+        assertEquals(gate.held().nodes(), reader.size());
+        ListGate wide = gate(1L << 40, 0);
+        assertSame(wide.read(list), list);
+    }
+
+    /** Guards against an entry that can't be read being looked for at another place than its own. */
+    @Test
+    public void entriesThatCantBeReadAreNamedByTheirPlacesInTheWholeList() {
+        ListGate gate = gate(ROOM, 0);
+        read(gate, list(true, "", "a", 2));
+        String last = list(true, "", "b", 5_000).replace("]}", "," + entry("a1", "in_service") + ","
+                + entry("a0", "asleep") + "]}");
+        String unread = reader.read(gate.read(last)).unread().toString();
+        assertTrue(unread.startsWith("[servers[5001]: unknown state 'asleep'"), unread);
+    }
+
+    /** Guards against operators told that nodes wait for good which the next telling adds. */
+    @Test
+    public void stepsSayWhatGetsInWhenWhatHasLeftMakesRoom() {
+        ListGate gate = gate(ROOM, 0);
+        read(gate, list(true, "", "a", 700));
+        assertEquals(gate.last().outcome(), "fits");
+        read(gate, list(true, "", "b", 700));
+        ListGate.Judged judged = gate.last();
+        assertEquals(judged.outcome(), "fits_in_steps");
+        assertEquals(judged.steps().stream().mapToInt(Integer::intValue).sum(), 700);
+        assertEquals(judged.steps().get(0), (Integer) (700 - judged.waits()));
+        assertEquals(judged.then().nodes(), reader.size(), "what was foretold is what is held");
+    }
 }
--- a/daemon/src/test/java/cedarrudder/transport/DiscoveryClientTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/DiscoveryClientTest.java
@@ -45,6 +45,10 @@
 
     /** Bytes for nodes and their lists; 0: all are loaded. */
     private long room;
+    private ListGate gate;
+
+    /** The version of the list with which the client starts. */
+    private long known;
 
     /** What a test does with a client whose watch is open. */
     private interface Story {
@@ -62,11 +66,11 @@
         try (ServerSocket discovery = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             ResolverResultReader reader = new ResolverResultReader(SettingsReader.read(
                     example.child("settings")), loop::now, System::currentTimeMillis);
+            gate = room == 0 ? null : new ListGate(new Footprint(Layout.of(true, true, 8)), reader, room, 0);
             DiscoveryClient client = new DiscoveryClient(loop,
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), discovery.getLocalPort()),
                     ResolverPatience.DEFAULT, longest, new SplittableRandom(1),
-                    reader, 0, this::take, failed, room == 0 ? null
-                            : new ListGate(new Footprint(Layout.of(true, true, 8)), reader, room, 0), AGAIN);
+                    reader, known, this::take, failed, gate, AGAIN);
             discovery.setSoTimeout(20_000);
             loop.run(() -> client.subscribe(true));
             try (Socket watch = discovery.accept()) {
@@ -305,6 +309,29 @@
         room = 0;
     }
 
+    /** Guards against nodes of the configuration's list that were left out and are never told. */
+    @Test
+    public void whatTheStartLeftOutIsAskedForFromTheBeginning() throws Exception {
+        room = 2_000_000;
+        known = 5;
+        play(() -> { }, (loop, client, discovery, watch) -> {
+            loop.run(() -> {
+                gate.read(JsonObject.parse(list(7, "n", 5_000)));
+                client.startedShort();
+                client.moveTo(new InetSocketAddress("127.0.0.2", discovery.getLocalPort())); // nobody there
+                client.moveTo((InetSocketAddress) discovery.getLocalSocketAddress());
+            });
+            try (Socket again = discovery.accept()) {
+                assertEquals(asked(again), "/catalog/members?follow=1&since=0");
+            }
+            try (Socket whole = discovery.accept()) {
+                assertEquals(asked(whole), "/catalog/members", "and the whole list after a while");
+            }
+        });
+        room = 0;
+        known = 0;
+    }
+
     /** Guards against a list that stands still, since the new address began with what can't be read. */
     @Test
     public void theFormerWatchTellsOnUntilTheNewOneHasToldWhatCanBeRead() throws Exception {
