--- a/core/src/main/java/cedarrudder/footprint/CopyFootprint.java
+++ b/core/src/main/java/cedarrudder/footprint/CopyFootprint.java
@@ -18,13 +18,13 @@
     private static final double WIDE = 1.39;
 
     /** Of the young generation, as the flags of the platform's command make it: touched as it fills. */
-    private static final long YOUNG = 4_500_000;
+    private static final long YOUNG = 3_000_000;
 
     /** So many times what a list takes at its peak is allocated while it is read. */
     private static final int ALLOCATED = 3;
 
     /** What discovery's first word leaves behind. */
-    private static final long WATCH = 58_500;
+    private static final long WATCH = 61_500;
 
     /** The parser's buffer has so many characters at the least; those of longer texts are read in parts. */
     private static final int LEAST_PARSED = 4_000;
