--- a/core/src/main/java/cedarrudder/footprint/CopyFootprint.java
+++ b/core/src/main/java/cedarrudder/footprint/CopyFootprint.java
@@ -96,7 +96,8 @@
                 ground.descriptors())));
         terms.add(term("zones", copy.zones(), name()));
         terms.add(term("kinds", copy.kinds(), name()));
-        terms.add(term("classes", copy.classes(), name() + layout.object(1, 10 * 8) + layout.object(0, 3 * 8)));
+        terms.add(term("classes", copy.classes(), name() + layout.object(1, 10 * 8)
+                + layout.object(0, 3 * 8)));
         terms.add(term("tenants", copy.tenants(), name() + layout.object(1, 2 * 8) + 3 * 8));
         long rest = lists.atRest(list) + watch(list);
         terms.add(new Term("nodes", list.nodes(), new Takes(rest,
@@ -140,7 +141,8 @@
         if (list.textBytes() == 0) {
             return 0;
         }
-        long parsed = list.textBytes() > MOST_PARSED ? LEAST_PARSED : Math.max(LEAST_PARSED, list.textBytes());
+        long parsed = list.textBytes() > MOST_PARSED ? LEAST_PARSED
+                : Math.max(LEAST_PARSED, list.textBytes());
         return measured(WATCH) + layout.array(parsed, 2);
     }
 
--- a/core/src/test/java/cedarrudder/footprint/CopyFootprintTest.java
+++ b/core/src/test/java/cedarrudder/footprint/CopyFootprintTest.java
@@ -54,7 +54,8 @@
         Takes thousand = FOOTPRINT.takes(copy(2_000, 0, 0, 0, 0)).minus(
                 FOOTPRINT.takes(copy(1_000, 0, 0, 0, 0)));
         assertEquals(one.rest(), thousand.rest() / 1_000);
-        assertTrue(one.rest() > 900 && one.peak() > one.rest() + 900 && one.descriptors() == 0, one.toString());
+        assertTrue(one.rest() > 900 && one.peak() > one.rest() + 900 && one.descriptors() == 0,
+                one.toString());
         assertEquals(FOOTPRINT.oneMoreNode(copy(0, 0, 0, 0, 0)), Takes.NOTHING);
     }
 
--- a/daemon/src/main/java/cedarrudder/program/CheckCommand.java
+++ b/daemon/src/main/java/cedarrudder/program/CheckCommand.java
@@ -33,11 +33,12 @@
     @Parameters(arity = "1..*", paramLabel = "FILE", description = "Operator's files.")
     private List<Path> files;
 
-    @Option(names = "--list", paramLabel = "FILE", description = "A list of nodes as discovery tells it, or a "
-            + "configuration with one; needs --heap. The last operator's file says what lists may take.")
+    @Option(names = "--list", paramLabel = "FILE", description = "A list of nodes as discovery tells it, or "
+            + "a configuration with one; needs --heap. The last operator's file says what lists may take.")
     private Path list;
 
-    @Option(names = "--held", paramLabel = "FILE", description = "The list that is held when the other comes.")
+    @Option(names = "--held", paramLabel = "FILE",
+            description = "The list that is held when the other comes.")
     private Path before;
 
     @Option(names = "--heap", paramLabel = "SIZE", description = "The heap's maximum, as in -Xmx: 56m.")
--- a/daemon/src/main/java/cedarrudder/program/Configuration.java
+++ b/daemon/src/main/java/cedarrudder/program/Configuration.java
@@ -45,8 +45,8 @@
     /** The same, with the operators' address from the environment where that names one. */
     Configuration withAdmin(String address) {
         return address == null || address.isEmpty() ? this : new Configuration(name, listen,
-                Addresses.parse(address), discovery, seed, sockets, memory, peerListen, peers, peersAll, known,
-                site);
+                Addresses.parse(address), discovery, seed, sockets, memory, peerListen, peers, peersAll,
+                known, site);
     }
 
     /** The same without the list, for which a process that has read it needs no memory any more. */
--- a/daemon/src/main/java/cedarrudder/program/CopyEstimate.java
+++ b/daemon/src/main/java/cedarrudder/program/CopyEstimate.java
@@ -67,7 +67,8 @@
      * the process may come to hold.
      */
     long room(double share, Load most) {
-        return Math.min((long) (share * limits.heap()), copy.left(shape(ListShape.NONE, most), limits.heap()));
+        return Math.min((long) (share * limits.heap()),
+                copy.left(shape(ListShape.NONE, most), limits.heap()));
     }
 
     /**
@@ -131,7 +132,8 @@
                 least = Math.min(least, live());
             }
             long held = least;
-            loop.accept(() -> history.note("held", Map.of("load", load, "bound", "heap_at_rest", "now", held)));
+            loop.accept(() -> history.note("held",
+                    Map.of("load", load, "bound", "heap_at_rest", "now", held)));
         }, "measure");
         measuring.setDaemon(true);
         measuring.start();
--- a/daemon/src/main/java/cedarrudder/program/ListCheck.java
+++ b/daemon/src/main/java/cedarrudder/program/ListCheck.java
@@ -68,8 +68,10 @@
             return false;
         }
         JsonObject configuration = told.configuration;
-        SiteSettings site = configuration == null ? null : SettingsReader.read(configuration.child("settings"));
-        int sockets = configuration == null ? Configuration.DEFAULT_SOCKETS : Configuration.sockets(configuration);
+        SiteSettings site = configuration == null ? null
+                : SettingsReader.read(configuration.child("settings"));
+        int sockets = configuration == null ? Configuration.DEFAULT_SOCKETS
+                : Configuration.sockets(configuration);
         ListShape list = ListGate.shape(told.list);
         int callers = operator.of(CallersTable.CALLERS).mostCallers(sockets);
         int channels = operator.of(NodesTable.NODES).bounds(sockets, callers).idle();
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -168,8 +168,8 @@
         int further = (operator.of(HistoryTable.HISTORY) == null ? 0 : 1)
                 - (configuration.admin() == null ? 2 : 0) - (configuration.peerListen() == null ? 1 : 0);
         return new CopyEstimate(configuration.site(), MachineLayout.read(),
-                MachineLayout.limits(configuration.memory()), further, () -> new CopyEstimate.Load(listener.callers(),
-                channels.open(), (int) figures.open(), held.held()));
+                MachineLayout.limits(configuration.memory()), further,
+                () -> new CopyEstimate.Load(listener.callers(), channels.open(), (int) figures.open(), held.held()));
     }
 
     /** All that the process may come to hold beside nodes. */
--- a/daemon/src/test/java/cedarrudder/program/FootprintOfGraphsTest.java
+++ b/daemon/src/test/java/cedarrudder/program/FootprintOfGraphsTest.java
@@ -109,8 +109,8 @@
             List<Object> all = new ArrayList<>(shared);
             all.addAll(List.of(table, bytes));
             long counted = Held.graph(all).totalSize() - Held.graph(shared).totalSize();
-            wrong.append(compare("table of " + size[0] + " zones, " + size[1] + " leaving", tables.atRest(table),
-                    counted));
+            wrong.append(compare("table of " + size[0] + " zones, " + size[1] + " leaving",
+                    tables.atRest(table), counted));
             RouteTable read = TableCodec.decode(bytes).table();
             all.addAll(List.of(read, bytes.clone()));
             long both = Held.graph(all).totalSize() - Held.graph(shared).totalSize();
--- a/daemon/src/test/java/cedarrudder/program/FootprintOfProcessesIT.java
+++ b/daemon/src/test/java/cedarrudder/program/FootprintOfProcessesIT.java
@@ -166,11 +166,13 @@
             try (World world = world(12, 20);
                     Version proxy = new Version(world, Files.createTempDirectory("fit"), "", flags,
                             List.of("-cp", Version.JAR + File.pathSeparator
-                                    + Path.of("daemon", "target", "test-classes"), "cedarrudder.program.Collecting"),
+                                    + Path.of("daemon", "target", "test-classes"),
+                                    "cedarrudder.program.Collecting"),
                             List.of("--operator", operator("").toString()))) {
                 proxy.awaitLine("proxy.listens");
                 Files.createFile(begin);
-                Await.line("the first collection", proxy.process, proxy.log, line -> Collecting.most(line) > 0);
+                Await.line("the first collection", proxy.process, proxy.log,
+                        line -> Collecting.most(line) > 0);
                 // Told again and again: a peak is short, and each passes it.
                 String list = list(nodes, 12);
                 tell(world, list, list, list, list(nodes - 1, 12));
--- a/daemon/src/test/java/cedarrudder/program/ListCheckTest.java
+++ b/daemon/src/test/java/cedarrudder/program/ListCheckTest.java
@@ -48,7 +48,8 @@
         Said fits = check(RUN, list, null);
         assertTrue(fits.fits, fits.text);
         assertTrue(fits.line("nodes: ").startsWith("nodes: fit; heap_at_peak needs "), fits.text);
-        assertTrue(fits.line("one more node: ").matches("one more node: 1\\d{3} at rest, 2\\d{3} at the peak"));
+        assertTrue(fits.line("one more node: ").matches(
+                "one more node: 1\\d{3} at rest, 2\\d{3} at the peak"));
         Said steps = check(RUN, list, file(Held.list(100_000, 10_000, 3)));
         assertTrue(steps.fits && steps.line("nodes: ").startsWith("nodes: fit in steps of ["), steps.text);
         Said never = check(RUN, file(Held.list(0, 28_000, 3)), null);
--- a/daemon/src/test/java/cedarrudder/protocol/ListGateTest.java
+++ b/daemon/src/test/java/cedarrudder/protocol/ListGateTest.java
@@ -119,7 +119,7 @@
         }
     }
 
-    /** Guards against a list of the configuration that is loaded as it is, and against a text that it has not. */
+    /** Guards against a list of the configuration that is loaded as it is. */
     @Test
     public void theListOfTheConfigurationIsHeldToTheSameRoom() {
         ListGate gate = gate(ROOM, 0);
