--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -169,7 +169,8 @@
                 - (configuration.admin() == null ? 2 : 0) - (configuration.peerListen() == null ? 1 : 0);
         return new CopyEstimate(configuration.site(), MachineLayout.read(),
                 MachineLayout.limits(configuration.memory()), further,
-                () -> new CopyEstimate.Load(listener.callers(), channels.open(), (int) figures.open(), held.held()));
+                () -> new CopyEstimate.Load(listener.callers(), channels.open(),
+                        (int) figures.open(), held.held()));
     }
 
     /** All that the process may come to hold beside nodes. */
