--- a/core/src/main/java/cedarrudder/fleet/Words.java
+++ b/core/src/main/java/cedarrudder/fleet/Words.java
@@ -33,7 +33,7 @@
                     "as", text(n.by().life())));
         } else if (note instanceof Note.Stored n) {
             Map<String, String> fields = new HashMap<>(Map.of("group", group, "index", text(n.index()),
-                    "as", text(n.by().life()), "sum", sum(n.entry().bytes())));
+                    "as", text(n.by().life()), "sum", sum(n.entry().content())));
             if (n.entry().kind() == Entry.Kind.VOTERS) {
                 fields.put("voters", text(Voters.decode(n.entry().bytes())));
             }
--- a/lab/src/main/java/cedarrudder/lab/judge/OutAtOnce.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/OutAtOnce.java
@@ -51,8 +51,13 @@
             }
             case "leaving" -> {
                 Set<String> nodes = Removed.names(event.text("nodes"));
-                over.removeIf(node -> removed.of(event.life()).containsKey(node) && !nodes.contains(node)
-                        && lastToKeep(event, node));
+                for (String node : List.copyOf(over)) {
+                    if (removed.of(event.life()).containsKey(node) && !nodes.contains(node)
+                            && lastToKeep(event, node)) {
+                        over.remove(node);
+                        returned.add(node); // one that begins anew goes through all of it once more
+                    }
+                }
                 Set<String> before = out(event.life(), nodes);
                 for (String node : nodes) {
                     // Not what was taken back: guards against holding it against a copy that is behind.
