--- a/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ClassDataIT.java
@@ -116,8 +116,11 @@
                 || name.equals("cedarrudder.program.MachineLayout")
                 || name.startsWith("cedarrudder.agreement.") || name.startsWith("cedarrudder.fleet.")
                 || name.startsWith("cedarrudder.table.") || name.equals("cedarrudder.transport.Fleet")
+                || name.equals("cedarrudder.program.Failovers")
+                || name.startsWith("cedarrudder.failover.")
                 || name.equals("cedarrudder.program.Together")
                 || name.equals("cedarrudder.program.FileStore")
+                || name.startsWith("cedarrudder.program.CopyEstimate")
                 || name.equals("cedarrudder.transport.Membership")).toList(), List.of());
     }
 
