--- a/lab/src/main/java/cedarrudder/lab/cluster/Removal.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Removal.java
@@ -70,7 +70,8 @@
      *
      * @param pace milliseconds between two such turns
      */
-    void byHand(List<Integer> nodes, List<Integer> copies, int atOnce, long pace) throws InterruptedException {
+    void byHand(List<Integer> nodes, List<Integer> copies, int atOnce, long pace)
+            throws InterruptedException {
         for (int from = 0; from < nodes.size(); from += atOnce) {
             List<Integer> these = new ArrayList<>(nodes.subList(from, Math.min(nodes.size(), from + atOnce)));
             for (int node : these) {
