--- a/lab/src/test/java/cedarrudder/lab/judge/AgreementRulesTest.java
+++ b/lab/src/test/java/cedarrudder/lab/judge/AgreementRulesTest.java
@@ -77,5 +77,7 @@
                 "forgot");
         assertEquals(judged(event(0, 2, "started", "kept", "1"), voted(0, 2, 1, "0:1")), List.of(),
                 "remembers");
+        assertEquals(judged(event(0, 2, "joins", "kept", "0"), event(0, 3, "joins", "kept", "1"),
+                voted(0, 3, 1, "0:1")), List.of("A2"), "remembers only what the life that forgot had stored");
     }
 }
