--- a/lab/src/main/java/cedarrudder/lab/judge/OneLeader.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/OneLeader.java
@@ -27,8 +27,11 @@
     @Override
     public void took(Event event) {
         switch (event.what()) {
-            case "started" -> {
-                boolean keeps = event.fields().containsKey("kept") && event.number("kept") == 1;
+            case "started", "joins" -> {
+                if (!event.fields().containsKey("kept")) {
+                    return; // the world's word of a process, which says itself when it takes part
+                }
+                boolean keeps = event.number("kept") == 1;
                 Long before = lastLife.put(event.copy(), event.life());
                 remembers.forEach((who, lives) -> {
                     if (keeps && lives.contains(before) && who.startsWith(event.copy() + ":")) {
