--- a/core/src/main/java/cedarrudder/failover/Planner.java
+++ b/core/src/main/java/cedarrudder/failover/Planner.java
@@ -171,7 +171,7 @@
         Shares held = Shares.of(current, zones);
         if (!planning) {
             planning = true;
-            Arrays.setAll(courses, zone -> resumed(now, courses[zone], held, current, zone));
+            Arrays.setAll(courses, zone -> resumed(now, courses[zone], held, zone));
         }
         for (int zone = 0; zone < zones; zone++) {
             follow(now, zone, picture.zones().get(zone), evacuated.contains(zone),
@@ -202,15 +202,11 @@
                 next.row(zone, held);
             }
         }
-        boolean[] left = new boolean[zones];
-        for (int zone = 0; zone < zones; zone++) {
-            left[zone] = courses[zone].moved || courses[zone].evacuated;
-        }
-        return next.list(left);
+        return next.list();
     }
 
     /** Begins to lead: what the table says is all that is known of a zone's course. */
-    private Course resumed(long now, Course course, Shares held, RouteTable current, int zone) {
+    private Course resumed(long now, Course course, Shares held, int zone) {
         Course fresh = new Course();
         fresh.moves.addAll(course.moves);
         fresh.movedAt = course.movedAt;
@@ -219,8 +215,7 @@
         if (near < RouteTable.WHOLE - 2 * watch() - LEAST_MOVE) {
             fresh.ceiling = near <= 2 * watch() ? 0 : near / (double) RouteTable.WHOLE;
             fresh.limited = true;
-            fresh.left = current.shares().stream().anyMatch(share -> share.from() == zone
-                    && share.way() == RouteTable.Way.MOVED);
+            fresh.left = held.left[zone] || fresh.ceiling == 0;
             fresh.moved = fresh.left;
             fresh.cutAt = now;
             fresh.steppedAt = now;
@@ -511,11 +506,10 @@
         Zone seen = picture.zones().get(zone);
         Course course = courses[zone];
         double near = dealt[zone];
-        if (course.evacuated || !course.left) {
-            near += left; // none is turned away for a zone that serves
-        } else if (course.ceiling > 0) {
+        if (course.left && course.ceiling > 0) {
             near = Math.max(near, Math.min(near + left, settings.nearShare() * seen.capacity()));
         }
+        next.left[zone] = course.moved || course.evacuated;
         long moved = 0;
         for (int to = 0; to < zones; to++) {
             int parts = (int) (RouteTable.WHOLE * (to == zone ? near : dealt[to]) / seen.demand());
@@ -527,8 +521,9 @@
                 moved += parts;
             }
         }
-        if (near + 1e-9 >= seen.demand() - moved * seen.demand() / RouteTable.WHOLE || !course.left) {
-            next.parts[zone][zone] = (int) (RouteTable.WHOLE - moved); // no part is lost by rounding
+        if (!course.left || near + 1e-9 >= seen.demand() - moved * seen.demand() / RouteTable.WHOLE) {
+            // None is turned away for a zone that serves, and no part is lost by rounding.
+            next.parts[zone][zone] = (int) (RouteTable.WHOLE - moved);
         }
         watched(next, zone);
     }
--- a/core/src/main/java/cedarrudder/failover/Shares.java
+++ b/core/src/main/java/cedarrudder/failover/Shares.java
@@ -15,10 +15,13 @@
 
     final int[][] parts;
     final int[][] perSecond;
+    /** Zones that have been left: what goes elsewhere is moved, and not spilled. */
+    final boolean[] left;
 
     Shares(int zones) {
         parts = new int[zones][zones];
         perSecond = new int[zones][zones];
+        left = new boolean[zones];
     }
 
     /** Those of a table; without one, or a row of a zone in it, a zone serves its own. */
@@ -30,6 +33,7 @@
                 there[share.from()] = true;
                 shares.parts[share.from()][share.to()] = share.parts();
                 shares.perSecond[share.from()][share.to()] = share.perSecond();
+                shares.left[share.from()] |= share.way() == Way.MOVED;
             }
         }
         for (int zone = 0; zone < zones; zone++) {
@@ -42,12 +46,13 @@
     void row(int from, Shares of) {
         parts[from] = of.parts[from].clone();
         perSecond[from] = of.perSecond[from].clone();
+        left[from] = of.left[from];
     }
 
     /** Whether a zone's row is the same in both. */
     boolean same(int from, Shares other) {
         return Arrays.equals(parts[from], other.parts[from])
-                && Arrays.equals(perSecond[from], other.perSecond[from]);
+                && Arrays.equals(perSecond[from], other.perSecond[from]) && left[from] == other.left[from];
     }
 
     /** What is left of a zone's whole, and is refused where it came. */
@@ -64,8 +69,8 @@
         return moved / 2;
     }
 
-    /** As a table has them. {@code left}: zones that have been left. */
-    List<Share> list(boolean[] left) {
+    /** As a table has them. */
+    List<Share> list() {
         List<Share> list = new ArrayList<>();
         for (int from = 0; from < parts.length; from++) {
             for (int to = 0; to < parts.length; to++) {
