--- a/core/src/main/java/cedarrudder/drainage/Heard.java
+++ b/core/src/main/java/cedarrudder/drainage/Heard.java
@@ -14,7 +14,6 @@
 final class Heard {
 
     private static final class Copy {
-        private long life;
         private long version;
         private long at;
         private boolean said;
@@ -46,17 +45,6 @@
 
     void took(long now, int from, Report report, Agreed agreed) {
         Copy copy = copies[from];
-        if (report.life() < copy.life) {
-            return;
-        }
-        if (report.life() > copy.life) {
-            // Guards against what a former process had carried out counting for the one that began anew.
-            long lived = copy.livedAt;
-            copies[from] = new Copy();
-            copy = copies[from];
-            copy.livedAt = lived;
-        }
-        copy.life = report.life();
         copy.version = report.version();
         copy.at = now;
         copy.said = true;
