--- a/core/src/test/java/cedarrudder/failover/PlannerTest.java
+++ b/core/src/test/java/cedarrudder/failover/PlannerTest.java
@@ -264,7 +264,8 @@
         }
         assertTrue(play.flapping.size() > 20, play.flapping.size() + " moves");
         for (int i = 0; i + 8 < play.flapping.size(); i++) {
-            assertTrue(play.flapping.get(i + 8) - play.flapping.get(i) > 60_000 * MILLI, "moves at " + play.flapping);
+            assertTrue(play.flapping.get(i + 8) - play.flapping.get(i) > 60_000 * MILLI,
+                    "moves at " + play.flapping);
         }
     }
 
