--- a/lab/src/test/java/cedarrudder/lab/failover/FailoverRunTest.java
+++ b/lab/src/test/java/cedarrudder/lab/failover/FailoverRunTest.java
@@ -90,8 +90,8 @@
 
     private static Result broken(World world, boolean oneWord, boolean capped) {
         return FailoverRun.play(world, Policy.Kind.TOGETHER, Conditions.USUAL, SEED, Together.SETTINGS,
-                (settings, zoneOf, tally, now) -> new Together.Part(new Naive(oneWord, capped, settings, zoneOf,
-                tally), table -> { }), false);
+                (settings, zoneOf, tally, now) -> new Together.Part(new Naive(oneWord, capped, settings,
+                zoneOf, tally), table -> { }), false);
     }
 
     private static void assertCaught(Result result, String rule, String word) {
