--- a/lab/src/test/java/cedarrudder/agreement/BrokenTest.java
+++ b/lab/src/test/java/cedarrudder/agreement/BrokenTest.java
@@ -162,7 +162,7 @@
         assertTrue(judged(copies, events).contains("A2"), events.toString());
     }
 
-    private static Store pretending(Group group, Voter voter, Voters voters) {
+    static Store pretending(Group group, Voter voter, Voters voters) {
         return new Store() {
             @Override
             public Kept kept() {
