--- a/lab/src/main/java/cedarrudder/lab/command/ClusterCommand.java
+++ b/lab/src/main/java/cedarrudder/lab/command/ClusterCommand.java
@@ -34,6 +34,7 @@
 
     private static final int MOST_VIRTUAL = 1_000;
     private static final int SETTLE = 90;
+    private static final int MOST_SHOWN = 100;
     private static final long MICRO = 1_000;
 
     /** A script of a file, or one that each seed draws. */
@@ -105,8 +106,11 @@
                     service.failed(), service.late());
             print.println(service.removals() == 0 ? ""
                     : String.format(Locale.ROOT, "; nodes removed in %.1f s", service.removalSeconds()));
-            verdict.breaches().forEach(breach ->
+            verdict.breaches().stream().limit(MOST_SHOWN).forEach(breach ->
                     print.println("      " + breach.rule() + ": " + breach.why()));
+            if (verdict.breaches().size() > MOST_SHOWN) {
+                print.println("      and " + (verdict.breaches().size() - MOST_SHOWN) + " more");
+            }
             verdict.found().forEach(each -> print.println("      " + each));
             print.flush();
         }
--- a/lab/src/main/java/cedarrudder/lab/judge/Drains.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/Drains.java
@@ -58,7 +58,8 @@
             case "served" -> {
                 Open call = open(event);
                 open.remove(call);
-                openOf.getOrDefault(call.rpc, Set.of()).remove(call);
+                openOf.computeIfPresent(call.rpc, (rpc, calls) -> calls.remove(call) && calls.isEmpty() ? null
+                        : calls);
             }
             case "answered", "broke" -> {
                 Set<Open> of = openOf.remove(event.text("rpc"));
--- a/lab/src/test/java/cedarrudder/lab/judge/FleetRulesTest.java
+++ b/lab/src/test/java/cedarrudder/lab/judge/FleetRulesTest.java
@@ -303,6 +303,8 @@
         assertEquals(drained(9_000, begun, there, at(3_999, 2, "served", "r"), empty), List.of());
         assertEquals(drained(9_000, begun, there, at(4_001, 2, "served", "r"), empty), List.of("D2"));
         assertEquals(drained(9_000, begun, there, event(3_999, 2, "broke", "rpc", "r"), empty), List.of());
+        assertEquals(drained(9_000, begun, there, event(3_999, 2, "answered", "rpc", "r"),
+                at(4_001, 2, "served", "r"), empty), List.of(), "another attempt was answered");
         assertEquals(drained(9_000, begun, there, event(3_999, 2, "ended"), empty), List.of());
         assertEquals(drained(9_000, begun, there, event(3_999, 2, "stopped"), empty), List.of());
         assertEquals(drained(9_000, begun, there, event(3_999, 0, "dead", "about", 2, "number", 1), empty),
