--- a/daemon/src/main/java/cedarrudder/program/Failovers.java
+++ b/daemon/src/main/java/cedarrudder/program/Failovers.java
@@ -70,8 +70,9 @@
     private void saw(Evidence evidence) {
         for (Seen seen : evidence.seen()) {
             if (seen.age() == 0) {
-                notes.note("saw", Map.of("zone", seen.zone(), "served", seen.served(), "failed", seen.failed(),
-                        "silent", seen.silent(), "span", evidence.millis() * MILLI));
+                notes.note("saw", Map.of("zone", seen.zone(), "served", seen.served(),
+                        "failed", seen.failed(), "silent", seen.silent(), "span",
+                        evidence.millis() * MILLI));
             }
         }
     }
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -192,8 +192,9 @@
         int further = (operator.of(HistoryTable.HISTORY) == null ? 0 : 1)
                 - (configuration.admin() == null ? 2 : 0) - (configuration.peerListen() == null ? 1 : 0);
         return new CopyEstimate(configuration.site(), MachineLayout.read(),
-                MachineLayout.limits(configuration.memory()), further, () -> new CopyEstimate.Load(listener.callers(),
-                channels.open(), (int) figures.open(), held.held()));
+                MachineLayout.limits(configuration.memory()), further,
+                () -> new CopyEstimate.Load(listener.callers(), channels.open(), (int) figures.open(),
+                        held.held()));
     }
 
     /** All that the process may come to hold beside nodes. */
@@ -232,7 +233,8 @@
                     + " with " + copies + " peers; allowed: " + set.fleet().leastLease(copies) / 1_000_000
                     + " or more");
         }
-        int[] zones = Together.zones(set, configuration.site().zones(), copies, module.self(), module.zone());
+        int[] zones = Together.zones(set, configuration.site().zones(), copies, module.self(),
+                module.zone());
         FailoverSettings moves = operator.of(FailoverTable.FAILOVER);
         Failovers failovers = moves == null ? null : new Failovers(moves, configuration.site(),
                 set.fleet().reports(copies), zones, Math.max(1, wallClock()), loop.now(), driver, history, log);
--- a/daemon/src/main/java/cedarrudder/program/Together.java
+++ b/daemon/src/main/java/cedarrudder/program/Together.java
@@ -63,8 +63,8 @@
      * @param removals null where operators have no policies
      */
     Together(Loop loop, PeerSocket peers, Membership membership, TogetherSettings settings, Self self,
-            Driver<?, ?> driver, Consumer<Set<Long>> leaving, Failovers failovers, Removals removals, Notes notes,
-            Logger log) {
+            Driver<?, ?> driver, Consumer<Set<Long>> leaving, Failovers failovers, Removals removals,
+            Notes notes, Logger log) {
         this.settings = settings;
         this.self = self;
         this.driver = driver;
--- a/daemon/src/test/java/cedarrudder/operator/OperatorTest.java
+++ b/daemon/src/test/java/cedarrudder/operator/OperatorTest.java
@@ -84,7 +84,8 @@
     /** Guards against a zone in two regions, and times of which one makes the other void. */
     @Test
     public void failoverSaysAllThatContradictsItself() throws Exception {
-        assertEquals(read("[failover]\n[membership]\n[agreement]\n").of(FailoverTable.FAILOVER), FailoverSettings.DEFAULT);
+        assertEquals(read("[failover]\n[membership]\n[agreement]\n").of(FailoverTable.FAILOVER),
+                FailoverSettings.DEFAULT);
         BadFileException bad = expectThrows(BadFileException.class, () -> read("""
                 [failover]
                 period_ms = 3000
--- a/daemon/src/test/java/cedarrudder/program/FileStoreTest.java
+++ b/daemon/src/test/java/cedarrudder/program/FileStoreTest.java
@@ -182,8 +182,8 @@
             }
         }
         Arrays.sort(took);
-        Reporter.log("syncs " + syncs + ", p50 " + took[syncs / 2] / 1_000 + " us, p99 " + took[syncs * 99 / 100]
-                / 1_000 + " us, most " + took[syncs - 1] / 1_000 + " us", true);
+        Reporter.log("syncs " + syncs + ", p50 " + took[syncs / 2] / 1_000 + " us, p99 "
+                + took[syncs * 99 / 100] / 1_000 + " us, most " + took[syncs - 1] / 1_000 + " us", true);
         assertTrue(took[syncs / 2] < 1_000_000_000L, "a disk that takes " + took[syncs / 2] + " ns");
     }
 
--- a/lab/src/test/java/cedarrudder/lab/fleet/FleetWorldTest.java
+++ b/lab/src/test/java/cedarrudder/lab/fleet/FleetWorldTest.java
@@ -297,7 +297,8 @@
             world.play(20 * SECOND);
             long[] before = IntStream.range(0, size).mapToLong(world::bytes).toArray();
             world.play(30 * SECOND);
-            long[] sent = IntStream.range(0, size).mapToLong(i -> (world.bytes(i) - before[i]) / 30).toArray();
+            long[] sent = IntStream.range(0, size).mapToLong(i -> (world.bytes(i) - before[i]) / 30)
+                    .toArray();
             long[] took = new long[20];
             for (int i = 0; i < took.length; i++) {
                 parts++;
