--- a/lab/src/main/java/cedarrudder/lab/cluster/Copy.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Copy.java
@@ -69,8 +69,8 @@
     }
 
     /**
-     * What each of its lives starts with; in the operator's file {@code {history}} stands for the history's
-     * name, and {@code {folder}} for a folder that it keeps from life to life.
+     * What each of its lives starts with; in the operator's file {@code {history}} stands for the history's name,
+     * and {@code {folder}} for a folder that it keeps from life to life.
      */
     void configure(String json, String toml) {
         configuration = json;
@@ -97,6 +97,11 @@
         return !processes.isEmpty();
     }
 
+    /** Whether all its processes were told to end, or killed. */
+    synchronized boolean ends() {
+        return processes.stream().allMatch(process -> expected.contains(process.pid()));
+    }
+
     /** Begins a life beside those that there are, with the folder for temporary files that all share. */
     Path start() throws IOException {
         return start("tmp-" + number);
@@ -128,8 +133,7 @@
                         json.toString(), "BALANCER_ADMIN_ADDR", admin.text(), "TMPDIR",
                         Files.createDirectories(temporary).toString()), log, SOCKETS);
         processes.add(process);
-        chronicle.tell(number, process.pid(), "started", Map.of("kept",
-                lives > 1 && operator.contains("{folder}") ? "1" : "0"));
+        chronicle.tell(number, process.pid(), "started", Map.of());
         process.onExit().thenAccept(code -> exited(process, code, log));
         return log;
     }
