--- a/core/src/main/java/cedarrudder/footprint/CopyFootprint.java
+++ b/core/src/main/java/cedarrudder/footprint/CopyFootprint.java
@@ -18,13 +18,13 @@
     private static final double WIDE = 1.39;
 
     /** Of the young generation, as the flags of the platform's command make it: touched as it fills. */
-    private static final long YOUNG = 4_500_000;
+    private static final long YOUNG = 3_000_000;
 
     /** So many times what a list takes at its peak is allocated while it is read. */
     private static final int ALLOCATED = 3;
 
     /** What discovery's first word leaves behind. */
-    private static final long WATCH = 58_500;
+    private static final long WATCH = 61_500;
 
     /** The parser's buffer has so many characters at the least; those of longer texts are read in parts. */
     private static final int LEAST_PARSED = 4_000;
@@ -96,7 +96,8 @@
                 ground.descriptors())));
         terms.add(term("zones", copy.zones(), name()));
         terms.add(term("kinds", copy.kinds(), name()));
-        terms.add(term("classes", copy.classes(), name() + layout.object(1, 10 * 8) + layout.object(0, 3 * 8)));
+        terms.add(term("classes", copy.classes(), name() + layout.object(1, 10 * 8)
+                + layout.object(0, 3 * 8)));
         terms.add(term("tenants", copy.tenants(), name() + layout.object(1, 2 * 8) + 3 * 8));
         long rest = lists.atRest(list) + watch(list);
         terms.add(new Term("nodes", list.nodes(), new Takes(rest,
@@ -140,7 +141,8 @@
         if (list.textBytes() == 0) {
             return 0;
         }
-        long parsed = list.textBytes() > MOST_PARSED ? LEAST_PARSED : Math.max(LEAST_PARSED, list.textBytes());
+        long parsed = list.textBytes() > MOST_PARSED ? LEAST_PARSED
+                : Math.max(LEAST_PARSED, list.textBytes());
         return measured(WATCH) + layout.array(parsed, 2);
     }
 
