Let operators leave a zone by the file, at once

The planner's evacuation had no way in. The key leave of [failover] names zones; SIGHUP counts at once. Ruled out: a call of the operators' address, which would be a second list of what is left beside the file.

--- a/core/src/main/java/cedarrudder/failover/Failover.java
+++ b/core/src/main/java/cedarrudder/failover/Failover.java
@@ -2,7 +2,7 @@
 
 import cedarrudder.table.RouteTable;
 import cedarrudder.table.RouteTable.Share;
-import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.IntToLongFunction;
@@ -16,6 +16,7 @@
     private final FailoverSettings settings;
     private final ZoneTally tally;
     private final int[] zoneOf;
+    private final List<String> names;
     private final int zones;
     private final Planner planner;
     private Assessment assessment;
@@ -27,7 +28,7 @@
      * @param names of the zones, in the order of their numbers
      * @param zoneOf the zone of each copy of the tier
      * @param tally what this copy counts
-     * @throws IllegalArgumentException if a region names a zone that there is not
+     * @throws IllegalArgumentException if a zone is named that there is not
      */
     public Failover(FailoverSettings settings, List<String> names, int[] zoneOf, ZoneTally tally, long now) {
         List<Regions.Problem> problems = settings.regions().problems(names);
@@ -36,6 +37,12 @@
             throw new IllegalArgumentException("failover.region[" + first.region() + "]." + first.key()
                     + ": found " + first.found() + "; allowed: " + first.allowed());
         }
+        this.names = List.copyOf(names);
+        List<String> unknown = leave(settings.leave());
+        if (!unknown.isEmpty()) {
+            throw new IllegalArgumentException("failover.leave: found " + unknown + "; allowed: the zones of the"
+                    + " settings: " + String.join(", ", names));
+        }
         this.settings = settings;
         this.tally = tally;
         this.closedAt = now;
@@ -100,8 +107,15 @@
         }
     }
 
-    /** Zones that operators have left, by number. */
-    public void evacuated(Collection<Integer> left) {
-        evacuated = Set.copyOf(left);
+    /**
+     * Operators have left these zones, by name, and no others.
+     *
+     * @return those that there are not
+     */
+    public List<String> leave(List<String> left) {
+        Set<Integer> numbers = new HashSet<>();
+        left.stream().map(names::indexOf).filter(number -> number >= 0).forEach(numbers::add);
+        evacuated = Set.copyOf(numbers);
+        return left.stream().filter(name -> !names.contains(name)).toList();
     }
 }
--- a/core/src/main/java/cedarrudder/failover/FailoverSettings.java
+++ b/core/src/main/java/cedarrudder/failover/FailoverSettings.java
@@ -1,9 +1,12 @@
 package cedarrudder.failover;
 
+import java.util.List;
+
 /**
  * The figures of failover. Times are nanoseconds.
  *
  * @param regions which zones make a region
+ * @param leave zones that operators have left, by name: their calls go elsewhere as far as there is room
  * @param period a copy sums up what it saw once in this time; from 10 ms
  * @param evidenceAge what is older counts for nothing; at least two periods
  * @param leastCopies so many copies of a zone must say so before that zone's word counts, or all where it
@@ -21,7 +24,7 @@
  * @param watchShare this share of a zone's calls goes to all others together, so that they are seen; 0 to
  * 0.05
  */
-public record FailoverSettings(Regions regions, long period, long evidenceAge, int leastCopies,
+public record FailoverSettings(Regions regions, List<String> leave, long period, long evidenceAge, int leastCopies,
         double badShare, double targetShare, double nearShare, long lossHold, double returnStep,
         long returnHold, long returnHoldMost, int movesPerMinute, double watchShare) {
 
@@ -30,11 +33,13 @@
     private static final double MOST_WATCH = 0.05;
 
     /** What serves where nothing else is said. */
-    public static final FailoverSettings DEFAULT = new FailoverSettings(Regions.NONE, 500 * MILLI,
+    public static final FailoverSettings DEFAULT = new FailoverSettings(Regions.NONE, List.of(),
+            500 * MILLI,
             2_500 * MILLI, 2, 0.5, 0.85, 0.92, 500 * MILLI, 0.25, 5_000 * MILLI, 60_000 * MILLI, 8, 0.008);
 
     /** Checks the ranges above; what lies outside is an IllegalArgumentException that names it. */
     public FailoverSettings {
+        leave = List.copyOf(leave);
         check(regions.problems(null).isEmpty(), "regions", regions.problems(null), "no contradiction");
         check(period >= 10 * MILLI, "period", period, "10 ms or more");
         check(evidenceAge >= 2 * period, "evidenceAge", evidenceAge, "two periods or more");
@@ -52,7 +57,7 @@
 
     /** The same with other regions. */
     public FailoverSettings regions(Regions other) {
-        return new FailoverSettings(other, period, evidenceAge, leastCopies, badShare, targetShare, nearShare,
+        return new FailoverSettings(other, leave, period, evidenceAge, leastCopies, badShare, targetShare, nearShare,
                 lossHold, returnStep, returnHold, returnHoldMost, movesPerMinute, watchShare);
     }
 
--- a/core/src/test/java/cedarrudder/failover/PlannerTest.java
+++ b/core/src/test/java/cedarrudder/failover/PlannerTest.java
@@ -254,7 +254,7 @@
     /** The bound by itself, where no hold helps: guards against moves without end. */
     @Test
     public void theBoundOnMovesHoldsWithoutAnyHold() {
-        FailoverSettings hasty = new FailoverSettings(SETTINGS.regions(), PERIOD, 5 * PERIOD, 2, 0.5, 0.85,
+        FailoverSettings hasty = new FailoverSettings(SETTINGS.regions(), List.of(), PERIOD, 5 * PERIOD, 2, 0.5, 0.85,
                 0.92, 0, 1, PERIOD + 1, PERIOD + 1, 8, 0.05);
         Play play = new Play(hasty);
         play.seconds(70);
--- a/daemon/src/main/java/cedarrudder/operator/FailoverTable.java
+++ b/daemon/src/main/java/cedarrudder/operator/FailoverTable.java
@@ -52,7 +52,7 @@
                     + hold / NANOS_A_MILLI, "no less than return_hold_ms");
             most = hold;
         }
-        return new FailoverSettings(regions, period, age,
+        return new FailoverSettings(regions, table.texts("leave"), period, age,
                 (int) table.whole("least_copies", 1, MOST_COPIES, usual.leastCopies()),
                 table.number("bad_share", LEAST_SHARE, MOST_BAD, usual.badShare()),
                 table.number("target_share", LEAST_PART, 1, usual.targetShare()),
--- a/daemon/src/main/java/cedarrudder/program/Failovers.java
+++ b/daemon/src/main/java/cedarrudder/program/Failovers.java
@@ -29,6 +29,7 @@
     private final Notes notes;
     private final Logger log;
     private List<Planner.Move> said = List.of();
+    private List<String> left = List.of();
 
     /**
      * @param reports how often copies report
@@ -51,6 +52,7 @@
         this.notes = notes;
         this.log = log;
         driver.count(tally);
+        apply(settings);
     }
 
     /** This table counts from now on; null: none does. */
@@ -58,6 +60,22 @@
         failover.loaded(now, table);
     }
 
+    /** Operators leave other zones from now on; null: none. */
+    void apply(FailoverSettings next) {
+        List<String> names = next == null ? List.of() : next.leave();
+        List<String> unknown = failover.leave(names);
+        for (int zone = 0; notes != null && zone < zones.size(); zone++) {
+            boolean before = left.contains(zones.get(zone));
+            if (before != names.contains(zones.get(zone))) {
+                notes.note(before ? "reopened" : "evacuated", Map.of("zone", zone));
+            }
+        }
+        left = names;
+        if (!unknown.isEmpty()) {
+            log.warn("failover.unknown_zone").with("zones", String.join(",", unknown)).write();
+        }
+    }
+
     @Override
     public List<byte[]> report(long now) {
         List<byte[]> parts = shares.report(now);
--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -679,6 +679,9 @@
             setLog(operator.of(LogTable.LOG));
             setBounds();
             discovery.apply(operator.of(DiscoveryTable.DISCOVERY));
+            if (together != null) {
+                together.apply(operator.of(FailoverTable.FAILOVER));
+            }
             if (removals != null) {
                 removals.apply(operator.of(DrainsTable.DRAINS));
             }
--- a/daemon/src/main/java/cedarrudder/program/Together.java
+++ b/daemon/src/main/java/cedarrudder/program/Together.java
@@ -5,6 +5,7 @@
 import cedarrudder.agreement.Outcome;
 import cedarrudder.agreement.Proposal;
 import cedarrudder.agreement.Store;
+import cedarrudder.failover.FailoverSettings;
 import cedarrudder.fleet.FleetCopy;
 import cedarrudder.fleet.Removal;
 import cedarrudder.fleet.Shares;
@@ -147,6 +148,13 @@
         }
     }
 
+    /** Operators leave other zones from now on. */
+    void apply(FailoverSettings next) {
+        if (failovers != null) {
+            failovers.apply(next);
+        }
+    }
+
     /** Shares of this copy's zone; what a zone's callers may send a second is divided by its live copies. */
     @Override
     public void table(RouteTable next) {
--- a/daemon/src/test/java/cedarrudder/operator/OperatorTest.java
+++ b/daemon/src/test/java/cedarrudder/operator/OperatorTest.java
@@ -86,6 +86,8 @@
     public void failoverSaysAllThatContradictsItself() throws Exception {
         assertEquals(read("[failover]\n[membership]\n[agreement]\n").of(FailoverTable.FAILOVER),
                 FailoverSettings.DEFAULT);
+        assertEquals(read("[failover]\nleave = [\"b\"]\n[membership]\n[agreement]\n")
+                .of(FailoverTable.FAILOVER).leave(), List.of("b"));
         BadFileException bad = expectThrows(BadFileException.class, () -> read("""
                 [failover]
                 period_ms = 3000
