--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -229,7 +229,8 @@
                 module.zone());
         FailoverSettings moves = operator.of(FailoverTable.FAILOVER);
         Failovers failovers = moves == null ? null : new Failovers(moves, configuration.site(),
-                set.fleet().reports(copies), zones, Math.max(1, wallClock()), loop.now(), driver, history, log);
+                set.fleet().reports(copies), zones, Math.max(1, wallClock()), loop.now(), driver, history,
+                log);
         return new Together(loop, peers, membership, set, new Together.Self(zones, module.self(),
                 this::wallClock, new SplittableRandom(configuration.seed()).split().split().split().split(),
                 held -> estimate == null ? Room.ANY : estimate.room(held, footprint)),
