--- a/core/src/main/java/cedarrudder/failover/Planner.java
+++ b/core/src/main/java/cedarrudder/failover/Planner.java
@@ -40,8 +40,10 @@
     private static final int STRAIN_PERIODS = 3;
     /** Room is dealt out in so many rounds, so that zones that want the same share it. */
     private static final int ROUNDS = 20;
-    /** A target may be found so far past its share before calls are taken from it at once. */
-    private static final double PAST_TARGET = 1.1;
+    /**
+     * A target may be found so far past what its own calls may take before others are taken from it at once.
+     */
+    private static final double PAST_MOST = 1.05;
     /** Calls so far over the bound of their share are held back, and not only by chance. */
     private static final double OUTGROWN = 1.1;
     /** A zone whose nodes don't report may be given so much more than it serves, each time it did well. */
@@ -169,13 +171,13 @@
         Shares held = Shares.of(current, zones);
         if (!planning) {
             planning = true;
-            Arrays.setAll(courses, zone -> resumed(now, courses[zone], held, current, zone));
+            Arrays.setAll(courses, zone -> resumed(now, courses[zone], held, zone));
         }
         for (int zone = 0; zone < zones; zone++) {
             follow(now, zone, picture.zones().get(zone), evacuated.contains(zone),
                     held.parts[zone][zone] / (double) RouteTable.WHOLE);
             boolean over = picture.zones().get(zone).capacity() > 0 && load(held, picture, zone)
-                    > PAST_TARGET * settings.targetShare() * picture.zones().get(zone).capacity();
+                    > PAST_MOST * settings.nearShare() * picture.zones().get(zone).capacity();
             courses[zone].overSince = over ? Math.min(courses[zone].overSince, now) : Long.MAX_VALUE;
         }
         boolean[] moving = new boolean[zones];
@@ -200,15 +202,11 @@
                 next.row(zone, held);
             }
         }
-        boolean[] left = new boolean[zones];
-        for (int zone = 0; zone < zones; zone++) {
-            left[zone] = courses[zone].moved || courses[zone].evacuated;
-        }
-        return next.list(left);
+        return next.list();
     }
 
     /** Begins to lead: what the table says is all that is known of a zone's course. */
-    private Course resumed(long now, Course course, Shares held, RouteTable current, int zone) {
+    private Course resumed(long now, Course course, Shares held, int zone) {
         Course fresh = new Course();
         fresh.moves.addAll(course.moves);
         fresh.movedAt = course.movedAt;
@@ -217,8 +215,7 @@
         if (near < RouteTable.WHOLE - 2 * watch() - LEAST_MOVE) {
             fresh.ceiling = near <= 2 * watch() ? 0 : near / (double) RouteTable.WHOLE;
             fresh.limited = true;
-            fresh.left = current.shares().stream().anyMatch(share -> share.from() == zone
-                    && share.way() == RouteTable.Way.MOVED);
+            fresh.left = held.left[zone] || fresh.ceiling == 0;
             fresh.moved = fresh.left;
             fresh.cutAt = now;
             fresh.steppedAt = now;
@@ -423,15 +420,15 @@
                 }
             }
         }
-        int farthest = Arrays.stream(ranks).flatMapToInt(Arrays::stream).max().orElse(0);
-        for (int rank = 1; rank <= farthest; rank++) {
-            double[] whole = excess.clone();
-            for (int round = 0; round < ROUNDS; round++) {
-                for (int from = 0; from < zones; from++) {
-                    deal(dealt, excess, room, picture, from, rank, whole[from] / ROUNDS);
-                }
-            }
+        dealAll(dealt, excess, room, picture);
+        // What would be turned away elsewhere may take zones as far as their own calls may.
+        double more = settings.nearShare() - settings.targetShare();
+        for (int zone = 0; zone < zones && more > 0; zone++) {
+            Zone seen = picture.zones().get(zone);
+            room[zone] += serves(seen, courses[zone]) && !seen.blind() ? more * seen.capacity() : 0;
+            excess[zone] = courses[zone].left ? excess[zone] : 0;
         }
+        dealAll(dealt, excess, room, picture);
         int[] sharers = new int[zones];
         for (int from = 0; from < zones; from++) {
             for (int to = 0; to < zones; to++) {
@@ -451,15 +448,33 @@
         return next;
     }
 
+    /** Whether a zone may serve calls of others. */
+    private static boolean serves(Zone zone, Course course) {
+        return zone.state() == State.WELL && !course.evacuated && !course.left && course.ceiling >= 1
+                && !zone.strained();
+    }
+
     private double room(Zone zone, Course course, Picture picture, int number) {
-        if (zone.state() != State.WELL || course.evacuated || course.left || course.ceiling < 1
-                || zone.strained()) {
+        if (!serves(zone, course)) {
             return 0;
         }
         double most = zone.blind() && course.wellSince != Long.MAX_VALUE
                 ? Math.max(settings.targetShare() * zone.capacity(), BLIND_GROWTH * zone.served())
                 : settings.targetShare() * zone.capacity();
-        return Math.max(0, most - zone.demand() - hidden(picture, number));
+        return most - zone.demand() - hidden(picture, number);
+    }
+
+    /** Deals what is over to the nearest that have room. */
+    private void dealAll(double[][] dealt, double[] excess, double[] room, Picture picture) {
+        int farthest = Arrays.stream(ranks).flatMapToInt(Arrays::stream).max().orElse(0);
+        for (int rank = 1; rank <= farthest; rank++) {
+            double[] whole = excess.clone();
+            for (int round = 0; round < ROUNDS; round++) {
+                for (int from = 0; from < zones; from++) {
+                    deal(dealt, excess, room, picture, from, rank, whole[from] / ROUNDS);
+                }
+            }
+        }
     }
 
     /** Deals some of one zone's calls to zones of this rank, to each by its room. */
@@ -491,11 +506,10 @@
         Zone seen = picture.zones().get(zone);
         Course course = courses[zone];
         double near = dealt[zone];
-        if (course.evacuated || !course.left) {
-            near += left; // none is turned away for a zone that serves
-        } else if (course.ceiling > 0) {
+        if (course.left && course.ceiling > 0) {
             near = Math.max(near, Math.min(near + left, settings.nearShare() * seen.capacity()));
         }
+        next.left[zone] = course.moved || course.evacuated;
         long moved = 0;
         for (int to = 0; to < zones; to++) {
             int parts = (int) (RouteTable.WHOLE * (to == zone ? near : dealt[to]) / seen.demand());
@@ -507,8 +521,9 @@
                 moved += parts;
             }
         }
-        if (near + 1e-9 >= seen.demand() - moved * seen.demand() / RouteTable.WHOLE || !course.left) {
-            next.parts[zone][zone] = (int) (RouteTable.WHOLE - moved); // no part is lost by rounding
+        if (!course.left || near + 1e-9 >= seen.demand() - moved * seen.demand() / RouteTable.WHOLE) {
+            // None is turned away for a zone that serves, and no part is lost by rounding.
+            next.parts[zone][zone] = (int) (RouteTable.WHOLE - moved);
         }
         watched(next, zone);
     }
