--- a/daemon/src/test/java/cedarrudder/transport/LoopTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/LoopTest.java
@@ -35,7 +35,7 @@
         loop.stop();
     }
 
-    /** Guards against a trial whose timers run before they are due on the copy's own clock, or at its old pace. */
+    /** Guards against a trial whose timers run before they are due on the copy's own clock. */
     @Test
     public void aClockThatDriftsKeepsItsPaceAndItsTimers() {
         for (int millionths : new int[] {-1_000, 1, 1_000}) {
--- a/lab/src/main/java/cedarrudder/lab/cluster/Act.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Act.java
@@ -18,7 +18,7 @@
     UPGRADE,
     /** The same, but the two have different folders and can't see one another: what must never be done. */
     UPGRADE_APART,
-    /** Nothing passes between these copies and all others; of whole zones, nor between their nodes and others. */
+    /** Nothing passes between these copies and others; of whole zones, nor between their nodes and others. */
     CUT,
     /** Nothing that these copies send arrives. */
     MUTE,
--- a/lab/src/main/java/cedarrudder/lab/cluster/Copy.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Copy.java
@@ -69,8 +69,8 @@
     }
 
     /**
-     * What each of its lives starts with; in the operator's file {@code {history}} stands for the history's name,
-     * and {@code {folder}} for a folder that it keeps from life to life.
+     * What each of its lives starts with; in the operator's file {@code {history}} stands for the history's
+     * name, and {@code {folder}} for a folder that it keeps from life to life.
      */
     void configure(String json, String toml) {
         configuration = json;
--- a/lab/src/main/java/cedarrudder/lab/cluster/Script.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Script.java
@@ -17,8 +17,8 @@
  * @param operator more tables of each copy's operator's file; {@code {folder}} stands for its own folder
  * @param steps in the order of time
  */
-public record Script(int copies, int nodes, int zones, long period, long length, long settle, List<Long> clockOffsets,
-        List<Integer> clockDrifts, String operator, List<Step> steps) {
+public record Script(int copies, int nodes, int zones, long period, long length, long settle,
+        List<Long> clockOffsets, List<Integer> clockDrifts, String operator, List<Step> steps) {
 
     /** Copies at the least and at the most. */
     public static final int LEAST = 3;
--- a/lab/src/main/java/cedarrudder/lab/cluster/Step.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Step.java
@@ -29,8 +29,8 @@
     }
 
     static Step weather(double seconds, Weather weather) {
-        return new Step(Script.nanos(seconds), Act.WEATHER, List.of(), false, weather, 0, Mood.WELL, List.of(),
-                Sides.ALL, null);
+        return new Step(Script.nanos(seconds), Act.WEATHER, List.of(), false, weather, 0, Mood.WELL,
+                List.of(), Sides.ALL, null);
     }
 
     static Step flood(double seconds, int copy, double length) {
--- a/lab/src/main/java/cedarrudder/lab/judge/HeldTable.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/HeldTable.java
@@ -42,7 +42,8 @@
         }
         if (world.overAt() <= event.at()) {
             switch (event.what()) {
-                case "table", "lapsed", "over", "speaks", "silent", "ended", "stopped", "continued" -> look(event.at());
+                case "table", "lapsed", "over", "speaks", "silent", "ended", "stopped", "continued" ->
+                        look(event.at());
                 default -> { }
             }
         }
--- a/lab/src/main/java/cedarrudder/lab/judge/OneLeader.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/OneLeader.java
@@ -58,7 +58,8 @@
 
     private void voted(Event event) {
         String who = event.copy() + ":" + event.text("as");
-        if (!remembers.computeIfAbsent(who, w -> new HashSet<>(Set.of(event.life()))).contains(event.life())) {
+        if (!remembers.computeIfAbsent(who, w -> new HashSet<>(Set.of(event.life())))
+                .contains(event.life())) {
             breach(event, "votes as " + who + ", of which it remembers nothing");
         }
         if (!seated.contains(event.text("group") + " " + who)) {
--- a/lab/src/main/java/cedarrudder/lab/judge/OutAtOnce.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/OutAtOnce.java
@@ -10,8 +10,8 @@
 
 /**
  * D1: never more nodes out at once than the strictest bound allows. A node is out from the first word of any
- * copy that it leaves until it is not listed any more, or was taken back and the last copy that can hear of it
- * has followed; and while it is dead, silent, or cold. A bound is broken by a removal that begins
+ * copy that it leaves until it is not listed any more, or was taken back and the last copy that can hear of
+ * it has followed; and while it is dead, silent, or cold. A bound is broken by a removal that begins
  * where it is full, not by a node that dies.
  *
  * <p>It reads {@code bound}, {@code node}, {@code leaving}, {@code drain}, and which copies can be heard.
--- a/lab/src/main/java/cedarrudder/lab/judge/ZoneLeft.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/ZoneLeft.java
@@ -11,8 +11,8 @@
 /**
  * F1: no zone is left on the word of copies of one zone alone, while most others were served there. A table
  * leaves a zone when it moves more of its calls away than the table before. A copy speaks against a zone
- * where in some period of the window before that more of its calls there failed or were silent than were served; it was
- * served there where none was such.
+ * where in some period of the window before that more of its calls there failed or were silent than were
+ * served; it was served there where none was such.
  *
  * <p>It reads {@code placed}, {@code saw}, {@code table}, {@code evacuated}, {@code reopened}.
  */
@@ -82,8 +82,8 @@
         long well = others.stream().filter(served::contains).count();
         if (well * 2 > others.size()) {
             breaches.add(new Breach("F1", event.at(), "table " + plans.newest() + " leaves zone " + zone
-                    + " on the word of copies of zones " + against + ", while " + well + " of " + others.size()
-                    + " others were served there"));
+                    + " on the word of copies of zones " + against + ", while " + well + " of "
+                    + others.size() + " others were served there"));
         }
     }
 
--- a/lab/src/main/java/cedarrudder/lab/judge/ZoneLoad.java
+++ b/lab/src/main/java/cedarrudder/lab/judge/ZoneLoad.java
@@ -13,7 +13,8 @@
  * stated time; and the shares of one zone's callers change no more often in a minute than stated.
  *
  * <p>It reads {@code capacity}, {@code saw}, {@code table}, and which copies run. A zone gets
- * what copies last said that they saw of it, until they say something else. A zone of which the world tells no capacity is not looked at.
+ * what copies last said that they saw of it, until they say something else. A zone of which the world tells
+ * no capacity is not looked at.
  */
 public final class ZoneLoad implements Rule {
 
@@ -113,8 +114,8 @@
             last.remove();
         }
         if (last.size() > bounds.moves) {
-            breaches.add(new Breach("F2", event.at(), "table " + plans.newest() + " moves the callers of zone "
-                    + zone + ": " + last.size() + " times in a minute"));
+            breaches.add(new Breach("F2", event.at(), "table " + plans.newest() + " moves the callers of "
+                    + "zone " + zone + ": " + last.size() + " times in a minute"));
         }
     }
 
--- a/lab/src/test/java/cedarrudder/lab/judge/FleetRulesTest.java
+++ b/lab/src/test/java/cedarrudder/lab/judge/FleetRulesTest.java
@@ -246,7 +246,8 @@
                 leaving(3, 0, "b,c")), List.of());
         Event[] two = {drain(1, 0, 1, "a", "begun"), drain(1, 0, 1, "b", "begun"), leaving(5, 1, "a,b")};
         assertEquals(out(with(List.of(two), drain(6, 0, 2, "c", "begun"))), List.of("D1"));
-        assertEquals(out(two[0], two[1], drain(6, 0, 2, "c", "begun")), List.of("D1"), "nobody has heard yet");
+        assertEquals(out(two[0], two[1], drain(6, 0, 2, "c", "begun")), List.of("D1"),
+                "nobody has heard yet");
         assertEquals(out(with(List.of(two), drain(6, 0, 1, "a", "empty"), drain(6, 0, 2, "c", "begun"))),
                 List.of("D1"), "it is empty, and not back");
         assertEquals(out(with(List.of(two), drain(6, 0, 1, "a", "gone"), drain(7, 0, 2, "c", "begun"),
@@ -261,7 +262,8 @@
 
     @Test
     public void nodesThatAreDownCount() {
-        assertEquals(out(node(1, "a", "dead"), node(1, "b", "silent"), leaving(1_002, 0, "c")), List.of("D1"));
+        assertEquals(out(node(1, "a", "dead"), node(1, "b", "silent"), leaving(1_002, 0, "c")),
+                List.of("D1"));
         assertEquals(out(node(1, "a", "dead"), node(1, "b", "silent"), leaving(1_001, 0, "c")), List.of(),
                 "nobody can know yet");
         assertEquals(out(node(1, "a", "dead"), node(1, "b", "slow"), leaving(9_000, 0, "c")), List.of());
@@ -324,8 +326,9 @@
         assertEquals(drained(7_001, begun), List.of("D2"));
         assertEquals(drained(9_000, begun, drain(7_000, 0, 1, "a", "alarmed")), List.of());
         assertEquals(drained(9_000, begun, drain(7_001, 0, 1, "a", "alarmed")), List.of("D2"));
-        assertEquals(drained(9_000, begun, drain(5_000, 1, 1, "a", "begun"), drain(7_001, 1, 1, "a", "empty")),
-                List.of("D2"), "its time counts from the first word of it");
+        assertEquals(drained(9_000, begun, drain(5_000, 1, 1, "a", "begun"),
+                drain(7_001, 1, 1, "a", "empty")), List.of("D2"),
+                "its time counts from the first word of it");
         assertEquals(drained(9_000, begun, drain(2_000, 0, 1, "a", "cancelled"),
                 drain(8_000, 0, 2, "a", "begun")), List.of(), "another wave");
     }
@@ -342,10 +345,11 @@
         assertEquals(judged(rule, 9, estimate(1, 0, "peak", 0, 100), table(2, 1, 7, ""),
                 event(2, 0, "took", "load", "list 7"), table(3, 0, 8, "")), List.of());
         assertEquals(judged(rule, 9, estimate(1, 0, "peak", 0, 100), table(2, 0, 7, "")), List.of("M1"));
-        assertEquals(judged(new Estimates(0.03), 9, estimate(1, 0, "peak", 0, 9), estimate(1, 0, "rest", 1, 9),
-                event(2, 0, "took", "load", "table 7")), List.of("M1"), "one bound is enough");
-        assertEquals(judged(new Estimates(0.03), 9, estimate(1, 0, "peak", 0, 9), estimate(2, 0, "peak", 1, 9),
-                table(2, 0, 7, "")), List.of(), "there is room now");
+        assertEquals(judged(new Estimates(0.03), 9, estimate(1, 0, "peak", 0, 9),
+                estimate(1, 0, "rest", 1, 9), event(2, 0, "took", "load", "table 7")), List.of("M1"),
+                "one bound is enough");
+        assertEquals(judged(new Estimates(0.03), 9, estimate(1, 0, "peak", 0, 9),
+                estimate(2, 0, "peak", 1, 9), table(2, 0, 7, "")), List.of(), "there is room now");
         for (int now : new int[] {1_030, 1_031}) {
             assertEquals(judged(new Estimates(0.03), 9, estimate(1, 0, "peak", 1, 1_000),
                     event(2, 0, "held", "load", "table 7", "bound", "peak", "now", now),
@@ -377,7 +381,8 @@
                 table(6_000, 2, 8, ""), table(6_000, 4, 8, ""), table(6_000, 5, 8, "")), List.of());
         assertEquals(held(12_000, lapsed(6_000, 0, 7), table(8_900, 0, 7, ""), lapsed(9_000, 1, 7),
                 table(11_900, 1, 7, "")), List.of(), "each time counts anew");
-        assertEquals(held(9_001, table(6_000, 0, 8, "")), List.of("one table"), "a later one must spread too");
+        assertEquals(held(9_001, table(6_000, 0, 8, "")), List.of("one table"),
+                "a later one must spread too");
         assertEquals(held(8_000, table(2_000, 3, 6, ""), table(2_001, 3, 7, "")), List.of("A1"), "back");
         assertEquals(held(8_000, lapsed(2_000, 3, 7), table(2_001, 3, 7, "")), List.of(), "the same again");
         assertEquals(held(8_000, table(2_000, 3, 7, "0>0:near:1:0"), table(2_001, 3, 7, "")), List.of("A1"));
