--- a/core/src/main/java/cedarrudder/failover/Failover.java
+++ b/core/src/main/java/cedarrudder/failover/Failover.java
@@ -40,8 +40,8 @@
         this.names = List.copyOf(names);
         List<String> unknown = leave(settings.leave());
         if (!unknown.isEmpty()) {
-            throw new IllegalArgumentException("failover.leave: found " + unknown + "; allowed: the zones of the"
-                    + " settings: " + String.join(", ", names));
+            throw new IllegalArgumentException("failover.leave: found " + unknown + "; allowed: the zones of "
+                    + "the settings: " + String.join(", ", names));
         }
         this.settings = settings;
         this.tally = tally;
--- a/core/src/main/java/cedarrudder/failover/FailoverSettings.java
+++ b/core/src/main/java/cedarrudder/failover/FailoverSettings.java
@@ -24,9 +24,9 @@
  * @param watchShare this share of a zone's calls goes to all others together, so that they are seen; 0 to
  * 0.05
  */
-public record FailoverSettings(Regions regions, List<String> leave, long period, long evidenceAge, int leastCopies,
-        double badShare, double targetShare, double nearShare, long lossHold, double returnStep,
-        long returnHold, long returnHoldMost, int movesPerMinute, double watchShare) {
+public record FailoverSettings(Regions regions, List<String> leave, long period, long evidenceAge,
+        int leastCopies, double badShare, double targetShare, double nearShare, long lossHold,
+        double returnStep, long returnHold, long returnHoldMost, int movesPerMinute, double watchShare) {
 
     private static final long MILLI = 1_000_000L;
     private static final int LEAST_MOVES = 8;
@@ -57,7 +57,8 @@
 
     /** The same with other regions. */
     public FailoverSettings regions(Regions other) {
-        return new FailoverSettings(other, leave, period, evidenceAge, leastCopies, badShare, targetShare, nearShare,
+        return new FailoverSettings(other, leave, period, evidenceAge, leastCopies, badShare, targetShare,
+                nearShare,
                 lossHold, returnStep, returnHold, returnHoldMost, movesPerMinute, watchShare);
     }
 
