--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -185,8 +185,8 @@
                 - (configuration.admin() == null ? 2 : 0) - (configuration.peerListen() == null ? 1 : 0);
         return new CopyEstimate(configuration.site(), MachineLayout.read(),
                 MachineLayout.limits(configuration.memory()), further,
-                () -> new CopyEstimate.Load(listener.callers(), channels.open(),
-                        (int) figures.open(), held.held()));
+                () -> new CopyEstimate.Load(listener.callers(), channels.open(), (int) figures.open(),
+                        held.held()));
     }
 
     /** All that the process may come to hold beside nodes. */
@@ -225,10 +225,12 @@
                     + " with " + copies + " peers; allowed: " + set.fleet().leastLease(copies) / 1_000_000
                     + " or more");
         }
-        int[] zones = Together.zones(set, configuration.site().zones(), copies, module.self(), module.zone());
+        int[] zones = Together.zones(set, configuration.site().zones(), copies, module.self(),
+                module.zone());
         FailoverSettings moves = operator.of(FailoverTable.FAILOVER);
         Failovers failovers = moves == null ? null : new Failovers(moves, configuration.site(),
-                set.fleet().reports(copies), zones, Math.max(1, wallClock()), loop.now(), driver, history, log);
+                set.fleet().reports(copies), zones, Math.max(1, wallClock()), loop.now(), driver, history,
+                log);
         return new Together(loop, peers, membership, set, new Together.Self(zones, module.self(),
                 this::wallClock, new SplittableRandom(configuration.seed()).split().split().split().split(),
                 held -> estimate == null ? Room.ANY : estimate.room(held, footprint)),
@@ -620,6 +622,9 @@
             setLog(operator.of(LogTable.LOG));
             setBounds();
             discovery.apply(operator.of(DiscoveryTable.DISCOVERY));
+            if (together != null) {
+                together.apply(operator.of(FailoverTable.FAILOVER));
+            }
             if (removals != null) {
                 removals.apply(operator.of(DrainsTable.DRAINS));
             }
