Say in one line why a start fails, also where discovery's watch ends with it

A proxy that could not listen at its address told of a second fault, discovery.failed, when its own end closed the watch: lists that are pushed are asked for from the first moment. The javadoc of two constants of NodeChannels stood in the wrong order.

--- a/daemon/src/main/java/cedarrudder/transport/DiscoveryClient.java
+++ b/daemon/src/main/java/cedarrudder/transport/DiscoveryClient.java
@@ -335,7 +335,9 @@
 
         private void fail(String why) {
             if (!over) {
-                warn(why);
+                if (!loop.ends()) { // else a start that failed would tell of a second fault
+                    warn(why);
+                }
                 close();
                 asks.calls.remove(number);
                 asks.clock.broke(loop.now(), number);
--- a/daemon/src/main/java/cedarrudder/transport/Loop.java
+++ b/daemon/src/main/java/cedarrudder/transport/Loop.java
@@ -113,6 +113,11 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
+    /** Whether it has been told to end: what it owns is being closed, which is nobody's failure. */
+    boolean ends() {
+        return group.isShuttingDown();
+    }
+
     private void guarded(Runnable task) {
         try {
             task.run();
--- a/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
+++ b/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
@@ -45,10 +45,10 @@
 /** The client side: the pool of channels to the nodes, and the call attempts and probes on them. */
 public final class NodeChannels implements ClientSide<Message, Message> {
 
-    /** How often idle channels are looked over. */
     /** So many attempts in a row that nobody answered make a node a failing one. */
     private static final int FAILING = 5;
 
+    /** How often idle channels are looked over. */
     private static final long SWEEP = 1_000_000_000L;
 
     /** A node may close an idle channel a little early by our clock: ours goes this much earlier. */
