--- a/lab/src/main/java/cedarrudder/lab/cluster/Act.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Act.java
@@ -34,8 +34,6 @@
     NODES,
     /** An operator asks these copies something. */
     CALL,
-    /** SIGKILL for the copy that leads, as it says itself; it has a new life some seconds later. */
-    KILL_LEADER,
     /** Operators have nodes leave by drains, asked of these copies in turn, and take each off the list. */
     REMOVE,
     /** The same by hand: each node is disabled at one copy after another, and taken off the list. */
--- a/lab/src/main/java/cedarrudder/lab/cluster/Cluster.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/Cluster.java
@@ -1,7 +1,6 @@
 package cedarrudder.lab.cluster;
 
 import cedarrudder.drainage.Policy;
-import cedarrudder.lab.attack.Answer;
 import cedarrudder.lab.attack.ScriptedNodes;
 import cedarrudder.lab.attack.ScriptedNodes.Mood;
 import cedarrudder.lab.attack.ToySite;
@@ -40,7 +39,6 @@
 
     private static final long READY = 120_000_000_000L;
     private static final long END_MILLIS = 10_000;
-    private static final long AWAY_MILLIS = 3_000;
     private static final long END_OF_NODE_MILLIS = 3_000;
 
     private final Script script;
@@ -263,10 +261,6 @@
             }
         }
         switch (step.act()) {
-            case KILL_LEADER -> begun.add(beside.submit(() -> {
-                killLeader();
-                return null;
-            }));
             case REMOVE, REMOVE_BY_HAND -> begun.add(beside.submit(() -> {
                 remove(step);
                 return null;
@@ -299,25 +293,6 @@
                 .reduce((first, second) -> second).map(Event::copy).stream().toList();
     }
 
-    /** The copy that leads, as it says itself, ends; some seconds later it has another life. */
-    private void killLeader() throws IOException, InterruptedException {
-        for (Copy copy : copies) {
-            Answer said = null;
-            try {
-                said = copy.runs() ? new OperatorCall("GET", "/-/table", "", 200).answer(copy.admin(), 1_000)
-                        : null;
-            } catch (IOException e) {
-                // it stands still, or has just ended
-            }
-            if (said != null && said.body().contains("\"leads\":true")) {
-                copy.kill();
-                TimeUnit.MILLISECONDS.sleep(AWAY_MILLIS);
-                back(copy);
-                return;
-            }
-        }
-    }
-
     private void remove(Step step) throws InterruptedException {
         Removal removal = new Removal(copies.stream().map(Copy::admin).toList(), this::unlist);
         long began = System.nanoTime();
--- a/lab/src/main/java/cedarrudder/lab/cluster/ScriptReader.java
+++ b/lab/src/main/java/cedarrudder/lab/cluster/ScriptReader.java
@@ -34,7 +34,7 @@
     private static final Set<String> OWN = Set.of("membership", "history");
 
     private static final Set<Act> OF_COPIES = EnumSet.complementOf(
-            EnumSet.of(Act.HEAL, Act.WEATHER, Act.NODES, Act.KILL_LEADER));
+            EnumSet.of(Act.HEAL, Act.WEATHER, Act.NODES));
 
     private static final Set<Act> CUTS = EnumSet.of(Act.CUT, Act.MUTE, Act.DEAFEN);
 
