End a process at SIGTERM also where its jar was replaced under it

Cause: two processes whose jar a build had written anew did not end at SIGTERM. Change: the hook waits as long as all but flowing bodies may take after SIGTERM (Listener.mostEnding), and longer only while the loop says that a body flows. Callers are served until then. Measured: StopIT.aProxyWhoseJarWasReplacedEndsAllTheSame fails without it (not ended in 60 s) and passes with it; the whole of StopIT passes. Ruled out: signals (the hook ran), callers (there were none), the loop standing still.

--- a/daemon/src/main/java/cedarrudder/program/Proxy.java
+++ b/daemon/src/main/java/cedarrudder/program/Proxy.java
@@ -86,6 +86,9 @@
     /** A successor waits so long, in nanoseconds, for discovery's list before it lets callers in. */
     private static final long FRESH = 2_000_000_000L;
 
+    /** The loop answers a question of another thread within so long, in nanoseconds, or is taken to be over. */
+    private static final long ANSWER = 500_000_000L;
+
     private final Logger log;
     private Configuration configuration;
     private final Loop loop;
@@ -787,7 +790,12 @@
             }
         });
         try {
-            drained.await();
+            // Guards against a process that never ends since a part of its end can't be carried out, such as
+            // one whose jar was replaced under it, so that a class of it can't be loaded any more.
+            boolean over;
+            do {
+                over = drained.await(listener.mostEnding(), TimeUnit.NANOSECONDS);
+            } while (!over && flows());
             loop.stop();
             if (history != null) {
                 history.end();
@@ -796,4 +804,15 @@
             Thread.currentThread().interrupt();
         }
     }
+
+    /** Whether a body still flows; no, where the loop does not say within {@link #ANSWER}. */
+    private boolean flows() throws InterruptedException {
+        CountDownLatch flowing = new CountDownLatch(1);
+        loop.run(() -> {
+            if (listener.flows()) {
+                flowing.countDown();
+            }
+        });
+        return flowing.await(ANSWER, TimeUnit.NANOSECONDS);
+    }
 }
--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -54,6 +54,9 @@
     private static final long LONGEST_COUNTED = 3_000_000_000L;
     private static final long KILLED_AFTER = 500_000_000L;
 
+    /** For the last answers to be written and their connections to be closed. */
+    private static final long EXIT = 150_000_000L;
+
     /** Nothing new is taken for so long before; most RPCs need less. */
     private static final long WIND_UP = 400_000_000L;
 
@@ -259,6 +262,16 @@
         return state.lasts();
     }
 
+    /** Whether a body flows, which has no bound in time; on the loop. */
+    public boolean flows() {
+        return callers.stream().anyMatch(caller -> caller.upload != null || caller.download != null);
+    }
+
+    /** All but what flows is over so long after SIGTERM at the latest, in nanoseconds; from any thread. */
+    public long mostEnding() {
+        return Math.min(LONGEST_COUNTED, fields.longestWait()) + KILLED_AFTER + EXIT;
+    }
+
     private boolean sendingAway() {
         long now = loop.now();
         return state.drained() && now - drainedAt >= AWAY_FROM
--- a/daemon/src/test/java/cedarrudder/program/StopIT.java
+++ b/daemon/src/test/java/cedarrudder/program/StopIT.java
@@ -11,6 +11,9 @@
 import java.net.SocketException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Arrays;
+import java.util.List;
 import org.testng.annotations.Test;
 
 /** The built jar stopped at every point, by SIGKILL and by signals, and started again with what it left. */
@@ -89,6 +92,28 @@
         }
     }
 
+    /**
+     * Guards against a process that outlives SIGTERM for good since a class of its end can't be loaded any
+     * more: somebody has written its jar anew under it. Its callers are served until then.
+     */
+    @Test
+    public void aProxyWhoseJarWasReplacedEndsAllTheSame() throws Exception {
+        Path jar = folder().resolve("cedarrudder.jar");
+        Files.copy(Path.of(Version.JAR), jar);
+        try (World world = new World(1); Version proxy = new Version(world, folder(), "", List.of(),
+                List.of("-jar", jar.toString()), List.of())) {
+            proxy.awaitLine("proxy.listens");
+            serveOne(world, "before");
+            byte[] other = new byte[(int) Files.size(jar)];
+            Arrays.fill(other, (byte) 'x');
+            Files.write(jar, other, StandardOpenOption.WRITE); // in place: the process has this file open
+            proxy.signal("TERM");
+            proxy.awaitLine("proxy.draining");
+            proxy.rest();
+            proxy.awaitEnd(Version.TERMINATED);
+        }
+    }
+
     /**
      * Guards against a promise that dies with the process: what ran once runs once, a caller sees the break,
      * a node sees that nobody waits, bans and a drain are kept where the folder is.
