--- a/core/src/main/java/cedarrudder/Balancer.java
+++ b/core/src/main/java/cedarrudder/Balancer.java
@@ -248,6 +248,16 @@
     void outcome(long now, long request, int attempt, long endpoint, Outcome outcome, long latency,
             boolean settled, Load load);
 
+    /**
+     * What an attempt that was sent, and of which no byte has gone out yet, ends with instead of beginning
+     * now; null: it may begin. {@link Outcome#CONNECT_FAILED} where another endpoint may take the request in
+     * its place, {@link Outcome#MOOT} where nothing more may be sent for it. It is a question, and changes
+     * nothing; the outcome is told like any other. A module that doesn't answer lets all begin.
+     */
+    default Outcome denial(long now, long request, int attempt) {
+        return null;
+    }
+
     /** The last byte of a request that was uploading has come: its client's wait begins now. */
     default void whole(long now, long request) { }
 
--- a/core/src/main/java/cedarrudder/Call.java
+++ b/core/src/main/java/cedarrudder/Call.java
@@ -53,10 +53,10 @@
         }
     }
 
-    /** The first attempt that may have run or may be running, or -1. */
-    int mayHaveRun() {
+    /** The first attempt but this one (-1: of all) that may have run or may be running, or -1. */
+    int mayHaveRun(int but) {
         for (int i = 0; i < attempts; i++) {
-            if (ended[i] == null || !ended[i].provesNotRun()) {
+            if (i != but && (ended[i] == null || !ended[i].provesNotRun())) {
                 return i;
             }
         }
--- a/core/src/main/java/cedarrudder/Decide.java
+++ b/core/src/main/java/cedarrudder/Decide.java
@@ -10,13 +10,12 @@
 import cedarrudder.overload.ZoneDeal;
 import cedarrudder.table.RouteTable;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 /**
@@ -144,7 +143,7 @@
     @Override
     public void endpoints(long now, ListKind kind, List<Endpoint> entries) {
         if (kind != ListKind.CHANGES) {
-            Set<Long> named = new HashSet<>(entries.stream().map(Endpoint::id).toList());
+            var named = entries.stream().map(Endpoint::id).collect(Collectors.toSet());
             servers.values().stream().filter(s -> !named.contains(s.id)).toList().forEach(this::drop);
         }
         entries.forEach(entry -> list(now, entry));
@@ -279,10 +278,8 @@
             send(now, call, server);
         } else if (call.held && now >= call.holdUntil) {
             end(call, mayRefuse(call)); // has waited so long that to be told so is worth more than to wait on
-        } else if (call.held) {
-            return call.attempts > 0 ? Offer.NONE_FOR_IT : Offer.NONE;
         }
-        return Offer.TAKEN;
+        return !call.held ? Offer.TAKEN : call.attempts > 0 ? Offer.NONE_FOR_IT : Offer.NONE;
     }
 
     /** Turns away all who have waited too long, wherever they are in line. */
@@ -382,15 +379,17 @@
     }
 
     /**
-     * Whether a further attempt of this request may go to this endpoint (null: to any at all), by what the
-     * earlier ones prove. Every attempt passes here, the first and the next.
+     * Whether a further attempt of this request may go to this endpoint (null: to any at all). Every attempt
+     * passes here, the first and the next.
      */
     private boolean mayAttempt(long now, Call call, Server server) {
-        if (call.answered || now >= call.deadline || call.attempts >= call.to.length
-                || call.out > 0 && !settings.limits().parallelTries()) {
-            return false;
-        }
-        int first = call.mayHaveRun();
+        return !call.answered && now < call.deadline && call.attempts < call.to.length
+                && (call.out == 0 || settings.limits().parallelTries()) && mayJoin(now, call, -1, server);
+    }
+
+    /** The same by what the other attempts prove, for one not yet made (-1), or not yet begun. */
+    private boolean mayJoin(long now, Call call, int attempt, Server server) {
+        int first = call.mayHaveRun(attempt);
         if (first < 0 || call.kind.effect() == Effect.SAFE) {
             return true;
         }
@@ -407,10 +406,23 @@
 
     /** Whether the client may be told that trying again is harmless, by what the attempts prove. */
     private boolean mayRefuse(Call call) {
-        return call.mayHaveRun() < 0 || call.kind.effect() == Effect.SAFE
+        return call.mayHaveRun(-1) < 0 || call.kind.effect() == Effect.SAFE
                 || call.kind.effect() == Effect.KEYED && call.kind.keyScope() == KeyScope.ALL;
     }
 
+    /** Whether this life of an endpoint is listed, and ready. */
+    private boolean stands(Server server) {
+        return server.ready() && servers.get(server.id) == server;
+    }
+
+    @Override
+    public Outcome denial(long now, long request, int attempt) {
+        Call call = calls.get(request);
+        return call == null || call.answered || attempt >= call.attempts
+                || !mayJoin(now, call, attempt, call.to[attempt]) ? Outcome.MOOT
+                : stands(call.to[attempt]) ? null : Outcome.CONNECT_FAILED;
+    }
+
     private boolean suspect(long now, Server server) {
         return server.failing(now) || server.silent(now, patience());
     }
@@ -434,7 +446,8 @@
         call.out--;
         out -= call.uploading ? 0 : 1;
         call.to[attempt].uploads -= call.uploading ? 1 : 0;
-        thriftyUntil = outcome == Outcome.CONNECT_FAILED ? now + THRIFT : thriftyUntil;
+        boolean full = outcome == Outcome.CONNECT_FAILED && now < call.deadline && stands(call.to[attempt]);
+        thriftyUntil = full ? now + THRIFT : thriftyUntil;
         if (outcome == Outcome.OK) {
             call.to[attempt].answered(now, settings.copies(), latency, call.work);
             byClass[call.classIndex].add(latency);
@@ -460,9 +473,7 @@
         call.to[attempt].ended(now, outcome);
         pool.ended(outcome);
         closeUnused(now, call.to[attempt]);
-        if (call.answered) {
-            forget(call);
-        } else if (settled) {
+        if (settled || call.answered) {
             close(call, attempt);
         } else {
             next(now, call, outcome);
@@ -472,15 +483,14 @@
 
     /** After an attempt failed: another one, patience with those still out, or the final answer. */
     private void next(long now, Call call, Outcome outcome) {
-        if (now >= call.deadline) {
-            end(call, false);
-        } else if (call.out == 0 && !call.held) {
+        if (call.out == 0 && !call.held) {
             // An error from a tier that calls another has been retried below already: retries multiply.
             boolean pays = !outcome.provesNotRun() || call.attempts > 1;
             // Moot: nothing more may be sent for it. Guards against holding it for an endpoint all the same.
             boolean more = mayAttempt(now, call, null) && outcome != Outcome.MOOT;
             if (!more || pays && extra < 1) {
-                end(call, mayRefuse(call));
+                // At the deadline only what never ran is refused; where more are out, the last one tells.
+                end(call, now < call.deadline ? mayRefuse(call) : call.mayHaveRun(-1) < 0);
                 return;
             }
             extra -= pays ? 1 : 0;
@@ -490,12 +500,9 @@
 
     /** The one place where this copy ends a request. */
     private void end(Call call, boolean refuse) {
-        if (call.answered) {
-            return;
-        }
-        if (refuse) {
+        if (refuse && !call.answered) {
             actions.refuse(call.id, comeBack());
-        } else {
+        } else if (!call.answered) {
             actions.fail(call.id);
         }
         close(call, -1);
@@ -506,24 +513,19 @@
      * out ends and makes room. Guards against advice that outlasts the aim of what it is given for.
      */
     private long comeBack() {
-        Limits limits = settings.limits();
         double turn = overall.mean() / Math.pow(Math.max(1, out), tuning.get(Figure.COME_BACK_TURN));
-        return limits.retryAfter() ? (long) Math.min(limits.maxRetryAfter(), turn) : 0;
+        return settings.limits().retryAfter() ? (long) Math.min(settings.limits().maxRetryAfter(), turn) : 0;
     }
 
     /** A request is over: cancels what is out but one attempt, and forgets it after the last. */
     private void close(Call call, int except) {
-        for (int i = 0; i < call.attempts && settings.limits().cancel(); i++) {
+        for (int i = 0; i < call.attempts && settings.limits().cancel() && !call.answered; i++) {
             if (i != except && call.ended[i] == null) {
                 actions.cancel(call.id, i);
             }
         }
         call.answered = true;
         call.held = false;
-        forget(call);
-    }
-
-    private void forget(Call call) {
         if (call.out == 0) {
             calls.remove(call.id);
         }
--- a/core/src/main/java/cedarrudder/routing/ClientSide.java
+++ b/core/src/main/java/cedarrudder/routing/ClientSide.java
@@ -9,7 +9,11 @@
     /** Whether a node of this id was ever listed, so that attempts and probes can be made. */
     boolean knows(long endpoint);
 
-    /** Carries out an attempt and reports its end. */
+    /**
+     * Carries out an attempt and reports its end. Before the first byte of it goes out, on whatever way, the
+     * driver is asked once ({@link Driver#begins}), and told after its last ({@link CallAttempt#wrote}).
+     * One that may not begin is abandoned within that question.
+     */
     void start(CallAttempt<Q, A> attempt);
 
     /** Stops at once whatever is done for an attempt; its end is not reported any more. */
--- a/core/src/main/java/cedarrudder/routing/Driver.java
+++ b/core/src/main/java/cedarrudder/routing/Driver.java
@@ -131,10 +131,70 @@
         post(() -> balancer.clientLeft(timers.now(), exchange.request().id()));
     }
 
-    /** The one place where an exchange ends. */
+    /** The one place where an exchange ends, but for {@link #began}. */
     private void end(Exchange<Q, A> exchange, End how) {
         exchange.end();
         count(exchange, how);
+        dropUnbegun(exchange);
+    }
+
+    /**
+     * Guards against a request that goes out for nobody: what still waits for its connection as its RPC ends
+     * never begins, whatever may be called off by the settings.
+     */
+    private void dropUnbegun(Exchange<Q, A> exchange) {
+        for (int i = 0; i < exchange.attempts().size(); i++) { // more may come meanwhile, which end at once
+            if (exchange.attempts().get(i).waits()) {
+                giveUp(exchange.attempts().get(i), Outcome.MOOT);
+            }
+        }
+    }
+
+    /**
+     * Whether the first byte of an attempt may go out now: the one gate of every attempt, to be asked once,
+     * right before. Guards against what has changed since the module sent it, which may be long ago where a
+     * connection came up late: its caller has left, its time is over, its node has left the list, drains or
+     * has started anew, or the window of its repeats is past. An attempt that may not begin ends with this,
+     * so as to prove that it did not run.
+     */
+    public boolean begins(CallAttempt<Q, A> attempt) {
+        Exchange<Q, A> exchange = attempt.exchange();
+        if (!exchange.over() && !exchange.reply().waits()) {
+            left(exchange); // which ends the attempt, too
+        }
+        withdraw(attempt);
+        if (attempt.ended()) {
+            return false;
+        }
+        attempt.begin();
+        return true;
+    }
+
+    /** Ends an attempt that waits for its connection, and could not begin any more. */
+    private void withdraw(CallAttempt<Q, A> attempt) {
+        Outcome denial = attempt.waits() ? denial(attempt, attempt.exchange()) : null;
+        if (denial != null) {
+            told(attempt, Outcome.MOOT, null); // its node was not asked: this says nothing of its zone
+            attempt.zone(-1);
+            client.abandon(attempt);
+            ended(attempt, denial, null);
+        }
+    }
+
+    private Outcome denial(CallAttempt<Q, A> attempt, Exchange<Q, A> exchange) {
+        long now = timers.now();
+        if (exchange.over() || exchange.spent() || now >= exchange.expiry()) {
+            return Outcome.MOOT;
+        }
+        if (!client.knows(attempt.endpoint())) {
+            return Outcome.CONNECT_FAILED;
+        }
+        try {
+            return balancer.denial(now, exchange.request().id(), attempt.number());
+        } catch (RuntimeException | VirtualMachineError | LinkageError e) {
+            log.fault("module.failed", e).write(); // as for its events: its caller must not wait for it
+            return Outcome.MOOT;
+        }
     }
 
     private void count(Exchange<Q, A> exchange, End how) {
@@ -163,9 +223,10 @@
                 giveUp(attempt, Outcome.CANCELLED);
                 return;
             }
-            attempt.begin(timers.now());
+            attempt.answers(timers.now());
             told(attempt, Outcome.OK, load);
             exchange.begin(attempt);
+            dropUnbegun(exchange);
             exchange.forget();
             exchange.result(budgets == null ? null : exchange.budget().served());
             exchange.reply().served(answer);
@@ -205,7 +266,7 @@
             if (attempt.handed() != null) {
                 budgets.ended(timers.now(), exchange.budget(), attempt.handed(), outcome, latency, below);
             }
-            if (attempt.begun() && exchange.endFlow()) {
+            if (attempt.answering() && exchange.endFlow()) {
                 count(exchange, outcome == Outcome.OK ? End.FULFILLED : End.FAULTED);
             }
             if (outcome == Outcome.OK && !exchange.over()) {
@@ -214,7 +275,7 @@
                 exchange.reply().served(answer);
             }
             forgetIfDone(exchange);
-            if (!attempt.begun()) {
+            if (!attempt.answering()) {
                 told(attempt, outcome, load);
             } else {
                 if (outcome != Outcome.OK && outcome != Outcome.CANCELLED) {
@@ -249,7 +310,13 @@
         if (tally != null) {
             tally.listed(kind, entries);
         }
-        post(() -> balancer.endpoints(timers.now(), kind, entries));
+        post(() -> {
+            balancer.endpoints(timers.now(), kind, entries);
+            // Guards against a wait for a connection to a node that has left: another may take it now.
+            for (Exchange<Q, A> exchange : List.copyOf(exchanges.values())) {
+                List.copyOf(exchange.attempts()).forEach(this::withdraw);
+            }
+        });
     }
 
     /** A call to discovery failed or the watch broke. */
@@ -330,8 +397,9 @@
     // ---- the end of an RPC's time ----
 
     /**
-     * The deadline of an RPC: what is still out has timed out, upon which the module ends the RPC. Each RPC
-     * has this timer of its own, so that none depends on its attempts, or on the module, for an answer.
+     * The deadline of an RPC: what is still out has timed out, upon which the module ends the RPC: with the
+     * last of them it knows whether any may have run. Each RPC has this timer of its own, so that none
+     * depends on its attempts, or on the module, for an answer.
      */
     private void expire(Exchange<Q, A> exchange) {
         // A copy: guards against a module that sends again upon a time-out, and so adds to the attempts.
@@ -373,10 +441,16 @@
         }
     }
 
+    /**
+     * Ends an attempt from here. Guards against the outcome of one whose last byte was never written saying
+     * that it may have run: its caller would be told so, and might not repeat it.
+     */
     private void giveUp(CallAttempt<Q, A> attempt, Outcome outcome) {
         if (!attempt.ended()) {
+            Outcome unsent = outcome == Outcome.TIMEOUT ? Outcome.CONNECT_FAILED : Outcome.MOOT;
+            Outcome truth = attempt.mayRun() ? outcome : unsent;
             client.abandon(attempt);
-            ended(attempt, outcome, null);
+            ended(attempt, truth, null);
         }
     }
 
--- a/core/src/main/java/cedarrudder/routing/Exchange.java
+++ b/core/src/main/java/cedarrudder/routing/Exchange.java
@@ -28,6 +28,14 @@
 
         /** It failed, and nothing is promised. */
         void failed();
+
+        /**
+         * Whether the caller is still there, looked up now and not by what was last heard of it. Asked, by
+         * the driver's thread, right before the first byte of an attempt goes out. False counts as
+         * {@link Driver#left}, which may also be called within this, for this exchange; nothing else of the
+         * driver's may be.
+         */
+        boolean waits();
     }
 
     private final Balancer.Request request;
@@ -41,6 +49,7 @@
     private CallAttempt<Q, A> flowing;
     private long expiry;
     private long onceWhole;
+    private boolean uploaded;
     private boolean spent;
     private boolean mayHaveRun;
     private CallBudget budget;
@@ -101,15 +110,29 @@
      * @param wait how long its caller waits from then on, in nanoseconds
      */
     public Exchange<Q, A> uploading(long wait) {
+        uploaded = true;
         onceWhole = wait;
         return this;
     }
 
-    /** How long the caller waits once all of the content was read; 0 where it was from the start. */
-    public long onceWhole() {
+    /** Whether its content was still being read when it came. */
+    boolean uploaded() {
+        return uploaded;
+    }
+
+    /** How long the caller waits once all of the content was read. */
+    long onceWhole() {
         return onceWhole;
     }
 
+    /**
+     * What is left of its caller's wait, in nanoseconds: a node may be told no more. While its content is
+     * being read that is the wait from its last byte on.
+     */
+    public long left(long now) {
+        return uploaded ? Math.min(onceWhole, expiry - now) : expiry - now;
+    }
+
     /** When its time is over, by the driver's clock. */
     public long expiry() {
         return expiry;
--- a/core/src/test/java/cedarrudder/DecideTest.java
+++ b/core/src/test/java/cedarrudder/DecideTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cedarrudder.Balancer.Endpoint;
@@ -109,6 +110,29 @@
         assertEquals(1, did.sent.size());
     }
 
+    /** Guards against an answer that forbids a repeat, at its deadline, of what never ran. */
+    @Test
+    void refusesAtTheDeadlineWhatCanNotHaveRun() {
+        Decide decide = startLate(Site.KEYED_IN_CELL, THREE);
+        ring(decide);
+        assertEquals(22, did.sent.size(), "a second copy");
+        now += SECOND;
+        end(decide, 21, 0, Outcome.CONNECT_FAILED);
+        assertTrue(did.refused.isEmpty() && did.failed.isEmpty(), "the other may have run");
+        end(decide, 21, 1, Outcome.CONNECT_FAILED);
+        assertEquals(List.of(21L), did.refused);
+    }
+
+    @Test
+    void failsAtTheDeadlineWhatOneAttemptMayHaveRun() {
+        Decide decide = startLate(Site.KEYED_IN_CELL, THREE);
+        ring(decide);
+        now += SECOND;
+        end(decide, 21, 0, Outcome.TIMEOUT);
+        end(decide, 21, 1, Outcome.CONNECT_FAILED);
+        assertEquals(List.of(21L), did.failed);
+    }
+
     @Test
     void endsAtOnceWhatComesPastItsDeadline() {
         Decide decide = startWith(Site.UNSAFE, THREE);
@@ -328,6 +352,110 @@
         assertTrue(did.sent.stream().allMatch(s -> s.endpoint() == 2), did.sent.toString());
     }
 
+    // ---- what was sent, and has not begun ----
+
+    /** Guards against an attempt that begins where nothing new may go: its connection came up late. */
+    @Test
+    void deniesWhatWasSentToAnEndpointThatHasLeftSince() {
+        List<List<Endpoint>> lists = List.of(List.of(Site.endpoint(1, 0, 0, State.DRAINING, 0)),
+                List.of(Site.endpoint(1, 0, 0, State.GONE, 0)), List.of(Site.ready(2)),
+                List.of(Site.endpoint(1, 0, 0, State.READY, now)));
+        for (List<Endpoint> list : lists) {
+            did.clear();
+            Decide decide = startWith(Site.UNSAFE, Site.ready(1));
+            ask(decide, 1);
+            assertNull(decide.denial(now, 1, 0));
+            boolean whole = list.get(0).id() != 1;
+            decide.endpoints(now, whole ? ListKind.FULL : ListKind.CHANGES, list);
+            assertEquals(Outcome.CONNECT_FAILED, decide.denial(now, 1, 0), list.toString());
+            decide.endpoints(now, ListKind.CHANGES, List.of(Site.ready(3)));
+            end(decide, 1, 0, Outcome.CONNECT_FAILED);
+            assertEquals(2, did.sent.size(), "another takes it");
+        }
+    }
+
+    /** Guards against a repeat of what has run, begun when endpoints have forgotten its key. */
+    @Test
+    void deniesARepeatThatHasNotBegunWithinItsWindow() {
+        for (RequestClass kind : List.of(Site.KEYED, Site.KEYED_IN_CELL, Site.SAFE)) {
+            did.clear();
+            Decide decide = startWith(kind, THREE);
+            ask(decide, 1);
+            end(decide, 1, 0, Outcome.RESET);
+            assertEquals(2, did.sent.size());
+            now += 500 * MS - 1;
+            assertNull(decide.denial(now, 1, 1));
+            now += 1;
+            if (kind == Site.SAFE) {
+                assertNull(decide.denial(now, 1, 1), "it may run as often as one likes");
+                continue;
+            }
+            assertEquals(Outcome.MOOT, decide.denial(now, 1, 1));
+            end(decide, 1, 1, Outcome.MOOT);
+            assertEquals(kind == Site.KEYED ? List.of(1L) : List.of(), did.refused);
+            assertEquals(kind == Site.KEYED ? List.of() : List.of(1L), did.failed);
+        }
+    }
+
+    /** The first attempt may begin last, its connection being the slowest. */
+    @Test
+    void deniesAnAttemptByWhatLaterOnesProveToo() {
+        Decide decide = startLate(Site.KEYED, THREE);
+        ring(decide);
+        assertEquals(22, did.sent.size(), "a second copy");
+        assertNull(decide.denial(now, 21, 0));
+        now += 500 * MS;
+        assertEquals(Outcome.MOOT, decide.denial(now, 21, 0));
+    }
+
+    @Test
+    void deniesAllThatIsOverOrUnknown() {
+        site.cancel = false;
+        Decide decide = startWith(Site.SAFE, THREE);
+        ask(decide, 1);
+        decide.clientLeft(now, 1);
+        assertEquals(Outcome.MOOT, decide.denial(now, 1, 0));
+        assertEquals(Outcome.MOOT, decide.denial(now, 1, 1));
+        assertEquals(Outcome.MOOT, decide.denial(now, 9, 0));
+    }
+
+    /** Guards against a request that leaves the line for an endpoint though its client is gone. */
+    @Test
+    void sendsNothingOnceItsClientHasLeftTheLine() {
+        Decide decide = startWith(Site.UNSAFE);
+        ask(decide, 1);
+        ask(decide, 2);
+        decide.clientLeft(now, 1);
+        decide.endpoints(now, ListKind.CHANGES, List.of(Site.ready(5)));
+        ring(decide);
+        assertEquals(List.of(new Recorder.Sent(2, 5)), did.sent);
+        assertTrue(did.refused.isEmpty() && did.failed.isEmpty());
+    }
+
+    @Test
+    void sendsNoSecondCopyForAClientThatHasLeft() {
+        site.cancel = false;
+        Decide decide = startLate(Site.SAFE, THREE);
+        decide.clientLeft(now, 21);
+        ring(decide);
+        end(decide, 21, 0, Outcome.RESET);
+        assertEquals(21, did.sent.size());
+    }
+
+    /** Guards against the end of one node's life closing the idle connections to all others. */
+    @Test
+    void keepsItsConnectionsAfterACallToOneThatHasLeft() {
+        Decide decide = startWith(Site.SAFE, THREE);
+        ask(decide, 1);
+        long left = did.sent.get(0).endpoint();
+        decide.endpoints(now, ListKind.CHANGES, List.of(Site.endpoint(left, 0, 0, State.DRAINING, 0)));
+        end(decide, 1, 0, Outcome.CONNECT_FAILED);
+        end(decide, 1, 1, Outcome.OK);
+        ask(decide, 2);
+        end(decide, 2, 0, Outcome.OK);
+        assertFalse(did.lines.contains("close " + did.sent.get(2).endpoint()), did.lines.toString());
+    }
+
     // ---- the list of endpoints ----
 
     @Test
--- a/core/src/test/java/cedarrudder/RulesModel.java
+++ b/core/src/test/java/cedarrudder/RulesModel.java
@@ -123,7 +123,7 @@
 
     /** An attempt goes out. */
     void sent(long now, long rpc, int attempt, String node) {
-        check(open(rpc), "sent after the end", "rpc " + rpc);
+        check(open(rpc), "begun after the end", "rpc " + rpc);
         List<Sent> before = attempts(rpc);
         check(before.size() < maxAttempts, "too many attempts", "rpc " + rpc);
         Told told = told(node);
--- a/core/src/test/java/cedarrudder/RulesWorld.java
+++ b/core/src/test/java/cedarrudder/RulesWorld.java
@@ -25,9 +25,11 @@
 import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -56,6 +58,9 @@
         SENDS_TO_UNLISTED("sent to a node that was never listed"),
         PUSHES_COLD_NODES("a cold node pushed over"),
         SENDS_AFTER_THE_END("sent after the end"),
+        BEGINS_FOR_NOBODY("begun after the end"),
+        BEGINS_ON_DRAINING("sent to a node that drains or is gone"),
+        BEGINS_AFTER_THE_WINDOW("sent again after its key is forgotten"),
         MAKES_UP_AN_ANSWER("served with what no node made");
 
         /** The rule that it breaks. */
@@ -71,6 +76,10 @@
     private static final int MOST_AWAY = 3;
     private static final long STRANGER = 999;
 
+    /** These show only where the module lets each attempt begin. */
+    private static final Set<Fault> DENIES_NOTHING = Set.of(Fault.RESENDS_SINGLE_SEND,
+            Fault.BEGINS_ON_DRAINING, Fault.BEGINS_AFTER_THE_WINDOW);
+
     /** Each warm node bears so many requests a second, and so many come in all. */
     private static final double CAPACITY = 12;
     private static final long BETWEEN = 25 * MS;
@@ -90,6 +99,8 @@
     private Map<String, Endpoint> old = Map.of();
     private final TreeSet<String> disabled = new TreeSet<>();
     private final Map<Long, Exchange<String, String>> uploading = new HashMap<>();
+    /** The RPCs whose callers have gone, though the driver may not have heard of it. */
+    private final Set<Long> gone = new HashSet<>();
     private Map<Long, String> known = new HashMap<>();
     private Rotation rotation;
     private Figures figures;
@@ -115,6 +126,7 @@
         site.tiers = 2;
         site.tier = fault == Fault.NONE ? random.nextInt(2) : 1;
         site.maxAttempts = 1 + random.nextInt(4);
+        site.drainGrace = 100 * MS; // shorter than many a connection takes to come up
         if (fault.rule.startsWith("sent again") || fault == Fault.TRIES_WITHOUT_END) {
             site.maxAttempts = 4;
         }
@@ -246,6 +258,9 @@
                             hands.refuse((long) arguments[0], 0);
                             return null;
                         }
+                        if (DENIES_NOTHING.contains(fault) && method.getName().equals("denial")) {
+                            return null;
+                        }
                         return method.invoke(sound, arguments);
                     } catch (InvocationTargetException e) {
                         throw e.getCause();
@@ -257,7 +272,9 @@
     private void act(String action, Object[] a) {
         transcript.append(now).append(' ').append(action).append(' ').append(a[0]).append('\n');
         if (action.equals("send")) {
-            model.wanted(now, (long) a[0]);
+            if (!gone.contains((long) a[0])) {
+                model.wanted(now, (long) a[0]);
+            }
             if (fault == Fault.LEAVES_THE_POD) {
                 List<Long> ready = nodes.values().stream().filter(n -> n.state() == State.READY)
                         .map(Endpoint::id).toList();
@@ -431,10 +448,16 @@
         }
     }
 
+    /** The caller has gone; the driver hears of it at once, or some time later. */
     private void leave(long rpc, Exchange<String, String> exchange) {
         uploading.remove(rpc);
+        gone.add(rpc);
         model.left(now, rpc);
-        driver.left(exchange);
+        if (random.nextBoolean()) {
+            driver.left(exchange);
+        } else {
+            at(now + random.nextLong(100 * MS), () -> driver.left(exchange));
+        }
     }
 
     private final class Answers implements Exchange.Reply<String> {
@@ -446,6 +469,9 @@
 
         private void got(RulesModel.Answer how, int by) {
             uploading.remove(rpc);
+            if (gone.contains(rpc)) {
+                return; // nobody hears it
+            }
             if (fault == Fault.FORGETS_TO_ANSWER && rpc % 50 == 0) {
                 return;
             }
@@ -472,6 +498,11 @@
         public void failed() {
             got(RulesModel.Answer.FAILED, -1);
         }
+
+        @Override
+        public boolean waits() {
+            return !gone.contains(rpc);
+        }
     }
 
     // ---- the sides round the driver ----
@@ -502,9 +533,13 @@
         public void fetch() { }
     }
 
-    /** Nodes, whose outcomes come late, twice, in another order, and of what was given up. */
+    /**
+     * Nodes, whose outcomes come late, twice, in another order, and of what was given up; and connections to
+     * them, of which some come up late.
+     */
     private final class Client implements ClientSide<String, String> {
         private final Map<CallAttempt<String, String>, Boolean> told = new HashMap<>();
+        private final Set<CallAttempt<String, String>> written = new HashSet<>();
 
         @Override
         public boolean knows(long endpoint) {
@@ -513,9 +548,25 @@
 
         @Override
         public void start(CallAttempt<String, String> attempt) {
+            String node = known.getOrDefault(attempt.endpoint(), "stranger");
+            if (random.nextInt(8) > 0) {
+                go(attempt, node);
+            } else {
+                at(now + random.nextLong(1500 * MS), () -> go(attempt, node));
+            }
+        }
+
+        private void go(CallAttempt<String, String> attempt, String node) {
+            if (!driver.begins(attempt) && fault != Fault.BEGINS_FOR_NOBODY) {
+                return;
+            }
             long rpc = attempt.exchange().request().id();
-            model.sent(now, rpc, attempt.number(), known.getOrDefault(attempt.endpoint(), "stranger"));
+            model.sent(now, rpc, attempt.number(), node);
             boolean half = uploading.containsKey(rpc);
+            if (!half) {
+                written.add(attempt);
+                attempt.wrote(now);
+            }
             int draw = random.nextInt(20);
             Outcome how = draw < 2 ? Outcome.ERROR : draw < 4 ? Outcome.FULL
                     : draw < 6 ? Outcome.CONNECT_FAILED : draw < 8 ? Outcome.RESET : Outcome.OK;
@@ -560,7 +611,8 @@
         @Override
         public void abandon(CallAttempt<String, String> attempt) {
             if (told.putIfAbsent(attempt, true) == null) {
-                model.ended(now, attempt.exchange().request().id(), attempt.number(), Outcome.CANCELLED);
+                model.ended(now, attempt.exchange().request().id(), attempt.number(),
+                        written.contains(attempt) ? Outcome.CANCELLED : Outcome.CONNECT_FAILED);
             }
         }
 
--- a/core/src/test/java/cedarrudder/Site.java
+++ b/core/src/test/java/cedarrudder/Site.java
@@ -35,6 +35,7 @@
     boolean cancel = true;
     boolean parallelTries = true;
     int maxAttempts = 4;
+    long drainGrace = SECOND;
     List<RequestClass> classes = List.of(SAFE, KEYED, UNSAFE);
     List<Tenant> tenants = List.of();
 
@@ -45,7 +46,7 @@
     Settings settings() {
         return new Settings(copies, self, 0, tier, tiers, ask, classes, tenants,
                 new Limits(probes, cancel, parallelTries, true, maxAttempts, SECOND, 50 * MS, 30 * SECOND),
-                new Safety(SECOND, 0.25, 10 * SECOND, 4, SECOND, 10 * SECOND),
+                new Safety(drainGrace, 0.25, 10 * SECOND, 4, SECOND, 10 * SECOND),
                 new Goal(0.8, 0.1, 0.1, 0, 0.1), new Prices(0.01, 0));
     }
 
--- a/core/src/test/java/cedarrudder/routing/DriverTest.java
+++ b/core/src/test/java/cedarrudder/routing/DriverTest.java
@@ -1,6 +1,8 @@
 package cedarrudder.routing;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import cedarrudder.Balancer;
 import cedarrudder.Balancer.Actions;
@@ -42,7 +44,11 @@
     private final List<Runnable> timers = new ArrayList<>();
     private Runnable onRequest;
     private Runnable onOutcome;
+    private Runnable onDenial;
     private boolean refuseConnections;
+    private boolean dials;
+    private boolean waits;
+    private Outcome denial;
     private boolean knows;
     private Budgets budgets;
     private Figures figures;
@@ -57,10 +63,14 @@
         timers.clear();
         now = 1;
         refuseConnections = false;
+        dials = false;
+        waits = true;
+        denial = null;
         knows = true;
         budgets = null;
         onRequest = () -> actions.send(1, 7, 0);
         onOutcome = () -> { };
+        onDenial = () -> { };
         build();
     }
 
@@ -120,6 +130,11 @@
                     public void failed() {
                         seen.add("failed");
                     }
+
+                    @Override
+                    public boolean waits() {
+                        return waits;
+                    }
                 }, carried);
         driver.accept(exchange);
         return exchange;
@@ -298,6 +313,158 @@
         assertEquals(seen, List.of("client left"));
     }
 
+    // ---- the gate before the first byte ----
+
+    /** Takes an RPC whose first attempt waits for its connection. */
+    private Exchange<String, String> acceptDialling() {
+        dials = true;
+        Exchange<String, String> exchange = accept(Carried.NOTHING);
+        seen.clear();
+        return exchange;
+    }
+
+    /** Guards against a request that goes out for a caller that left while the connection came up. */
+    @Test
+    public void whatWaitsForItsConnectionAsItsCallerLeavesNeverBegins() {
+        driver.left(acceptDialling());
+        assertEquals(seen, List.of("abandon 0", "outcome 0 MOOT settled", "client left"));
+        assertFalse(driver.begins(started.get(0)));
+        assertEquals(seen.size(), 3);
+    }
+
+    /** Guards against copies that begin after another was served, or began to be. */
+    @Test
+    public void whatWaitsForItsConnectionAsAnotherIsServedNeverBegins() {
+        for (boolean flows : new boolean[] {false, true}) {
+            start();
+            onRequest = () -> {
+                actions.send(1, 7, 0);
+                actions.send(1, 8, 0);
+            };
+            acceptDialling();
+            assertTrue(driver.begins(started.get(1)));
+            started.get(1).wrote(now);
+            if (flows) {
+                driver.began(started.get(1), "b", null);
+                driver.served(started.get(1), "b", null);
+            } else {
+                driver.served(started.get(1), "b", null);
+            }
+            assertEquals(seen, List.of("abandon 0", "served b", "outcome 1 OK settled",
+                    "outcome 0 MOOT settled"));
+            assertFalse(driver.begins(started.get(0)));
+        }
+    }
+
+    @Test
+    public void whatWaitsForItsConnectionAsTheModuleEndsItsRpcNeverBegins() {
+        acceptDialling();
+        onOutcome = () -> { };
+        actions.refuse(1, 0);
+        assertEquals(seen, List.of("abandon 0", "outcome 0 MOOT settled", "refused"));
+        assertFalse(driver.begins(started.get(0)));
+    }
+
+    /** Guards against the same where nobody has read yet that the caller is gone. */
+    @Test
+    public void aCallerIsLookedForAsAnAttemptBegins() {
+        acceptDialling();
+        waits = false;
+        assertFalse(driver.begins(started.get(0)));
+        assertEquals(seen, List.of("abandon 0", "outcome 0 MOOT settled", "client left"));
+    }
+
+    @Test
+    public void nothingBeginsOnceItsTimeIsOverThoughNoTimerHasTold() {
+        acceptDialling();
+        now = DEADLINE;
+        assertFalse(driver.begins(started.get(0)));
+        assertEquals(seen, List.of("abandon 0", "outcome 0 MOOT open"));
+    }
+
+    @Test
+    public void whatTheModuleDeniesEndsWithItsWord() {
+        for (Outcome word : List.of(Outcome.MOOT, Outcome.CONNECT_FAILED)) {
+            start();
+            acceptDialling();
+            denial = word;
+            assertFalse(driver.begins(started.get(0)));
+            assertEquals(seen, List.of("abandon 0", "outcome 0 " + word + " open"));
+        }
+    }
+
+    /** Guards against a wait for a connection that nothing may be sent on, while another node may take it. */
+    @Test
+    public void aListThatDeniesWhatWaitsEndsItAtOnceAndNothingElse() {
+        onRequest = () -> {
+            actions.send(1, 7, 0);
+            actions.send(1, 8, 0);
+        };
+        acceptDialling();
+        assertTrue(driver.begins(started.get(1)));
+        driver.resolved(ListKind.CHANGES, List.of());
+        assertEquals(seen, List.of());
+        denial = Outcome.CONNECT_FAILED;
+        driver.resolved(ListKind.CHANGES, List.of());
+        assertEquals(seen, List.of("abandon 0", "outcome 0 CONNECT_FAILED open"));
+    }
+
+    @Test
+    public void nothingBeginsAtANodeThatHasLeftTheList() {
+        acceptDialling();
+        knows = false;
+        assertFalse(driver.begins(started.get(0)));
+        assertEquals(seen, List.of("abandon 0", "outcome 0 CONNECT_FAILED open"));
+    }
+
+    /** Guards against half a body: some of it went out with another attempt. */
+    @Test
+    public void nothingBeginsWhoseContentIsSpent() {
+        acceptDialling().spend();
+        assertFalse(driver.begins(started.get(0)));
+        assertEquals(seen, List.of("abandon 0", "outcome 0 MOOT open"));
+    }
+
+    /** Guards against a caller that waits until its deadline, since the module could not say. */
+    @Test
+    public void aFaultOfTheModulesAtTheGateIsNoMoreThanAFault() {
+        acceptDialling();
+        onDenial = () -> {
+            throw new IllegalStateException("a fault of the module");
+        };
+        assertFalse(driver.begins(started.get(0)));
+        assertEquals(seen, List.of("abandon 0", "outcome 0 MOOT open"));
+    }
+
+    // ---- what an attempt that is given up says ----
+
+    /** Guards against an answer that forbids a repeat of what was never sent. */
+    @Test
+    public void atTheDeadlineWhatWaitsForItsConnectionCouldNotConnect() {
+        acceptDialling();
+        now = DEADLINE;
+        timers.remove(0).run();
+        timers.remove(0).run();
+        assertEquals(seen, List.of("abandon 0", "outcome 0 CONNECT_FAILED open", "refused", "client left"));
+    }
+
+    @Test
+    public void anAttemptsTimeOutBeforeItsConnectionIsUpCouldNotConnect() {
+        onRequest = () -> actions.send(1, 7, 5);
+        acceptDialling();
+        timers.remove(1).run();
+        assertEquals(seen, List.of("abandon 0", "outcome 0 CONNECT_FAILED open"));
+    }
+
+    /** Its last byte is not out, so its node has not begun it. */
+    @Test
+    public void whatIsHalfWrittenHasNotRun() {
+        acceptDialling();
+        assertTrue(driver.begins(started.get(0)));
+        actions.cancel(1, 0);
+        assertEquals(seen, List.of("abandon 0", "outcome 0 MOOT open"));
+    }
+
     private final class Client implements ClientSide<String, String> {
         @Override
         public boolean knows(long endpoint) {
@@ -310,6 +477,8 @@
             started.add(attempt);
             if (refuseConnections) {
                 driver.ended(attempt, Outcome.CONNECT_FAILED, null);
+            } else if (!dials && driver.begins(attempt)) {
+                attempt.wrote(now);
             }
         }
 
@@ -352,6 +521,12 @@
             onOutcome.run();
         }
 
+        @Override
+        public Outcome denial(long at, long request, int attempt) {
+            onDenial.run();
+            return denial;
+        }
+
         @Override
         public void clientLeft(long at, long request) {
             seen.add("client left");
--- a/daemon/src/main/java/cedarrudder/program/Warmup.java
+++ b/daemon/src/main/java/cedarrudder/program/Warmup.java
@@ -164,6 +164,11 @@
         public void failed() {
             finish();
         }
+
+        @Override
+        public boolean waits() {
+            return true;
+        }
     }
 
     /** The clock, for as long as the warm-up lasts: what its module scheduled ends with it. */
--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -752,6 +752,11 @@
                     exchange.result()));
         }
 
+        @Override
+        public boolean waits() {
+            return channel.isActive();
+        }
+
         private String why(String otherwise) {
             HopPath path = exchange.budget() == null ? HopPath.EMPTY : exchange.budget().loop();
             return path.hops().isEmpty() ? otherwise : "a loop: " + path;
--- a/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
+++ b/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
@@ -138,10 +138,10 @@
         }
     }
 
-    /** Closes what is idle and looks after nothing any more. */
+    /** Closes what is idle and looks after nothing any more; what is out ends by itself. */
     public void close() {
         sweeping.cancel();
-        nodes.values().forEach(Node::closeIdle);
+        nodes.values().forEach(Node::leave);
     }
 
     /** Where a node is reached, and the idle channels to it: the one used last comes last. */
@@ -219,9 +219,10 @@
 
     @Override
     public void start(CallAttempt<Message, Message> attempt) {
-        Work work = new Attempt(attempt);
+        Node node = nodes.get(attempt.endpoint());
+        Work work = new Attempt(attempt, node);
         attempts.put(attempt, work);
-        carry(nodes.get(attempt.endpoint()), work);
+        carry(node, work);
     }
 
     @Override
@@ -262,6 +263,7 @@
         NodeChannel fresh = new NodeChannel(node);
         loop.connect(bootstrap.clone().handler(fresh), node.address, connected -> {
             if (connected.isSuccess()) {
+                fresh.idleSince = loop.now(); // for its node, too, it has been idle from here on
                 fresh.carry(work);
             } else if (connected.cause() instanceof ChannelException) {
                 work.unsent(); // there is no descriptor for it
@@ -301,10 +303,21 @@
 
     /** What travels on a channel: one request, and what its end means. */
     private abstract static class Work {
+        final Node node;
         NodeChannel channel;
         boolean written;
         boolean over;
 
+        Work(Node node) {
+            this.node = node;
+        }
+
+        /**
+         * Whether its first byte may go out now; where not, it is over. Asked once, right before, on whatever
+         * channel: one that was idle, one that has just come up, or came up long after it was asked for.
+         */
+        abstract boolean begins();
+
         abstract ByteBuf encode();
 
         /** Its last byte is written. */
@@ -363,26 +376,31 @@
     private final class Attempt extends Work {
         private final CallAttempt<Message, Message> attempt;
 
-        Attempt(CallAttempt<Message, Message> attempt) {
+        Attempt(CallAttempt<Message, Message> attempt, Node node) {
+            super(node);
             this.attempt = attempt;
         }
 
+        @Override
+        boolean begins() {
+            if (node.gone) {
+                broke(); // guards against what has its address now; another node may take it
+            }
+            return !over && driver.begins(attempt);
+        }
+
         @Override
         ByteBuf encode() {
-            long onceWhole = attempt.exchange().onceWhole();
-            long left = onceWhole > 0 ? onceWhole : attempt.exchange().expiry() - loop.now();
             Carried handed = attempt.handed();
             return HttpEncoder.request(loop.buffers(), attempt.exchange().content(),
-                    Math.max(1, left / 1_000_000),
+                    Math.max(1, attempt.exchange().left(loop.now()) / 1_000_000),
                     handed == null ? null : handed.after(loop.now() - attempt.startedAt()));
         }
 
         @Override
         void wrote() {
             super.wrote();
-            if (rest() != null) {
-                attempt.wroteAll(loop.now());
-            }
+            attempt.wrote(loop.now());
             figures.relayed(attempt.exchange().request().classIndex());
         }
 
@@ -415,10 +433,7 @@
         @Override
         void answered(Message answer) {
             attempts.remove(attempt);
-            Node node = nodes.get(attempt.endpoint());
-            if (node != null) {
-                node.failures = 0;
-            }
+            node.failures = 0;
             Load load = load(answer);
             int status = answer.head().status();
             FromBelow below = attempt.handed() == null ? FromBelow.NOTHING : BudgetHeaders.result(answer);
@@ -433,23 +448,19 @@
         @Override
         void failed(Outcome outcome) {
             attempts.remove(attempt);
-            Node node = nodes.get(attempt.endpoint());
-            if (node != null && outcome != Outcome.MOOT) {
-                node.failures++;
-            }
+            node.failures += outcome == Outcome.MOOT ? 0 : 1;
             driver.ended(attempt, outcome, null);
         }
     }
 
     private final class Probe extends Work {
         private final long endpoint;
-        private final Node node;
         private final long startedAt = loop.now();
         private final Timers.Timer patience = loop.at(startedAt + limits.probePatience(), this::expire);
 
         Probe(long endpoint, Node node) {
+            super(node);
             this.endpoint = endpoint;
-            this.node = node;
         }
 
         private void expire() {
@@ -459,6 +470,14 @@
             }
         }
 
+        @Override
+        boolean begins() {
+            if (node.gone) {
+                unsent(); // it says nothing of the node that may be listed in its place
+            }
+            return !over;
+        }
+
         @Override
         ByteBuf encode() {
             return HttpEncoder.get(loop.buffers(), reports == SiteSettings.Reports.NONE ? "/ping" : "/_load",
@@ -524,8 +543,8 @@
         }
 
         void carry(Work next) {
-            if (next.over) {
-                channel.close();
+            if (!next.begins()) {
+                rest();
                 return;
             }
             ByteBuf request;
@@ -613,7 +632,20 @@
             retire();
         }
 
-        /** Leaves the pool at once, and closes. What still comes is not read. */
+        /** Goes to the pool, where its node still stands; it keeps since when it has been idle. */
+        private void rest() {
+            if (node.gone) {
+                retire();
+            } else {
+                node.idle.addLast(this);
+            }
+        }
+
+        /**
+         * Leaves the pool at once, and closes. What still comes is not read, and bytes that are there unread
+         * make it a reset. Of what is on it, that is how its node is told that nobody waits; where it is
+         * idle nothing is owed either way, for its last request was answered whole.
+         */
         void retire() {
             spent = true;
             stopWaiting();
@@ -745,9 +777,9 @@
                 whole.end();
                 channel.config().setAutoRead(true);
             }
-            if (reusable && !node.gone) {
+            if (reusable) {
                 idleSince = loop.now();
-                node.idle.addLast(this);
+                rest();
             } else {
                 retire();
             }
--- a/daemon/src/test/java/cedarrudder/program/FaultStoriesTest.java
+++ b/daemon/src/test/java/cedarrudder/program/FaultStoriesTest.java
@@ -8,10 +8,6 @@
 import cedarrudder.program.World.Received;
 import cedarrudder.protocol.JsonObject;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
@@ -261,36 +257,14 @@
      */
     @Test
     public void aConnectionIsNotWaitedForLongerThanTheRuleOnDrainsAllows() throws Exception {
-        List<Socket> before = new ArrayList<>();
         try (World world = new World(1).with("\"dial-timeout-ns\": 120000000",
-                "\"dial-timeout-ns\": 60000000000")) {
-            world.nodes.get(0).close();
-            int port = world.nodes.get(0).server.getLocalPort();
-            try (ServerSocket full = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                while (connects(before, port)) {
-                    // until its queue is full, and further connections don't come up
-                }
-                world.start();
-                try (Caller caller = world.caller()) {
-                    caller.send(World.rpc("order", "/api", "x"));
-                    assertEquals(caller.read().first(), "HTTP/1.1 503 Service Unavailable");
-                }
-                assertFalse(full.isClosed());
-            }
-            for (Socket socket : before) {
-                socket.close();
+                "\"dial-timeout-ns\": 60000000000"); World.FullNode full = world.new FullNode(0)) {
+            world.start();
+            try (Caller caller = world.caller()) {
+                caller.send(World.rpc("order", "/api", "x"));
+                assertEquals(caller.read().first(), "HTTP/1.1 503 Service Unavailable");
             }
-        }
-    }
-
-    private static boolean connects(List<Socket> connected, int port) throws IOException {
-        Socket socket = new Socket();
-        connected.add(socket);
-        try {
-            socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 500);
-            return true;
-        } catch (SocketTimeoutException e) {
-            return false;
+            assertEquals(full.awaitConnections(0).size(), 0, "none came up");
         }
     }
 
--- a/daemon/src/test/java/cedarrudder/program/World.java
+++ b/daemon/src/test/java/cedarrudder/program/World.java
@@ -9,10 +9,12 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -20,10 +22,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The world round a proxy, played by a test on loopback sockets: callers, nodes and discovery. Nodes answer
@@ -81,6 +86,24 @@
         }
     }
 
+    /**
+     * Listens at a port, which may be one that was closed just now. Guards against a thread within its accept
+     * that holds on to it for another moment.
+     */
+    private static ServerSocket listen(int port, int queue) throws IOException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
+        while (true) {
+            try {
+                return new ServerSocket(port, queue, InetAddress.getLoopbackAddress());
+            } catch (BindException e) {
+                if (System.nanoTime() - end > 0) {
+                    throw e;
+                }
+                Thread.onSpinWait();
+            }
+        }
+    }
+
     /** A server whose requests the test answers. */
     final class Peer implements Closeable {
         final ServerSocket server;
@@ -91,7 +114,11 @@
         }
 
         private Peer(BlockingQueue<Received> received, int port) throws IOException {
-            server = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
+            this(received, listen(port, 50));
+        }
+
+        private Peer(BlockingQueue<Received> received, ServerSocket server) {
+            this.server = server;
             this.received = received;
             daemon(this::accept);
         }
@@ -100,6 +127,7 @@
             try {
                 while (true) {
                     Socket socket = server.accept();
+                    accepted.add(socket);
                     daemon(() -> serve(socket));
                 }
             } catch (IOException e) {
@@ -139,6 +167,65 @@
         }
     }
 
+    /**
+     * A node whose queue of connections is full: further ones come up once it is opened, when the kernel of
+     * who wants them asks again, which it does after 1, 3 and 7 s.
+     */
+    final class FullNode implements Closeable {
+        private static final int FULL_MILLIS = 500;
+        private final int node;
+        private final ServerSocket server;
+        private final List<Socket> before = new ArrayList<>();
+
+        /** Closes a node, and listens in its place. */
+        FullNode(int node) throws IOException {
+            this.node = node;
+            nodes.get(node).close();
+            int port = nodes.get(node).server.getLocalPort();
+            server = listen(port, 1);
+            while (connects(port)) {
+                // until its queue is full
+            }
+        }
+
+        private boolean connects(int port) throws IOException {
+            Socket socket = new Socket();
+            try {
+                socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), FULL_MILLIS);
+                before.add(socket);
+                return true;
+            } catch (SocketTimeoutException e) {
+                socket.close();
+                return false;
+            }
+        }
+
+        /** Takes connections from now on, and answers like any node. */
+        void open() {
+            nodes.set(node, new Peer(calls, server));
+        }
+
+        /** Waits until so many connections besides those that fill it have come up, and returns them. */
+        List<Socket> awaitConnections(int count) throws Exception {
+            Await.until(count + " connections", () -> others().size() >= count);
+            return others();
+        }
+
+        private List<Socket> others() {
+            List<Integer> fillers = before.stream().map(Socket::getLocalPort).toList();
+            return accepted.stream().filter(s -> s.getLocalPort() == server.getLocalPort()
+                    && !fillers.contains(s.getPort())).toList();
+        }
+
+        @Override
+        public void close() throws IOException {
+            for (Socket socket : before) {
+                socket.close();
+            }
+            server.close();
+        }
+    }
+
     /** A caller's connection. */
     static final class Caller implements Closeable {
         private final Socket socket;
@@ -189,6 +276,8 @@
 
     /** Whether probes wait for the test's answer too. */
     volatile boolean probesWait;
+    /** The connections to nodes and discovery, in the order accepted, but for those that wait there. */
+    final Queue<Socket> accepted = new ConcurrentLinkedQueue<>();
     /** The connections to nodes and discovery that have ended. */
     final Set<Socket> ended = ConcurrentHashMap.newKeySet();
     final List<Peer> nodes = new ArrayList<>();
--- a/daemon/src/test/java/cedarrudder/transport/NodeChannelsTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/NodeChannelsTest.java
@@ -35,8 +35,22 @@
 /** What the module hears of this process's own shortage. */
 public class NodeChannelsTest {
 
-    /** Who is owed an answer. */
-    private interface Caller extends Exchange.Reply<Message> { }
+    /** Who is owed an answer, and waits for it. */
+    private static final class Caller implements Exchange.Reply<Message> {
+        @Override
+        public void served(Message answer) { }
+
+        @Override
+        public void refused(long retryAfter) { }
+
+        @Override
+        public void failed() { }
+
+        @Override
+        public boolean waits() {
+            return true;
+        }
+    }
 
     /**
      * Guards against a node that counts as failing, and as out of connections, for what it never saw: this
@@ -55,7 +69,7 @@
     public void aRequestThatCanNotBeMadeIsMootAtOnce() throws Exception {
         Balancer.Request request = new Balancer.Request(1, 0, 0, Long.MAX_VALUE, 0, false, false, 0);
         assertEquals(play((driver, channels) -> driver.accept(new Exchange<>(request,
-                new Message(null, null), Played.by(Caller.class, (how, with) -> { })))),
+                new Message(null, null), new Caller()))),
                 Outcome.MOOT);
     }
 
@@ -70,7 +84,7 @@
                 (event, with) -> {
                     if (event.equals("request")) {
                         actions.send(1, 1, 0);
-                    } else {
+                    } else if (!event.equals("denial")) {
                         told.add(with[event.equals("probed") ? 2 : 4]);
                     }
                 }), 1, loop, new Logger(System.err));
--- a/lab/src/main/java/cedarrudder/lab/benchmark/Surroundings.java
+++ b/lab/src/main/java/cedarrudder/lab/benchmark/Surroundings.java
@@ -88,6 +88,11 @@
         public void failed() {
             other++;
         }
+
+        @Override
+        public boolean waits() {
+            return true;
+        }
     }
 
     /** A proxy of the daemon's driver and of this module, which is told of its nodes at once. */
@@ -147,7 +152,10 @@
 
         @Override
         public void start(CallAttempt<Object, Object> attempt) {
-            at(now + SERVICE, () -> driver.served(attempt, ANSWER, null));
+            if (driver.begins(attempt)) {
+                attempt.wrote(now);
+                at(now + SERVICE, () -> driver.served(attempt, ANSWER, null));
+            }
         }
 
         @Override
--- a/lab/src/main/java/cedarrudder/lab/model/Attempt.java
+++ b/lab/src/main/java/cedarrudder/lab/model/Attempt.java
@@ -23,6 +23,11 @@
         this.job = new AtNode();
     }
 
+    @Override
+    boolean begins() {
+        return proxy.begins(this);
+    }
+
     @Override
     void ended(Ending how) {
         proxy.settled(this, how == Ending.NO_CONNECTION ? Outcome.CONNECT_FAILED : result);
--- a/lab/src/main/java/cedarrudder/lab/model/Call.java
+++ b/lab/src/main/java/cedarrudder/lab/model/Call.java
@@ -131,6 +131,12 @@
         finish(Final.FAILED, Caller.End.FAILED, 0, -1);
     }
 
+    /** The news that it has gone comes to the proxy's life, which tells the driver then. */
+    @Override
+    public boolean waits() {
+        return true;
+    }
+
     private void finish(Final how, Caller.End outcome, long advice, int attempt) {
         if (phase != Phase.AT_PROXY) {
             return;
--- a/lab/src/main/java/cedarrudder/lab/model/Carried.java
+++ b/lab/src/main/java/cedarrudder/lab/model/Carried.java
@@ -41,7 +41,7 @@
     final void go() {
         if (channel.take(run.agenda.now())) {
             machine = channel.taken;
-            write();
+            writeIfWanted();
             return;
         }
         phase = Phase.OPENING;
@@ -49,12 +49,20 @@
         arriveAfter(oneWay());
     }
 
-    private void write() {
+    /** On the connection that it has now, which goes back to the idle ones where it may not begin. */
+    private void writeIfWanted() {
+        if (!begins()) {
+            channel.give(machine, run.agenda.now());
+            return;
+        }
         phase = Phase.WRITTEN;
         writtenAt = run.agenda.now();
         arriveAfter(oneWay());
     }
 
+    /** Whether it may go out now; where not, it is over. */
+    abstract boolean begins();
+
     private void arriveAfter(long delay) {
         dueAt = run.agenda.now() + delay;
         run.agenda.at(dueAt, this);
@@ -126,7 +134,7 @@
         } else if (over) {
             node.connections--;
         } else {
-            write();
+            writeIfWanted();
         }
     }
 
--- a/lab/src/main/java/cedarrudder/lab/model/Life.java
+++ b/lab/src/main/java/cedarrudder/lab/model/Life.java
@@ -311,6 +311,15 @@
         }
     }
 
+    /** Whether an attempt may go out now; where not, it has been abandoned. */
+    boolean begins(Attempt attempt) {
+        boolean begins = driver.begins(attempt.handle);
+        if (begins) {
+            attempt.handle.wrote(now());
+        }
+        return begins;
+    }
+
     private void noLongerOut(Attempt attempt) {
         attempt.call.out--;
         Attempt last = out[--outs];
--- a/lab/src/main/java/cedarrudder/lab/model/Probe.java
+++ b/lab/src/main/java/cedarrudder/lab/model/Probe.java
@@ -30,6 +30,11 @@
         return run.agenda.now() - startedAt;
     }
 
+    @Override
+    boolean begins() {
+        return !over;
+    }
+
     @Override
     void ended(Ending how) {
         run.agenda.cancel(patience);
--- a/lab/src/main/java/cedarrudder/lab/model/Watched.java
+++ b/lab/src/main/java/cedarrudder/lab/model/Watched.java
@@ -118,6 +118,11 @@
         event(() -> balancer.outcome(at, request, attempt, endpoint, outcome, latency, settled, load));
     }
 
+    @Override
+    public Outcome denial(long at, long request, int attempt) {
+        return run.ended() ? null : balancer.denial(at, request, attempt);
+    }
+
     @Override
     public void clientLeft(long at, long request) {
         event(() -> balancer.clientLeft(at, request));
--- a/lab/src/main/java/cedarrudder/lab/rivals/Broken.java
+++ b/lab/src/main/java/cedarrudder/lab/rivals/Broken.java
@@ -286,6 +286,11 @@
 
     // ---- what goes to the module as it is ----
 
+    @Override
+    public Outcome denial(long now, long request, int attempt) {
+        return mine.containsKey(request) ? null : sound.denial(now, request, attempt);
+    }
+
     @Override
     public void clientLeft(long now, long request) {
         Mine rpc = mine.get(request);
--- a/lab/src/main/java/cedarrudder/lab/trace/Tap.java
+++ b/lab/src/main/java/cedarrudder/lab/trace/Tap.java
@@ -113,6 +113,11 @@
         balancer.outcome(at, request, attempt, endpoint, outcome, latency, settled, load);
     }
 
+    @Override
+    public Outcome denial(long at, long request, int attempt) {
+        return balancer.denial(at, request, attempt);
+    }
+
     @Override
     public void clientLeft(long at, long request) {
         now = at;
