--- a/core/src/main/java/cedarrudder/Decide.java
+++ b/core/src/main/java/cedarrudder/Decide.java
@@ -87,6 +87,9 @@
     private final Mean[] byClass;
     private final Mean overall;
 
+    /** The longest that a core takes for a mean request: see {@link #warmRate}; nanoseconds. */
+    private final Mean coreTime;
+
     /** How much longer an answer takes than the work it was said to be. */
     private final Mean stretch;
 
@@ -104,7 +107,7 @@
     private double callsOut;
     private double mostOut;
     private double callRate;
-    private double answered;
+    private double warmAnswers;
     private long callRateAt;
     private int out;
     private boolean ticking;
@@ -124,6 +127,7 @@
         this.pool = new ProbePool(settings, tuning, random, actions);
         this.extra = tuning.get(Figure.EXTRA_MOST) / 2;
         this.overall = new Mean(tuning.get(Figure.LATENCY_WEIGHT));
+        this.coreTime = new Mean(tuning.get(Figure.LATENCY_WEIGHT));
         this.stretch = new Mean(tuning.get(Figure.LATENCY_WEIGHT));
         this.byClass = new Mean[settings.classes().size()];
         this.worth = new ClassWorth(byClass.length, settings.goal().whole(), settings.goal().worstClass(),
@@ -209,6 +213,9 @@
         pool.resize(callsOut);
         pool.call(now);
         extra = Math.min(tuning.get(Figure.EXTRA_MOST), extra + tuning.get(Figure.EXTRA_PER_CALL));
+        if (call.work > 0 || coreTime.count() == 0) {
+            coreTime.add(call.work > 0 ? 2 * call.work : call.kind.aim());
+        }
         place(now, call);
         callRate += cost(call) * 1e9 / RATE_NANOS; // after: a rate is too high by itself as a call comes
     }
@@ -231,10 +238,8 @@
      * find it lower; and so with what zones may get, at each tier.
      */
     private double part(Call call) {
-        double best = 0;
-        for (int i = 0; i < byClass.length; i++) {
-            best = Math.max(best, settings.classes().get(i).worth() / Math.max(1, byClass[i].mean()));
-        }
+        double best = IntStream.range(0, byClass.length).mapToDouble(
+                i -> settings.classes().get(i).worth() / Math.max(1, byClass[i].mean())).max().orElse(0);
         double relative = call.kind.worth() / Math.max(1, byClass[call.classIndex].mean()) / best;
         Goal goal = settings.goal();
         // A goal that looks at the worst class leaves less room for preferring the best.
@@ -439,16 +444,16 @@
             call.to[attempt].answered(now, settings.copies(), latency, call.work);
             byClass[call.classIndex].add(latency);
             overall.add(latency);
-            answered += cost(call) * 1e9 / RATE_NANOS;
+            double warm = pool.roster().stream().mapToDouble(s -> s.capacity(now, settings.safety())).sum();
+            warmAnswers += warm > 0 ? cost(call) * 1e9 / RATE_NANOS / warm : 0;
             if (!settings.goal().worthByWork()) {
                 worth.perWork(call.classIndex, call.kind.worth() / byClass[call.classIndex].mean());
             }
             if (!call.overShare && now - call.arrived <= call.kind.aim()) {
                 worth.served(now, call.classIndex, worthOf(call));
             }
-            if (call.work > 0) {
-                stretch.add(latency / (double) Math.max(LEAST_WORK, call.work));
-            }
+            (call.work > 0 ? stretch : coreTime).add(call.work > 0
+                    ? latency / (double) Math.max(LEAST_WORK, call.work) : latency);
         }
         if (outcome == Outcome.OK || outcome == Outcome.TIMEOUT || outcome == Outcome.FULL) {
             // Full counts, against overload that shows as quick refusals. Errors and broken or refused
@@ -638,27 +643,25 @@
     private void countCall(long now) {
         double kept = Math.min(1, Math.exp(-(now - callRateAt) / RATE_NANOS));
         callRate *= kept;
-        answered *= kept;
+        warmAnswers *= kept;
         callRateAt = now;
         callsOut = callsOut * kept + out * (1 - kept);
         mostOut = Math.max(out, mostOut * Math.pow(kept, 0.2));
     }
 
     /**
-     * What one warm endpoint does for this copy, in mean requests a second: by its answers, counted over the
-     * roster with what each cold one can do, and not by the calls, which are many when little can be done.
-     * Where more can hardly be known (all are cold), by an even part of the calls, up to what one core does.
+     * What one warm endpoint does for this copy, in mean requests a second: by its answers, each divided by
+     * what the roster could do as it came, and not by the calls, many as they are when little can be done.
+     * Where more can't be known (all cold), by an even part of the calls, up to what one core does: one in
+     * twice the work said (two processes of a copy live in an upgrade), else in the time that answers take;
+     * before the first, in its aim. Guards against many copies that know nothing and take calls for answers.
      */
     private double warmRate(long now, Server server) {
-        List<Server> roster = pool.roster();
+        int roster = pool.roster().size();
         int ring = pool.ring.size();
         double kept = Math.min(1, Math.exp(-(now - callRateAt) / RATE_NANOS));
-        double even = Math.min(callRate * kept, 1e9 / Math.max(1, overall.mean()) * ring / settings.copies());
-        double whole = 0;
-        for (int i = 0; i < roster.size(); i++) {
-            whole += roster.get(i).capacity(now, settings.safety());
-        }
-        return server.inRoster ? Math.max(even / roster.size(), answered * kept / whole) : even / ring;
+        double even = Math.min(callRate * kept, 1e9 / coreTime.mean() * ring / settings.copies());
+        return server.inRoster ? Math.max(even / roster, warmAnswers * kept) : even / ring;
     }
 
     private long patience() {
--- a/core/src/main/java/cedarrudder/ProbePool.java
+++ b/core/src/main/java/cedarrudder/ProbePool.java
@@ -337,13 +337,8 @@
         }
         Arrays.sort(rifs, 0, sound);
         double hotAbove = sound == 0 ? -1 : rifs[(int) (tuning.get(Figure.RIF_QUANTILE) * (sound - 1))];
-        Entry best = null;
-        for (int i = 0; i < size; i++) {
-            if (may.test(entries[i].server) && (best == null || entries[i].before(best, hotAbove))) {
-                best = entries[i];
-            }
-        }
-        return best == null ? null : best.server;
+        return Arrays.stream(entries, 0, size).filter(e -> may.test(e.server))
+                .reduce((best, e) -> e.before(best, hotAbove) ? e : best).map(e -> e.server).orElse(null);
     }
 
     /** How many entries there are, for tests. */
--- a/core/src/main/java/cedarrudder/Server.java
+++ b/core/src/main/java/cedarrudder/Server.java
@@ -121,15 +121,17 @@
     }
 
     /**
-     * Whether the cold-start budget has room for a send. The budget grows with the load that one warm
-     * endpoint bears from this copy, in mean requests a second: no endpoint bears more than it can do, and
-     * all copies together bear down on a cold one by the sum of such parts.
+     * Whether the slow-start budget, a token bucket, has room for a send. It fills with the load that one
+     * warm endpoint bears from this copy, in mean requests a second: no endpoint bears more than it can do.
+     * Half a window's part is saved up at most; where that is under one request, a turn not used passes by.
+     * Guards against all copies together: those that have waited would send their one request at once.
      */
     boolean withinColdBudget(long now, double warmRate, Tuning tuning, Safety safety) {
         double planned = tuning.get(Tuning.Figure.COLD_SHARE_USED) * safety.fallMultiple();
         double rate = planned * capacity(now, safety) * warmRate;
         double most = rate * safety.fallWindow() / 1e9 / 2;
-        allowance = Math.min(most, allowance + rate * (now - allowanceAt) / 1e9);
+        double over = allowance + rate * (now - allowanceAt) / 1e9 - most;
+        allowance = most + (over <= 0 ? over : most < 1 ? over % 1 - 1 : 0);
         allowanceAt = now;
         return allowance >= 0;
     }
--- a/core/src/test/java/cedarrudder/ColdBudgetTest.java
+++ b/core/src/test/java/cedarrudder/ColdBudgetTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cedarrudder.ColdFleet.Deployment;
 import cedarrudder.ColdFleet.Seen;
 import cedarrudder.ColdFleet.Trouble;
 import cedarrudder.ColdFleet.World;
@@ -12,35 +13,60 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * What all copies together send to cold endpoints, beside what the standing test bears: N and three roots of
- * N and 3 requests, N being what the settings allow then. {@code -Dcold.tables=true} prints docs/COLD.md's
+ * What all copies together send to cold endpoints, beside what the standing test bears: N and two roots of N
+ * and 2 requests, N being what the settings allow then. {@code -Dcold.tables=true} prints docs/COLD.md's
  * tables, in some minutes.
  */
 class ColdBudgetTest {
     private static final boolean TABLES = Boolean.getBoolean("cold.tables");
-    private static final int SEEDS = TABLES ? 2 : 1;
+    private static final int SEEDS = TABLES ? 3 : 1;
 
     /** Few copies and many, and many copies to an endpoint, each with few calls. */
     @ParameterizedTest
-    @CsvSource({"1, 8", "15, 40", "100, 10", "100, 40", "500, 50"})
+    @CsvSource({"1, 8", "5, 10", "15, 40", "20, 10", "30, 10", "30, 40", "100, 10", "100, 40", "500, 50"})
     void copiesTogetherStayWithinTheBound(int copies, int endpoints) {
-        for (double cold : TABLES ? new double[]{0, 0.5, 0.9, 1} : new double[]{0.9}) {
-            World world = null;
-            Seen worst = null;
-            double served = 0;
-            int worlds = 0;
-            for (double load : TABLES ? new double[]{0.1, 0.4, 0.7, 1.2} : new double[]{0.7}) {
-                for (Trouble trouble : Trouble.values()) {
-                    int number = Math.max(1, (int) (cold * endpoints));
-                    World each = new World(copies, endpoints, number, 5, load, true, trouble, 3 * Site.SECOND,
-                            true);
-                    // A lone copy has nobody who could get its calls.
-                    boolean lone = copies == 1 && (trouble == Trouble.SHIFT
-                            || trouble == Trouble.SEVEN_IN_TEN_DIE);
-                    for (long seed = 1; seed <= SEEDS && !lone; seed++) {
+        double[] few = copies < 500 ? new double[]{0, 1} : new double[]{1};
+        for (double cold : TABLES ? new double[]{0, 0.5, 0.9, 1} : few) {
+            play(ColdFleet.FIRST, copies, endpoints, cold,
+                    TABLES && copies < 500 ? new double[]{0.1, 0.4, 0.7, 1.2} : new double[]{1.2});
+        }
+    }
+
+    /** Settings are other elsewhere, and so is what copies are told. */
+    @ParameterizedTest
+    @CsvSource({"5, 10", "30, 10", "100, 10"})
+    void soTheyDoInOtherDeployments(int copies, int endpoints) {
+        for (Deployment deployment : ColdFleet.OTHERS) {
+            for (double cold : TABLES ? new double[]{0, 0.5, 1} : new double[]{0, 1}) {
+                play(deployment, copies, endpoints, cold,
+                        TABLES ? new double[]{0.1, 0.4, 0.7, 1.2} : new double[]{1.2});
+            }
+        }
+    }
+
+    private static void play(Deployment deployment, int copies, int endpoints, double cold, double[] loads) {
+        World world = null;
+        Seen worst = null;
+        double byWork = 0;
+        double served = 0;
+        int worlds = 0;
+        int over = 0;
+        for (double load : loads) {
+            for (Trouble trouble : Trouble.values()) {
+                // A burst may come with the start, and after it.
+                boolean burst = trouble == Trouble.BURST || trouble == Trouble.THRONG;
+                // A lone copy has nobody who could get its calls.
+                boolean lone = copies == 1 && (trouble == Trouble.SHIFT || trouble == Trouble.RESTART
+                        || trouble == Trouble.SEVEN_IN_TEN_DIE);
+                for (long after = burst ? 0 : 3; after <= 3 && !lone; after += 3) {
+                    World each = new World(copies, endpoints, Math.max(1, (int) (cold * endpoints)), 5, load,
+                            deployment, trouble, after * Site.SECOND, true);
+                    for (long seed = 1; seed <= SEEDS; seed++) {
                         Seen seen = ColdFleet.play(each, Tuning.DEFAULTS, seed);
                         served += seen.served();
                         worlds++;
+                        over += seen.worst() > 1 ? 1 : 0;
+                        byWork = Math.max(byWork, seen.byWork());
                         if (worst == null || seen.worst() > worst.worst()) {
                             worst = seen;
                             world = each;
@@ -50,16 +76,17 @@
                     }
                 }
             }
-            System.out.printf("| %d | %d | %s | %s at load %s, %s | %.3f |%n", copies, endpoints, cold,
-                    worst, world.load(), world.trouble(), served / worlds);
         }
+        System.out.printf("| %s | %d, %d | %s | %.2f | %d of %d | %.2f | %.3f | seeds 1 to %d; %s "
+                + "at load %s, %s%n", deployment, copies, endpoints, cold, worst.worst(), over, worlds,
+                byWork, served / worlds, SEEDS, worst, world.load(), world.trouble());
     }
 
     /** Guards against a bound that nothing reaches: these copies aren't told of the start. */
     @ParameterizedTest
     @CsvSource({"15, 40", "100, 10", "100, 40"})
     void withoutTheirGuardCopiesPushItOver(int copies, int endpoints) {
-        Seen seen = ColdFleet.play(new World(copies, endpoints, endpoints / 2, 5, 0.7, true,
+        Seen seen = ColdFleet.play(new World(copies, endpoints, endpoints / 2, 5, 0.7, ColdFleet.FIRST,
                 Trouble.BURST, 3 * Site.SECOND, false), Tuning.DEFAULTS, 1);
         System.out.println("seed 1, " + copies + " copies that are not told: " + seen);
         assertTrue(seen.worst() > 1, seen.toString());
@@ -75,10 +102,11 @@
         for (double capacity : new double[]{33, 5}) {
             for (int second = 0; second <= 20; second += 5) {
                 long from = second * Site.SECOND;
-                double bound = ColdFleet.bound(from + ColdFleet.SAFETY.fallWindow(), capacity);
+                long until = from + ColdFleet.SAFETY.fallWindow();
+                double bound = ColdFleet.bound(ColdFleet.SAFETY, until, capacity);
                 int eager = greedy(copies, capacity, from, false);
                 int atOnce = greedy(copies, capacity, from, true);
-                double allowed = ColdFleet.allowed(from + ColdFleet.SAFETY.fallWindow(), capacity);
+                double allowed = ColdFleet.allowed(ColdFleet.SAFETY, until, capacity);
                 System.out.printf("| %d | %.0f | %d | %.0f | %.0f | %d | %d |%n", copies, capacity,
                         second + 3, allowed, bound, eager, atOnce);
                 assertTrue(eager <= bound && atOnce <= bound, eager + " and " + atOnce + " of " + bound);
--- a/core/src/test/java/cedarrudder/ColdFleet.java
+++ b/core/src/test/java/cedarrudder/ColdFleet.java
@@ -16,6 +16,8 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 
 /**
  * Copies of the module and the endpoints of one tier in virtual time, some of which start cold at
@@ -28,8 +30,24 @@
     static final long COLD_AT = 6 * Site.SECOND;
 
     /** The figures of the rules at the site that the program is built for. */
-    static final Safety SAFETY = new Safety(2 * Site.SECOND, 0.12, 23 * Site.SECOND, 3, 3 * Site.SECOND,
-            10 * Site.SECOND);
+    static final Safety SAFETY = safety(0.12, 23 * Site.SECOND, 3, 3 * Site.SECOND);
+
+    /** That site, and others whose settings are otherwise. */
+    static final Deployment FIRST = new Deployment("first", SAFETY, 1, true, true, 0);
+    static final List<Deployment> OTHERS = List.of(
+            new Deployment("window of 1 s", safety(0.12, 23 * Site.SECOND, 3, Site.SECOND), 1, true, true, 0),
+            new Deployment("warm sooner", safety(0.4, 6 * Site.SECOND, 1.5, 3 * Site.SECOND), 1, true, true,
+                    0),
+            new Deployment("colder, longer", safety(0.05, 60 * Site.SECOND, 4, 5 * Site.SECOND), 1, true,
+                    true, 0),
+            new Deployment("two cores", SAFETY, 2, true, true, 0),
+            new Deployment("no hints", SAFETY, 1, false, true, 0),
+            new Deployment("no probes", SAFETY, 1, false, false, 0),
+            new Deployment("unlike endpoints", SAFETY, 1, true, true, 0.4));
+
+    private static Safety safety(double coldShare, long rampTime, double fallMultiple, long fallWindow) {
+        return new Safety(2 * Site.SECOND, coldShare, rampTime, fallMultiple, fallWindow, 10 * Site.SECOND);
+    }
 
     /** What happens to the copies and the calls, {@link #after} the cold start. */
     enum Trouble {
@@ -41,7 +59,31 @@
         /** Seven in ten copies die, and the others get their calls. */
         SEVEN_IN_TEN_DIE,
         /** A second process of each copy starts, knowing no rate, and gets half of its calls. */
-        UPGRADE
+        UPGRADE,
+        /** Seven in ten copies are killed at once, and are back a second later, knowing nothing. */
+        RESTART,
+        /** A tenth of the copies is killed in each second, and is back at once, knowing nothing. */
+        ROLL,
+        /** Half of the warm endpoints come back cold and a quarter more join, under a {@link #BURST}. */
+        THRONG,
+        /** All endpoints come back cold at once, while many calls are being answered. */
+        BLACKOUT
+    }
+
+    /**
+     * What differs from one deployment to another.
+     *
+     * @param cores of each endpoint
+     * @param hints whether copies are told of each request's work, and so learn what an endpoint may hold
+     * @param probes whether endpoints may be asked for their load
+     * @param spread how far what endpoints can do lies apart: a third does so much less, a third so much more
+     */
+    record Deployment(String name, Safety safety, int cores, boolean hints, boolean probes,
+            double spread) {
+        @Override
+        public String toString() {
+            return name;
+        }
     }
 
     /**
@@ -50,10 +92,9 @@
      * @param cold how many of the endpoints start cold
      * @param capacity requests of mean work that a warm endpoint can do in a second
      * @param load calls that come, as a part of what all endpoints could do if they were warm
-     * @param hints whether copies are told of each request's work, and so learn what an endpoint may hold
      * @param told whether the copies are told of the start; if not, they go without their guard
      */
-    record World(int copies, int endpoints, int cold, double capacity, double load, boolean hints,
+    record World(int copies, int endpoints, int cold, double capacity, double load, Deployment deployment,
             Trouble trouble, long after, boolean told) { }
 
     /**
@@ -63,45 +104,63 @@
      * @param count that, in requests
      * @param bound and the bound, in requests
      * @param atSecond seconds after the start
+     * @param byWork the same part, with each request counted by its own work; a heavy one alone may pass it
      * @param toCold all that came while cold
      * @param served calls that were served, of those asked from the start of the world on
      */
-    record Seen(double worst, int count, double bound, double atSecond, int toCold, double served) {
+    record Seen(double worst, int count, double bound, double atSecond, double byWork, int toCold,
+            double served) {
         @Override
         public String toString() {
-            return String.format(Locale.ROOT, "%.2f (%d of %.1f at %.1f s), %d in all, %.3f served", worst,
-                    count, bound, atSecond, toCold, served);
+            return String.format(Locale.ROOT, "%.2f (%d of %.1f at %.1f s), by work %.2f, %d in all, "
+                    + "%.3f served", worst, count, bound, atSecond, byWork, toCold, served);
         }
     }
 
+    private record Came(long at, double work) { }
+
     private record Event(long at, long number, Runnable what) { }
 
     private final class Node {
         final long startedAt;
-        final ArrayDeque<Long> came = new ArrayDeque<>();
-        long busyUntil;
+        final double capacity;
+        final ArrayDeque<Came> came = new ArrayDeque<>();
+        final long[] busyUntil = new long[world.deployment.cores];
+        double workCame;
         int holds;
 
-        Node(long startedAt) {
+        Node(long id, long startedAt) {
             this.startedAt = startedAt;
+            this.capacity = world.capacity * (1 + (id % 3 - 1) * world.deployment.spread);
         }
 
         double speed() {
-            return startedAt == 0 ? 1 : share(now - startedAt);
+            return capacity / world.capacity * (startedAt == 0 ? 1 : share(safety, now - startedAt));
+        }
+
+        /** Counts what comes while it is cold. */
+        private void count(double work) {
+            came.add(new Came(now, work));
+            workCame += work;
+            while (came.peek().at <= now - safety.fallWindow()) {
+                workCame -= came.remove().work;
+            }
+            toCold++;
+            double bound = bound(safety, now - startedAt, capacity);
+            double byWork = workCame * world.capacity / world.deployment.cores / Site.SECOND / bound;
+            if (came.size() / bound > seen.worst) {
+                seen = new Seen(came.size() / bound, came.size(), bound,
+                        (now - startedAt) / (double) Site.SECOND, seen.byWork, 0, 0);
+            }
+            if (byWork > seen.byWork) {
+                seen = new Seen(seen.worst, seen.count, seen.bound, seen.atSecond, byWork, 0, 0);
+            }
         }
 
         void takes(Copy from, long request, int attempt, long id) {
-            if (startedAt != 0) {
-                came.add(now);
-                while (came.peek() <= now - SAFETY.fallWindow()) {
-                    came.remove();
-                }
-                toCold++;
-                double bound = bound(now - startedAt, world.capacity);
-                if (now - startedAt < SAFETY.rampTime() && came.size() / bound > seen.worst) {
-                    seen = new Seen(came.size() / bound, came.size(), bound,
-                            (now - startedAt) / (double) Site.SECOND, 0, 0);
-                }
+            double work = works.get(request);
+            if (startedAt != 0 && now - startedAt < safety.rampTime()) {
+                count(work);
             }
             if (holds >= 20) {
                 later(now, () -> from.ended(request, attempt, id, Outcome.FULL, 0));
@@ -109,13 +168,15 @@
             }
             holds++;
             long sentAt = now;
-            double work = works.get(request);
-            busyUntil = Math.max(now, busyUntil) + (long) (work / speed());
-            long until = Math.min(busyUntil, from.deadlines.get(request));
-            Outcome how = busyUntil <= until ? Outcome.OK : Outcome.TIMEOUT;
+            int core = IntStream.range(0, busyUntil.length).boxed()
+                    .min(Comparator.comparingLong(i -> busyUntil[i])).get();
+            busyUntil[core] = Math.max(now, busyUntil[core]) + (long) (work / speed());
+            long until = Math.min(busyUntil[core], from.deadlines.get(request));
+            Outcome how = busyUntil[core] <= until ? Outcome.OK : Outcome.TIMEOUT;
             later(until, () -> {
                 holds--;
-                from.ended(request, attempt, id, how, now - sentAt);
+                // What it was at work on when it came back cold is lost.
+                from.ended(request, attempt, id, nodes.get(id) == this ? how : Outcome.RESET, now - sentAt);
             });
         }
     }
@@ -129,13 +190,14 @@
         Copy(int self, long seed) {
             Site site = new Site();
             site.copies = world.copies;
+            site.probes = world.deployment.probes;
             site.self = self;
             site.classes = List.of(new Balancer.RequestClass("status", Balancer.Effect.SAFE,
                     Balancer.KeyScope.ALL, aim, patience, 1, 0, Site.SECOND, false));
             Settings s = site.settings();
             module = new Decide(new Settings(s.copies(), self, 0, 1, 2, false, s.classes(), s.tenants(),
-                    s.limits(), SAFETY, s.goal(), s.prices()), tuning, new SplittableRandom(seed), this);
-            module.endpoints(now, ListKind.CACHED, warm);
+                    s.limits(), safety, s.goal(), s.prices()), tuning, new SplittableRandom(seed), this);
+            module.endpoints(now, ListKind.CACHED, listed);
         }
 
         void call(long id, int tries, double work) {
@@ -144,7 +206,7 @@
             triesLeft.put(id, tries);
             works.put(id, work);
             module.request(now, new Request(id, 0, 0, until, 0, false, false,
-                    world.hints ? (long) work : 0));
+                    world.deployment.hints ? (long) work : 0));
         }
 
         void ended(long request, int attempt, long node, Outcome outcome, long latency) {
@@ -174,6 +236,12 @@
             over(request);
         }
 
+        /** Killed: the clients of all its calls come again. */
+        void die() {
+            dead = true;
+            deadlines.keySet().forEach(this::over);
+        }
+
         /** Its client comes again, with what is left of its tries, to any copy. */
         private void over(long request) {
             Integer tries = triesLeft.remove(request);
@@ -189,7 +257,7 @@
                 if (!dead) {
                     Node node = nodes.get(endpoint);
                     module.probed(now, endpoint, Outcome.OK, Site.MS,
-                            Site.load(node.holds, 1000 / world.capacity / node.speed()));
+                            Site.load(node.holds, meanWork / Site.MS / node.speed()));
                 }
             });
         }
@@ -225,6 +293,10 @@
     private final World world;
     private final Tuning tuning;
     private final SplittableRandom random;
+    private final Safety safety;
+
+    /** Of a request, on one core of a warm endpoint; nanoseconds. */
+    private final double meanWork;
     private final long aim;
     private final long patience;
     private final PriorityQueue<Event> events =
@@ -232,11 +304,11 @@
     private final Map<Long, Node> nodes = new HashMap<>();
     private final Map<Long, Integer> triesLeft = new HashMap<>();
     private final Map<Long, Double> works = new HashMap<>();
-    private final List<Endpoint> warm = new ArrayList<>();
-    private final List<Endpoint> fresh = new ArrayList<>();
+    /** What discovery has: what a copy that starts now is told. */
+    private final List<Endpoint> listed = new ArrayList<>();
     private final List<Copy> copies = new ArrayList<>();
     private final double[] weights;
-    private Seen seen = new Seen(0, 0, 0, 0, 0, 0);
+    private Seen seen = new Seen(0, 0, 0, 0, 0, 0, 0);
     private long now = 1;
     private long number;
     private long ids;
@@ -248,12 +320,12 @@
         this.world = world;
         this.tuning = tuning;
         this.random = new SplittableRandom(seed);
-        this.aim = (long) (10 * Site.SECOND / world.capacity);
+        this.safety = world.deployment.safety;
+        this.meanWork = world.deployment.cores * Site.SECOND / world.capacity;
+        this.aim = (long) (10 * meanWork);
         this.patience = 5 * aim / 2;
-        for (long id = 1; id <= world.endpoints; id++) {
-            boolean cold = id <= world.cold;
-            nodes.put(id, new Node(cold ? COLD_AT : 0));
-            (cold ? fresh : warm).add(Site.endpoint(id, 0, 0, State.READY, cold && world.told ? COLD_AT : 0));
+        for (long id = world.cold + 1; id <= world.endpoints; id++) {
+            start(id, 0);
         }
         weights = new double[world.copies];
         for (int i = 0; i < weights.length; i++) {
@@ -263,25 +335,40 @@
         }
     }
 
+    /** An endpoint is there from now on, in a new life; returns what discovery says of it. */
+    private Endpoint start(long id, long at) {
+        nodes.put(id, new Node(id, at));
+        Endpoint entry = Site.endpoint(id, 0, 0, State.READY, world.told ? at : 0);
+        listed.removeIf(e -> e.id() == id);
+        listed.add(entry);
+        return entry;
+    }
+
+    private void startCold(long from, long to) {
+        List<Endpoint> fresh = LongStream.rangeClosed(from, to).mapToObj(id -> start(id, now)).toList();
+        copies.stream().filter(c -> !c.dead)
+                .forEach(c -> c.module.endpoints(now, ListKind.CHANGES, fresh));
+    }
+
     /** Plays a world to the end of the warm-up. */
     static Seen play(World world, Tuning tuning, long seed) {
         return new ColdFleet(world, tuning, seed).play();
     }
 
     /** The share of its capacity that an endpoint has at this age. */
-    static double share(long age) {
-        return SAFETY.coldShare() + (1 - SAFETY.coldShare()) * Math.min(1, age / (double) SAFETY.rampTime());
+    static double share(Safety safety, long age) {
+        return safety.coldShare() + (1 - safety.coldShare()) * Math.min(1, age / (double) safety.rampTime());
     }
 
     /** What the settings allow an endpoint of this age within the window, in requests of mean work. */
-    static double allowed(long age, double capacity) {
-        return SAFETY.fallMultiple() * share(age) * capacity * SAFETY.fallWindow() / 1e9;
+    static double allowed(Safety safety, long age, double capacity) {
+        return safety.fallMultiple() * share(safety, age) * capacity * safety.fallWindow() / 1e9;
     }
 
     /** More than this pushes it over. */
-    static double bound(long age, double capacity) {
-        double allowed = allowed(age, capacity);
-        return allowed + 3 * Math.sqrt(allowed) + 3;
+    static double bound(Safety safety, long age, double capacity) {
+        double allowed = allowed(safety, age, capacity);
+        return allowed + 2 * Math.sqrt(allowed) + 2;
     }
 
     private void later(long at, Runnable what) {
@@ -289,24 +376,26 @@
     }
 
     private Seen play() {
-        later(COLD_AT, () -> copies.forEach(c -> c.module.endpoints(now, ListKind.CHANGES, fresh)));
+        later(COLD_AT, () -> startCold(1, world.cold));
         later(COLD_AT + world.after, this::trouble);
         later(now, this::arrive);
-        while (events.peek().at < COLD_AT + SAFETY.rampTime()) {
+        long end = COLD_AT + (world.trouble == Trouble.THRONG
+                || world.trouble == Trouble.BLACKOUT ? world.after : 0) + safety.rampTime();
+        while (events.peek().at < end) {
             Event event = events.remove();
             now = event.at;
             event.what.run();
         }
-        return new Seen(seen.worst, seen.count, seen.bound, seen.atSecond, toCold,
+        return new Seen(seen.worst, seen.count, seen.bound, seen.atSecond, seen.byWork, toCold,
                 served / (double) asked);
     }
 
     private void arrive() {
-        boolean burst = world.trouble == Trouble.BURST && now >= COLD_AT + world.after
-                && now < COLD_AT + world.after + 3 * Site.SECOND;
+        boolean burst = (world.trouble == Trouble.BURST || world.trouble == Trouble.THRONG)
+                && now >= COLD_AT + world.after && now < COLD_AT + world.after + 3 * Site.SECOND;
         double rate = world.load * world.endpoints * world.capacity * (burst ? 3 : 1);
         asked++;
-        deal(2, -Math.log(1 - random.nextDouble()) * Site.SECOND / world.capacity);
+        deal(2, -Math.log(1 - random.nextDouble()) * meanWork);
         later(now + 1 + (long) (-Math.log(1 - random.nextDouble()) * Site.SECOND / rate), this::arrive);
     }
 
@@ -326,18 +415,38 @@
                     weights[i] = weights[i] > 0.5 ? 0.02 : 4;
                 }
             }
-            case SEVEN_IN_TEN_DIE -> {
+            case SEVEN_IN_TEN_DIE -> killSevenInTen();
+            case RESTART -> {
+                killSevenInTen();
+                later(now + Site.SECOND, () -> IntStream.range(0, weights.length)
+                        .filter(i -> copies.get(i).dead).forEach(this::restart));
+            }
+            case ROLL -> {
                 for (int i = 0; i < weights.length; i++) {
-                    copies.get(i).dead = i % 10 >= 3;
+                    int self = i;
+                    later(now + i * 10L / weights.length * Site.SECOND, () -> {
+                        copies.get(self).die();
+                        restart(self);
+                    });
                 }
             }
             case UPGRADE -> {
                 for (int i = 0; i < weights.length; i++) {
                     copies.add(new Copy(i, random.nextLong()));
-                    copies.get(i + weights.length).module.endpoints(now, ListKind.CHANGES, fresh);
                 }
             }
+            case THRONG -> startCold((world.cold + world.endpoints) / 2 + 1, world.endpoints * 5L / 4);
+            case BLACKOUT -> startCold(1, world.endpoints);
             default -> { }
         }
     }
+
+    private void killSevenInTen() {
+        IntStream.range(0, weights.length).filter(i -> i % 10 >= 3).forEach(i -> copies.get(i).die());
+    }
+
+    /** A new life of a copy knows what discovery says, and nothing else. */
+    private void restart(int self) {
+        copies.set(self, new Copy(self, random.nextLong()));
+    }
 }
--- a/core/src/test/java/cedarrudder/SharesTest.java
+++ b/core/src/test/java/cedarrudder/SharesTest.java
@@ -119,7 +119,7 @@
      */
     @Test
     public void withoutSharesEachActionIsThatOfTheBuildBefore() {
-        long[] before = {238080006L, 717617531L, 3542493371L, 1569822970L};
+        long[] before = {2325112104L, 501668940L, 1036378783L, 2311605761L};
         for (int seed = 1; seed <= before.length; seed++) {
             Steps steps = new Steps(seed);
             steps.play(5_000);
