See a caller that has gone behind what it sent; end each connection by one lingering close

Cause, seen in Listener.Caller: - readOn stopped reading at the first byte behind an open RPC, so an end or a reset behind it stood unread and the RPC was sent on, up to its deadline. - wroteAll and write closed right behind the last answer; over unread bytes the kernel makes that a reset, which takes what has not arrived of the answer. - closes() said "Connection: close" whatever was held behind the request, and was asked twice for one answer. - makeRoom closed without a read; half a request, or a caller that reads nothing, held the end up to SIGKILL.

Change: reading goes on up to 32 KiB ahead of an open RPC, kept on the heap and in HeldBytes. look() reads until nothing more comes, within bounds, also from within the decoder's own hands (bytes are appended to the buffer in use). waits() is the look for the one gate before a write to a node. last() decides once for each answer, after a look where the service ends; 64 requests behind the last are answered at the most. hangUp() is the one orderly end: shutdown of our output, read and drop (1 s of quiet, 5 s, 64 MiB), close. What is left 0.1 s after the cut-off is closed, a reset where an answer flows.

--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -16,6 +16,7 @@
 import cedarrudder.routing.Exchange;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -44,8 +45,8 @@
 
     private static final String HEALTH = "/_health";
 
-    /** After SIGTERM connections still come for up to 0.4 s; they are taken for this long at the least. */
-    private static final long LINGER = 600_000_000L;
+    /** After SIGTERM connections still come for up to 0.4 s; they are let in for this long at the least. */
+    private static final long LET_IN = 600_000_000L;
 
     /**
      * SIGKILL follows SIGTERM no sooner than the longest wait (3 s where it is longer) and 0.7 s. What is
@@ -57,12 +58,36 @@
     /** Nothing new is taken for so long before; most RPCs need less. */
     private static final long WIND_UP = 400_000_000L;
 
+    /** Cut off so long before, what is left of the service is closed: half written answers, late ends. */
+    private static final long LAST_CALL = 100_000_000L;
+
     /**
-     * How long a caller that was turned away may still send: until it has been quiet for this long, and so
-     * long in all. Guards against the answer being lost, since closing with bytes unread resets a connection.
+     * The lingering close (RFC 9112 9.6): for how long, in nanoseconds, what a caller still sends is read and
+     * dropped behind the end of our output, until it has been quiet for so long, and so long in all; and how
+     * many bytes of it. Guards against the last answer being lost, since closing with bytes unread resets a
+     * connection, and against callers that send on without end.
      */
     private static final long LAST_WORD = 1_000_000_000L;
     private static final long LAST_WORDS = 5_000_000_000L;
+    private static final long MOST_DROPPED = HttpDecoder.MOST_FLOW;
+
+    /**
+     * Bytes of a caller behind its open RPC that are read and kept, charged to the account of bodies; what
+     * one turn of the loop reads may come on top. Guards against a caller that has gone and is not seen to,
+     * since its end stands behind what it sent: its RPC would still be sent on. Beyond it, or with the
+     * account used up, reading stops: whoever sends so much ahead is made to wait, and its end is then seen
+     * no sooner than its answer is out.
+     */
+    private static final int READ_AHEAD = 32 * 1024;
+
+    /** One look at a socket reads so often at the most. Guards against one that is sent to at full speed. */
+    private static final int LOOKS = 8;
+
+    /**
+     * Requests of one connection that are still answered where its last answer was due, since they stood
+     * right behind it. Guards against a caller that sends ahead without end and never lets go.
+     */
+    private static final int MOST_BEHIND = 64;
 
     /**
      * How clients are sent away when operators drain the proxy, counted from then: the front still brings
@@ -105,7 +130,7 @@
     private final Set<Caller> callers = new HashSet<>();
 
     /** The callers that may be closed to make room, by why they may; those longest so come first. */
-    private final Set<Caller> rejected = new LinkedHashSet<>();
+    private final Set<Caller> lingering = new LinkedHashSet<>();
     private final Set<Caller> silent = new LinkedHashSet<>();
     private final Set<Caller> half = new LinkedHashSet<>();
     private final Set<Caller> idle = new LinkedHashSet<>();
@@ -116,7 +141,7 @@
     private boolean full;
     private long lastId;
     private Runnable whenEmpty;
-    private boolean lingering;
+    private boolean lettingIn;
     private boolean stopping;
     private ServiceState state = ServiceState.FIRST;
     private long drainedAt;
@@ -284,28 +309,36 @@
 
     /**
      * Guards against running out of descriptors: beyond the bound each new connection costs one that may be
-     * closed, those first that were turned away, then those that have long said nothing or half a request,
-     * then idle ones, then half a request that does not seem to be on its way, then the silent one that has
-     * been there longest. Where there is none, new ones wait to be accepted.
+     * closed, those first that have their last answer, then those that have long said nothing or half a
+     * request, then idle ones, then half a request that does not seem to be on its way, then the silent one
+     * that has been there longest. Where there is none, new ones wait to be accepted.
      *
      * <p>A connection that has just come goes last. Guards against closing callers whose first request is on
-     * its way, which then fails, where a caller between requests would only have to connect again.
+     * its way, which then fails, where a caller between requests would only have to connect again. What has
+     * come on one that is to go is read first: a request that it brings is taken, and another one goes.
      */
     private void makeRoom() {
-        Caller first = first(rejected, 0);
+        for (Caller first = firstToGo(); first != null; first = firstToGo()) {
+            Set<Caller> was = first.among;
+            first.look();
+            if (first.among == was) {
+                loop.log().debug("caller.closed_for_room").with("caller", first.channel.remoteAddress())
+                        .with("callers", callers.size()).write();
+                first.close();
+                return;
+            }
+        }
+        full = true;
+        listening.config().setAutoRead(false);
+    }
+
+    private Caller firstToGo() {
+        Caller first = first(lingering, 0);
         first = first != null ? first : first(silent, limits.silentLong());
         first = first != null ? first : first(half, limits.silentLong());
         first = first != null ? first : first(idle, 0);
         first = first != null ? first : first(half, HALF_LONG);
-        first = first != null || silent.size() <= 1 ? first : first(silent, 0);
-        if (first != null) {
-            loop.log().debug("caller.closed_for_room").with("caller", first.channel.remoteAddress())
-                    .with("callers", callers.size()).write();
-            first.close();
-        } else {
-            full = true;
-            listening.config().setAutoRead(false);
-        }
+        return first != null || silent.size() <= 1 ? first : first(silent, 0);
     }
 
     /** The one of these that has been among them longest, and for so long; null where there is none. */
@@ -335,14 +368,14 @@
         }
         whenEmpty = whenDone;
         state = state.on(ServiceState.Event.END);
-        lingering = true;
+        lettingIn = true;
         long now = loop.now();
         answerBy = now + Math.min(LONGEST_COUNTED, fields.longestWait()) + KILLED_AFTER;
-        loop.at(now + LINGER, () -> {
-            lingering = false;
+        loop.at(now + LET_IN, () -> {
+            lettingIn = false;
             endIfEmpty();
         });
-        loop.at(Math.max(now + LINGER, answerBy - WIND_UP), this::stop);
+        loop.at(Math.max(now + LET_IN, answerBy - WIND_UP), this::stop);
         loop.at(answerBy, this::cutOff);
     }
 
@@ -382,28 +415,46 @@
         }
     }
 
-    /** What is open has had its time: all get an answer while this process can still give one. */
+    /**
+     * What is open has had its time: all get an answer while this process can still give one. Half a request
+     * is not waited for any more.
+     */
     private void cutOff() {
         for (Caller caller : List.copyOf(callers)) {
+            caller.look();
             if (caller.exchange != null) {
                 driver.cut(caller.exchange);
+            } else if (!caller.writing && !caller.closing) {
+                caller.hangUp();
             }
         }
+        loop.at(loop.now() + LAST_CALL, this::closeAll);
+    }
+
+    /**
+     * Nothing holds the end of the process any longer. Guards against callers that don't read their answers,
+     * or don't hear the end of our output, being met by SIGKILL with all others.
+     */
+    private void closeAll() {
+        loop.at(loop.now() + SWEEP, this::closeAll);
+        for (Caller caller : List.copyOf(callers)) {
+            caller.breakOff();
+        }
     }
 
     /** Takes who waits at the door and closes it; until that is done the service goes on. */
     private void shutDoor() {
-        if (listening.isOpen() && !lingering) {
-            lingering = true;
+        if (listening.isOpen() && !lettingIn) {
+            lettingIn = true;
             listening.closeBehindLast(() -> {
-                lingering = false;
+                lettingIn = false;
                 endIfEmpty();
             });
         }
     }
 
     private void endIfEmpty() {
-        if (whenEmpty == null || lingering || !callers.isEmpty()) {
+        if (whenEmpty == null || lettingIn || !callers.isEmpty()) {
             return;
         }
         if (listening.isOpen()) {
@@ -414,7 +465,7 @@
     }
 
     /** One connection from a caller, on which one RPC is answered at a time. */
-    private final class Caller extends ChannelInboundHandlerAdapter implements Exchange.Reply<Message> {
+    final class Caller extends ChannelInboundHandlerAdapter implements Exchange.Reply<Message> {
         private final NioSocketChannel channel;
         private final HttpDecoder decoder = HttpDecoder.ofFlows(true, limits.mostHead(), limits.mostBody(),
                 BodyFlow.WINDOW);
@@ -431,6 +482,10 @@
         private boolean decoding;
         private boolean writing;
         private boolean closing;
+        private int kept;
+        private long came;
+        private long dropped;
+        private int behind;
         private Set<Caller> among;
         private long since;
         private long due;
@@ -468,23 +523,66 @@
         }
 
         /**
-         * Closes it unless a request has come on it, or a part of one, which is taken instead. Guards against
-         * requests that the kernel has and the loop has not got round to: closing with bytes unread resets
-         * the connection, and with many to be closed the last is closed some milliseconds after the look.
+         * The one orderly end of a connection, a lingering close: our output ends, and what still comes is
+         * read and dropped until its caller ends it too, or for a while. Nothing that is read from here on
+         * goes to a node: its caller has seen the end, and sends it again elsewhere.
          */
-        private void closeIfQuiet() {
-            channel.unsafe().read();
+        private void hangUp() {
+            closing = true;
+            dropUpload();
+            dropAhead();
+            enter(lingering, LAST_WORD);
+            lastDue = since + LAST_WORDS;
+            channel.shutdownOutput();
+            channel.config().setAutoRead(true);
+        }
+
+        /**
+         * Reads what has come on its socket by now. Guards against requests, and ends, that the kernel has
+         * and the loop has not got round to.
+         *
+         * <p>It may run within a read of the same socket, as far down as in the decoder's own hands: what it
+         * brings is put behind what is there, and whoever decodes goes on with it.
+         */
+        private void look() {
+            for (int i = 0; i < LOOKS && channel.isOpen() && mayRead(); i++) {
+                long before = came;
+                channel.unsafe().read();
+                if (came == before) {
+                    return;
+                }
+            }
+        }
+
+        /**
+         * Whether it still waits for the answer to its open RPC, looked up now. Guards against an attempt for
+         * a caller that has gone: on a late loop its end may stand unread for long.
+         */
+        public boolean waits() {
+            look();
+            return exchange != null && channel.isOpen();
+        }
+
+        /** Ends its output unless a request has come on it, or a part of one, which is taken instead. */
+        void closeIfQuiet() {
+            look();
             if (among == idle || among == silent) {
-                close();
+                hangUp();
             }
         }
 
-        /** Patience with it is over. */
+        /** Patience with it is over, unless what it waits for has come and not been read. */
         private void expire() {
-            if (among == idle || among == silent) {
-                closeIfQuiet();
-            } else {
+            if (!closing) {
+                look();
+            }
+            if (loop.now() < due) {
+                return;
+            }
+            if (among == null || among == lingering) {
                 close();
+            } else {
+                hangUp();
             }
         }
 
@@ -500,26 +598,48 @@
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             ByteBuf in = (ByteBuf) message;
+            came += in.readableBytes();
             if (closing) {
-                in.release();
-                due = among == rejected ? Math.min(loop.now() + LAST_WORD, lastDue) : due;
+                drop(in);
                 return;
             }
-            ahead = ahead == null ? in : append(in);
+            if (ahead == null) {
+                ahead = in;
+            } else {
+                append(in);
+            }
             decode();
             readOn();
         }
 
-        /** Guards against keeping further requests without end: what comes while one is open stays unread. */
+        private void drop(ByteBuf in) {
+            dropped += in.readableBytes();
+            in.release();
+            if (dropped > MOST_DROPPED) {
+                due = loop.now();
+            } else if (among == lingering) {
+                due = Math.min(loop.now() + LAST_WORD, lastDue);
+            }
+        }
+
         private void readOn() {
-            boolean more = upload != null ? !upload.full() : ahead == null || !busy();
-            channel.config().setAutoRead(more);
+            if (closing) {
+                return; // whoever ends it reads as it needs to
+            }
+            channel.config().setAutoRead(mayRead());
             if (upload != null) {
                 // Progress, and not the time in all: a large body may take as long as it takes.
-                due = more ? loop.now() + UPLOAD_SILENCE : Long.MAX_VALUE;
+                due = upload.full() ? Long.MAX_VALUE : loop.now() + UPLOAD_SILENCE;
             }
         }
 
+        /** Guards against keeping further requests, or more than the window of a body, without end. */
+        private boolean mayRead() {
+            int waiting = ahead == null ? 0 : ahead.readableBytes();
+            boolean more = upload != null && upload.full() || waiting > 0;
+            return !more || waiting < READ_AHEAD && !held.usedUp();
+        }
+
         /**
          * Whether an RPC is open, or its answer still on its way. Guards against a caller that sends requests
          * and reads no answers, which would all be kept here.
@@ -528,12 +648,36 @@
             return exchange != null || writing;
         }
 
-        private ByteBuf append(ByteBuf in) {
-            ByteBuf joined = loop.buffers().buffer(ahead.readableBytes() + in.readableBytes());
-            joined.writeBytes(ahead).writeBytes(in);
-            ahead.release();
-            in.release();
-            return joined;
+        /** To the same buffer: guards against another in place of the one that the decoder is reading. */
+        private void append(ByteBuf in) {
+            try {
+                ahead.discardSomeReadBytes().writeBytes(in);
+            } finally {
+                in.release();
+            }
+        }
+
+        /**
+         * What waits to be decoded is kept on the heap and entered in the account. Guards against direct
+         * memory, of which there is little, that is taken by buffers of 16 KiB with some bytes in each.
+         */
+        private void keep() {
+            if (ahead != null && ahead.isDirect()) {
+                ByteBuf copy = Unpooled.buffer(ahead.readableBytes()).writeBytes(ahead);
+                ahead.release();
+                ahead = copy;
+            }
+            int now = ahead == null ? 0 : ahead.capacity();
+            held.add(now - kept);
+            kept = now;
+        }
+
+        private void dropAhead() {
+            if (ahead != null) {
+                ahead.release();
+                ahead = null;
+            }
+            keep();
         }
 
         /** Decodes what has come, up to the end of a request; the next waits until that one is answered. */
@@ -575,9 +719,10 @@
             } finally {
                 decoding = false;
             }
-            if (ahead != null && !ahead.isReadable()) {
-                ahead.release();
-                ahead = null;
+            if (ahead != null && (closing || !ahead.isReadable())) {
+                dropAhead();
+            } else {
+                keep();
             }
         }
 
@@ -647,7 +792,8 @@
             String target = request.head().target();
             if (target.equals(HEALTH)) {
                 boolean healthy = ready.getAsBoolean() && state.healthy();
-                write(own(healthy ? 200 : 503, healthy ? "ready" : "not ready", closes()));
+                boolean last = last();
+                write(own(healthy ? 200 : 503, healthy ? "ready" : "not ready", last), last);
                 return;
             }
             Carried carried = fields.carried(request);
@@ -675,28 +821,39 @@
             }
         }
 
-        private boolean closes() {
-            return !keepAlive || upload != null || stopping || replacedAt != 0 || sendingAway();
+        /**
+         * Whether the answer at hand is the last of its connection; asked once for each. Where the service
+         * ends, what has come behind the request is looked at first, and served. Guards against requests that
+         * were taken and never answered.
+         */
+        private boolean last() {
+            if (!keepAlive || upload != null) {
+                return true;
+            }
+            if (!stopping && replacedAt == 0 && !sendingAway()) {
+                return false;
+            }
+            look();
+            return ahead == null || !ahead.isReadable() || loop.now() >= answerBy || ++behind > MOST_BEHIND;
         }
 
         @Override
         public void served(Message answer) {
+            boolean last = last();
             if (answer.rest() != null) {
-                download(answer);
+                download(answer, last || answer.rest().length() < 0 && !chunks);
                 return;
             }
-            reply(() -> HttpEncoder.served(loop.buffers(), answer, closes(), fields.budgeted(),
+            reply(last, () -> HttpEncoder.served(loop.buffers(), answer, last, fields.budgeted(),
                     exchange.result(), chunks));
         }
 
         /** Passes on an answer that flows; the RPC is open until its end. */
-        private void download(Message answer) {
+        private void download(Message answer, boolean last) {
             boolean chunked = answer.rest().length() < 0 && chunks;
-            boolean closes = closes() || answer.rest().length() < 0 && !chunks;
-            keepAlive = !closes;
             writing = true;
             enter(null, limits.answerPatience());
-            ByteBuf head = made(() -> HttpEncoder.served(loop.buffers(), answer, closes, fields.budgeted(),
+            ByteBuf head = made(() -> HttpEncoder.served(loop.buffers(), answer, last, fields.budgeted(),
                     exchange.result(), chunks));
             if (head == null) {
                 close(); // which ends the attempt, too
@@ -709,7 +866,7 @@
                 public void wrote() {
                     download = null;
                     over();
-                    closing = closes;
+                    closing = last;
                     wroteAll(true);
                 }
 
@@ -722,12 +879,17 @@
             download.pump();
         }
 
-        /** A reset: guards against an answer without a length that ends early and looks whole. */
+        /**
+         * An end at once: a reset where an answer flows. Guards against an answer without a length that ends
+         * early and looks whole.
+         */
         private void breakOff() {
-            download.stop();
-            download = null;
-            if (channel.isOpen()) {
-                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            if (download != null) {
+                download.stop();
+                download = null;
+                if (channel.isOpen()) {
+                    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                }
             }
             close();
         }
@@ -742,13 +904,15 @@
 
         @Override
         public void refused(long retryAfter) {
-            reply(() -> HttpEncoder.answer(loop.buffers(), 503, why("unavailable"), retryAfter, closes(),
+            boolean last = last();
+            reply(last, () -> HttpEncoder.answer(loop.buffers(), 503, why("unavailable"), retryAfter, last,
                     exchange.result()));
         }
 
         @Override
         public void failed() {
-            reply(() -> HttpEncoder.answer(loop.buffers(), 502, why("failed"), 0, closes(),
+            boolean last = last();
+            reply(last, () -> HttpEncoder.answer(loop.buffers(), 502, why("failed"), 0, last,
                     exchange.result()));
         }
 
@@ -761,13 +925,13 @@
          * Guards against a caller that waits for good for an answer that could not be made, for want of
          * memory say, and against the module missing the rest of the event: the caller sees a break.
          */
-        private void reply(Supplier<ByteBuf> encoded) {
+        private void reply(boolean last, Supplier<ByteBuf> encoded) {
             ByteBuf answer = made(encoded);
             over();
             if (answer == null) {
                 close();
             } else {
-                write(answer);
+                write(answer, last);
             }
         }
 
@@ -817,27 +981,30 @@
             }
         }
 
-        /** Writes the answer to a whole request; the next is read once the answer is out. */
-        private void write(ByteBuf answer) {
+        /**
+         * Writes an answer; the next request is decoded once it is out, or the connection ended.
+         *
+         * @param last whether it is the connection's last: what comes from now on is dropped
+         */
+        private void write(ByteBuf answer, boolean last) {
             writing = true;
-            closing = closes();
+            closing = last;
             enter(null, limits.answerPatience());
-            if (upload != null) {
-                // Guards against the answer being lost: closing with bytes unread resets a connection.
+            if (last) {
                 dropUpload();
-                enter(rejected, LAST_WORD);
-                lastDue = loop.now() + LAST_WORDS;
                 channel.config().setAutoRead(true);
-                channel.writeAndFlush(answer).addListener(wrote -> channel.shutdownOutput());
-                return;
             }
             channel.writeAndFlush(answer).addListener(wrote -> wroteAll(wrote.isSuccess()));
         }
 
         private void wroteAll(boolean success) {
             writing = false;
-            if (closing || !success) {
-                channel.close();
+            if (!success) {
+                close();
+                return;
+            }
+            if (closing) {
+                hangUp();
                 return;
             }
             // Not before it is written: closing it to make room would take an answer away.
@@ -861,20 +1028,19 @@
             if (answering) {
                 return;
             }
-            enter(rejected, LAST_WORD);
-            lastDue = loop.now() + LAST_WORDS;
+            writing = true;
+            enter(lingering, LAST_WORD);
+            lastDue = since + LAST_WORDS;
+            channel.config().setAutoRead(true);
             channel.writeAndFlush(own(e.status(), e.getMessage(), true))
-                    .addListener(wrote -> channel.shutdownOutput());
+                    .addListener(wrote -> wroteAll(wrote.isSuccess()));
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             callers.remove(this);
             enter(null, Long.MAX_VALUE);
-            if (ahead != null) {
-                ahead.release();
-                ahead = null;
-            }
+            dropAhead();
             closing = true;
             held.add(-collected);
             collected = 0;
--- a/daemon/src/test/java/cedarrudder/program/LastCallsTest.java
+++ b/daemon/src/test/java/cedarrudder/program/LastCallsTest.java
@@ -9,7 +9,11 @@
 import cedarrudder.program.World.Received;
 import java.io.IOException;
 import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -139,4 +143,66 @@
             Await.end("the end of the service", end);
         }
     }
+
+    /**
+     * Guards against the last answer of a connection being lost: closing it while bytes of its caller's are
+     * unread resets it, and the reset takes along what the caller's side has no room for yet.
+     */
+    @Test
+    public void theLastAnswerIsNotLostWhereItsCallerSendsMore() throws Exception {
+        String answer = "x".repeat(60_000);
+        String more = "POST /api HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n"
+                + "y".repeat(400_000);
+        String one = World.rpc("order", "/api", "x").replace("HTTP/1.1", "HTTP/1.0");
+        String told = World.rpc("order", "/api", "x", "Connection: close");
+        try (World world = new World(1).start()) {
+            for (String rpc : List.of(one, told)) {
+                try (Socket caller = new Socket()) {
+                    caller.setReceiveBufferSize(4096);
+                    caller.setSoTimeout(20_000);
+                    caller.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), world.port));
+                    caller.getOutputStream().write(rpc.getBytes(StandardCharsets.ISO_8859_1));
+                    Received call = world.call();
+                    // The kernel takes it, whoever reads it.
+                    caller.getOutputStream().write(more.getBytes(StandardCharsets.ISO_8859_1));
+                    call.reply("200 OK", answer);
+                    assertEquals(caller.getInputStream().read(), 'H');
+                    answered(world);
+                    answered(world);
+                    String all = new String(caller.getInputStream().readAllBytes(),
+                            StandardCharsets.ISO_8859_1);
+                    assertTrue(all.endsWith("\r\n\r\n" + answer), all.length() + " bytes of it came");
+                }
+            }
+        }
+    }
+
+    /** Another caller's answer shows that the loop has gone on. */
+    private static void answered(World world) throws IOException {
+        try (Caller other = world.caller()) {
+            assertEquals(other.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").read().body(), "ready\n");
+        }
+    }
+
+    /** Guards against callers that don't read their answers holding the process until it is killed. */
+    @Test
+    public void aCallerThatDoesNotReadDoesNotHoldTheEnd() throws Exception {
+        int large = 32 * 1024 * 1024;
+        try (World world = new World(1).with(OperatorStoriesTest.operator(
+                "[callers]\nanswer_patience_ms = 600000\n")).start(); Caller deaf = world.caller()) {
+            deaf.send(World.rpc("lookup", "/stays-for-test", ""));
+            Received call = world.call();
+            call.raw("HTTP/1.1 200 OK\r\nContent-Length: " + large + "\r\n\r\n");
+            Nodes.daemon(() -> call.raw("x".repeat(large)));
+            assertEquals(deaf.readHead().first(), "HTTP/1.1 200 OK");
+            Thread end = new Thread(world::end);
+            end.start();
+            Await.end("the end of the service", end);
+            try {
+                assertTrue(deaf.readAll().length() < large);
+            } catch (SocketException e) {
+                // a reset, which shows that it is not whole
+            }
+        }
+    }
 }
--- /dev/null
+++ b/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
@@ -0,0 +1,485 @@
+package cedarrudder.transport;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.Await;
+import cedarrudder.Balancer;
+import cedarrudder.flow.BodyFlow;
+import cedarrudder.flow.HeldBytes;
+import cedarrudder.logging.Logger;
+import cedarrudder.protocol.JsonObject;
+import cedarrudder.protocol.Message;
+import cedarrudder.protocol.RpcFields;
+import cedarrudder.protocol.SettingsReader;
+import cedarrudder.routing.CallAttempt;
+import cedarrudder.routing.ClientSide;
+import cedarrudder.routing.Driver;
+import cedarrudder.routing.Exchange;
+import cedarrudder.routing.Peers;
+import cedarrudder.routing.Resolver;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.Test;
+
+/**
+ * A caller's connection from its first byte to its end. The decisions are the test's own: an RPC waits until
+ * the test has it refused, and what the test does on the loop comes between two reads of the listener's.
+ */
+public class CallerConnectionTest {
+
+    private static final int PATIENCE_MILLIS = 20_000;
+    private static final String HEALTH = "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n";
+
+    /** So long that nothing a test waits for can come of it. */
+    private static final long ENDLESS = 1_000_000_000_000L;
+    private static final CallerLimits PATIENT = new CallerLimits(ENDLESS, ENDLESS, ENDLESS, ENDLESS,
+            CallerLimits.DEFAULT.mostHead(), CallerLimits.DEFAULT.mostBody(), 0.5);
+
+    /** What is asked when an RPC is taken, on the loop and in the decoder's hands. */
+    private interface Taken {
+        void by(Exchange<Message, Message> rpc, Listener.Caller caller) throws Exception;
+    }
+
+    /** A listener whose RPCs wait for the test. */
+    private static final class Service implements AutoCloseable {
+        private final Loop loop = new Loop(new Logger(new PrintStream(OutputStream.nullOutputStream())));
+        private final HeldBytes held = new HeldBytes(HeldBytes.MOST);
+        private final BlockingQueue<Long> requests = new LinkedBlockingQueue<>();
+        private final BlockingQueue<Object> left = new LinkedBlockingQueue<>();
+        private final BlockingQueue<Throwable> wrong = new LinkedBlockingQueue<>();
+        private final CountDownLatch over = new CountDownLatch(1);
+        private volatile Taken taken = (rpc, caller) -> { };
+        private Balancer.Actions actions;
+        private final Listener listener;
+        private final InetSocketAddress at;
+
+        Service() throws Exception {
+            Logger log = new Logger(new PrintStream(OutputStream.nullOutputStream()));
+            Driver<Message, Message> driver = new Driver<>(hands -> {
+                actions = hands;
+                return Played.by(Balancer.class, (event, with) -> {
+                    if (event.equals("request")) {
+                        requests.add(((Balancer.Request) with[1]).id());
+                    } else if (event.equals("clientLeft")) {
+                        left.add(with[1]);
+                    }
+                });
+            }, 1, loop, log);
+            driver.connect(new NoNodes(), Played.by(Resolver.class, (action, with) -> { }),
+                    Played.by(Peers.class, (action, with) -> { }));
+            RpcFields fields = new RpcFields(SettingsReader.read(JsonObject.parse(Files.readString(
+                    Path.of("example", "config.json"))).child("settings")).module());
+            listener = new Listener(loop, driver, fields, () -> true, PATIENT, 10, held);
+            listener.setAside((rpc, reply) -> {
+                try {
+                    taken.by(rpc, (Listener.Caller) reply);
+                } catch (Exception | AssertionError e) {
+                    wrong.add(e);
+                }
+                return false;
+            });
+            at = listener.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), false);
+        }
+
+        Socket caller() throws IOException {
+            Socket caller = new Socket(at.getAddress(), at.getPort());
+            caller.setSoTimeout(PATIENCE_MILLIS);
+            caller.setTcpNoDelay(true);
+            return caller;
+        }
+
+        /** Runs on the loop, to its end. */
+        <T> T on(Callable<T> task) throws Exception {
+            CompletableFuture<T> done = new CompletableFuture<>();
+            loop.run(() -> {
+                try {
+                    done.complete(task.call());
+                } catch (Exception e) {
+                    done.completeExceptionally(e);
+                }
+            });
+            return done.get(Await.LONGEST_SECONDS, TimeUnit.SECONDS);
+        }
+
+        long request() throws InterruptedException {
+            return Await.next("an RPC", requests);
+        }
+
+        /** Has the oldest RPC that waits refused. */
+        void refuse() throws Exception {
+            long id = request();
+            on(() -> {
+                actions.refuse(id, 0);
+                return null;
+            });
+        }
+
+        void replace() throws Exception {
+            on(() -> {
+                listener.replace(over::countDown);
+                return null;
+            });
+        }
+
+        void drain() throws Exception {
+            on(() -> {
+                listener.drain(over::countDown);
+                return null;
+            });
+        }
+
+        @Override
+        public void close() {
+            loop.stop();
+            if (!wrong.isEmpty()) {
+                throw new AssertionError("on the loop", wrong.poll());
+            }
+        }
+    }
+
+    private static final class NoNodes implements ClientSide<Message, Message> {
+        @Override
+        public boolean knows(long endpoint) {
+            return false;
+        }
+
+        @Override
+        public void start(CallAttempt<Message, Message> attempt) { }
+
+        @Override
+        public void abandon(CallAttempt<Message, Message> attempt) { }
+
+        @Override
+        public void probe(long endpoint) { }
+
+        @Override
+        public void closeIdle(long endpoint) { }
+    }
+
+    private static String rpc(String id, String... fields) {
+        return "GET /api HTTP/1.1\r\nHost: a\r\nReq-Id: " + id + "\r\nReq-Kind: lookup\r\nReq-Owner: acme\r\n"
+                + "Req-Deadline-Ms: 900000\r\n" + String.join("", fields) + "\r\n";
+    }
+
+    private static void send(Socket caller, String text) throws IOException {
+        caller.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** The head of the next answer, its body read too; empty at the end. */
+    private static String read(Socket caller) throws IOException {
+        InputStream in = caller.getInputStream();
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = in.read();
+            if (next < 0) {
+                return head.toString();
+            }
+            head.append((char) next);
+        }
+        int length = head.indexOf("Content-Length: ") + 16;
+        in.skipNBytes(Integer.parseInt(head.substring(length, head.indexOf("\r\n", length))));
+        return head.toString();
+    }
+
+    private static void leave(Socket caller, boolean reset) throws IOException {
+        if (reset) {
+            caller.setSoLinger(true, 0);
+        }
+        caller.close();
+    }
+
+    /** Guards against an RPC that is sent on for a caller that has gone: its end stands behind bytes. */
+    @Test
+    public void anEndBehindBytesThatWaitEndsTheOpenRpc() throws Exception {
+        for (boolean reset : new boolean[] {false, true}) {
+            try (Service service = new Service()) {
+                Socket caller = service.caller();
+                send(caller, rpc("1"));
+                long id = service.request();
+                send(caller, rpc("2") + rpc("3"));
+                Await.until("the bytes behind it are kept", () -> service.on(service.held::held) > 0);
+                leave(caller, reset);
+                assertEquals(Await.next("the end seen", service.left), id);
+                Await.until("nothing is kept", () -> service.on(service.held::held) == 0);
+                assertTrue(service.requests.isEmpty(), "what stood behind it goes nowhere");
+            }
+        }
+    }
+
+    /** Guards against memory that a caller fills by sending ahead, and against what is kept being lost. */
+    @Test
+    public void whatIsKeptAheadIsBoundedAndThenAnswered() throws Exception {
+        int behind = 40_000;
+        try (Service service = new Service(); Socket caller = service.caller()) {
+            send(caller, rpc("1"));
+            CompletableFuture<Void> sent = CompletableFuture.runAsync(() -> {
+                try {
+                    byte[] request = HEALTH.getBytes(StandardCharsets.ISO_8859_1);
+                    byte[] all = new byte[behind * request.length];
+                    for (int i = 0; i < behind; i++) {
+                        System.arraycopy(request, 0, all, i * request.length, request.length);
+                    }
+                    caller.getOutputStream().write(all);
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            });
+            Await.until("reading ahead", () -> service.on(service.held::held) >= 32 * 1024);
+            for (int i = 0; i < 1000; i++) {
+                assertTrue(service.on(service.held::held) <= 128 * 1024, "kept too much");
+            }
+            service.refuse();
+            assertTrue(read(caller).startsWith("HTTP/1.1 503"));
+            for (int i = 0; i < behind; i++) {
+                assertTrue(read(caller).startsWith("HTTP/1.1 200"), "answer " + i);
+            }
+            sent.get(Await.LONGEST_SECONDS, TimeUnit.SECONDS);
+        }
+    }
+
+    /** Guards against an end that the kernel has and the loop has not, since it is late. */
+    @Test
+    public void aLookFindsTheEndBehindWhatHasCome() throws Exception {
+        for (boolean reset : new boolean[] {false, true}) {
+            try (Service service = new Service()) {
+                BlockingQueue<Boolean> waits = new LinkedBlockingQueue<>();
+                Socket caller = service.caller();
+                service.taken = (rpc, reply) -> {
+                    waits.add(reply.waits());
+                    send(caller, rpc("2"));
+                    waits.add(reply.waits());
+                    send(caller, "x".repeat(5000));
+                    leave(caller, reset);
+                    waits.add(reply.waits());
+                };
+                send(caller, rpc("1"));
+                assertTrue(Await.next("a look", waits), "it waits");
+                assertTrue(Await.next("a look", waits), "it waits, and has sent more");
+                assertFalse(Await.next("a look", waits), "it has gone");
+                Await.next("the end seen", service.left);
+                assertEquals(service.requests.size(), 1);
+            }
+        }
+    }
+
+    /**
+     * Guards against bytes that are lost or come out of order where a look brings them while others are being
+     * decoded: whole requests, halves, and pieces of a body that flows.
+     */
+    @Test
+    public void whatALookBringsWithinADecodeKeepsItsOrder() throws Exception {
+        try (Service service = new Service(); Socket caller = service.caller()) {
+            service.taken = (rpc, reply) -> {
+                if (rpc.request().id() > 3) {
+                    return;
+                }
+                String next = rpc("" + (rpc.request().id() + 1));
+                for (int i = 0; i < next.length(); i += 50) {
+                    send(caller, next.substring(i, Math.min(next.length(), i + 50)));
+                    assertTrue(reply.waits());
+                }
+            };
+            send(caller, rpc("1") + HEALTH);
+            for (int i = 0; i < 4; i++) {
+                service.refuse();
+                assertTrue(read(caller).startsWith("HTTP/1.1 503"), "RPC " + i);
+                if (i == 0) {
+                    assertTrue(read(caller).startsWith("HTTP/1.1 200"));
+                }
+            }
+        }
+    }
+
+    /** The same where the decoder itself hands on the pieces, of which several came at once. */
+    @Test
+    public void whatALookBringsWithinAFlowKeepsItsOrder() throws Exception {
+        int first = 200;
+        int all = 400;
+        StringBuilder body = new StringBuilder();
+        List<String> chunks = new ArrayList<>();
+        for (int i = 0; i < all; i++) {
+            String piece = ("" + i + ' ').repeat(200 + i % 7);
+            body.append(piece);
+            chunks.add(Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n");
+        }
+        chunks.add("0\r\n\r\n");
+        try (Service service = new Service(); Socket caller = service.caller()) {
+            AtomicInteger sent = new AtomicInteger(first);
+            ByteArrayOutputStream got = new ByteArrayOutputStream();
+            CompletableFuture<String> whole = new CompletableFuture<>();
+            service.taken = (rpc, reply) -> {
+                BodyFlow flow = rpc.content().rest().flow();
+                got.writeBytes(rpc.content().body());
+                flow.whenMore(() -> {
+                    try {
+                        if (sent.get() < chunks.size()) {
+                            send(caller, chunks.get(sent.getAndIncrement()));
+                        }
+                        reply.waits();
+                    } catch (IOException e) {
+                        service.wrong.add(e);
+                    }
+                    for (byte[] piece = flow.take(); piece != null; piece = flow.take()) {
+                        got.writeBytes(piece);
+                    }
+                    if (flow.atEnd()) {
+                        whole.complete(got.toString(StandardCharsets.ISO_8859_1));
+                    }
+                });
+            };
+            send(caller, "POST /api HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nReq-Kind: order\r\n"
+                    + "Req-Owner: acme\r\nReq-Deadline-Ms: 900000\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + String.join("", chunks.subList(0, first)));
+            String passed = whole.get(Await.LONGEST_SECONDS, TimeUnit.SECONDS);
+            int same = Arrays.mismatch(passed.getBytes(), body.toString().getBytes());
+            assertEquals(same, -1, passed.length() + " of " + body.length() + " characters, the same up to");
+        }
+    }
+
+    /** Guards against requests that were whole behind the open one as its connection was to end. */
+    @Test
+    public void whatStandsBehindTheLastRequestIsAnsweredToo() throws Exception {
+        for (boolean byHand : new boolean[] {true, false}) {
+            try (Service service = new Service(); Socket caller = service.caller();
+                    Socket idle = service.caller()) {
+                send(idle, HEALTH);
+                assertTrue(read(idle).startsWith("HTTP/1.1 200"));
+                send(caller, rpc("1"));
+                Await.until("it is taken", () -> service.requests.size() == 1);
+                if (byHand) {
+                    service.on(() -> {
+                        service.listener.drainByHand();
+                        return null;
+                    });
+                } else {
+                    service.replace();
+                }
+                assertEquals(idle.getInputStream().read(), -1, "callers are being sent away");
+                // On the loop, which has then read none of it when it answers the first.
+                long id = service.request();
+                service.on(() -> {
+                    send(caller, rpc("2") + rpc("3"));
+                    service.actions.refuse(id, 0);
+                    return null;
+                });
+                for (int i = 1; i <= 3; i++) {
+                    String answer = read(caller);
+                    assertTrue(answer.startsWith("HTTP/1.1 503"), "answer " + i + ": " + answer);
+                    assertEquals(answer.contains("Connection: close"), i == 3, "answer " + i);
+                    if (i < 3) {
+                        service.refuse();
+                    }
+                }
+                assertEquals(caller.getInputStream().read(), -1);
+            }
+        }
+    }
+
+    /** Guards against a caller that sends ahead for good and so holds its connection. */
+    @Test
+    public void whoSendsAheadWithoutEndIsLetGo() throws Exception {
+        try (Service service = new Service(); Socket caller = service.caller()) {
+            send(caller, rpc("0"));
+            service.replace();
+            int answers = 0;
+            for (String answer = ""; !answer.contains("Connection: close"); answers++) {
+                send(caller, rpc("" + (answers + 1)));
+                service.refuse();
+                answer = read(caller);
+                assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+            }
+            assertTrue(answers > 1 && answers < 100, answers + " answers");
+            assertEquals(caller.getInputStream().read(), -1);
+        }
+    }
+
+    /**
+     * Guards against a request that is sent on though its caller has been shown the end, and against a reset
+     * that takes what the caller has not read yet: behind a last answer, and on a connection that rested. The
+     * loop itself sends, right behind the end of its output.
+     */
+    @Test
+    public void whatComesBehindTheEndOfOurOutputIsReadAndDropped() throws Exception {
+        for (boolean told : new boolean[] {true, false}) {
+            try (Service service = new Service(); Socket caller = service.caller()) {
+                BlockingQueue<Listener.Caller> ends = new LinkedBlockingQueue<>();
+                service.taken = (rpc, reply) -> ends.add(reply);
+                send(caller, rpc("1", told ? "Connection: close\r\n" : ""));
+                long id = service.request();
+                service.on(() -> {
+                    service.actions.refuse(id, 0);
+                    if (!told) {
+                        ends.take().closeIfQuiet();
+                    }
+                    send(caller, rpc("late"));
+                    return null;
+                });
+                assertEquals(read(caller).contains("Connection: close"), told);
+                assertEquals(caller.getInputStream().read(), -1, "an end in order, and no reset");
+                caller.shutdownOutput();
+                Await.until("the end of the connection", () -> service.on(service.listener::callers) == 0);
+                assertTrue(service.requests.isEmpty());
+            }
+        }
+    }
+
+    /** Guards against a request that has come on a connection that is closed for want of room. */
+    @Test
+    public void whoIsToMakeRoomIsReadFirst() throws Exception {
+        try (Service service = new Service(); Socket asks = service.caller();
+                Socket rests = service.caller()) {
+            for (Socket caller : List.of(asks, rests)) {
+                send(caller, HEALTH);
+                read(caller);
+            }
+            service.on(() -> {
+                send(asks, rpc("1"));
+                service.listener.apply(PATIENT, 1);
+                return null;
+            });
+            assertEquals(rests.getInputStream().read(), -1, "the other goes");
+            service.refuse();
+            assertTrue(read(asks).startsWith("HTTP/1.1 503"));
+        }
+    }
+
+    /** Guards against half a request, and a caller that does not hear the end, holding the process. */
+    @Test
+    public void halfARequestDoesNotHoldTheEnd() throws Exception {
+        List<Socket> callers = new ArrayList<>();
+        try (Service service = new Service()) {
+            for (String text : List.of("GET /a", HEALTH + "POST /api HT", HEALTH)) {
+                callers.add(service.caller());
+                send(callers.get(callers.size() - 1), text);
+            }
+            service.drain();
+            Await.open("the end of the service", service.over);
+            assertEquals(callers.get(0).getInputStream().read(), -1);
+            for (Socket caller : callers) {
+                caller.close();
+            }
+        }
+    }
+}
