--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -571,16 +571,21 @@
          * Whether it still waits for the answer to its open RPC, looked up now. Guards against an attempt for
          * a caller that has gone: on a late loop its end may stand unread for long.
          */
+        @Override
         public boolean waits() {
             look();
             return exchange != null && channel.isOpen();
         }
 
-        /** Ends its output unless a request has come on it, or a part of one, which is taken instead. */
+        /**
+         * Closes it, as one on which nothing is owed, unless a request has come, or a part of one, which is
+         * taken instead. It is closed and not shut: guards against a request that comes in this very moment
+         * being read and dropped. Unread, it goes back to its caller as a reset, who sends it elsewhere.
+         */
         void closeIfQuiet() {
             look();
             if (among == idle || among == silent) {
-                hangUp();
+                close();
             }
         }
 
@@ -929,11 +934,6 @@
                     exchange.result()));
         }
 
-        @Override
-        public boolean waits() {
-            return channel.isActive();
-        }
-
         private String why(String otherwise) {
             HopPath path = exchange.budget() == null ? HopPath.EMPTY : exchange.budget().loop();
             return path.hops().isEmpty() ? otherwise : "a loop: " + path;
