Make the life of a caller's connection one table of states, CallerState

Cause: eight flags and four sets in Listener.Caller, each kept in step by the method that changed it; and two faults that the table showed. An RPC that was answered from within the decoder's hands, in the midst of a body that flows, had the rest of that body decoded on: its end met no body (uploadOn), and what could not be read in it would have been answered a second time (reject).

Change: CallerState has the states (NEW, IDLE, READING_HEAD, READING_BODY, OPEN, ANSWERING, DRAINING, LINGERING, CLOSED) and the one table of events. Caller.on is the one place where the state, the set from which room is made and the patience change. An event that can't come in a state is logged (caller.failed) and ends that connection alone. A buffer that is being decoded is let go of by whoever decodes it.

--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -143,7 +143,7 @@
     private Runnable whenEmpty;
     private boolean lettingIn;
     private boolean stopping;
-    private ServiceState state = ServiceState.FIRST;
+    private ServiceState service = ServiceState.FIRST;
     private long drainedAt;
     private long replacedAt;
     private long answerBy = Long.MAX_VALUE;
@@ -259,8 +259,8 @@
 
     /** Operators send clients away; on the loop. Without effect where they do already. */
     public void drainByHand() {
-        if (!state.drained()) {
-            state = state.on(ServiceState.Event.DRAIN);
+        if (!service.drained()) {
+            service = service.on(ServiceState.Event.DRAIN);
             drainedAt = loop.now();
             loop.log().info("proxy.drained").write();
         }
@@ -268,25 +268,25 @@
 
     /** Operators let clients come again; on the loop. */
     public void resume() {
-        if (state.drained()) {
-            state = state.on(ServiceState.Event.RESUME);
+        if (service.drained()) {
+            service = service.on(ServiceState.Event.RESUME);
             loop.log().info("proxy.resumed").write();
         }
     }
 
     /** Whether operators send clients away. */
     public boolean drained() {
-        return state.drained();
+        return service.drained();
     }
 
     /** Whether this process goes on, for all that signals have said. */
     public boolean lasts() {
-        return state.lasts();
+        return service.lasts();
     }
 
     private boolean sendingAway() {
         long now = loop.now();
-        return state.drained() && now - drainedAt >= AWAY_FROM
+        return service.drained() && now - drainedAt >= AWAY_FROM
                 || replacedAt != 0 && now - replacedAt >= OVER_FROM;
     }
 
@@ -318,15 +318,19 @@
      * come on one that is to go is read first: a request that it brings is taken, and another one goes.
      */
     private void makeRoom() {
-        for (Caller first = firstToGo(); first != null; first = firstToGo()) {
-            Set<Caller> was = first.among;
-            first.look();
-            if (first.among == was) {
+        Caller first = firstToGo();
+        for (int looks = callers.size(); first != null && looks > 0; looks--) {
+            CallerState was = first.state;
+            if (!was.ends()) {
+                first.look();
+            }
+            if (first.state == was) {
                 loop.log().debug("caller.closed_for_room").with("caller", first.channel.remoteAddress())
                         .with("callers", callers.size()).write();
                 first.close();
                 return;
             }
+            first = firstToGo();
         }
         full = true;
         listening.config().setAutoRead(false);
@@ -341,6 +345,17 @@
         return first != null || silent.size() <= 1 ? first : first(silent, 0);
     }
 
+    /** The callers of this state that may be closed to make room; null where it may not be. */
+    private Set<Caller> closable(CallerState state) {
+        return switch (state) {
+            case NEW -> silent;
+            case IDLE -> idle;
+            case READING_HEAD, READING_BODY -> half;
+            case LINGERING -> lingering;
+            case OPEN, ANSWERING, DRAINING, CLOSED -> null;
+        };
+    }
+
     /** The one of these that has been among them longest, and for so long; null where there is none. */
     private Caller first(Set<Caller> among, long waited) {
         Caller first = among.isEmpty() ? null : among.iterator().next();
@@ -367,7 +382,7 @@
             return;
         }
         whenEmpty = whenDone;
-        state = state.on(ServiceState.Event.END);
+        service = service.on(ServiceState.Event.END);
         lettingIn = true;
         long now = loop.now();
         answerBy = now + Math.min(LONGEST_COUNTED, fields.longestWait()) + KILLED_AFTER;
@@ -389,7 +404,7 @@
             return;
         }
         whenEmpty = whenDone;
-        state = state.on(ServiceState.Event.REPLACE);
+        service = service.on(ServiceState.Event.REPLACE);
         replacedAt = loop.now();
         answerBy = replacedAt + Math.min(LONGEST_COUNTED, fields.longestWait()) + KILLED_AFTER;
         shutDoor();
@@ -424,7 +439,7 @@
             caller.look();
             if (caller.exchange != null) {
                 driver.cut(caller.exchange);
-            } else if (!caller.writing && !caller.closing) {
+            } else if (caller.state.takesRequests()) {
                 caller.hangUp();
             }
         }
@@ -478,15 +493,12 @@
         private Exchange<Message, Message> exchange;
         private String id;
         private boolean keepAlive;
-        private boolean inBody;
         private boolean decoding;
-        private boolean writing;
-        private boolean closing;
         private int kept;
         private long came;
         private long dropped;
         private int behind;
-        private Set<Caller> among;
+        private CallerState state = CallerState.NEW;
         private long since;
         private long due;
         private long lastDue;
@@ -495,17 +507,43 @@
             this.channel = channel;
         }
 
-        /** It may now be closed together with these (null: it may not be), and is closed after a while. */
-        private void enter(Set<Caller> next, long patience) {
-            if (among != null) {
-                among.remove(this);
+        /** The one place where its state changes. What can't come in a state ends this connection alone. */
+        void on(CallerState.Event event) {
+            CallerState next = state.on(event);
+            if (next == null) {
+                loop.log().fault("caller.failed", new IllegalStateException(event + " in " + state))
+                        .with("caller", channel.remoteAddress()).write();
+                breakOff();
+                return;
             }
-            among = next;
-            if (among != null) {
-                among.add(this);
+            long now = loop.now();
+            Set<Caller> from = closable(state);
+            Set<Caller> to = closable(next);
+            if (from != to) {
+                if (from != null) {
+                    from.remove(this);
+                }
+                if (to != null) {
+                    to.add(this);
+                }
+                since = now;
             }
-            since = loop.now();
-            due = patience == Long.MAX_VALUE ? patience : since + patience;
+            due = due(next, now);
+            state = next;
+        }
+
+        /** When patience with it is over, once it comes to this state. */
+        private long due(CallerState next, long now) {
+            return switch (next) {
+                // The first request's counts from the connection.
+                case READING_HEAD -> state == CallerState.NEW ? due : now + limits.requestPatience();
+                // Guards against a body that comes slowly being cut by the patience with its head.
+                case NEW, READING_BODY -> now + limits.requestPatience();
+                case IDLE -> now + limits.idlePatience();
+                case ANSWERING, DRAINING -> now + limits.answerPatience();
+                case LINGERING -> now + LAST_WORD;
+                case OPEN, CLOSED -> Long.MAX_VALUE;
+            };
         }
 
         /**
@@ -513,12 +551,11 @@
          * has just come, whose first request is on its way and would fail.
          */
         private boolean mayGo(long now) {
-            return among != silent || now - since >= HALF_LONG;
+            return state != CallerState.NEW || now - since >= HALF_LONG;
         }
 
         private void close() {
-            enter(null, Long.MAX_VALUE);
-            closing = true;
+            on(CallerState.Event.CLOSE);
             channel.close();
         }
 
@@ -528,10 +565,13 @@
          * goes to a node: its caller has seen the end, and sends it again elsewhere.
          */
         private void hangUp() {
-            closing = true;
+            on(CallerState.Event.HALF_CLOSE);
+            linger();
+        }
+
+        private void linger() {
             dropUpload();
             dropAhead();
-            enter(lingering, LAST_WORD);
             lastDue = since + LAST_WORDS;
             channel.shutdownOutput();
             channel.config().setAutoRead(true);
@@ -566,30 +606,32 @@
         /** Ends its output unless a request has come on it, or a part of one, which is taken instead. */
         void closeIfQuiet() {
             look();
-            if (among == idle || among == silent) {
+            if (state.rests()) {
                 hangUp();
             }
         }
 
         /** Patience with it is over, unless what it waits for has come and not been read. */
         private void expire() {
-            if (!closing) {
+            if (!state.ends()) {
                 look();
             }
             if (loop.now() < due) {
                 return;
             }
-            if (among == null || among == lingering) {
-                close();
-            } else {
+            if (state.takesRequests()) {
                 hangUp();
+            } else {
+                close();
             }
         }
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
             callers.add(this);
-            enter(silent, limits.requestPatience());
+            silent.add(this);
+            since = loop.now();
+            due = due(state, since);
             if (callers.size() > mostCallers) {
                 makeRoom();
             }
@@ -599,7 +641,7 @@
         public void channelRead(ChannelHandlerContext context, Object message) {
             ByteBuf in = (ByteBuf) message;
             came += in.readableBytes();
-            if (closing) {
+            if (drops()) {
                 drop(in);
                 return;
             }
@@ -617,13 +659,13 @@
             in.release();
             if (dropped > MOST_DROPPED) {
                 due = loop.now();
-            } else if (among == lingering) {
+            } else if (state == CallerState.LINGERING) {
                 due = Math.min(loop.now() + LAST_WORD, lastDue);
             }
         }
 
         private void readOn() {
-            if (closing) {
+            if (drops()) {
                 return; // whoever ends it reads as it needs to
             }
             channel.config().setAutoRead(mayRead());
@@ -641,11 +683,15 @@
         }
 
         /**
-         * Whether an RPC is open, or its answer still on its way. Guards against a caller that sends requests
-         * and reads no answers, which would all be kept here.
+         * Whether what comes is decoded. Guards against a caller that sends requests and reads no answers,
+         * which would all be kept here.
          */
-        private boolean busy() {
-            return exchange != null || writing;
+        private boolean decodes() {
+            return upload != null ? state != CallerState.CLOSED : state.takesRequests();
+        }
+
+        private boolean drops() {
+            return state.ends() && !decodes();
         }
 
         /** To the same buffer: guards against another in place of the one that the decoder is reading. */
@@ -672,7 +718,11 @@
             kept = now;
         }
 
+        /** Not while it is being decoded: whoever does so drops it. */
         private void dropAhead() {
+            if (decoding) {
+                return;
+            }
             if (ahead != null) {
                 ahead.release();
                 ahead = null;
@@ -687,7 +737,7 @@
             }
             decoding = true;
             try {
-                while (ahead != null && (!busy() || upload != null) && !closing && ahead.isReadable()) {
+                while (ahead != null && ahead.isReadable() && decodes()) {
                     if (upload != null) {
                         if (upload.full()) {
                             break;
@@ -695,12 +745,8 @@
                         uploadOn();
                         continue;
                     }
-                    if (among == idle) {
-                        enter(null, limits.requestPatience());
-                    } else if (among == silent) {
-                        long connectedDue = due;
-                        enter(null, 0);
-                        due = connectedDue;
+                    if (state.rests()) {
+                        on(CallerState.Event.BYTES);
                     }
                     Message request = decoder.decode(ahead);
                     count();
@@ -719,7 +765,7 @@
             } finally {
                 decoding = false;
             }
-            if (ahead != null && (closing || !ahead.isReadable())) {
+            if (ahead != null && (drops() || !ahead.isReadable())) {
                 dropAhead();
             } else {
                 keep();
@@ -728,8 +774,9 @@
 
         /** Takes what has come of a body that flows. */
         private void uploadOn() throws BadMessageException {
-            if (decoder.decode(ahead) != null) {
-                BodyFlow whole = upload;
+            BodyFlow whole = upload;
+            // What was decoded may have had its RPC answered, which drops the rest.
+            if (decoder.decode(ahead) != null && upload == whole) {
                 upload = null;
                 due = Long.MAX_VALUE;
                 driver.whole(exchange);
@@ -766,15 +813,8 @@
 
         /** Half a request is there, or what comes before one. */
         private void await() throws BadMessageException {
-            if (among != half) {
-                long begunDue = due;
-                enter(half, 0);
-                due = begunDue;
-            }
-            if (decoder.head() != null && !inBody) {
-                // Guards against a body that comes slowly being cut by the patience with its head.
-                inBody = true;
-                due = loop.now() + limits.requestPatience();
+            if (decoder.head() != null && state == CallerState.READING_HEAD) {
+                on(CallerState.Event.HEAD);
                 if (held.usedUp()) {
                     throw new BadMessageException(BadMessageException.UNAVAILABLE, "too much is held");
                 }
@@ -786,12 +826,11 @@
 
         /** @param uploading how much longer its time may be while its body flows; 0: it is whole */
         private void take(Message request, long uploading) throws BadMessageException {
-            inBody = false;
             chunks = request.head().takesChunks();
             keepAlive = request.head().keepsAlive();
             String target = request.head().target();
             if (target.equals(HEALTH)) {
-                boolean healthy = ready.getAsBoolean() && state.healthy();
+                boolean healthy = ready.getAsBoolean() && service.healthy();
                 boolean last = last();
                 write(own(healthy ? 200 : 503, healthy ? "ready" : "not ready", last), last);
                 return;
@@ -811,7 +850,7 @@
             id = name;
             whole = request.body().length;
             held.add(whole);
-            enter(null, Long.MAX_VALUE);
+            on(CallerState.Event.RPC);
             exchange = new Exchange<>(told, request, this, carried);
             if (uploading > 0) {
                 exchange.uploading(told.deadline() - uploading - loop.now());
@@ -850,9 +889,11 @@
 
         /** Passes on an answer that flows; the RPC is open until its end. */
         private void download(Message answer, boolean last) {
+            if (state == CallerState.CLOSED) {
+                return; // the end of the connection, which is about to be told, ends the attempt
+            }
             boolean chunked = answer.rest().length() < 0 && chunks;
-            writing = true;
-            enter(null, limits.answerPatience());
+            on(last ? CallerState.Event.LAST_ANSWER : CallerState.Event.ANSWER);
             ByteBuf head = made(() -> HttpEncoder.served(loop.buffers(), answer, last, fields.budgeted(),
                     exchange.result(), chunks));
             if (head == null) {
@@ -866,7 +907,6 @@
                 public void wrote() {
                     download = null;
                     over();
-                    closing = last;
                     wroteAll(true);
                 }
 
@@ -930,6 +970,8 @@
             over();
             if (answer == null) {
                 close();
+            } else if (state == CallerState.CLOSED) {
+                answer.release();
             } else {
                 write(answer, last);
             }
@@ -987,9 +1029,7 @@
          * @param last whether it is the connection's last: what comes from now on is dropped
          */
         private void write(ByteBuf answer, boolean last) {
-            writing = true;
-            closing = last;
-            enter(null, limits.answerPatience());
+            on(last ? CallerState.Event.LAST_ANSWER : CallerState.Event.ANSWER);
             if (last) {
                 dropUpload();
                 channel.config().setAutoRead(true);
@@ -998,27 +1038,27 @@
         }
 
         private void wroteAll(boolean success) {
-            writing = false;
             if (!success) {
                 close();
                 return;
             }
-            if (closing) {
-                hangUp();
+            on(CallerState.Event.WROTE);
+            if (state == CallerState.LINGERING) {
+                linger();
                 return;
             }
-            // Not before it is written: closing it to make room would take an answer away.
-            enter(idle, limits.idlePatience());
             decode();
             readOn();
-            if (stopping && among == idle) {
+            if (stopping && state == CallerState.IDLE) {
                 closeIfQuiet();
             }
         }
 
         /** Answers a request that can't be read, and closes once the caller may have read that. */
         private void reject(BadMessageException e) {
-            closing = true;
+            if (drops()) {
+                return; // the rest of a body whose RPC was answered meanwhile
+            }
             boolean answering = download != null;
             if (answering) {
                 breakOff(); // another answer can't follow
@@ -1028,20 +1068,14 @@
             if (answering) {
                 return;
             }
-            writing = true;
-            enter(lingering, LAST_WORD);
-            lastDue = since + LAST_WORDS;
-            channel.config().setAutoRead(true);
-            channel.writeAndFlush(own(e.status(), e.getMessage(), true))
-                    .addListener(wrote -> wroteAll(wrote.isSuccess()));
+            write(own(e.status(), e.getMessage(), true), true);
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             callers.remove(this);
-            enter(null, Long.MAX_VALUE);
+            on(CallerState.Event.CLOSE);
             dropAhead();
-            closing = true;
             held.add(-collected);
             collected = 0;
             if (download != null) {
--- a/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
@@ -64,7 +64,9 @@
 
     /** A listener whose RPCs wait for the test. */
     private static final class Service implements AutoCloseable {
-        private final Loop loop = new Loop(new Logger(new PrintStream(OutputStream.nullOutputStream())));
+        private final ByteArrayOutputStream lines = new ByteArrayOutputStream();
+        private final Logger log = new Logger(new PrintStream(lines, true));
+        private final Loop loop = new Loop(log);
         private final HeldBytes held = new HeldBytes(HeldBytes.MOST);
         private final BlockingQueue<Long> requests = new LinkedBlockingQueue<>();
         private final BlockingQueue<Object> left = new LinkedBlockingQueue<>();
@@ -76,7 +78,6 @@
         private final InetSocketAddress at;
 
         Service() throws Exception {
-            Logger log = new Logger(new PrintStream(OutputStream.nullOutputStream()));
             Driver<Message, Message> driver = new Driver<>(hands -> {
                 actions = hands;
                 return Played.by(Balancer.class, (event, with) -> {
@@ -152,10 +153,12 @@
 
         @Override
         public void close() {
+            CompletableFuture.runAsync(() -> { }, loop::run).join(); // behind what it was about to log
             loop.stop();
             if (!wrong.isEmpty()) {
                 throw new AssertionError("on the loop", wrong.poll());
             }
+            assertFalse(lines.toString().contains("failed"), lines.toString());
         }
     }
 
@@ -358,6 +361,30 @@
         }
     }
 
+    /**
+     * Guards against a fault, or a second answer, where an RPC is answered from within the decoder's hands:
+     * behind the piece that does it stand others, and the body's end, or what can't be read.
+     */
+    @Test
+    public void anAnswerFromWithinAFlowIsTheOnlyOne() throws Exception {
+        for (String end : List.of("0\r\n\r\n", "no chunk\r\n")) {
+            try (Service service = new Service(); Socket caller = service.caller()) {
+                String chunk = "400\r\n" + "x".repeat(1024) + "\r\n";
+                service.taken = (rpc, reply) -> {
+                    rpc.content().rest().flow().whenMore(() ->
+                            service.actions.refuse(rpc.request().id(), 0));
+                    send(caller, chunk.repeat(3) + end);
+                    assertTrue(reply.waits()); // so that all of it is in the decoder's hands
+                };
+                send(caller, "POST /api HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nReq-Kind: order\r\n"
+                        + "Req-Owner: acme\r\nReq-Deadline-Ms: 900000\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + chunk.repeat(64));
+                assertTrue(read(caller).startsWith("HTTP/1.1 503"));
+                assertEquals(caller.getInputStream().read(), -1);
+            }
+        }
+    }
+
     /** Guards against requests that were whole behind the open one as its connection was to end. */
     @Test
     public void whatStandsBehindTheLastRequestIsAnsweredToo() throws Exception {
@@ -465,6 +492,35 @@
         }
     }
 
+    /** Guards against a connection that goes on in a state nobody thought of, and against others paying. */
+    @Test
+    public void whatCanNotComeInAStateEndsItsConnectionAlone() throws Exception {
+        try (Service service = new Service(); Socket caller = service.caller();
+                Socket other = service.caller()) {
+            BlockingQueue<Listener.Caller> taken = new LinkedBlockingQueue<>();
+            service.taken = (rpc, reply) -> taken.add(reply);
+            for (Socket each : List.of(caller, other)) {
+                send(each, rpc(each == caller ? "1" : "2"));
+                Await.until("it is taken", () -> service.requests.size() == 1);
+                if (each == caller) {
+                    Listener.Caller broken = Await.next("its connection", taken);
+                    long id = service.request();
+                    service.on(() -> {
+                        broken.on(CallerState.Event.WROTE);
+                        service.actions.refuse(id, 0); // which comes before the loop tells of the close
+                        return null;
+                    });
+                    assertEquals(caller.getInputStream().read(), -1);
+                }
+            }
+            service.refuse();
+            assertTrue(read(other).startsWith("HTTP/1.1 503"));
+            assertTrue(service.lines.toString().contains("caller.failed"), service.lines.toString());
+            assertTrue(service.lines.toString().contains("WROTE in OPEN"), service.lines.toString());
+            service.lines.reset();
+        }
+    }
+
     /** Guards against half a request, and a caller that does not hear the end, holding the process. */
     @Test
     public void halfARequestDoesNotHoldTheEnd() throws Exception {
