--- a/daemon/src/test/java/cedarrudder/program/FirstByteStoriesTest.java
+++ b/daemon/src/test/java/cedarrudder/program/FirstByteStoriesTest.java
@@ -304,6 +304,45 @@
         }
     }
 
+    /** Guards against an answer that its node sends twice being taken for that to the next request. */
+    @Test
+    public void aSecondAnswerThatComesLateAnswersNothing() throws Exception {
+        try (World world = world(1).start(); Caller caller = world.caller()) {
+            caller.send(rpc("order", "first"));
+            Received first = serve(world, caller, "first");
+            first.reply("200 OK", "first again");
+            Await.until("the end of its connection", () -> world.ended.contains(first.socket()));
+            caller.send(rpc("order", "second"));
+            Received second = serve(world, caller, "second");
+            assertTrue(second.socket() != first.socket(), "a connection of its own");
+        }
+    }
+
+    /** Guards against a request on a connection that its node has reset while nothing was on it. */
+    @Test
+    public void aConnectionThatWasResetWhileIdleCarriesNothing() throws Exception {
+        try (World world = world(1).start(); Caller caller = world.caller()) {
+            for (int i = 0; i < 5; i++) {
+                caller.send(rpc("order", "rpc-" + i).replace("/api", "/stays-for-test"));
+                serve(world, caller, "rpc-" + i).reset(); // nobody else holds it: the reset is out at once
+            }
+        }
+    }
+
+    /** Guards against memory and time that go into answers that never begin. */
+    @Test
+    public void interimAnswersWithoutEndAreNoAnswer() throws Exception {
+        try (World world = world(1).start(); Caller caller = world.caller()) {
+            caller.send(rpc("order", "interim"));
+            Received call = world.call();
+            call.raw("HTTP/1.1 103 Early Hints\r\n\r\n".repeat(17));
+            assertEquals(caller.read().first(), "HTTP/1.1 502 Bad Gateway");
+            Await.until("the end of its connection", () -> world.ended.contains(call.socket()));
+            caller.send(rpc("order", "next"));
+            serve(world, caller, "next");
+        }
+    }
+
     @Test
     public void aCleanEndIsTheEndOfAnAnswerWithoutALength() throws Exception {
         try (World world = world(1).start(); Caller caller = world.caller()) {
