--- a/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
+++ b/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
@@ -263,8 +263,7 @@
         NodeChannel fresh = new NodeChannel(node);
         loop.connect(bootstrap.clone().handler(fresh), node.address, connected -> {
             if (connected.isSuccess()) {
-                fresh.idleSince = loop.now(); // for its node, too, it has been idle from here on
-                fresh.carry(work);
+                fresh.up(work);
             } else if (connected.cause() instanceof ChannelException) {
                 work.unsent(); // there is no descriptor for it
             } else {
@@ -524,7 +523,7 @@
         private Work work;
         private Timers.Timer patience;
         private Timers.Timer uploading;
-        private boolean spent;
+        private final ChannelLife life = new ChannelLife();
         private long idleSince;
 
         NodeChannel(Node node) {
@@ -542,6 +541,28 @@
             open--;
         }
 
+        /**
+         * Takes a step of its life; what is not legal is a fault of ours, and ends this connection alone.
+         *
+         * @return whether it was legal
+         */
+        private boolean step(ChannelLife.Event event) {
+            boolean legal = life.step(event);
+            if (!legal) {
+                loop.log().fault("node.channel_failed", new IllegalStateException(event + " while " + life))
+                        .with("node", node.address).write();
+                fail();
+            }
+            return legal;
+        }
+
+        /** It is up, for this work; for its node, too, it has been idle from here on. */
+        void up(Work first) {
+            idleSince = loop.now();
+            step(ChannelLife.Event.UP);
+            carry(first);
+        }
+
         void carry(Work next) {
             if (!next.begins()) {
                 rest();
@@ -559,16 +580,20 @@
             }
             work = next;
             next.channel = this;
+            if (!step(ChannelLife.Event.CARRIES)) {
+                request.release();
+                return;
+            }
             if (next.rest() != null) {
                 channel.writeAndFlush(request);
                 upload(next);
                 return;
             }
             channel.writeAndFlush(request).addListener(wrote -> {
-                if (wrote.isSuccess()) {
-                    next.wrote();
-                } else {
+                if (!wrote.isSuccess()) {
                     fail();
+                } else if (step(ChannelLife.Event.WROTE)) {
+                    next.wrote();
                 }
             });
         }
@@ -582,7 +607,9 @@
                         public void wrote() {
                             upload = null;
                             uploading.cancel();
-                            next.wrote();
+                            if (step(ChannelLife.Event.WROTE)) {
+                                next.wrote();
+                            }
                         }
 
                         @Override
@@ -647,7 +674,7 @@
          * idle nothing is owed either way, for its last request was answered whole.
          */
         void retire() {
-            spent = true;
+            step(ChannelLife.Event.ENDS);
             stopWaiting();
             held.add(-collected);
             collected = 0;
@@ -664,6 +691,10 @@
             channel.close();
         }
 
+        private boolean ended() {
+            return life.is(ChannelLife.State.ENDED);
+        }
+
         private void stopWaiting() {
             if (patience != null) {
                 patience.cancel();
@@ -677,10 +708,10 @@
          */
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf in) {
-            if (spent) {
+            if (ended()) {
                 return;
             }
-            if (work == null) {
+            if (life.is(ChannelLife.State.IDLE)) {
                 retire(); // bytes that nobody asked for, such as those behind the last answer
                 return;
             }
@@ -693,9 +724,9 @@
                         return;
                     }
                     begin();
-                    answer = spent ? null : decoder.decode(in);
+                    answer = ended() ? null : decoder.decode(in);
                 }
-                if (spent) {
+                if (ended()) {
                     return;
                 }
                 count();
@@ -721,10 +752,13 @@
 
         /** The answer goes on as it comes from here on. */
         private void begin() {
-            if (!work.written) {
+            if (life.is(ChannelLife.State.SENDING)) {
                 spoilt("an answer before the request");
                 return;
             }
+            if (!step(ChannelLife.Event.FLOWS)) {
+                return;
+            }
             BodyFlow next = new BodyFlow(held);
             flow = next;
             Head head = decoder.head();
@@ -753,7 +787,7 @@
             } else if (decoder.head() != null && work.mayFlow(decoder.head())) {
                 begin();
             }
-            if (!spent) {
+            if (!ended()) {
                 patience = loop.at(loop.now() + limits.answerPatience(), this::look);
             }
         }
@@ -765,11 +799,14 @@
 
         private void finish(Message answer, boolean reusable) {
             stopWaiting();
-            Work done = work;
-            if (!done.written) {
+            if (life.is(ChannelLife.State.SENDING)) {
                 spoilt("an answer before the request");
                 return;
             }
+            if (!step(ChannelLife.Event.ANSWERED)) {
+                return;
+            }
+            Work done = work;
             work = null;
             if (flow != null) {
                 BodyFlow whole = flow;
@@ -791,7 +828,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            Message last = spent || work == null ? null : decoder.atEnd();
+            Message last = ended() || work == null ? null : decoder.atEnd();
             if (last != null) {
                 finish(last, false);
             } else {
--- /dev/null
+++ b/daemon/src/test/java/cedarrudder/transport/ChannelLifeTest.java
@@ -0,0 +1,71 @@
+package cedarrudder.transport;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import cedarrudder.transport.ChannelLife.Event;
+import cedarrudder.transport.ChannelLife.State;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Every event in every state, against what is said here of each. */
+public class ChannelLifeTest {
+
+    /** A way to each state. */
+    private static final Map<State, List<Event>> WAYS = new EnumMap<>(Map.of(
+            State.CONNECTING, List.of(),
+            State.IDLE, List.of(Event.UP),
+            State.SENDING, List.of(Event.UP, Event.CARRIES),
+            State.AWAITING, List.of(Event.UP, Event.CARRIES, Event.WROTE),
+            State.FLOWING, List.of(Event.UP, Event.CARRIES, Event.WROTE, Event.FLOWS),
+            State.ENDED, List.of(Event.ENDS)));
+
+    private static ChannelLife in(State state) {
+        ChannelLife life = new ChannelLife();
+        for (Event event : WAYS.get(state)) {
+            assertTrue(life.step(event), event + " on the way to " + state);
+        }
+        assertTrue(life.is(state));
+        return life;
+    }
+
+    /** Each row: the state, the event, and the state after it; null where it must not happen. */
+    @DataProvider
+    public Object[][] steps() {
+        State[][] table = {
+            // UP, CARRIES, WROTE, FLOWS, ANSWERED, ENDS
+            {State.IDLE, null, null, null, null, State.ENDED},
+            {null, State.SENDING, null, null, null, State.ENDED},
+            {null, null, State.AWAITING, null, null, State.ENDED},
+            {null, null, null, State.FLOWING, State.IDLE, State.ENDED},
+            {null, null, null, null, State.IDLE, State.ENDED},
+            {null, null, null, null, null, State.ENDED}};
+        Object[][] rows = new Object[table.length * Event.values().length][];
+        for (State from : State.values()) {
+            for (Event event : Event.values()) {
+                rows[from.ordinal() * Event.values().length + event.ordinal()] =
+                        new Object[] {from, event, table[from.ordinal()][event.ordinal()]};
+            }
+        }
+        return rows;
+    }
+
+    @Test(dataProvider = "steps")
+    public void eachEventInEachStateDoesWhatIsSaid(State from, Event event, State to) {
+        ChannelLife life = in(from);
+        assertEquals(life.step(event), to != null);
+        assertTrue(life.is(to == null ? from : to), life.toString());
+    }
+
+    /** Guards against a second request on a connection whose first is not answered whole. */
+    @Test
+    public void nothingElseIsCarriedBetweenARequestAndItsAnswer() {
+        for (State busy : List.of(State.SENDING, State.AWAITING, State.FLOWING)) {
+            assertFalse(in(busy).step(Event.CARRIES), busy.toString());
+        }
+    }
+}
