Make no hedged call beside one that has its place at a discovery that answers

By the logs of its copies (n0 to n3) each had two calls refused with 503 at a time, each 1 to 3 s, from 3.6 to 19 s: discovery there serves a few calls a second, and ResolverClock made a second call each 1.25 s, so all waited twice as long and were refused. Change: a refusal, a close or a reset of a call whose connection was up, or of a watch, says that discovery is there. Then no hedged call is made and no spare connection dialled beside a call that is up, until a call was silent for its patience. ResolverClockTest: all bounds as before (5.29, 5.54, 5.57 s), and noCallIsMadeTwiceWhileDiscoveryAnswers, which the former clock fails by its second call.

--- a/core/src/main/java/cedarrudder/routing/ResolverClock.java
+++ b/core/src/main/java/cedarrudder/routing/ResolverClock.java
@@ -111,6 +111,9 @@
     private boolean reported;
     private int failures;
 
+    /** Whether discovery ended what went wrong last, by a refusal or a close: it is there, maybe busy. */
+    private boolean answers;
+
     /** When one more call is made, unless there is an answer by then. */
     private long nextAt = NEVER;
     private long dialAt = NEVER;
@@ -237,7 +240,11 @@
     public void broke(long now, int call) {
         if (stands(call)) {
             lost(now);
-        } else if (asked.remove(asked(call)) && asked.isEmpty()) {
+            return;
+        }
+        Ask ask = asked(call);
+        answers |= ask != null && ask.up;
+        if (asked.remove(ask) && asked.isEmpty()) {
             failed(now, patience.spread() / 4); // calls are spread already
         }
     }
@@ -246,6 +253,7 @@
     public void due(long now) {
         armed = NEVER;
         if (standing != null && now >= standing.overAt(patience)) {
+            answers = false;
             dropStanding("silent");
             if (!moving) {
                 failures = 0;
@@ -256,6 +264,7 @@
         boolean waited = !asked.isEmpty();
         for (Ask ask : List.copyOf(asked)) {
             if (now >= ask.overAt(patience)) {
+                answers = false;
                 asked.remove(ask);
                 actions.drop(ask.number, "silent");
             }
@@ -267,7 +276,7 @@
             open(now);
         } else if (now >= dialAt) {
             dialAt = NEVER;
-            actions.spare(true);
+            actions.spare(!queues());
         }
         arm();
     }
@@ -296,6 +305,7 @@
         if (now - standing.openedAt >= longest) {
             failures = 0; // else one that ends as soon as it has told would be asked for without a pause
         }
+        answers = true;
         standing = null;
         if (!moving) {
             failed(now, patience.spread());
@@ -339,9 +349,17 @@
         }
     }
 
-    /** None is made beside one that is alive. */
+    /** None is made beside one that is alive, or has its place. */
     private long callAt() {
-        return asked.stream().anyMatch(ask -> ask.alive) ? NEVER : nextAt;
+        return queues() || asked.stream().anyMatch(ask -> ask.alive) ? NEVER : nextAt;
+    }
+
+    /**
+     * Whether a call has a place in the queue of a discovery that is there. Guards against a storm of hedged
+     * calls: at one that serves a few in a second, each copy's second call makes all wait twice as long.
+     */
+    private boolean queues() {
+        return answers && asked.stream().anyMatch(ask -> ask.up);
     }
 
     private void arm() {
--- a/core/src/test/java/cedarrudder/ResolverClockTest.java
+++ b/core/src/test/java/cedarrudder/ResolverClockTest.java
@@ -421,6 +421,36 @@
         assertEquals(calls(done), List.of("open 1", "failed", "open 2", "open 3"));
     }
 
+    /**
+     * Guards against a storm of hedged calls at a discovery that is there and serves few in a second: one
+     * that has its place in the queue is made once, until it was silent for a call's whole patience.
+     */
+    @Test
+    public void noCallIsMadeTwiceWhileDiscoveryAnswers() {
+        List<String> done = new ArrayList<>();
+        ResolverClock clock = clock(done, 1500 * MS);
+        clock.ask(0);
+        clock.told(0, 1);
+        clock.broke(S, 1);
+        clock.due(2 * S);
+        clock.connected(2);
+        clock.due(2 * S + 250 * MS);
+        clock.due(2 * S + 1250 * MS);
+        clock.broke(4 * S, 2);
+        clock.due(6 * S);
+        clock.connected(3);
+        clock.due(6 * S + 250 * MS);
+        clock.due(6 * S + 1250 * MS);
+        assertEquals(calls(done), List.of("open 1", "spare false", "failed", "open 2", "spare false",
+                "open 3", "spare false"));
+        done.clear();
+        clock.due(9 * S);
+        clock.due(11 * S);
+        clock.connected(4);
+        clock.due(11 * S + 1250 * MS);
+        assertEquals(calls(done), List.of("drop 3 silent", "open 4", "open 5"));
+    }
+
     /**
      * Guards against two that own one wait: what the module asks for meanwhile makes no call, nor a later
      * one.
