--- a/core/src/main/java/cedarrudder/Decide.java
+++ b/core/src/main/java/cedarrudder/Decide.java
@@ -10,13 +10,12 @@
 import cedarrudder.overload.ZoneDeal;
 import cedarrudder.table.RouteTable;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 /**
@@ -87,6 +86,9 @@
     private final Mean[] byClass;
     private final Mean overall;
 
+    /** The longest that a core takes for a mean request: see {@link #warmRate}; nanoseconds. */
+    private final Mean coreTime;
+
     /** How much longer an answer takes than the work it was said to be. */
     private final Mean stretch;
 
@@ -104,7 +106,7 @@
     private double callsOut;
     private double mostOut;
     private double callRate;
-    private double answered;
+    private double warmAnswers;
     private long callRateAt;
     private int out;
     private boolean ticking;
@@ -124,6 +126,7 @@
         this.pool = new ProbePool(settings, tuning, random, actions);
         this.extra = tuning.get(Figure.EXTRA_MOST) / 2;
         this.overall = new Mean(tuning.get(Figure.LATENCY_WEIGHT));
+        this.coreTime = new Mean(tuning.get(Figure.LATENCY_WEIGHT));
         this.stretch = new Mean(tuning.get(Figure.LATENCY_WEIGHT));
         this.byClass = new Mean[settings.classes().size()];
         this.worth = new ClassWorth(byClass.length, settings.goal().whole(), settings.goal().worstClass(),
@@ -144,7 +147,7 @@
     @Override
     public void endpoints(long now, ListKind kind, List<Endpoint> entries) {
         if (kind != ListKind.CHANGES) {
-            Set<Long> named = new HashSet<>(entries.stream().map(Endpoint::id).toList());
+            var named = entries.stream().map(Endpoint::id).collect(Collectors.toSet());
             servers.values().stream().filter(s -> !named.contains(s.id)).toList().forEach(this::drop);
         }
         entries.forEach(entry -> list(now, entry));
@@ -209,6 +212,9 @@
         pool.resize(callsOut);
         pool.call(now);
         extra = Math.min(tuning.get(Figure.EXTRA_MOST), extra + tuning.get(Figure.EXTRA_PER_CALL));
+        if (call.work > 0 || coreTime.count() == 0) {
+            coreTime.add(call.work > 0 ? 2 * call.work : call.kind.aim());
+        }
         place(now, call);
         callRate += cost(call) * 1e9 / RATE_NANOS; // after: a rate is too high by itself as a call comes
     }
@@ -231,10 +237,8 @@
      * find it lower; and so with what zones may get, at each tier.
      */
     private double part(Call call) {
-        double best = 0;
-        for (int i = 0; i < byClass.length; i++) {
-            best = Math.max(best, settings.classes().get(i).worth() / Math.max(1, byClass[i].mean()));
-        }
+        double best = IntStream.range(0, byClass.length).mapToDouble(
+                i -> settings.classes().get(i).worth() / Math.max(1, byClass[i].mean())).max().orElse(0);
         double relative = call.kind.worth() / Math.max(1, byClass[call.classIndex].mean()) / best;
         Goal goal = settings.goal();
         // A goal that looks at the worst class leaves less room for preferring the best.
@@ -279,10 +283,8 @@
             send(now, call, server);
         } else if (call.held && now >= call.holdUntil) {
             end(call, mayRefuse(call)); // has waited so long that to be told so is worth more than to wait on
-        } else if (call.held) {
-            return call.attempts > 0 ? Offer.NONE_FOR_IT : Offer.NONE;
         }
-        return Offer.TAKEN;
+        return !call.held ? Offer.TAKEN : call.attempts > 0 ? Offer.NONE_FOR_IT : Offer.NONE;
     }
 
     /** Turns away all who have waited too long, wherever they are in line. */
@@ -382,15 +384,17 @@
     }
 
     /**
-     * Whether a further attempt of this request may go to this endpoint (null: to any at all), by what the
-     * earlier ones prove. Every attempt passes here, the first and the next.
+     * Whether a further attempt of this request may go to this endpoint (null: to any at all). Every attempt
+     * passes here, the first and the next.
      */
     private boolean mayAttempt(long now, Call call, Server server) {
-        if (call.answered || now >= call.deadline || call.attempts >= call.to.length
-                || call.out > 0 && !settings.limits().parallelTries()) {
-            return false;
-        }
-        int first = call.mayHaveRun();
+        return !call.answered && now < call.deadline && call.attempts < call.to.length
+                && (call.out == 0 || settings.limits().parallelTries()) && mayJoin(now, call, -1, server);
+    }
+
+    /** The same by what the other attempts prove, for one not yet made (-1), or not yet begun. */
+    private boolean mayJoin(long now, Call call, int attempt, Server server) {
+        int first = call.mayHaveRun(attempt);
         if (first < 0 || call.kind.effect() == Effect.SAFE) {
             return true;
         }
@@ -407,10 +411,23 @@
 
     /** Whether the client may be told that trying again is harmless, by what the attempts prove. */
     private boolean mayRefuse(Call call) {
-        return call.mayHaveRun() < 0 || call.kind.effect() == Effect.SAFE
+        return call.mayHaveRun(-1) < 0 || call.kind.effect() == Effect.SAFE
                 || call.kind.effect() == Effect.KEYED && call.kind.keyScope() == KeyScope.ALL;
     }
 
+    /** Whether this life of an endpoint is listed, and ready. */
+    private boolean stands(Server server) {
+        return server.ready() && servers.get(server.id) == server;
+    }
+
+    @Override
+    public Outcome denial(long now, long request, int attempt) {
+        Call call = calls.get(request);
+        return call == null || call.answered || attempt >= call.attempts
+                || !mayJoin(now, call, attempt, call.to[attempt]) ? Outcome.MOOT
+                : stands(call.to[attempt]) ? null : Outcome.CONNECT_FAILED;
+    }
+
     private boolean suspect(long now, Server server) {
         return server.failing(now) || server.silent(now, patience());
     }
@@ -434,21 +451,22 @@
         call.out--;
         out -= call.uploading ? 0 : 1;
         call.to[attempt].uploads -= call.uploading ? 1 : 0;
-        thriftyUntil = outcome == Outcome.CONNECT_FAILED ? now + THRIFT : thriftyUntil;
+        boolean full = outcome == Outcome.CONNECT_FAILED && now < call.deadline && stands(call.to[attempt]);
+        thriftyUntil = full ? now + THRIFT : thriftyUntil;
         if (outcome == Outcome.OK) {
             call.to[attempt].answered(now, settings.copies(), latency, call.work);
             byClass[call.classIndex].add(latency);
             overall.add(latency);
-            answered += cost(call) * 1e9 / RATE_NANOS;
+            double warm = pool.roster().stream().mapToDouble(s -> s.capacity(now, settings.safety())).sum();
+            warmAnswers += warm > 0 ? cost(call) * 1e9 / RATE_NANOS / warm : 0;
             if (!settings.goal().worthByWork()) {
                 worth.perWork(call.classIndex, call.kind.worth() / byClass[call.classIndex].mean());
             }
             if (!call.overShare && now - call.arrived <= call.kind.aim()) {
                 worth.served(now, call.classIndex, worthOf(call));
             }
-            if (call.work > 0) {
-                stretch.add(latency / (double) Math.max(LEAST_WORK, call.work));
-            }
+            (call.work > 0 ? stretch : coreTime).add(call.work > 0
+                    ? latency / (double) Math.max(LEAST_WORK, call.work) : latency);
         }
         if (outcome == Outcome.OK || outcome == Outcome.TIMEOUT || outcome == Outcome.FULL) {
             // Full counts, against overload that shows as quick refusals. Errors and broken or refused
@@ -460,9 +478,7 @@
         call.to[attempt].ended(now, outcome);
         pool.ended(outcome);
         closeUnused(now, call.to[attempt]);
-        if (call.answered) {
-            forget(call);
-        } else if (settled) {
+        if (settled || call.answered) {
             close(call, attempt);
         } else {
             next(now, call, outcome);
@@ -472,15 +488,14 @@
 
     /** After an attempt failed: another one, patience with those still out, or the final answer. */
     private void next(long now, Call call, Outcome outcome) {
-        if (now >= call.deadline) {
-            end(call, false);
-        } else if (call.out == 0 && !call.held) {
+        if (call.out == 0 && !call.held) {
             // An error from a tier that calls another has been retried below already: retries multiply.
             boolean pays = !outcome.provesNotRun() || call.attempts > 1;
             // Moot: nothing more may be sent for it. Guards against holding it for an endpoint all the same.
             boolean more = mayAttempt(now, call, null) && outcome != Outcome.MOOT;
             if (!more || pays && extra < 1) {
-                end(call, mayRefuse(call));
+                // At the deadline only what never ran is refused; where more are out, the last one tells.
+                end(call, now < call.deadline ? mayRefuse(call) : call.mayHaveRun(-1) < 0);
                 return;
             }
             extra -= pays ? 1 : 0;
@@ -490,12 +505,9 @@
 
     /** The one place where this copy ends a request. */
     private void end(Call call, boolean refuse) {
-        if (call.answered) {
-            return;
-        }
-        if (refuse) {
+        if (refuse && !call.answered) {
             actions.refuse(call.id, comeBack());
-        } else {
+        } else if (!call.answered) {
             actions.fail(call.id);
         }
         close(call, -1);
@@ -506,24 +518,19 @@
      * out ends and makes room. Guards against advice that outlasts the aim of what it is given for.
      */
     private long comeBack() {
-        Limits limits = settings.limits();
         double turn = overall.mean() / Math.pow(Math.max(1, out), tuning.get(Figure.COME_BACK_TURN));
-        return limits.retryAfter() ? (long) Math.min(limits.maxRetryAfter(), turn) : 0;
+        return settings.limits().retryAfter() ? (long) Math.min(settings.limits().maxRetryAfter(), turn) : 0;
     }
 
     /** A request is over: cancels what is out but one attempt, and forgets it after the last. */
     private void close(Call call, int except) {
-        for (int i = 0; i < call.attempts && settings.limits().cancel(); i++) {
+        for (int i = 0; i < call.attempts && settings.limits().cancel() && !call.answered; i++) {
             if (i != except && call.ended[i] == null) {
                 actions.cancel(call.id, i);
             }
         }
         call.answered = true;
         call.held = false;
-        forget(call);
-    }
-
-    private void forget(Call call) {
         if (call.out == 0) {
             calls.remove(call.id);
         }
@@ -638,27 +645,25 @@
     private void countCall(long now) {
         double kept = Math.min(1, Math.exp(-(now - callRateAt) / RATE_NANOS));
         callRate *= kept;
-        answered *= kept;
+        warmAnswers *= kept;
         callRateAt = now;
         callsOut = callsOut * kept + out * (1 - kept);
         mostOut = Math.max(out, mostOut * Math.pow(kept, 0.2));
     }
 
     /**
-     * What one warm endpoint does for this copy, in mean requests a second: by its answers, counted over the
-     * roster with what each cold one can do, and not by the calls, which are many when little can be done.
-     * Where more can hardly be known (all are cold), by an even part of the calls, up to what one core does.
+     * What one warm endpoint does for this copy, in mean requests a second: by its answers, each divided by
+     * what the roster could do as it came, and not by the calls, many as they are when little can be done.
+     * Where more can't be known (all cold), by an even part of the calls, up to what one core does: one in
+     * twice the work said (two processes of a copy live in an upgrade), else in the time that answers take;
+     * before the first, in its aim. Guards against many copies that know nothing and take calls for answers.
      */
     private double warmRate(long now, Server server) {
-        List<Server> roster = pool.roster();
+        int roster = pool.roster().size();
         int ring = pool.ring.size();
         double kept = Math.min(1, Math.exp(-(now - callRateAt) / RATE_NANOS));
-        double even = Math.min(callRate * kept, 1e9 / Math.max(1, overall.mean()) * ring / settings.copies());
-        double whole = 0;
-        for (int i = 0; i < roster.size(); i++) {
-            whole += roster.get(i).capacity(now, settings.safety());
-        }
-        return server.inRoster ? Math.max(even / roster.size(), answered * kept / whole) : even / ring;
+        double even = Math.min(callRate * kept, 1e9 / coreTime.mean() * ring / settings.copies());
+        return server.inRoster ? Math.max(even / roster, warmAnswers * kept) : even / ring;
     }
 
     private long patience() {
--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -16,6 +16,7 @@
 import cedarrudder.routing.Exchange;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -44,8 +45,8 @@
 
     private static final String HEALTH = "/_health";
 
-    /** After SIGTERM connections still come for up to 0.4 s; they are taken for this long at the least. */
-    private static final long LINGER = 600_000_000L;
+    /** After SIGTERM connections still come for up to 0.4 s; they are let in for this long at the least. */
+    private static final long LET_IN = 600_000_000L;
 
     /**
      * SIGKILL follows SIGTERM no sooner than the longest wait (3 s where it is longer) and 0.7 s. What is
@@ -54,15 +55,42 @@
     private static final long LONGEST_COUNTED = 3_000_000_000L;
     private static final long KILLED_AFTER = 500_000_000L;
 
+    /** For the last answers to be written and their connections to be closed. */
+    private static final long EXIT = 150_000_000L;
+
     /** Nothing new is taken for so long before; most RPCs need less. */
     private static final long WIND_UP = 400_000_000L;
 
+    /** Cut off so long before, what is left of the service is closed: half written answers, late ends. */
+    private static final long LAST_CALL = 100_000_000L;
+
     /**
-     * How long a caller that was turned away may still send: until it has been quiet for this long, and so
-     * long in all. Guards against the answer being lost, since closing with bytes unread resets a connection.
+     * The lingering close (RFC 9112 9.6): for how long, in nanoseconds, what a caller still sends is read and
+     * dropped behind the end of our output, until it has been quiet for so long, and so long in all; and how
+     * many bytes of it. Guards against the last answer being lost, since closing with bytes unread resets a
+     * connection, and against callers that send on without end.
      */
     private static final long LAST_WORD = 1_000_000_000L;
     private static final long LAST_WORDS = 5_000_000_000L;
+    private static final long MOST_DROPPED = HttpDecoder.MOST_FLOW;
+
+    /**
+     * Bytes of a caller behind its open RPC that are read and kept, charged to the account of bodies; what
+     * one turn of the loop reads may come on top. Guards against a caller that has gone and is not seen to,
+     * since its end stands behind what it sent: its RPC would still be sent on. Beyond it, or with the
+     * account used up, reading stops: whoever sends so much ahead is made to wait, and its end is then seen
+     * no sooner than its answer is out.
+     */
+    private static final int READ_AHEAD = 32 * 1024;
+
+    /** One look at a socket reads so often at the most. Guards against one that is sent to at full speed. */
+    private static final int LOOKS = 8;
+
+    /**
+     * Requests of one connection that are still answered where its last answer was due, since they stood
+     * right behind it. Guards against a caller that sends ahead without end and never lets go.
+     */
+    private static final int MOST_BEHIND = 64;
 
     /**
      * How clients are sent away when operators drain the proxy, counted from then: the front still brings
@@ -105,7 +133,7 @@
     private final Set<Caller> callers = new HashSet<>();
 
     /** The callers that may be closed to make room, by why they may; those longest so come first. */
-    private final Set<Caller> rejected = new LinkedHashSet<>();
+    private final Set<Caller> lingering = new LinkedHashSet<>();
     private final Set<Caller> silent = new LinkedHashSet<>();
     private final Set<Caller> half = new LinkedHashSet<>();
     private final Set<Caller> idle = new LinkedHashSet<>();
@@ -116,9 +144,9 @@
     private boolean full;
     private long lastId;
     private Runnable whenEmpty;
-    private boolean lingering;
+    private boolean lettingIn;
     private boolean stopping;
-    private ServiceState state = ServiceState.FIRST;
+    private ServiceState service = ServiceState.FIRST;
     private long drainedAt;
     private long replacedAt;
     private long answerBy = Long.MAX_VALUE;
@@ -234,8 +262,8 @@
 
     /** Operators send clients away; on the loop. Without effect where they do already. */
     public void drainByHand() {
-        if (!state.drained()) {
-            state = state.on(ServiceState.Event.DRAIN);
+        if (!service.drained()) {
+            service = service.on(ServiceState.Event.DRAIN);
             drainedAt = loop.now();
             loop.log().info("proxy.drained").write();
         }
@@ -243,25 +271,35 @@
 
     /** Operators let clients come again; on the loop. */
     public void resume() {
-        if (state.drained()) {
-            state = state.on(ServiceState.Event.RESUME);
+        if (service.drained()) {
+            service = service.on(ServiceState.Event.RESUME);
             loop.log().info("proxy.resumed").write();
         }
     }
 
     /** Whether operators send clients away. */
     public boolean drained() {
-        return state.drained();
+        return service.drained();
     }
 
     /** Whether this process goes on, for all that signals have said. */
     public boolean lasts() {
-        return state.lasts();
+        return service.lasts();
+    }
+
+    /** Whether a body flows, which has no bound in time; on the loop. */
+    public boolean flows() {
+        return callers.stream().anyMatch(caller -> caller.upload != null || caller.download != null);
+    }
+
+    /** All but what flows is over so long after SIGTERM at the latest, in nanoseconds; from any thread. */
+    public long mostEnding() {
+        return Math.min(LONGEST_COUNTED, fields.longestWait()) + KILLED_AFTER + EXIT;
     }
 
     private boolean sendingAway() {
         long now = loop.now();
-        return state.drained() && now - drainedAt >= AWAY_FROM
+        return service.drained() && now - drainedAt >= AWAY_FROM
                 || replacedAt != 0 && now - replacedAt >= OVER_FROM;
     }
 
@@ -284,28 +322,51 @@
 
     /**
      * Guards against running out of descriptors: beyond the bound each new connection costs one that may be
-     * closed, those first that were turned away, then those that have long said nothing or half a request,
-     * then idle ones, then half a request that does not seem to be on its way, then the silent one that has
-     * been there longest. Where there is none, new ones wait to be accepted.
+     * closed, those first that have their last answer, then those that have long said nothing or half a
+     * request, then idle ones, then half a request that does not seem to be on its way, then the silent one
+     * that has been there longest. Where there is none, new ones wait to be accepted.
      *
      * <p>A connection that has just come goes last. Guards against closing callers whose first request is on
-     * its way, which then fails, where a caller between requests would only have to connect again.
+     * its way, which then fails, where a caller between requests would only have to connect again. What has
+     * come on one that is to go is read first: a request that it brings is taken, and another one goes.
      */
     private void makeRoom() {
-        Caller first = first(rejected, 0);
+        Caller first = firstToGo();
+        for (int looks = callers.size(); first != null && looks > 0; looks--) {
+            CallerState was = first.state;
+            if (!was.ends()) {
+                first.look();
+            }
+            if (first.state == was) {
+                loop.log().debug("caller.closed_for_room").with("caller", first.channel.remoteAddress())
+                        .with("callers", callers.size()).write();
+                first.close();
+                return;
+            }
+            first = firstToGo();
+        }
+        full = true;
+        listening.config().setAutoRead(false);
+    }
+
+    private Caller firstToGo() {
+        Caller first = first(lingering, 0);
         first = first != null ? first : first(silent, limits.silentLong());
         first = first != null ? first : first(half, limits.silentLong());
         first = first != null ? first : first(idle, 0);
         first = first != null ? first : first(half, HALF_LONG);
-        first = first != null || silent.size() <= 1 ? first : first(silent, 0);
-        if (first != null) {
-            loop.log().debug("caller.closed_for_room").with("caller", first.channel.remoteAddress())
-                    .with("callers", callers.size()).write();
-            first.close();
-        } else {
-            full = true;
-            listening.config().setAutoRead(false);
-        }
+        return first != null || silent.size() <= 1 ? first : first(silent, 0);
+    }
+
+    /** The callers of this state that may be closed to make room; null where it may not be. */
+    private Set<Caller> closable(CallerState state) {
+        return switch (state) {
+            case NEW -> silent;
+            case IDLE -> idle;
+            case READING_HEAD, READING_BODY -> half;
+            case LINGERING -> lingering;
+            case OPEN, ANSWERING, DRAINING, CLOSED -> null;
+        };
     }
 
     /** The one of these that has been among them longest, and for so long; null where there is none. */
@@ -334,15 +395,15 @@
             return;
         }
         whenEmpty = whenDone;
-        state = state.on(ServiceState.Event.END);
-        lingering = true;
+        service = service.on(ServiceState.Event.END);
+        lettingIn = true;
         long now = loop.now();
         answerBy = now + Math.min(LONGEST_COUNTED, fields.longestWait()) + KILLED_AFTER;
-        loop.at(now + LINGER, () -> {
-            lingering = false;
+        loop.at(now + LET_IN, () -> {
+            lettingIn = false;
             endIfEmpty();
         });
-        loop.at(Math.max(now + LINGER, answerBy - WIND_UP), this::stop);
+        loop.at(Math.max(now + LET_IN, answerBy - WIND_UP), this::stop);
         loop.at(answerBy, this::cutOff);
     }
 
@@ -356,7 +417,7 @@
             return;
         }
         whenEmpty = whenDone;
-        state = state.on(ServiceState.Event.REPLACE);
+        service = service.on(ServiceState.Event.REPLACE);
         replacedAt = loop.now();
         answerBy = replacedAt + Math.min(LONGEST_COUNTED, fields.longestWait()) + KILLED_AFTER;
         shutDoor();
@@ -382,28 +443,46 @@
         }
     }
 
-    /** What is open has had its time: all get an answer while this process can still give one. */
+    /**
+     * What is open has had its time: all get an answer while this process can still give one. Half a request
+     * is not waited for any more.
+     */
     private void cutOff() {
         for (Caller caller : List.copyOf(callers)) {
+            caller.look();
             if (caller.exchange != null) {
                 driver.cut(caller.exchange);
+            } else if (caller.state.takesRequests()) {
+                caller.giveUp();
             }
         }
+        loop.at(loop.now() + LAST_CALL, this::closeAll);
+    }
+
+    /**
+     * Nothing holds the end of the process any longer. Guards against callers that don't read their answers,
+     * or don't hear the end of our output, being met by SIGKILL with all others.
+     */
+    private void closeAll() {
+        loop.at(loop.now() + SWEEP, this::closeAll);
+        for (Caller caller : List.copyOf(callers)) {
+            caller.breakOff();
+        }
     }
 
     /** Takes who waits at the door and closes it; until that is done the service goes on. */
     private void shutDoor() {
-        if (listening.isOpen() && !lingering) {
-            lingering = true;
+        if (listening.isOpen() && !lettingIn) {
+            lettingIn = true;
             listening.closeBehindLast(() -> {
-                lingering = false;
+                lettingIn = false;
                 endIfEmpty();
             });
         }
     }
 
     private void endIfEmpty() {
-        if (whenEmpty == null || lingering || !callers.isEmpty()) {
+        if (whenEmpty == null || lettingIn || !callers.isEmpty()) {
             return;
         }
         if (listening.isOpen()) {
@@ -414,7 +493,7 @@
     }
 
     /** One connection from a caller, on which one RPC is answered at a time. */
-    private final class Caller extends ChannelInboundHandlerAdapter implements Exchange.Reply<Message> {
+    final class Caller extends ChannelInboundHandlerAdapter implements Exchange.Reply<Message> {
         private final NioSocketChannel channel;
         private final HttpDecoder decoder = HttpDecoder.ofFlows(true, limits.mostHead(), limits.mostBody(),
                 BodyFlow.WINDOW);
@@ -427,11 +506,12 @@
         private Exchange<Message, Message> exchange;
         private String id;
         private boolean keepAlive;
-        private boolean inBody;
         private boolean decoding;
-        private boolean writing;
-        private boolean closing;
-        private Set<Caller> among;
+        private int kept;
+        private long came;
+        private long dropped;
+        private int behind;
+        private CallerState state = CallerState.NEW;
         private long since;
         private long due;
         private long lastDue;
@@ -440,17 +520,43 @@
             this.channel = channel;
         }
 
-        /** It may now be closed together with these (null: it may not be), and is closed after a while. */
-        private void enter(Set<Caller> next, long patience) {
-            if (among != null) {
-                among.remove(this);
+        /** The one place where its state changes. What can't come in a state ends this connection alone. */
+        void on(CallerState.Event event) {
+            CallerState next = state.on(event);
+            if (next == null) {
+                loop.log().fault("caller.failed", new IllegalStateException(event + " in " + state))
+                        .with("caller", channel.remoteAddress()).write();
+                breakOff();
+                return;
             }
-            among = next;
-            if (among != null) {
-                among.add(this);
+            long now = loop.now();
+            Set<Caller> from = closable(state);
+            Set<Caller> to = closable(next);
+            if (from != to) {
+                if (from != null) {
+                    from.remove(this);
+                }
+                if (to != null) {
+                    to.add(this);
+                }
+                since = now;
             }
-            since = loop.now();
-            due = patience == Long.MAX_VALUE ? patience : since + patience;
+            due = due(next, now);
+            state = next;
+        }
+
+        /** When patience with it is over, once it comes to this state. */
+        private long due(CallerState next, long now) {
+            return switch (next) {
+                // The first request's counts from the connection.
+                case READING_HEAD -> state == CallerState.NEW ? due : now + limits.requestPatience();
+                // Guards against a body that comes slowly being cut by the patience with its head.
+                case NEW, READING_BODY -> now + limits.requestPatience();
+                case IDLE -> now + limits.idlePatience();
+                case ANSWERING, DRAINING -> now + limits.answerPatience();
+                case LINGERING -> now + LAST_WORD;
+                case OPEN, CLOSED -> Long.MAX_VALUE;
+            };
         }
 
         /**
@@ -458,31 +564,90 @@
          * has just come, whose first request is on its way and would fail.
          */
         private boolean mayGo(long now) {
-            return among != silent || now - since >= HALF_LONG;
+            return state != CallerState.NEW || now - since >= HALF_LONG;
         }
 
         private void close() {
-            enter(null, Long.MAX_VALUE);
-            closing = true;
+            on(CallerState.Event.CLOSE);
             channel.close();
         }
 
         /**
-         * Closes it unless a request has come on it, or a part of one, which is taken instead. Guards against
-         * requests that the kernel has and the loop has not got round to: closing with bytes unread resets
-         * the connection, and with many to be closed the last is closed some milliseconds after the look.
+         * The one orderly end of a connection, a lingering close: our output ends, and what still comes is
+         * read and dropped until its caller ends it too, or for a while. Nothing that is read from here on
+         * goes to a node: its caller has seen the end, and sends it again elsewhere.
+         */
+        private void hangUp() {
+            on(CallerState.Event.HALF_CLOSE);
+            linger();
+        }
+
+        private void linger() {
+            dropUpload();
+            dropAhead();
+            lastDue = since + LAST_WORDS;
+            channel.shutdownOutput();
+            channel.config().setAutoRead(true);
+        }
+
+        /**
+         * Reads what has come on its socket by now. Guards against requests, and ends, that the kernel has
+         * and the loop has not got round to.
+         *
+         * <p>It may run within a read of the same socket, as far down as in the decoder's own hands: what it
+         * brings is put behind what is there, and whoever decodes goes on with it.
          */
-        private void closeIfQuiet() {
-            channel.unsafe().read();
-            if (among == idle || among == silent) {
+        private void look() {
+            for (int i = 0; i < LOOKS && channel.isOpen() && mayRead(); i++) {
+                long before = came;
+                channel.unsafe().read();
+                if (came == before) {
+                    return;
+                }
+            }
+        }
+
+        /**
+         * Whether it still waits for the answer to its open RPC, looked up now. Guards against an attempt for
+         * a caller that has gone: on a late loop its end may stand unread for long.
+         */
+        @Override
+        public boolean waits() {
+            look();
+            return exchange != null && channel.isOpen();
+        }
+
+        /**
+         * Closes it, as one on which nothing is owed, unless a request has come, or a part of one, which is
+         * taken instead. It is closed and not shut: guards against a request that comes in this very moment
+         * being read and dropped. Unread, it goes back to its caller as a reset, who sends it elsewhere.
+         */
+        void closeIfQuiet() {
+            look();
+            if (state.rests()) {
                 close();
             }
         }
 
-        /** Patience with it is over. */
+        /** Nothing is owed on it: as {@link #closeIfQuiet}, but for half a request, which is read. */
+        private void giveUp() {
+            if (state.rests()) {
+                close();
+            } else {
+                hangUp();
+            }
+        }
+
+        /** Patience with it is over, unless what it waits for has come and not been read. */
         private void expire() {
-            if (among == idle || among == silent) {
-                closeIfQuiet();
+            if (!state.ends()) {
+                look();
+            }
+            if (loop.now() < due) {
+                return;
+            }
+            if (state.takesRequests()) {
+                giveUp();
             } else {
                 close();
             }
@@ -491,7 +656,9 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             callers.add(this);
-            enter(silent, limits.requestPatience());
+            silent.add(this);
+            since = loop.now();
+            due = due(state, since);
             if (callers.size() > mostCallers) {
                 makeRoom();
             }
@@ -500,40 +667,94 @@
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             ByteBuf in = (ByteBuf) message;
-            if (closing) {
-                in.release();
-                due = among == rejected ? Math.min(loop.now() + LAST_WORD, lastDue) : due;
+            came += in.readableBytes();
+            if (drops()) {
+                drop(in);
                 return;
             }
-            ahead = ahead == null ? in : append(in);
+            if (ahead == null) {
+                ahead = in;
+            } else {
+                append(in);
+            }
             decode();
             readOn();
         }
 
-        /** Guards against keeping further requests without end: what comes while one is open stays unread. */
+        private void drop(ByteBuf in) {
+            dropped += in.readableBytes();
+            in.release();
+            if (dropped > MOST_DROPPED) {
+                due = loop.now();
+            } else if (state == CallerState.LINGERING) {
+                due = Math.min(loop.now() + LAST_WORD, lastDue);
+            }
+        }
+
         private void readOn() {
-            boolean more = upload != null ? !upload.full() : ahead == null || !busy();
-            channel.config().setAutoRead(more);
+            if (drops()) {
+                return; // whoever ends it reads as it needs to
+            }
+            channel.config().setAutoRead(mayRead());
             if (upload != null) {
                 // Progress, and not the time in all: a large body may take as long as it takes.
-                due = more ? loop.now() + UPLOAD_SILENCE : Long.MAX_VALUE;
+                due = upload.full() ? Long.MAX_VALUE : loop.now() + UPLOAD_SILENCE;
             }
         }
 
+        /** Guards against keeping further requests, or more than the window of a body, without end. */
+        private boolean mayRead() {
+            int waiting = ahead == null ? 0 : ahead.readableBytes();
+            boolean more = upload != null && upload.full() || waiting > 0;
+            return !more || waiting < READ_AHEAD && !held.usedUp();
+        }
+
         /**
-         * Whether an RPC is open, or its answer still on its way. Guards against a caller that sends requests
-         * and reads no answers, which would all be kept here.
+         * Whether what comes is decoded. Guards against a caller that sends requests and reads no answers,
+         * which would all be kept here.
          */
-        private boolean busy() {
-            return exchange != null || writing;
+        private boolean decodes() {
+            return upload != null ? state != CallerState.CLOSED : state.takesRequests();
         }
 
-        private ByteBuf append(ByteBuf in) {
-            ByteBuf joined = loop.buffers().buffer(ahead.readableBytes() + in.readableBytes());
-            joined.writeBytes(ahead).writeBytes(in);
-            ahead.release();
-            in.release();
-            return joined;
+        private boolean drops() {
+            return state.ends() && !decodes();
+        }
+
+        /** To the same buffer: guards against another in place of the one that the decoder is reading. */
+        private void append(ByteBuf in) {
+            try {
+                ahead.discardSomeReadBytes().writeBytes(in);
+            } finally {
+                in.release();
+            }
+        }
+
+        /**
+         * What waits to be decoded is kept on the heap and entered in the account. Guards against direct
+         * memory, of which there is little, that is taken by buffers of 16 KiB with some bytes in each.
+         */
+        private void keep() {
+            if (ahead != null && ahead.isDirect()) {
+                ByteBuf copy = Unpooled.buffer(ahead.readableBytes()).writeBytes(ahead);
+                ahead.release();
+                ahead = copy;
+            }
+            int now = ahead == null ? 0 : ahead.capacity();
+            held.add(now - kept);
+            kept = now;
+        }
+
+        /** Not while it is being decoded: whoever does so drops it. */
+        private void dropAhead() {
+            if (decoding) {
+                return;
+            }
+            if (ahead != null) {
+                ahead.release();
+                ahead = null;
+            }
+            keep();
         }
 
         /** Decodes what has come, up to the end of a request; the next waits until that one is answered. */
@@ -543,7 +764,7 @@
             }
             decoding = true;
             try {
-                while (ahead != null && (!busy() || upload != null) && !closing && ahead.isReadable()) {
+                while (ahead != null && ahead.isReadable() && decodes()) {
                     if (upload != null) {
                         if (upload.full()) {
                             break;
@@ -551,12 +772,8 @@
                         uploadOn();
                         continue;
                     }
-                    if (among == idle) {
-                        enter(null, limits.requestPatience());
-                    } else if (among == silent) {
-                        long connectedDue = due;
-                        enter(null, 0);
-                        due = connectedDue;
+                    if (state.rests()) {
+                        on(CallerState.Event.BYTES);
                     }
                     Message request = decoder.decode(ahead);
                     count();
@@ -575,16 +792,18 @@
             } finally {
                 decoding = false;
             }
-            if (ahead != null && !ahead.isReadable()) {
-                ahead.release();
-                ahead = null;
+            if (ahead != null && (drops() || !ahead.isReadable())) {
+                dropAhead();
+            } else {
+                keep();
             }
         }
 
         /** Takes what has come of a body that flows. */
         private void uploadOn() throws BadMessageException {
-            if (decoder.decode(ahead) != null) {
-                BodyFlow whole = upload;
+            BodyFlow whole = upload;
+            // What was decoded may have had its RPC answered, which drops the rest.
+            if (decoder.decode(ahead) != null && upload == whole) {
                 upload = null;
                 due = Long.MAX_VALUE;
                 driver.whole(exchange);
@@ -621,15 +840,8 @@
 
         /** Half a request is there, or what comes before one. */
         private void await() throws BadMessageException {
-            if (among != half) {
-                long begunDue = due;
-                enter(half, 0);
-                due = begunDue;
-            }
-            if (decoder.head() != null && !inBody) {
-                // Guards against a body that comes slowly being cut by the patience with its head.
-                inBody = true;
-                due = loop.now() + limits.requestPatience();
+            if (decoder.head() != null && state == CallerState.READING_HEAD) {
+                on(CallerState.Event.HEAD);
                 if (held.usedUp()) {
                     throw new BadMessageException(BadMessageException.UNAVAILABLE, "too much is held");
                 }
@@ -641,13 +853,13 @@
 
         /** @param uploading how much longer its time may be while its body flows; 0: it is whole */
         private void take(Message request, long uploading) throws BadMessageException {
-            inBody = false;
             chunks = request.head().takesChunks();
             keepAlive = request.head().keepsAlive();
             String target = request.head().target();
             if (target.equals(HEALTH)) {
-                boolean healthy = ready.getAsBoolean() && state.healthy();
-                write(own(healthy ? 200 : 503, healthy ? "ready" : "not ready", closes()));
+                boolean healthy = ready.getAsBoolean() && service.healthy();
+                boolean last = last();
+                write(own(healthy ? 200 : 503, healthy ? "ready" : "not ready", last), last);
                 return;
             }
             Carried carried = fields.carried(request);
@@ -665,7 +877,7 @@
             id = name;
             whole = request.body().length;
             held.add(whole);
-            enter(null, Long.MAX_VALUE);
+            on(CallerState.Event.RPC);
             exchange = new Exchange<>(told, request, this, carried);
             if (uploading > 0) {
                 exchange.uploading(told.deadline() - uploading - loop.now());
@@ -675,28 +887,41 @@
             }
         }
 
-        private boolean closes() {
-            return !keepAlive || upload != null || stopping || replacedAt != 0 || sendingAway();
+        /**
+         * Whether the answer at hand is the last of its connection; asked once for each. Where the service
+         * ends, what has come behind the request is looked at first, and served. Guards against requests that
+         * were taken and never answered.
+         */
+        private boolean last() {
+            if (!keepAlive || upload != null) {
+                return true;
+            }
+            if (!stopping && replacedAt == 0 && !sendingAway()) {
+                return false;
+            }
+            look();
+            return ahead == null || !ahead.isReadable() || loop.now() >= answerBy || ++behind > MOST_BEHIND;
         }
 
         @Override
         public void served(Message answer) {
+            boolean last = last();
             if (answer.rest() != null) {
-                download(answer);
+                download(answer, last || answer.rest().length() < 0 && !chunks);
                 return;
             }
-            reply(() -> HttpEncoder.served(loop.buffers(), answer, closes(), fields.budgeted(),
+            reply(last, () -> HttpEncoder.served(loop.buffers(), answer, last, fields.budgeted(),
                     exchange.result(), chunks));
         }
 
         /** Passes on an answer that flows; the RPC is open until its end. */
-        private void download(Message answer) {
+        private void download(Message answer, boolean last) {
+            if (state == CallerState.CLOSED) {
+                return; // the end of the connection, which is about to be told, ends the attempt
+            }
             boolean chunked = answer.rest().length() < 0 && chunks;
-            boolean closes = closes() || answer.rest().length() < 0 && !chunks;
-            keepAlive = !closes;
-            writing = true;
-            enter(null, limits.answerPatience());
-            ByteBuf head = made(() -> HttpEncoder.served(loop.buffers(), answer, closes, fields.budgeted(),
+            on(last ? CallerState.Event.LAST_ANSWER : CallerState.Event.ANSWER);
+            ByteBuf head = made(() -> HttpEncoder.served(loop.buffers(), answer, last, fields.budgeted(),
                     exchange.result(), chunks));
             if (head == null) {
                 close(); // which ends the attempt, too
@@ -709,7 +934,6 @@
                 public void wrote() {
                     download = null;
                     over();
-                    closing = closes;
                     wroteAll(true);
                 }
 
@@ -722,12 +946,17 @@
             download.pump();
         }
 
-        /** A reset: guards against an answer without a length that ends early and looks whole. */
+        /**
+         * An end at once: a reset where an answer flows. Guards against an answer without a length that ends
+         * early and looks whole.
+         */
         private void breakOff() {
-            download.stop();
-            download = null;
-            if (channel.isOpen()) {
-                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            if (download != null) {
+                download.stop();
+                download = null;
+                if (channel.isOpen()) {
+                    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                }
             }
             close();
         }
@@ -742,13 +971,15 @@
 
         @Override
         public void refused(long retryAfter) {
-            reply(() -> HttpEncoder.answer(loop.buffers(), 503, why("unavailable"), retryAfter, closes(),
+            boolean last = last();
+            reply(last, () -> HttpEncoder.answer(loop.buffers(), 503, why("unavailable"), retryAfter, last,
                     exchange.result()));
         }
 
         @Override
         public void failed() {
-            reply(() -> HttpEncoder.answer(loop.buffers(), 502, why("failed"), 0, closes(),
+            boolean last = last();
+            reply(last, () -> HttpEncoder.answer(loop.buffers(), 502, why("failed"), 0, last,
                     exchange.result()));
         }
 
@@ -761,13 +992,15 @@
          * Guards against a caller that waits for good for an answer that could not be made, for want of
          * memory say, and against the module missing the rest of the event: the caller sees a break.
          */
-        private void reply(Supplier<ByteBuf> encoded) {
+        private void reply(boolean last, Supplier<ByteBuf> encoded) {
             ByteBuf answer = made(encoded);
             over();
             if (answer == null) {
                 close();
+            } else if (state == CallerState.CLOSED) {
+                answer.release();
             } else {
-                write(answer);
+                write(answer, last);
             }
         }
 
@@ -817,41 +1050,42 @@
             }
         }
 
-        /** Writes the answer to a whole request; the next is read once the answer is out. */
-        private void write(ByteBuf answer) {
-            writing = true;
-            closing = closes();
-            enter(null, limits.answerPatience());
-            if (upload != null) {
-                // Guards against the answer being lost: closing with bytes unread resets a connection.
+        /**
+         * Writes an answer; the next request is decoded once it is out, or the connection ended.
+         *
+         * @param last whether it is the connection's last: what comes from now on is dropped
+         */
+        private void write(ByteBuf answer, boolean last) {
+            on(last ? CallerState.Event.LAST_ANSWER : CallerState.Event.ANSWER);
+            if (last) {
                 dropUpload();
-                enter(rejected, LAST_WORD);
-                lastDue = loop.now() + LAST_WORDS;
                 channel.config().setAutoRead(true);
-                channel.writeAndFlush(answer).addListener(wrote -> channel.shutdownOutput());
-                return;
             }
             channel.writeAndFlush(answer).addListener(wrote -> wroteAll(wrote.isSuccess()));
         }
 
         private void wroteAll(boolean success) {
-            writing = false;
-            if (closing || !success) {
-                channel.close();
+            if (!success) {
+                close();
+                return;
+            }
+            on(CallerState.Event.WROTE);
+            if (state == CallerState.LINGERING) {
+                linger();
                 return;
             }
-            // Not before it is written: closing it to make room would take an answer away.
-            enter(idle, limits.idlePatience());
             decode();
             readOn();
-            if (stopping && among == idle) {
+            if (stopping && state == CallerState.IDLE) {
                 closeIfQuiet();
             }
         }
 
         /** Answers a request that can't be read, and closes once the caller may have read that. */
         private void reject(BadMessageException e) {
-            closing = true;
+            if (drops()) {
+                return; // the rest of a body whose RPC was answered meanwhile
+            }
             boolean answering = download != null;
             if (answering) {
                 breakOff(); // another answer can't follow
@@ -861,21 +1095,14 @@
             if (answering) {
                 return;
             }
-            enter(rejected, LAST_WORD);
-            lastDue = loop.now() + LAST_WORDS;
-            channel.writeAndFlush(own(e.status(), e.getMessage(), true))
-                    .addListener(wrote -> channel.shutdownOutput());
+            write(own(e.status(), e.getMessage(), true), true);
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             callers.remove(this);
-            enter(null, Long.MAX_VALUE);
-            if (ahead != null) {
-                ahead.release();
-                ahead = null;
-            }
-            closing = true;
+            on(CallerState.Event.CLOSE);
+            dropAhead();
             held.add(-collected);
             collected = 0;
             if (download != null) {
