Begin no attempt for a caller whose end may stand unread behind what it sent

Cause: where a caller sends more than 32 KiB ahead of its open RPC, or more of a body than the window and those 32 KiB, reading stops, and its close or reset is not seen.

Change: the caller's side knows since when something of its caller may stand unread; past 50 ms, half of what an attempt may begin late, the gate denies (MOOT), and the RPC is refused as one that did not run. A look that finds the socket empty, or a read that brings less than it asked for, puts the caller in sight again.

DriverTest has the gate alone.

Ruled out: a larger READ_AHEAD, which only moves the bound and holds more memory; the kernel's view of the connection, which the virtual machine does not show while nothing is read.

--- a/core/src/main/java/cedarrudder/routing/Driver.java
+++ b/core/src/main/java/cedarrudder/routing/Driver.java
@@ -153,16 +153,16 @@
     /**
      * Whether the first byte of an attempt may go out now: the one gate of every attempt, to be asked once,
      * right before. Guards against what has changed since the module sent it, which may be long ago where a
-     * connection came up late: its caller has left, its time is over, its node has left the list, drains or
-     * has started anew, or the window of its repeats is past. An attempt that may not begin ends with this,
-     * so as to prove that it did not run.
+     * connection came up late: its caller has left, or could have left unseen, its time is over, its node has
+     * left the list, drains or has started anew, or the window of its repeats is past. An attempt that may
+     * not begin ends with this, so as to prove that it did not run.
      */
     public boolean begins(CallAttempt<Q, A> attempt) {
         Exchange<Q, A> exchange = attempt.exchange();
         if (!exchange.over() && !exchange.reply().waits()) {
             left(exchange); // which ends the attempt, too
         }
-        withdraw(attempt);
+        withdraw(attempt, exchange.over() || exchange.reply().seen());
         if (attempt.ended()) {
             return false;
         }
@@ -170,9 +170,13 @@
         return true;
     }
 
-    /** Ends an attempt that waits for its connection, and could not begin any more. */
-    private void withdraw(CallAttempt<Q, A> attempt) {
-        Outcome denial = attempt.waits() ? denial(attempt, attempt.exchange()) : null;
+    /**
+     * Ends an attempt that waits for its connection, and could not begin any more.
+     *
+     * @param seen whether its caller would be seen to have gone
+     */
+    private void withdraw(CallAttempt<Q, A> attempt, boolean seen) {
+        Outcome denial = !attempt.waits() ? null : seen ? denial(attempt, attempt.exchange()) : Outcome.MOOT;
         if (denial != null) {
             told(attempt, Outcome.MOOT, null); // its node was not asked: this says nothing of its zone
             attempt.zone(-1);
@@ -314,7 +318,7 @@
             balancer.endpoints(timers.now(), kind, entries);
             // Guards against a wait for a connection to a node that has left: another may take it now.
             for (Exchange<Q, A> exchange : List.copyOf(exchanges.values())) {
-                List.copyOf(exchange.attempts()).forEach(this::withdraw);
+                List.copyOf(exchange.attempts()).forEach(attempt -> withdraw(attempt, true));
             }
         });
     }
--- a/core/src/test/java/cedarrudder/routing/DriverTest.java
+++ b/core/src/test/java/cedarrudder/routing/DriverTest.java
@@ -48,6 +48,7 @@
     private boolean refuseConnections;
     private boolean dials;
     private boolean waits;
+    private boolean inSight;
     private Outcome denial;
     private boolean knows;
     private Budgets budgets;
@@ -65,6 +66,7 @@
         refuseConnections = false;
         dials = false;
         waits = true;
+        inSight = true;
         denial = null;
         knows = true;
         budgets = null;
@@ -135,6 +137,11 @@
                     public boolean waits() {
                         return waits;
                     }
+
+                    @Override
+                    public boolean seen() {
+                        return inSight;
+                    }
                 }, carried);
         driver.accept(exchange);
         return exchange;
@@ -374,6 +381,15 @@
         assertEquals(seen, List.of("abandon 0", "outcome 0 MOOT settled", "client left"));
     }
 
+    /** Guards against an attempt for a caller that may have gone unseen; what is out for it goes on. */
+    @Test
+    public void nothingBeginsForACallerOutOfSight() {
+        acceptDialling();
+        inSight = false;
+        assertFalse(driver.begins(started.get(0)));
+        assertEquals(seen, List.of("abandon 0", "outcome 0 MOOT open"));
+    }
+
     @Test
     public void nothingBeginsOnceItsTimeIsOverThoughNoTimerHasTold() {
         acceptDialling();
--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -81,11 +81,18 @@
      * Bytes of a caller behind its open RPC that are read and kept, charged to the account of bodies; what
      * one turn of the loop reads may come on top. Guards against a caller that has gone and is not seen to,
      * since its end stands behind what it sent: its RPC would still be sent on. Beyond it, or with the
-     * account used up, reading stops: whoever sends so much ahead is made to wait, and its end is then seen
-     * no sooner than its answer is out.
+     * account used up, reading stops: whoever sends so much ahead is made to wait, its end is then seen
+     * no sooner than its answer is out, and no attempt of its RPC begins after {@link #UNSEEN}.
      */
     private static final int READ_AHEAD = 32 * 1024;
 
+    /**
+     * Once what a caller sends has not been read for so long, in nanoseconds, for want of room, it may have
+     * gone unseen. Half of what an attempt may begin late behind its caller's end: the end may have stood
+     * there before reading stopped, for as long as a loop is late.
+     */
+    private static final long UNSEEN = 50_000_000L;
+
     /** One look at a socket reads so often at the most. Guards against one that is sent to at full speed. */
     private static final int LOOKS = 8;
 
@@ -511,6 +518,9 @@
         private boolean keepAlive;
         private boolean decoding;
         private int kept;
+
+        /** Since when there may be bytes of its caller, or its end, that are not read. */
+        private long unreadSince = Long.MAX_VALUE;
         private long came;
         private long dropped;
         private int behind;
@@ -605,9 +615,11 @@
                 long before = came;
                 channel.unsafe().read();
                 if (came == before) {
+                    unreadSince = Long.MAX_VALUE;
                     return;
                 }
             }
+            unreadSince = Math.min(unreadSince, loop.now());
         }
 
         /**
@@ -620,6 +632,11 @@
             return exchange != null && channel.isOpen();
         }
 
+        @Override
+        public boolean seen() {
+            return unreadSince == Long.MAX_VALUE || loop.now() - unreadSince < UNSEEN;
+        }
+
         /**
          * Closes it, as one on which nothing is owed, unless a request has come, or a part of one, which is
          * taken instead. It is closed and not shut: guards against a request that comes in this very moment
@@ -671,6 +688,9 @@
         public void channelRead(ChannelHandlerContext context, Object message) {
             ByteBuf in = (ByteBuf) message;
             came += in.readableBytes();
+            if (in.isWritable()) {
+                unreadSince = Long.MAX_VALUE; // there was no more of it
+            }
             if (drops()) {
                 drop(in);
                 return;
@@ -698,7 +718,9 @@
             if (drops()) {
                 return; // whoever ends it reads as it needs to
             }
-            channel.config().setAutoRead(mayRead());
+            boolean reads = mayRead();
+            channel.config().setAutoRead(reads);
+            unreadSince = reads ? unreadSince : Math.min(unreadSince, loop.now());
             if (upload != null) {
                 // Progress, and not the time in all: a large body may take as long as it takes.
                 due = upload.full() ? Long.MAX_VALUE : loop.now() + UPLOAD_SILENCE;
--- a/daemon/src/test/java/cedarrudder/program/FirstByteStoriesTest.java
+++ b/daemon/src/test/java/cedarrudder/program/FirstByteStoriesTest.java
@@ -123,6 +123,68 @@
         }
     }
 
+    /** An RPC with more behind it than is read ahead: of further RPCs, or of its own body. */
+    private static String muchAtOnce(String id, boolean flows) {
+        String chunked = World.rpc("order", "/api", "", "Transfer-Encoding: chunked")
+                .replace("Content-Length: 0\r\n", "").replace("id-1", id);
+        return flows ? chunked + "30d40\r\n" + "x".repeat(200_000) + "\r\n0\r\n\r\n"
+                : rpc("order", id) + rpc("lookup", id + "-next").repeat(1_500);
+    }
+
+    private static void awaitUnseen(long from) throws Exception {
+        Await.until("more than an attempt may be late", () -> System.nanoTime() - from
+                > TimeUnit.MILLISECONDS.toNanos(100));
+    }
+
+    @DataProvider
+    public Object[][] endsBehindMuch() {
+        return new Object[][] {{false, false}, {false, true}, {true, false}, {true, true}};
+    }
+
+    /** Guards against an attempt for a caller whose end stands behind more than there is room to read. */
+    @Test(dataProvider = "endsBehindMuch")
+    public void nothingBeginsForACallerWhoseEndCouldNotBeSeen(boolean flows, boolean reset) throws Exception {
+        try (World world = world(1); FullNode full = world.new FullNode(0)) {
+            world.start();
+            Caller leaves = world.caller().send(muchAtOnce("leaves", flows));
+            awaitOpen(world, 1);
+            if (reset) {
+                leaves.resets();
+            }
+            leaves.close();
+            awaitUnseen(System.nanoTime());
+            full.open();
+            full.awaitConnections(1);
+            awaitOpen(world, 0);
+            try (Caller caller = world.caller()) {
+                caller.send(rpc("order", "stays"));
+                serve(world, caller, "stays"); // the first that comes there
+            }
+            assertTrue(world.calls.isEmpty());
+        }
+    }
+
+    /** The price of that: one who stays, and sent so much ahead, is told that its RPC did not run. */
+    @Test
+    public void whoSentMuchAheadAndStaysIsRefusedOnceAndThenServed() throws Exception {
+        int behind = 2_000;
+        try (World world = world(1); FullNode full = world.new FullNode(0)) {
+            world.start();
+            try (Caller caller = world.caller()) {
+                caller.send(rpc("order", "first") + "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n".repeat(behind));
+                awaitOpen(world, 1);
+                awaitUnseen(System.nanoTime());
+                full.open();
+                assertEquals(caller.read().first(), REFUSED);
+                for (int i = 0; i < behind; i++) {
+                    assertEquals(caller.read().first(), "HTTP/1.1 200 OK", "answer " + i);
+                }
+                caller.send(rpc("order", "last"));
+                serve(world, caller, "last");
+            }
+        }
+    }
+
     private static int connections(List<FullNode> full) throws Exception {
         int all = 0;
         for (FullNode node : full) {
--- a/daemon/src/test/java/cedarrudder/program/World.java
+++ b/daemon/src/test/java/cedarrudder/program/World.java
@@ -259,6 +259,11 @@
             return socket.getOutputStream();
         }
 
+        /** Its close will be a reset. */
+        void resets() throws IOException {
+            socket.setSoLinger(true, 0);
+        }
+
         /** All bytes until the proxy closes the connection. */
         String readAll() throws IOException {
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
