Hold the class data's training to its answers, and end the loop before the process

Lines: deploy/ClassData.java, train; Loop.stop.

Change: each step of a training must be answered (operators' calls with 200), the proxy must end with 143; a training that breaks off tells the step and what the proxy wrote, and is made anew, three times at the most. Loop.stop waits up to 100 ms for the loop's end.

ClassDataIT (3), StopIT (6), LoopTest, ListenerTest pass.

Ruled out: a warm-up that never ends (bounded at 3 s); a connection of the training's to itself (Linux gives listening and connecting sockets ports of different parity first).

--- a/daemon/src/main/java/cedarrudder/transport/Loop.java
+++ b/daemon/src/main/java/cedarrudder/transport/Loop.java
@@ -24,6 +24,9 @@
     /** A task that runs so late tells of a core that is short, or of a pause: answers then come late too. */
     private static final long LATE = 20_000_000L;
 
+    /** Its end is waited for no longer, in nanoseconds: SIGKILL comes 0.2 s behind the last answers. */
+    private static final long ENDING = 100_000_000L;
+
     /** For how long the latest known lateness is taken to last. */
     private static final long LATE_COUNTS = 5_000_000_000L;
 
@@ -108,9 +111,13 @@
         });
     }
 
-    /** Ends the loop, from any thread: what it still owns is closed. */
+    /**
+     * Ends the loop, from any thread but its own: what it still owns is closed. Returns once that is done, or
+     * after {@link #ENDING}. Guards against a process whose last moments load other classes each time, by who
+     * is first: the class-data archive is made of what one run loaded.
+     */
     public void stop() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(ENDING, TimeUnit.NANOSECONDS);
     }
 
     /** Whether it has been told to end: what it owns is being closed, which is nobody's failure. */
--- a/deploy/ClassData.java
+++ b/deploy/ClassData.java
@@ -21,7 +21,9 @@
  * Makes the class-data archive with which the proxy starts in half the time: runs the built jar for a moment
  * with a node and a discovery that answer anything, and lets the virtual machine write down what it loaded.
  *
- * <p>Without the archive the proxy runs all the same, so whatever goes wrong here only leaves it out.
+ * <p>Each step is held to its answer, and a training of which one fails is made anew: the archive of one that
+ * broke off lacks classes, and each start would read these from the jar. Without an archive, or with one like
+ * that, the proxy runs all the same, so whatever goes wrong here is told and fails nothing.
  */
 public final class ClassData {
 
@@ -33,6 +35,8 @@
     /** A port on which nothing listens. */
     private static final int REFUSING = 1;
     private static final long PATIENCE_SECONDS = 30;
+    private static final int TRIES = 3;
+    private static final int ENDED_BY_SIGTERM = 143;
 
     private static final AtomicInteger turn = new AtomicInteger();
 
@@ -41,17 +45,12 @@
     public static void main(String[] args) throws InterruptedException {
         Path archive = Path.of(args[1]);
         try (ServerSocket service = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-            Files.deleteIfExists(archive);
             Thread answering = new Thread(() -> accept(service), "service");
             answering.setDaemon(true);
             answering.start();
-            Path config = Files.createTempFile(archive.toAbsolutePath().getParent(), "training", ".json");
-            Path state = Files.createTempDirectory(archive.toAbsolutePath().getParent(), "training");
-            try {
-                train(args[0], archive, config, state, service.getLocalPort());
-            } finally {
-                Files.deleteIfExists(config);
-                delete(state);
+            boolean whole = false;
+            for (int i = 1; i <= TRIES && !whole; i++) {
+                whole = trained(i, args[0], archive, service.getLocalPort());
             }
         } catch (IOException e) {
             System.err.println("no class data: " + e.getMessage());
@@ -59,6 +58,28 @@
         System.exit(0);
     }
 
+    /** Trains once; false where it broke off, which is told with what the proxy wrote. */
+    private static boolean trained(int number, String jar, Path archive, int service)
+            throws IOException, InterruptedException {
+        Files.deleteIfExists(archive);
+        Path folder = archive.toAbsolutePath().getParent();
+        Path config = Files.createTempFile(folder, "training", ".json");
+        Path log = Files.createTempFile(folder, "training", ".log");
+        Path state = Files.createTempDirectory(folder, "training");
+        try {
+            train(jar, archive, config, log, state, service);
+            return true;
+        } catch (IOException e) {
+            System.err.println("class data, training " + number + " of " + TRIES + " broke off: "
+                    + e.getMessage() + "; the proxy wrote:\n" + Files.readString(log));
+            return false;
+        } finally {
+            Files.deleteIfExists(config);
+            Files.deleteIfExists(log);
+            delete(state);
+        }
+    }
+
     /** Deletes a folder with all that it holds. */
     private static void delete(Path folder) throws IOException {
         try (Stream<Path> all = Files.walk(folder)) {
@@ -74,7 +95,7 @@
         }
     }
 
-    private static void train(String jar, Path archive, Path config, Path state, int service)
+    private static void train(String jar, Path archive, Path config, Path log, Path state, int service)
             throws IOException, InterruptedException {
         int listen = freePort();
         int admin = freePort();
@@ -91,7 +112,7 @@
         builder.environment().put("BALANCER_CONFIG", config.toString());
         builder.environment().put("BALANCER_ADMIN_ADDR", "127.0.0.1:" + admin);
         builder.environment().put("TMPDIR", state.toString());
-        Process proxy = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        Process proxy = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
         try (Socket caller = connect(listen, proxy)) {
             BufferedReader in = reader(caller);
             for (int i = 0; i < RPCS; i++) {
@@ -99,28 +120,34 @@
                         : "POST /api HTTP/1.1\r\nReq-Kind: order\r\nContent-Length: 2\r\n";
                 write(caller, kind + "Host: a\r\nReq-Id: " + i + "\r\nReq-Owner: acme\r\n"
                         + "Req-Deadline-Ms: 900\r\n\r\n" + (i % 2 == 0 ? "" : "{}"));
-                readMessage(in);
+                answer(in, "RPC " + i);
             }
             write(caller, "POST /api HTTP/1.1\r\nReq-Kind: order\r\nContent-Length: " + LARGE + "\r\nHost: a\r\n"
                     + "Req-Id: large\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 900\r\n\r\n" + "x".repeat(LARGE));
-            readMessage(in);
+            answer(in, "the large RPC");
             for (String call : new String[] {"GET /-/ready", "GET /-/metrics", "POST /-/nodes/a/disable",
                     "POST /-/nodes/a/enable", "POST /-/drain", "POST /-/resume"}) {
                 try (Socket operator = connect(admin, proxy)) {
                     write(operator, call + " HTTP/1.1\r\nHost: a\r\n\r\n");
-                    readMessage(reader(operator));
+                    String first = answer(reader(operator), call);
+                    if (!first.contains(" 200 ")) {
+                        throw new IOException(call + " gave " + first);
+                    }
                 }
             }
             write(caller, "nonsense\r\n\r\n");
             // What a signal loads, so that it takes little of a core that serves.
             new ProcessBuilder("kill", "-HUP", Long.toString(proxy.pid())).start().waitFor();
-            readMessage(in);
+            answer(in, "nonsense");
         } finally {
             proxy.destroy();
             if (!proxy.waitFor(PATIENCE_SECONDS, TimeUnit.SECONDS)) {
-                proxy.destroyForcibly();
+                proxy.destroyForcibly().waitFor();
             }
         }
+        if (proxy.exitValue() != ENDED_BY_SIGTERM) {
+            throw new IOException("the proxy ended with " + proxy.exitValue());
+        }
     }
 
     /**
@@ -188,6 +215,15 @@
         }
     }
 
+    /** Reads an answer that must come, and returns its first line. */
+    private static String answer(BufferedReader in, String to) throws IOException {
+        String first = readMessage(in);
+        if (first == null) {
+            throw new IOException("no answer to " + to);
+        }
+        return first;
+    }
+
     /** Reads a message and returns its first line; null at the end. */
     private static String readMessage(BufferedReader in) throws IOException {
         String first = in.readLine();
