Keep two lines within the project's 110 columns

Lines: the javadoc of Exchange.Reply.seen, and the send in aCaller's story; wrapped, no word changed. Measured: ConventionsTest named both lines before, and passes after. Ruled out: a wider bound; the check stands as it is.

--- a/core/src/main/java/cedarrudder/routing/Exchange.java
+++ b/core/src/main/java/cedarrudder/routing/Exchange.java
@@ -38,8 +38,8 @@
         boolean waits();
 
         /**
-         * Whether the caller could be seen to have gone. Where not, since what it sent is not read for want of
-         * room, {@link #waits} says nothing, and no attempt may begin.
+         * Whether the caller could be seen to have gone. Where not, since what it sent is not read for want
+         * of room, {@link #waits} says nothing, and no attempt may begin.
          */
         default boolean seen() {
             return true;
--- a/daemon/src/test/java/cedarrudder/program/FirstByteStoriesTest.java
+++ b/daemon/src/test/java/cedarrudder/program/FirstByteStoriesTest.java
@@ -171,7 +171,8 @@
         try (World world = world(1); FullNode full = world.new FullNode(0)) {
             world.start();
             try (Caller caller = world.caller()) {
-                caller.send(rpc("order", "first") + "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n".repeat(behind));
+                caller.send(rpc("order", "first")
+                        + "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n".repeat(behind));
                 awaitOpen(world, 1);
                 awaitUnseen(System.nanoTime());
                 full.open();
