--- a/core/src/main/java/cedarrudder/Decide.java
+++ b/core/src/main/java/cedarrudder/Decide.java
@@ -314,7 +314,8 @@
                 && !call.tried(s));
         Server server = deal == null ? pick(now, may, s -> suspect(now, s), pool.roster()) : draw(pool.ring,
                 s -> deal.has(s.listed.zone()) == known && !suspect(now, s) && may.test(s));
-        return server != null || known ? server : draw(pool.ring, may);
+        return server != null || known ? server : draw(call.attempts == 0 ? pool.ring
+                : pool.ring.stream().filter(may).toList(), may); // of a repeat's few, chance may miss all
     }
 
     private Server pick(long now, Predicate<Server> may, Predicate<Server> suspect, List<Server> roster) {
@@ -538,8 +539,7 @@
 
     /**
      * Guards against connections piling up: at endpoints that this copy has no lasting business with, and at
-     * all while endpoints turn connections away. The idle ones of one copy are the ones that another then
-     * lacks.
+     * all while endpoints turn connections away. The idle ones of one copy are those that another lacks.
      */
     private void closeUnused(long now, Server server) {
         if (now < thriftyUntil && !server.needsConnection() || server.inFlight == 0 && !server.inRoster) {
--- a/core/src/test/java/cedarrudder/DecideTest.java
+++ b/core/src/test/java/cedarrudder/DecideTest.java
@@ -15,6 +15,7 @@
 import cedarrudder.Balancer.Tenant;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Each rule's gate, and each failure that an exception answers. */
@@ -98,6 +99,28 @@
         assertEquals(List.of(10 * MS), did.comeBack);
     }
 
+    /**
+     * Guards against a repeat that is given up since chance did not find the few endpoints that may take it:
+     * a cell has some, however long the list is.
+     */
+    @Test
+    void findsTheCellOfARepeatInALongList() {
+        Endpoint[] many = IntStream.rangeClosed(1, 103)
+                .mapToObj(id -> Site.endpoint(id, 0, id / 4, State.READY, 0)).toArray(Endpoint[]::new);
+        int repeated = 0;
+        for (int seed = 1; seed <= 100; seed++) {
+            did.clear();
+            site.classes = List.of(Site.KEYED_IN_CELL);
+            Decide decide = new Decide(site.settings(), new SplittableRandom(seed), did);
+            decide.endpoints(now, ListKind.CACHED, List.of(many));
+            ask(decide, 1);
+            now += 50 * MS; // over the time for which it may wait in line
+            end(decide, 1, 0, Outcome.ERROR);
+            repeated += did.sent.size() - 1;
+        }
+        assertEquals(100, repeated);
+    }
+
     // ---- no request is lost ----
 
     @Test
