--- a/core/src/main/java/cedarrudder/flow/BodyFlow.java
+++ b/core/src/main/java/cedarrudder/flow/BodyFlow.java
@@ -13,7 +13,7 @@
  */
 public final class BodyFlow {
 
-    /** A flow that holds so much, in bytes, is full. */
+    /** A flow that holds so much, in bytes, is full: the protocol's largest body, whatever the site. */
     public static final int WINDOW = 64 * 1024;
 
     private static final Runnable NOBODY = () -> { };
--- a/core/src/main/java/cedarrudder/logging/Logger.java
+++ b/core/src/main/java/cedarrudder/logging/Logger.java
@@ -17,6 +17,7 @@
  */
 public final class Logger {
 
+    /** The second of {@link LogSettings#linesPerSecond}. */
     private static final long WINDOW_NANOS = 1_000_000_000L;
 
     private static final Entry LEFT_OUT = new Entry(null, null);
--- a/core/src/main/java/cedarrudder/logging/TextLines.java
+++ b/core/src/main/java/cedarrudder/logging/TextLines.java
@@ -7,6 +7,7 @@
  */
 public final class TextLines implements LineWriter {
 
+    /** Characters of a usual line: the first size of a buffer that grows. */
     private static final int USUAL = 120;
 
     private StringBuilder line = new StringBuilder();
--- a/core/src/main/java/cedarrudder/overload/ClassWorth.java
+++ b/core/src/main/java/cedarrudder/overload/ClassWorth.java
@@ -15,10 +15,13 @@
  */
 public final class ClassWorth {
 
-    /** Classes whose shares served differ by no more than this are about equally near the worst. */
+    /**
+     * Classes whose shares served differ by no more than this are about equally near the worst. Shares run
+     * from 0 to 1 whatever the classes are, so it holds for all sites.
+     */
     private static final double NEAR = 0.05;
 
-    /** The time over which is counted, in nanoseconds: the goal's shortest span. */
+    /** The time over which is counted, in nanoseconds: the goal's shortest span, the worst 10 s, anywhere. */
     private static final double WINDOW = 10e9;
 
     private final double[] perWork;
--- a/core/src/main/java/cedarrudder/overload/HoldLimit.java
+++ b/core/src/main/java/cedarrudder/overload/HoldLimit.java
@@ -15,7 +15,7 @@
  */
 public final class HoldLimit {
 
-    /** Answers that count, about, and that must have been seen before the limit moves. */
+    /** Answers that count, about, and that must have been seen before the limit moves: samples, no time. */
     private static final int ANSWERS = 20;
 
     /** Up to this many times the work said, nothing waits: the way there takes its time, too. */
@@ -27,10 +27,16 @@
     /** The endpoint is at its limit when it holds no less than the limit, less this. */
     private static final double NEAR = 1;
 
-    /** So few copies see the same part of the calls, each. */
+    /**
+     * So few copies see the same part of the calls, each. With more, a copy has one or two calls at an
+     * endpoint whatever the site, and its own figure says little of the others'.
+     */
     private static final int FEW_COPIES = 3;
 
-    /** For this long, in nanoseconds, a report tells of what others have at an endpoint. */
+    /**
+     * For this long, in nanoseconds, a report tells of what others have at an endpoint. No setting tells how
+     * old reports are; they are refreshed some times a second where there are any.
+     */
     private static final long REPORT_TELLS = 2_000_000_000L;
 
     private final double start;
--- a/core/src/main/java/cedarrudder/overload/ShareMeter.java
+++ b/core/src/main/java/cedarrudder/overload/ShareMeter.java
@@ -10,7 +10,10 @@
  */
 public final class ShareMeter {
 
-    /** A tenant may save up this many seconds of its share; what comes past that is over its share. */
+    /**
+     * A tenant may save up this many seconds of its share; what comes past that is over its share. So what
+     * may be saved follows the settings' quota and the number of copies; one request may be in any case.
+     */
     private static final double SECONDS = 2;
 
     private final double[] quotas;
--- a/core/src/main/java/cedarrudder/overload/ZoneDeal.java
+++ b/core/src/main/java/cedarrudder/overload/ZoneDeal.java
@@ -26,7 +26,7 @@
     /** No zone may get the call. */
     public static final int NOWHERE = -1;
 
-    /** A zone may save up this many seconds of its bound. */
+    /** A zone may save up this many seconds of its bound, which copies agree on; one call in any case. */
     private static final double SECONDS = 0.5;
 
     /** So many calls may be saved up by those that didn't go: enough to tell worth apart, soon used up. */
--- a/core/src/main/java/cedarrudder/rotation/Rotation.java
+++ b/core/src/main/java/cedarrudder/rotation/Rotation.java
@@ -23,7 +23,10 @@
  */
 public final class Rotation {
 
-    /** Ids are kept this many at the most beyond those that are listed, the latest. */
+    /**
+     * Ids are kept this many at the most beyond those that are listed, the latest. It bounds memory alone:
+     * what operators ask for an older one is answered as for one that was never listed.
+     */
     private static final int MOST_FORMER = 4096;
 
     /** A node under the id that operators know it by. */
--- a/core/src/main/java/cedarrudder/routing/Driver.java
+++ b/core/src/main/java/cedarrudder/routing/Driver.java
@@ -27,7 +27,10 @@
  */
 public final class Driver<Q, A> {
 
-    /** An RPC that the module has not ended this long after its deadline is ended for it. */
+    /**
+     * An RPC that the module has not ended this long after its deadline is ended for it. The protocol allows
+     * ten times as much past any site's limits, and the deadline here is before the client's.
+     */
     private static final long OVERDUE = 5_000_000L;
 
     private final Timers timers;
--- a/daemon/src/main/java/cedarrudder/program/LogWriter.java
+++ b/daemon/src/main/java/cedarrudder/program/LogWriter.java
@@ -23,7 +23,7 @@
     /** A longer line that the program itself did not make, such as a fault's of a library, is cut there. */
     private static final int MOST_BYTES = 1024;
 
-    /** How long the end may wait for the last lines to be read, in milliseconds. */
+    /** How long the end may wait for the last lines to be read, in milliseconds; all answers are out. */
     private static final long LAST_WORD = 200;
 
     private final BlockingQueue<String> lines;
--- a/daemon/src/main/java/cedarrudder/program/Warmup.java
+++ b/daemon/src/main/java/cedarrudder/program/Warmup.java
@@ -43,6 +43,7 @@
  */
 final class Warmup {
 
+    /** So many in all: what they run through is the same code whatever the settings. */
     private static final int RPCS = 100;
 
     /** So many are out at a time. Guards against waiting for the network most of the time until ready. */
--- a/daemon/src/main/java/cedarrudder/protocol/HttpDecoder.java
+++ b/daemon/src/main/java/cedarrudder/protocol/HttpDecoder.java
@@ -23,10 +23,11 @@
     /** The largest body that is passed on in pieces where nothing else is set: twice what occurs. */
     public static final int MOST_FLOW = 64 * 1024 * 1024;
 
+    /** The line before a chunk: a length of a few digits, and extensions that nobody reads. */
     private static final int MOST_CHUNK_LINE = 256;
     private static final byte[] EMPTY = new byte[0];
 
-    /** Interim answers (1xx) before the final one. */
+    /** Interim answers (1xx) before the final one; RFC 9110 15.2 sets no bound, and one is usual. */
     private static final int MOST_INTERIM = 16;
     private static final int FIRST_HEAD_SIZE = 512;
 
--- a/daemon/src/main/java/cedarrudder/protocol/RpcFields.java
+++ b/daemon/src/main/java/cedarrudder/protocol/RpcFields.java
@@ -10,14 +10,18 @@
 /** The header fields that make a request an RPC, and what the module is told of it. */
 public final class RpcFields {
 
-    /** Larger figures are nonsense, and would overflow as nanoseconds. */
+    /**
+     * Larger figures are nonsense, and would overflow as nanoseconds: a day in milliseconds, where callers of
+     * any site wait for some hundred ms to many seconds.
+     */
     private static final long MOST = 86_400_000L;
     private static final int MOST_DIGITS = 18;
 
     /**
      * The answer is ready this much earlier than the client gives up, or a tenth of its wait earlier. Guards
      * against a loop that runs late: as callers come to proxies that have just started, all on one core,
-     * loops were seen up to 95 ms late, and an RPC was lost whose bytes had waited that long to be read.
+     * loops were seen up to 95 ms late, and an RPC was lost whose bytes had waited that long to be read. The
+     * tenth makes it hold for any deadline: one of 50 ms loses 5.
      */
     private static final long MARGIN = 40_000_000L;
 
--- a/daemon/src/main/java/cedarrudder/transport/AdminListener.java
+++ b/daemon/src/main/java/cedarrudder/transport/AdminListener.java
@@ -32,6 +32,7 @@
     /** Connections at once; at this bound the one that has said least makes room, the oldest of those. */
     public static final int MOST_CALLS = 16;
 
+    /** Bytes of a call, which has a short path and no body to speak of. */
     private static final int MOST_HEAD = 4096;
     private static final int MOST_BODY = 1024;
 
--- a/daemon/src/main/java/cedarrudder/transport/CallerLimits.java
+++ b/daemon/src/main/java/cedarrudder/transport/CallerLimits.java
@@ -21,7 +21,10 @@
 public record CallerLimits(long requestPatience, long silentLong, long idlePatience, long answerPatience,
         int mostHead, int mostBody, double descriptorsShare) {
 
-    /** What counts where nothing is set. */
+    /**
+     * What counts where nothing is set: operators may set each. None of it ends an RPC that waits for its
+     * answer, so that it holds for classes of any deadline.
+     */
     public static final CallerLimits DEFAULT = new CallerLimits(2_500_000_000L, 1_000_000_000L,
             5_000_000_000L, 10_000_000_000L, HttpDecoder.MOST_HEAD, HttpDecoder.MOST_FLOW, 0.5);
 
--- a/daemon/src/main/java/cedarrudder/transport/Loop.java
+++ b/daemon/src/main/java/cedarrudder/transport/Loop.java
@@ -24,7 +24,7 @@
     /** A task that runs so late tells of a core that is short, or of a pause: answers then come late too. */
     private static final long LATE = 20_000_000L;
 
-    /** For how long the latest known lateness is taken to last. */
+    /** For how long the latest known lateness is taken to last; of a wait only a part comes off for it. */
     private static final long LATE_COUNTS = 5_000_000_000L;
 
     private final EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("loop"));
--- a/daemon/src/main/java/cedarrudder/transport/NodeLimits.java
+++ b/daemon/src/main/java/cedarrudder/transport/NodeLimits.java
@@ -18,7 +18,7 @@
 public record NodeLimits(long probePatience, long answerPatience, int mostHead, int mostBody,
         double descriptorsShare) {
 
-    /** What counts where nothing is set. */
+    /** What counts where nothing is set: operators may set each. An attempt ends by its deadline anyway. */
     public static final NodeLimits DEFAULT = new NodeLimits(250_000_000L, 300_000_000L,
             HttpDecoder.MOST_HEAD, HttpDecoder.MOST_FLOW, 0.25);
 
