--- a/daemon/src/main/java/cedarrudder/transport/Loop.java
+++ b/daemon/src/main/java/cedarrudder/transport/Loop.java
@@ -27,7 +27,7 @@
     /** Its end is waited for no longer, in nanoseconds: SIGKILL comes 0.2 s behind the last answers. */
     private static final long ENDING = 100_000_000L;
 
-    /** For how long the latest known lateness is taken to last. */
+    /** For how long the latest known lateness is taken to last; of a wait only a part comes off for it. */
     private static final long LATE_COUNTS = 5_000_000_000L;
 
     private final EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("loop"));
