Send nothing on an idle connection from before its node's start, or idle for too long

A node that starts anew under its id and address kept its idle connections in the pool: `NodeChannels.resolved` compared the address alone. Where its machine had vanished without a word they stand and are silent, so `NodeSocket.quiet` finds nothing, and the next request on one ends as a reset or hangs. The module closes them only where none of its attempts is out there (`ProbePool.roster`, `Decide.closeUnused`), which after such a loss is the rare case.

One of this life, opened before the start was told, is kept.

--- a/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
+++ b/daemon/src/main/java/cedarrudder/transport/NodeChannels.java
@@ -148,6 +148,9 @@
     private static final class Node {
         final InetSocketAddress address;
         final Deque<NodeChannel> idle = new ArrayDeque<>();
+
+        /** Its last start that is known, by the loop's clock; 0: long ago. */
+        long startedAt;
         boolean gone;
         private int failures;
 
@@ -182,7 +185,8 @@
             }
             if (stays) {
                 listed.add(id);
-                nodes.computeIfAbsent(id, added -> new Node(entry.address()));
+                nodes.computeIfAbsent(id, added -> new Node(entry.address())).startedAt =
+                        entry.endpoint().startedAt();
             }
         }
         if (result.full()) {
@@ -249,7 +253,7 @@
 
     private void carry(Node node, Work work) {
         for (NodeChannel idle = node.idle.pollLast(); idle != null; idle = node.idle.pollLast()) {
-            if (idle.channel.quiet()) {
+            if (idle.serves()) {
                 idle.carry(work);
                 return;
             }
@@ -524,6 +528,7 @@
         private Timers.Timer patience;
         private Timers.Timer uploading;
         private final ChannelLife life = new ChannelLife();
+        private long upAt;
         private long idleSince;
 
         NodeChannel(Node node) {
@@ -556,9 +561,21 @@
             return legal;
         }
 
+        /**
+         * Whether a request may go out on it now, as it is idle. Guards against one that is lost on a
+         * connection to what its node was before its last start, which may stand and be silent where the
+         * machine had vanished; and on one that its node may close, since the pool is looked over only now
+         * and then and in another order.
+         */
+        boolean serves() {
+            return (node.startedAt == 0 || upAt - node.startedAt >= 0) && loop.now() - idleSince <= idleLimit
+                    && channel.quiet();
+        }
+
         /** It is up, for this work; for its node, too, it has been idle from here on. */
         void up(Work first) {
-            idleSince = loop.now();
+            upAt = loop.now();
+            idleSince = upAt;
             step(ChannelLife.Event.UP);
             carry(first);
         }
--- a/daemon/src/test/java/cedarrudder/program/FirstByteStoriesTest.java
+++ b/daemon/src/test/java/cedarrudder/program/FirstByteStoriesTest.java
@@ -315,6 +315,62 @@
         }
     }
 
+    // ---- its connection is of the past ----
+
+    @DataProvider
+    public Object[][] startsOfANode() {
+        return new Object[][] {{true}, {false}};
+    }
+
+    /**
+     * Guards against a request that is lost on an idle connection to what its node was before it started
+     * anew under the same id and address, where its machine had vanished without a word; and against a
+     * connection that is of this life being thrown away. While an RPC is out there the module closes none.
+     */
+    @Test(dataProvider = "startsOfANode")
+    public void aConnectionFromBeforeItsNodesStartCarriesNothing(boolean before) throws Exception {
+        try (World world = world(1).with("\"ramp-time-ns\": 10000000000", "\"ramp-time-ns\": 1").start()) {
+            Discovery discovery = new Discovery(world);
+            try (Caller hangs = world.caller(); Caller caller = world.caller()) {
+                long earlier = System.currentTimeMillis() - 1_000;
+                hangs.send(rpc("order", "hangs"));
+                world.call();
+                caller.send(rpc("order", "first"));
+                Socket first = serve(world, caller, "first").socket();
+                long served = System.currentTimeMillis();
+                Await.until("a later millisecond", () -> System.currentTimeMillis() > served + 1);
+                long started = before ? System.currentTimeMillis() : earlier;
+                discovery.tell(list(7, world.entries("in_service").replace("\"started_ms\":0",
+                        "\"started_ms\":" + started) + ",{\"id\":\"told\",\"addr\":\"127.0.0.1:9\","
+                        + "\"state\":\"terminating\"}"));
+                Await.until("the list", () -> figures(world).whole("out_of_rotation") == 1);
+                caller.send(rpc("order", "second"));
+                assertEquals(serve(world, caller, "second").socket() != first, before, "another connection");
+            }
+        }
+    }
+
+    /**
+     * Guards against a request on a connection that its node may have closed already, since it was idle for
+     * as long as the settings say: the pool is looked over only each second.
+     */
+    @Test
+    public void aConnectionThatWasIdleForTooLongCarriesNothing() throws Exception {
+        try (World world = world(1).with("\"conn-idle-ns\": 30000000000", "\"conn-idle-ns\": 100000000")
+                .start(); Caller caller = world.caller()) {
+            Socket last = null;
+            for (int i = 0; i < 5; i++) {
+                caller.send(rpc("order", "rpc-" + i));
+                Socket next = serve(world, caller, "rpc-" + i).socket();
+                assertTrue(next != last, "rpc-" + i + " goes out on a connection that was idle for too long");
+                last = next;
+                long idleBy = System.nanoTime();
+                Await.until("its time is over", () -> System.nanoTime() - idleBy
+                        > TimeUnit.MILLISECONDS.toNanos(100));
+            }
+        }
+    }
+
     // ---- its time is over ----
 
     /** Guards against an answer that forbids a repeat of what was never sent on: that is no failure. */
