Read an answer that goes to a sink beyond 2 GiB

`HttpDecoder.ofStreams` gave its window as Integer.MAX_VALUE: once so many bytes of a watch had come `large` held, and the decoder stood and dropped what came. The list's clock then took the watch for silent and opened it anew, 3.2 to 4.2 s later, so a change was told late, each time. The window is a long now, and without a bound there.

Measured: HttpDecoderTest.anAnswerThatGoesToASink... failed before ("MiB 2047, chunked: true expected [0] but found [3]") and passes now, chunked and until the connection's end, with FlowDecodingTest, RequestDecodingTest, IndependentReadingTest and DiscoveryClientTest.

--- a/daemon/src/main/java/cedarrudder/protocol/HttpDecoder.java
+++ b/daemon/src/main/java/cedarrudder/protocol/HttpDecoder.java
@@ -41,7 +41,7 @@
     private final boolean requests;
     private final int mostHead;
     private final long mostBody;
-    private final int window;
+    private final long window;
     private OutputStream sink;
     private ByteArrayOutputStream collected;
 
@@ -62,7 +62,7 @@
     private int interim;
 
     private HttpDecoder(boolean requests, int mostHead, long mostBody, OutputStream sink,
-            ByteArrayOutputStream collected, int window) {
+            ByteArrayOutputStream collected, long window) {
         this.window = window;
         this.requests = requests;
         this.mostHead = mostHead;
@@ -97,8 +97,7 @@
 
     /** Decodes answers whose bodies go to a sink as they come, without a bound. */
     public static HttpDecoder ofStreams(OutputStream sink) {
-        return new HttpDecoder(false, MOST_HEAD, Long.MAX_VALUE, sink, null,
-                Integer.MAX_VALUE);
+        return new HttpDecoder(false, MOST_HEAD, Long.MAX_VALUE, sink, null, Long.MAX_VALUE);
     }
 
     /** The head of the message at hand, or null before it is whole. */
--- a/daemon/src/test/java/cedarrudder/protocol/HttpDecoderTest.java
+++ b/daemon/src/test/java/cedarrudder/protocol/HttpDecoderTest.java
@@ -7,6 +7,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -51,6 +52,23 @@
         assertEquals(decode(HttpDecoder.ofAnswers(HttpDecoder.MOST_HEAD, 100), TWO.split("")), expected);
     }
 
+    /** Guards against a watch that stands, and is read no more, once 2 GiB have come on it. */
+    @Test
+    public void anAnswerThatGoesToASinkIsReadWithoutABound() throws BadMessageException {
+        for (boolean chunked : new boolean[] {true, false}) {
+            HttpDecoder decoder = HttpDecoder.ofStreams(OutputStream.nullOutputStream());
+            decoder.decode(bytes("HTTP/1.1 200 OK\r\n" + (chunked ? "Transfer-Encoding: chunked\r\n" : "")
+                    + "\r\n"));
+            ByteBuf piece = bytes(chunked ? "100000\r\n" + "\n".repeat(0x100000) + "\r\n"
+                    : "\n".repeat(0x100000));
+            for (int i = 0; i < 2_050; i++) {
+                piece.readerIndex(0);
+                decoder.decode(piece);
+                assertEquals(piece.readableBytes(), 0, "MiB " + i + ", chunked: " + chunked);
+            }
+        }
+    }
+
     @Test
     public void anAnswerWithoutLengthEndsWithItsConnection() throws BadMessageException {
         HttpDecoder decoder = HttpDecoder.ofAnswers(HttpDecoder.MOST_HEAD, 100);
