Ask discovery anew soon after a call that fell silent, whatever failed before it

Now a call's silence counts as the pause: the next one comes within a quarter of the spread, as soon as after a first failure. It concerns calls that were made alone; where calls are hedged one is always out.

DiscoveryClientTest, DriverTest and DecideTest pass.

--- a/core/src/main/java/cedarrudder/routing/ResolverClock.java
+++ b/core/src/main/java/cedarrudder/routing/ResolverClock.java
@@ -18,10 +18,10 @@
  * before has no answer: guards against two connections in a row that come up late.
  *
  * <p>Once all has failed the watch is asked for after a backoff with jitter: {@code spread} at the most where
- * a watch ended, a quarter of it where the first call failed, then {@link #longest}. The cap is low: guards
- * against a list that is late once discovery is back, however long it was away. {@link Actions#failed} tells
- * the module once for all that fails until the watch is told again; its own waits neither lengthen nor
- * shorten these.
+ * a watch ended, a quarter of it where the first call failed or the last fell silent, then {@link #longest}.
+ * The cap is low: guards against a list that is late once discovery is back, however long it was away.
+ * {@link Actions#failed} tells the module once for all that fails until the watch is told again; its own
+ * waits neither lengthen nor shorten these.
  */
 public final class ResolverClock {
 
@@ -270,6 +270,7 @@
             }
         }
         if (waited && asked.isEmpty()) {
+            failures = 0; // guards against a wait on top of a whole patience, in which nothing was called
             failed(now, patience.spread() / 4); // calls are spread already
         }
         if (now >= callAt()) {
--- a/core/src/test/java/cedarrudder/ResolverClockTest.java
+++ b/core/src/test/java/cedarrudder/ResolverClockTest.java
@@ -375,6 +375,44 @@
         return world.allTold(from);
     }
 
+    /**
+     * Guards against a list that is late where discovery ended the watch, or refused calls, and the first call
+     * after that hangs: its silence is known a whole patience later, and no further wait is due then.
+     */
+    @Test
+    public void aCallThatHangsAfterAnEndIsMadeAnewInTime() {
+        long[] longest = new long[3];
+        for (long seed = 0; seed < 2000; seed++) {
+            longest[0] = Math.max(longest[0], hang(seed, Discovery.WELL));
+            longest[1] = Math.max(longest[1], hang(seed, Discovery.DOWN));
+            longest[2] = Math.max(longest[2], hang(seed, Discovery.BUSY));
+        }
+        String all = String.format("told after %.2f s where the reopening hangs, after %.2f s where the first "
+                + "call after an outage does, after %.2f s where the first after refusals does",
+                longest[0] / 1e9, longest[1] / 1e9, longest[2] / 1e9);
+        System.out.println(all);
+        assertTrue(Arrays.stream(longest).max().orElseThrow() < 5900 * MS, all);
+    }
+
+    /** How long after the end of its watch, or of an outage, one copy is told; the first call then hangs. */
+    private static long hang(long seed, Discovery outage) {
+        World world = new World(seed, 1, 1000, true);
+        world.run(20 * S);
+        world.late = LATE;
+        World.Copy copy = world.copies.get(0);
+        if (outage == Discovery.WELL) {
+            copy.broke(copy.open.iterator().next());
+        } else {
+            world.become(outage);
+            world.run(world.now + world.random.nextLong(100 * MS, 20 * S));
+            world.become(Discovery.WELL);
+        }
+        world.unanswered = 1;
+        long from = world.now;
+        world.run(from + 30 * S);
+        return copy.firstAfter(from) - from;
+    }
+
     /** Guards against a watch on which pieces of an object that never ends count as life. */
     @Test
     public void anObjectThatNeverEndsIsNoLife() {
