Answer what stands behind an answer at once as the service ends

Cause: as the service ends, a connection on which nothing is open is closed right behind an answer (Listener.Caller.wroteAll). An answer that is given within the decoder's own hands, as for /_health or an RPC that is refused at once, is written there and then: the connection is between two requests for that moment, while further ones of it, read already, wait to be decoded. It was closed over them, so RPCs that had been taken got no answer.

Lines: Listener.Caller.wroteAll, closeIfQuiet.

Change: a connection that holds bytes which wait to be decoded is not quiet (closeIfQuiet). Whoever decodes goes on with them; the last of them is told that it is, as before.

Result: CallerConnectionTest.whatStandsBehindAnAnswerAtOnceIsAnsweredToo failed without the mend (the end of the connection in place of answer 3 of 4) and passes with it, as does the whole class (13 tests).

Ruled out: the same on the other paths that close what rests.

--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -639,12 +639,13 @@
 
         /**
          * Closes it, as one on which nothing is owed, unless a request has come, or a part of one, which is
-         * taken instead. It is closed and not shut: guards against a request that comes in this very moment
-         * being read and dropped. Unread, it goes back to its caller as a reset, who sends it elsewhere.
+         * taken instead, or by whoever is decoding. It is closed and not shut: guards against a request that
+         * comes in this very moment being read and dropped. Unread, it goes back to its caller as a reset,
+         * who sends it elsewhere.
          */
         void closeIfQuiet() {
             look();
-            if (state.rests()) {
+            if (state.rests() && !holds()) {
                 close();
             }
         }
@@ -658,6 +659,11 @@
             }
         }
 
+        /** Whether bytes of its caller's have been read and wait to be decoded. */
+        private boolean holds() {
+            return ahead != null && ahead.isReadable();
+        }
+
         /** Patience with it is over, unless what it waits for has come and not been read. */
         private void expire() {
             if (!state.ends()) {
@@ -789,7 +795,7 @@
             }
             decoding = true;
             try {
-                while (ahead != null && ahead.isReadable() && decodes()) {
+                while (holds() && decodes()) {
                     if (upload != null) {
                         if (upload.full()) {
                             break;
@@ -925,7 +931,7 @@
                 return false;
             }
             look();
-            return ahead == null || !ahead.isReadable() || loop.now() >= answerBy || ++behind > MOST_BEHIND;
+            return !holds() || loop.now() >= answerBy || ++behind > MOST_BEHIND;
         }
 
         @Override
--- a/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
@@ -57,6 +57,9 @@
     private static final CallerLimits PATIENT = new CallerLimits(ENDLESS, ENDLESS, ENDLESS, ENDLESS,
             CallerLimits.DEFAULT.mostHead(), CallerLimits.DEFAULT.mostBody(), 0.5);
 
+    /** So long before a stuck end is given up that the end has begun, and nothing is cut off: 3.4 and 3 s. */
+    private static final long LATE_ON = 3_200_000_000L;
+
     /** What is asked when an RPC is taken, on the loop and in the decoder's hands. */
     private interface Taken {
         void by(Exchange<Message, Message> rpc, Listener.Caller caller) throws Exception;
@@ -73,6 +76,7 @@
         private final BlockingQueue<Throwable> wrong = new LinkedBlockingQueue<>();
         private final CountDownLatch over = new CountDownLatch(1);
         private volatile Taken taken = (rpc, caller) -> { };
+        private volatile boolean refusesAtOnce;
         private Balancer.Actions actions;
         private final Listener listener;
         private final InetSocketAddress at;
@@ -82,7 +86,12 @@
                 actions = hands;
                 return Played.by(Balancer.class, (event, with) -> {
                     if (event.equals("request")) {
-                        requests.add(((Balancer.Request) with[1]).id());
+                        long id = ((Balancer.Request) with[1]).id();
+                        if (refusesAtOnce) {
+                            actions.refuse(id, 0);
+                        } else {
+                            requests.add(id);
+                        }
                     } else if (event.equals("clientLeft")) {
                         left.add(with[1]);
                     }
@@ -151,6 +160,23 @@
             });
         }
 
+        /**
+         * Ends the service, and runs a task on the loop once answers may be their connections' last, but before
+         * what is open is cut off: by the order of the loop's timers, however late it is.
+         */
+        void drain(Callable<?> lateOn) throws Exception {
+            on(() -> {
+                listener.drain(over::countDown);
+                return loop.at(loop.now() + listener.mostEnding() - LATE_ON, () -> {
+                    try {
+                        lateOn.call();
+                    } catch (Exception e) {
+                        wrong.add(e);
+                    }
+                });
+            });
+        }
+
         @Override
         public void close() {
             CompletableFuture.runAsync(() -> { }, loop::run).join(); // behind what it was about to log
@@ -424,6 +450,32 @@
         }
     }
 
+    /**
+     * Guards against requests that were read and get no answer: they stand behind one that is answered in the
+     * decoder's hands, as the service ends and each connection on which nothing is open is closed.
+     */
+    @Test
+    public void whatStandsBehindAnAnswerAtOnceIsAnsweredToo() throws Exception {
+        for (String atOnce : List.of(HEALTH, rpc("2"))) {
+            try (Service service = new Service(); Socket caller = service.caller()) {
+                send(caller, rpc("1"));
+                long id = service.request();
+                service.drain(() -> {
+                    service.refusesAtOnce = true;
+                    send(caller, atOnce + rpc("3") + rpc("4"));
+                    service.actions.refuse(id, 0);
+                    return null;
+                });
+                for (int i = 1; i <= 4; i++) {
+                    String answer = read(caller);
+                    assertTrue(answer.startsWith("HTTP/1.1 503"), "answer " + i + ": " + answer);
+                    assertEquals(answer.contains("Connection: close"), i == 4, "answer " + i);
+                }
+                assertEquals(caller.getInputStream().read(), -1);
+            }
+        }
+    }
+
     /** Guards against a caller that sends ahead for good and so holds its connection. */
     @Test
     public void whoSendsAheadWithoutEndIsLetGo() throws Exception {
