Answer what stands behind an RPC that is cut off as the service ends

Cause: what is open in the last moment is cut off and answered, and that answer was the last of its connection whatever stood behind it (Listener.Caller.last, loop.now() >= answerBy). RPCs that had been read behind it, some of them since before SIGTERM, were dropped with no answer, though 0.1 s is left for what is cut off.

Lines: Listener.Caller.last, cutOff.

Change: the moment no longer decides; what stands behind is answered, 64 at the most as before. Its deadline is past, so the decisions refuse it at once and nothing of it is sent on.

Result: CallerConnectionTest.whatStandsBehindWhatIsCutOffIsAnsweredToo, three RPCs in one write of which the first is cut off: failed without the mend (the first answer said Connection: close and the end followed), passes with it; the class passes (14 tests).

Ruled out: an end that is held up by it. Whatever is left 0.1 s later is closed (closeAll), as before.

--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -931,7 +931,7 @@
                 return false;
             }
             look();
-            return !holds() || loop.now() >= answerBy || ++behind > MOST_BEHIND;
+            return !holds() || ++behind > MOST_BEHIND;
         }
 
         @Override
--- a/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
@@ -476,6 +476,23 @@
         }
     }
 
+    /** Guards against requests that stand behind one that is cut off as the service ends: they get no answer. */
+    @Test
+    public void whatStandsBehindWhatIsCutOffIsAnsweredToo() throws Exception {
+        try (Service service = new Service(); Socket caller = service.caller()) {
+            send(caller, rpc("1") + rpc("2") + rpc("3"));
+            Await.until("it is taken", () -> service.requests.size() == 1);
+            service.refusesAtOnce = true;
+            service.drain();
+            for (int i = 1; i <= 3; i++) {
+                String answer = read(caller);
+                assertTrue(answer.startsWith("HTTP/1.1 503"), "answer " + i + ": " + answer);
+                assertEquals(answer.contains("Connection: close"), i == 3, "answer " + i);
+            }
+            assertEquals(caller.getInputStream().read(), -1);
+        }
+    }
+
     /** Guards against a caller that sends ahead for good and so holds its connection. */
     @Test
     public void whoSendsAheadWithoutEndIsLetGo() throws Exception {
