Reset a flowing answer whose caller is given up as one that reads nothing

Cause: a caller that has read nothing of its answer for the patience with it was closed in order (Listener.Caller.expire). Where the answer has no length and its caller takes no chunks (HTTP/1.0, a body of over 64 KiB of unknown length) the end of the connection is the end of the body: a caller that came back and read what the kernel had kept took a part of the body for the whole.

Change: it ends like all others that break off an answer (breakOff), which resets where one flows.

Result: BodyStoriesTest.anAnswerWhoseCallerIsGivenUpIsVisiblyNotWhole failed without the mend (nothing thrown: an orderly end within 32 MiB) and passes with it, with the classes CallerConnectionTest, BodyStoriesTest, ListenerTest, CallerStoriesTest and LastCallsTest.

Ruled out: makeRoom and giveUp, which never take a caller with an answer on its way; the break at the node's end and the end of the process, which reset already.

--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -675,7 +675,7 @@
             if (state.takesRequests()) {
                 giveUp();
             } else {
-                close();
+                breakOff();
             }
         }
 
--- a/daemon/src/test/java/cedarrudder/program/BodyStoriesTest.java
+++ b/daemon/src/test/java/cedarrudder/program/BodyStoriesTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import cedarrudder.Await;
@@ -13,6 +14,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -186,6 +188,27 @@
         }
     }
 
+    /**
+     * Guards against an answer without a length that looks whole, since its caller was given up as one that
+     * reads nothing: what had been written goes on to it, and then the end.
+     */
+    @Test
+    public void anAnswerWhoseCallerIsGivenUpIsVisiblyNotWhole() throws Exception {
+        try (World world = new World(1).with(OperatorStoriesTest.operator(
+                "[callers]\nanswer_patience_ms = 500\n")).start(); Caller caller = world.caller()) {
+            caller.send(World.rpc("lookup", STAYS, "").replace("HTTP/1.1", "HTTP/1.0"));
+            Received call = world.call();
+            call.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            Nodes.daemon(() -> write(call.socket().getOutputStream(), 3, LARGE, true, new CRC32()));
+            Received head = caller.readHead();
+            assertEquals(head.first(), "HTTP/1.1 200 OK");
+            assertNull(head.field("Content-Length"));
+            assertNull(head.field("Transfer-Encoding"));
+            call.awaitEnd(); // it is given up, and so is the attempt
+            assertThrows(SocketException.class, caller::readAll);
+        }
+    }
+
     /** Guards against half a request being sent again, and one that may have run being called harmless. */
     @Test
     public void aRequestThatBreaksOffIsRefusedBeforeItsLastByteAndFailsAfterIt() throws Exception {
