Give up no caller who reads all of an answer that its node makes slowly

Cause: patience with a caller that doesn't read its answer counted from the answer's first byte, and anew only when the channel became writable again, which it had stopped being only where over 16 KiB waited to go out (Listener.Caller.expire, channelWritabilityChanged). An answer that flowed and came in small pieces never got there, so its caller was cut 10 s after the first byte, though all that had come had gone out to it.

Lines: Listener.Caller.expire, due.

Change: while an answer flows, patience counts from when the channel last took a piece, and not at all while nothing waits to go out (BodyPump.waitsSince).

Result: BodyStoriesTest.whoReadsAllOfAnAnswerThatComesSlowlyIsNotGivenUp failed without the mend (connection reset, with half a second of patience) and passes with it; another caller in it, who reads nothing of an answer that began later, is given up in that time. BodyStoriesTest, BodyPumpTest and CallerStoriesTest pass.

Ruled out: patience that each piece renews alone, since a node that pauses for longer than it would still cost its caller the rest.

--- a/daemon/src/main/java/cedarrudder/transport/BodyPump.java
+++ b/daemon/src/main/java/cedarrudder/transport/BodyPump.java
@@ -100,6 +100,14 @@
         return !channel.isWritable() && loop.now() - movedAt >= nanos;
     }
 
+    /**
+     * Since when the channel has had something to take and has taken nothing, by the loop's clock in
+     * nanoseconds; now where all that there was has gone out.
+     */
+    long waitsSince() {
+        return channel.bytesBeforeUnwritable() >= WRITE_AHEAD.high() ? loop.now() : movedAt;
+    }
+
     /** Nothing more is written, and nobody is told; the flow is left for another. */
     void halt() {
         over = true;
--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -669,6 +669,10 @@
             if (!state.ends()) {
                 look();
             }
+            if (download != null) {
+                // Guards against a caller that reads all there is paying for a node that takes its time.
+                due = Math.max(due, download.waitsSince() + limits.answerPatience());
+            }
             if (loop.now() < due) {
                 return;
             }
--- a/daemon/src/test/java/cedarrudder/program/BodyStoriesTest.java
+++ b/daemon/src/test/java/cedarrudder/program/BodyStoriesTest.java
@@ -209,6 +209,33 @@
         }
     }
 
+    /**
+     * Guards against a caller that reads all there is being given up as one that doesn't, since its node takes
+     * longer over the answer than there is patience with callers. Another one, whose answer began later and
+     * who reads nothing of it, is given up meanwhile.
+     */
+    @Test
+    public void whoReadsAllOfAnAnswerThatComesSlowlyIsNotGivenUp() throws Exception {
+        int length = 100_000;
+        try (World world = new World(1).with(OperatorStoriesTest.operator(
+                "[callers]\nanswer_patience_ms = 500\n")).start(); Caller reads = world.caller();
+                Caller deaf = world.caller()) {
+            reads.send(World.rpc("lookup", STAYS, "").replace("id-1", "reads"));
+            Received slow = world.call();
+            slow.raw("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nx");
+            assertEquals(reads.readHead().first(), "HTTP/1.1 200 OK");
+            assertEquals(reads.in().read(), 'x');
+            deaf.send(World.rpc("lookup", STAYS, "").replace("id-1", "deaf"));
+            Received call = world.call();
+            call.raw("HTTP/1.1 200 OK\r\nContent-Length: " + LARGE + "\r\n\r\n");
+            Nodes.daemon(() -> write(call.socket().getOutputStream(), 3, LARGE, false, new CRC32()));
+            assertEquals(deaf.readHead().first(), "HTTP/1.1 200 OK");
+            call.awaitEnd();
+            slow.raw("x".repeat(length - 1));
+            reads.in().skipNBytes(length - 1);
+        }
+    }
+
     /** Guards against half a request being sent again, and one that may have run being called harmless. */
     @Test
     public void aRequestThatBreaksOffIsRefusedBeforeItsLastByteAndFailsAfterIt() throws Exception {
