Close another for want of room than one that was answered as it was looked at

Cause: whoever is to make room is read first, and another goes where that brought a request, which was told by a change of state (Listener.makeRoom). A request that is answered at once, as /_health or an RPC that is refused while no node is known, leaves its connection between requests as before: it was closed right behind its answer, which did not say so, though others had rested for longer.

Lines: Listener.makeRoom.

Change: it counts whether bytes came. Half a request goes all the same, whatever came of it.

Ruled out: a loop without end; each caller is looked at once at the most for each that is to go.

--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -338,16 +338,18 @@
      *
      * <p>A connection that has just come goes last. Guards against closing callers whose first request is on
      * its way, which then fails, where a caller between requests would only have to connect again. What has
-     * come on one that is to go is read first: a request that it brings is taken, and another one goes.
+     * come on one that is to go is read first: a request that it brings is taken, and another one goes, also
+     * where it is answered at once and the connection rests again.
      */
     private void makeRoom() {
         Caller first = firstToGo();
         for (int looks = callers.size(); first != null && looks > 0; looks--) {
             CallerState was = first.state;
+            long before = first.came;
             if (!was.ends()) {
                 first.look();
             }
-            if (first.state == was) {
+            if (first.state == was && (first.came == before || !was.rests())) {
                 loop.log().debug("caller.closed_for_room").with("caller", first.channel.remoteAddress())
                         .with("callers", callers.size()).write();
                 first.close();
--- a/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
@@ -541,23 +541,33 @@
         }
     }
 
-    /** Guards against a request that has come on a connection that is closed for want of room. */
+    /**
+     * Guards against a request that has come on a connection that is closed for want of room, also where it is
+     * answered at once, and the connection is between requests again.
+     */
     @Test
     public void whoIsToMakeRoomIsReadFirst() throws Exception {
-        try (Service service = new Service(); Socket asks = service.caller();
-                Socket rests = service.caller()) {
-            for (Socket caller : List.of(asks, rests)) {
-                send(caller, HEALTH);
-                read(caller);
+        for (boolean atOnce : new boolean[] {false, true}) {
+            try (Service service = new Service(); Socket asks = service.caller();
+                    Socket rests = service.caller()) {
+                for (Socket caller : List.of(asks, rests)) {
+                    send(caller, HEALTH);
+                    read(caller);
+                }
+                service.refusesAtOnce = atOnce;
+                service.on(() -> {
+                    send(asks, rpc("1"));
+                    service.listener.apply(PATIENT, 1);
+                    return null;
+                });
+                if (!atOnce) {
+                    service.refuse();
+                }
+                assertTrue(read(asks).startsWith("HTTP/1.1 503"));
+                assertEquals(rests.getInputStream().read(), -1, "the other goes");
+                send(asks, HEALTH);
+                assertTrue(read(asks).startsWith("HTTP/1.1 200"));
             }
-            service.on(() -> {
-                send(asks, rpc("1"));
-                service.listener.apply(PATIENT, 1);
-                return null;
-            });
-            assertEquals(rests.getInputStream().read(), -1, "the other goes");
-            service.refuse();
-            assertTrue(read(asks).startsWith("HTTP/1.1 503"));
         }
     }
 
