Start a request's time as it is read, and not as its turn comes

Cause: the time of a request starts with its last byte. Each that waited was given all of its time once more: a second one of 480 ms behind one that took 480 ms was answered up to 0.48 s late, a third up to 0.96 s, which counts as lost.

Lines: Listener.Caller.take, channelRead.

Change: the connection keeps when the bytes that wait were read, to 10 ms and in 64 steps at the most, and a request's time starts with the step that brought its last byte.

Ruled out: one instant for all that waits, which a caller that always sends one ahead would drag along until each of its requests was refused.

--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -28,6 +28,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -93,6 +95,13 @@
      */
     private static final long UNSEEN = 50_000_000L;
 
+    /**
+     * Bytes that are read within so long, in nanoseconds, count as read with the first of them; and beyond so
+     * many such arrivals that wait all do. Guards against memory that a caller takes up by single bytes.
+     */
+    private static final long ARRIVAL = 10_000_000L;
+    private static final int MOST_ARRIVALS = 64;
+
     /** One look at a socket reads so often at the most. Guards against one that is sent to at full speed. */
     private static final int LOOKS = 8;
 
@@ -504,6 +513,14 @@
         }
     }
 
+    /**
+     * Bytes of a caller's that were read together.
+     *
+     * @param upTo how many had come with them, of all on their connection
+     * @param at when, by the loop's clock in nanoseconds
+     */
+    private record Arrival(long upTo, long at) { }
+
     /** One connection from a caller, on which one RPC is answered at a time. */
     final class Caller extends ChannelInboundHandlerAdapter implements Exchange.Reply<Message> {
         private final NioSocketChannel channel;
@@ -524,6 +541,7 @@
         /** Since when there may be bytes of its caller, or its end, that are not read. */
         private long unreadSince = Long.MAX_VALUE;
         private long came;
+        private final Deque<Arrival> arrivals = new ArrayDeque<>(1);
         private long dropped;
         private int behind;
         private CallerState state = CallerState.NEW;
@@ -699,7 +717,7 @@
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             ByteBuf in = (ByteBuf) message;
-            came += in.readableBytes();
+            arrive(in.readableBytes());
             if (in.isWritable()) {
                 unreadSince = Long.MAX_VALUE; // there was no more of it
             }
@@ -716,6 +734,36 @@
             readOn();
         }
 
+        private void arrive(int bytes) {
+            while (!arrivals.isEmpty() && arrivals.getFirst().upTo() <= decoded()) {
+                arrivals.removeFirst();
+            }
+            came += bytes;
+            Arrival last = arrivals.peekLast();
+            boolean joins = last != null
+                    && (loop.now() - last.at() < ARRIVAL || arrivals.size() >= MOST_ARRIVALS);
+            if (joins) {
+                arrivals.removeLast();
+            }
+            arrivals.addLast(new Arrival(came, joins ? last.at() : loop.now()));
+        }
+
+        /** How many bytes of all that came do not wait to be decoded. */
+        private long decoded() {
+            return came - (ahead == null ? 0 : ahead.readableBytes());
+        }
+
+        /**
+         * When the last byte that was decoded had been read, by the loop's clock in nanoseconds. Guards
+         * against a request that waited behind another one being given all of its time once more.
+         */
+        private long readAt() {
+            while (arrivals.getFirst().upTo() < decoded()) {
+                arrivals.removeFirst();
+            }
+            return arrivals.getFirst().at();
+        }
+
         private void drop(ByteBuf in) {
             dropped += in.readableBytes();
             in.release();
@@ -900,7 +948,8 @@
                 return;
             }
             Carried carried = fields.carried(request);
-            var told = fields.read(request, ++lastId, loop.now(), loop.lateness(), answerBy, carried);
+            long readAt = readAt();
+            var told = fields.read(request, ++lastId, readAt, loop.lateness(), answerBy, carried);
             if (uploading > 0) {
                 told = new Balancer.Request(told.id(), told.classIndex(), told.tenant(),
                         told.deadline() + uploading, told.key(), told.repeat(), told.write(), told.work(),
@@ -917,7 +966,7 @@
             on(CallerState.Event.RPC);
             exchange = new Exchange<>(told, request, this, carried);
             if (uploading > 0) {
-                exchange.uploading(told.deadline() - uploading - loop.now());
+                exchange.uploading(told.deadline() - uploading - readAt);
             }
             if (!aside.test(exchange, this)) {
                 driver.accept(exchange);
--- a/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
@@ -288,6 +288,32 @@
         }
     }
 
+    /**
+     * Guards against answers long after their time: that of a request starts with its last byte, also where it
+     * waits behind another one; and one that came later has its own.
+     */
+    @Test
+    public void theTimeOfARequestStartsAsItIsReadAndNotAsItIsItsTurn() throws Exception {
+        long wait = TimeUnit.SECONDS.toNanos(900);
+        try (Service service = new Service(); Socket caller = service.caller()) {
+            List<Long> deadlines = new ArrayList<>();
+            service.taken = (rpc, reply) -> deadlines.add(rpc.request().deadline());
+            send(caller, rpc("1"));
+            Await.until("the first is taken", () -> service.requests.size() == 1);
+            send(caller, rpc("2"));
+            Await.until("the second is kept", () -> service.on(service.held::held) > 0);
+            long kept = System.nanoTime();
+            Await.until("a second later", () -> System.nanoTime() - kept > TimeUnit.SECONDS.toNanos(1));
+            send(caller, rpc("3"));
+            for (int i = 0; i < 3; i++) {
+                service.refuse();
+                read(caller);
+            }
+            assertTrue(service.on(() -> deadlines.get(1)) - kept <= wait, "it is late by what it waited");
+            assertTrue(service.on(() -> deadlines.get(2)) - kept > wait, "it waited for less");
+        }
+    }
+
     /** Guards against an end that the kernel has and the loop has not, since it is late. */
     @Test
     public void aLookFindsTheEndBehindWhatHasCome() throws Exception {
