--- a/daemon/src/main/java/cedarrudder/transport/Listener.java
+++ b/daemon/src/main/java/cedarrudder/transport/Listener.java
@@ -28,6 +28,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -93,6 +95,13 @@
      */
     private static final long UNSEEN = 50_000_000L;
 
+    /**
+     * Bytes that are read within so long, in nanoseconds, count as read with the first of them; and beyond so
+     * many such arrivals that wait all do. Guards against memory that a caller takes up by single bytes.
+     */
+    private static final long ARRIVAL = 10_000_000L;
+    private static final int MOST_ARRIVALS = 64;
+
     /** One look at a socket reads so often at the most. Guards against one that is sent to at full speed. */
     private static final int LOOKS = 8;
 
@@ -338,16 +347,18 @@
      *
      * <p>A connection that has just come goes last. Guards against closing callers whose first request is on
      * its way, which then fails, where a caller between requests would only have to connect again. What has
-     * come on one that is to go is read first: a request that it brings is taken, and another one goes.
+     * come on one that is to go is read first: a request that it brings is taken, and another one goes, also
+     * where it is answered at once and the connection rests again.
      */
     private void makeRoom() {
         Caller first = firstToGo();
         for (int looks = callers.size(); first != null && looks > 0; looks--) {
             CallerState was = first.state;
+            long before = first.came;
             if (!was.ends()) {
                 first.look();
             }
-            if (first.state == was) {
+            if (first.state == was && (first.came == before || !was.rests())) {
                 loop.log().debug("caller.closed_for_room").with("caller", first.channel.remoteAddress())
                         .with("callers", callers.size()).write();
                 first.close();
@@ -502,6 +513,14 @@
         }
     }
 
+    /**
+     * Bytes of a caller's that were read together.
+     *
+     * @param upTo how many had come with them, of all on their connection
+     * @param at when, by the loop's clock in nanoseconds
+     */
+    private record Arrival(long upTo, long at) { }
+
     /** One connection from a caller, on which one RPC is answered at a time. */
     final class Caller extends ChannelInboundHandlerAdapter implements Exchange.Reply<Message> {
         private final NioSocketChannel channel;
@@ -522,6 +541,7 @@
         /** Since when there may be bytes of its caller, or its end, that are not read. */
         private long unreadSince = Long.MAX_VALUE;
         private long came;
+        private final Deque<Arrival> arrivals = new ArrayDeque<>(1);
         private long dropped;
         private int behind;
         private CallerState state = CallerState.NEW;
@@ -639,12 +659,13 @@
 
         /**
          * Closes it, as one on which nothing is owed, unless a request has come, or a part of one, which is
-         * taken instead. It is closed and not shut: guards against a request that comes in this very moment
-         * being read and dropped. Unread, it goes back to its caller as a reset, who sends it elsewhere.
+         * taken instead, or by whoever is decoding. It is closed and not shut: guards against a request that
+         * comes in this very moment being read and dropped. Unread, it goes back to its caller as a reset,
+         * who sends it elsewhere.
          */
         void closeIfQuiet() {
             look();
-            if (state.rests()) {
+            if (state.rests() && !holds()) {
                 close();
             }
         }
@@ -658,18 +679,27 @@
             }
         }
 
+        /** Whether bytes of its caller's have been read and wait to be decoded. */
+        private boolean holds() {
+            return ahead != null && ahead.isReadable();
+        }
+
         /** Patience with it is over, unless what it waits for has come and not been read. */
         private void expire() {
             if (!state.ends()) {
                 look();
             }
+            if (download != null) {
+                // Guards against a caller that reads all there is paying for a node that takes its time.
+                due = Math.max(due, download.waitsSince() + limits.answerPatience());
+            }
             if (loop.now() < due) {
                 return;
             }
             if (state.takesRequests()) {
                 giveUp();
             } else {
-                close();
+                breakOff();
             }
         }
 
@@ -687,7 +717,7 @@
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             ByteBuf in = (ByteBuf) message;
-            came += in.readableBytes();
+            arrive(in.readableBytes());
             if (in.isWritable()) {
                 unreadSince = Long.MAX_VALUE; // there was no more of it
             }
@@ -704,6 +734,36 @@
             readOn();
         }
 
+        private void arrive(int bytes) {
+            while (!arrivals.isEmpty() && arrivals.getFirst().upTo() <= decoded()) {
+                arrivals.removeFirst();
+            }
+            came += bytes;
+            Arrival last = arrivals.peekLast();
+            boolean joins = last != null
+                    && (loop.now() - last.at() < ARRIVAL || arrivals.size() >= MOST_ARRIVALS);
+            if (joins) {
+                arrivals.removeLast();
+            }
+            arrivals.addLast(new Arrival(came, joins ? last.at() : loop.now()));
+        }
+
+        /** How many bytes of all that came do not wait to be decoded. */
+        private long decoded() {
+            return came - (ahead == null ? 0 : ahead.readableBytes());
+        }
+
+        /**
+         * When the last byte that was decoded had been read, by the loop's clock in nanoseconds. Guards
+         * against a request that waited behind another one being given all of its time once more.
+         */
+        private long readAt() {
+            while (arrivals.getFirst().upTo() < decoded()) {
+                arrivals.removeFirst();
+            }
+            return arrivals.getFirst().at();
+        }
+
         private void drop(ByteBuf in) {
             dropped += in.readableBytes();
             in.release();
@@ -789,7 +849,7 @@
             }
             decoding = true;
             try {
-                while (ahead != null && ahead.isReadable() && decodes()) {
+                while (holds() && decodes()) {
                     if (upload != null) {
                         if (upload.full()) {
                             break;
@@ -888,7 +948,8 @@
                 return;
             }
             Carried carried = fields.carried(request);
-            var told = fields.read(request, ++lastId, loop.now(), loop.lateness(), answerBy, carried);
+            long readAt = readAt();
+            var told = fields.read(request, ++lastId, readAt, loop.lateness(), answerBy, carried);
             if (uploading > 0) {
                 told = new Balancer.Request(told.id(), told.classIndex(), told.tenant(),
                         told.deadline() + uploading, told.key(), told.repeat(), told.write(), told.work(),
@@ -905,7 +966,7 @@
             on(CallerState.Event.RPC);
             exchange = new Exchange<>(told, request, this, carried);
             if (uploading > 0) {
-                exchange.uploading(told.deadline() - uploading - loop.now());
+                exchange.uploading(told.deadline() - uploading - readAt);
             }
             if (!aside.test(exchange, this)) {
                 driver.accept(exchange);
@@ -925,7 +986,7 @@
                 return false;
             }
             look();
-            return ahead == null || !ahead.isReadable() || loop.now() >= answerBy || ++behind > MOST_BEHIND;
+            return !holds() || ++behind > MOST_BEHIND;
         }
 
         @Override
--- a/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
@@ -57,6 +57,9 @@
     private static final CallerLimits PATIENT = new CallerLimits(ENDLESS, ENDLESS, ENDLESS, ENDLESS,
             CallerLimits.DEFAULT.mostHead(), CallerLimits.DEFAULT.mostBody(), 0.5);
 
+    /** So long before a stuck end is given up that the end has begun, and nothing is cut off: 3.4 and 3 s. */
+    private static final long LATE_ON = 3_200_000_000L;
+
     /** What is asked when an RPC is taken, on the loop and in the decoder's hands. */
     private interface Taken {
         void by(Exchange<Message, Message> rpc, Listener.Caller caller) throws Exception;
@@ -73,6 +76,7 @@
         private final BlockingQueue<Throwable> wrong = new LinkedBlockingQueue<>();
         private final CountDownLatch over = new CountDownLatch(1);
         private volatile Taken taken = (rpc, caller) -> { };
+        private volatile boolean refusesAtOnce;
         private Balancer.Actions actions;
         private final Listener listener;
         private final InetSocketAddress at;
@@ -82,7 +86,12 @@
                 actions = hands;
                 return Played.by(Balancer.class, (event, with) -> {
                     if (event.equals("request")) {
-                        requests.add(((Balancer.Request) with[1]).id());
+                        long id = ((Balancer.Request) with[1]).id();
+                        if (refusesAtOnce) {
+                            actions.refuse(id, 0);
+                        } else {
+                            requests.add(id);
+                        }
                     } else if (event.equals("clientLeft")) {
                         left.add(with[1]);
                     }
@@ -151,6 +160,23 @@
             });
         }
 
+        /**
+         * Ends the service, and runs a task on the loop once answers may be their connections' last, but before
+         * what is open is cut off: by the order of the loop's timers, however late it is.
+         */
+        void drain(Callable<?> lateOn) throws Exception {
+            on(() -> {
+                listener.drain(over::countDown);
+                return loop.at(loop.now() + listener.mostEnding() - LATE_ON, () -> {
+                    try {
+                        lateOn.call();
+                    } catch (Exception e) {
+                        wrong.add(e);
+                    }
+                });
+            });
+        }
+
         @Override
         public void close() {
             CompletableFuture.runAsync(() -> { }, loop::run).join(); // behind what it was about to log
@@ -262,6 +288,32 @@
         }
     }
 
+    /**
+     * Guards against answers long after their time: that of a request starts with its last byte, also where it
+     * waits behind another one; and one that came later has its own.
+     */
+    @Test
+    public void theTimeOfARequestStartsAsItIsReadAndNotAsItIsItsTurn() throws Exception {
+        long wait = TimeUnit.SECONDS.toNanos(900);
+        try (Service service = new Service(); Socket caller = service.caller()) {
+            List<Long> deadlines = new ArrayList<>();
+            service.taken = (rpc, reply) -> deadlines.add(rpc.request().deadline());
+            send(caller, rpc("1"));
+            Await.until("the first is taken", () -> service.requests.size() == 1);
+            send(caller, rpc("2"));
+            Await.until("the second is kept", () -> service.on(service.held::held) > 0);
+            long kept = System.nanoTime();
+            Await.until("a second later", () -> System.nanoTime() - kept > TimeUnit.SECONDS.toNanos(1));
+            send(caller, rpc("3"));
+            for (int i = 0; i < 3; i++) {
+                service.refuse();
+                read(caller);
+            }
+            assertTrue(service.on(() -> deadlines.get(1)) - kept <= wait, "it is late by what it waited");
+            assertTrue(service.on(() -> deadlines.get(2)) - kept > wait, "it waited for less");
+        }
+    }
+
     /** Guards against an end that the kernel has and the loop has not, since it is late. */
     @Test
     public void aLookFindsTheEndBehindWhatHasCome() throws Exception {
@@ -424,6 +476,49 @@
         }
     }
 
+    /**
+     * Guards against requests that were read and get no answer: they stand behind one that is answered in the
+     * decoder's hands, as the service ends and each connection on which nothing is open is closed.
+     */
+    @Test
+    public void whatStandsBehindAnAnswerAtOnceIsAnsweredToo() throws Exception {
+        for (String atOnce : List.of(HEALTH, rpc("2"))) {
+            try (Service service = new Service(); Socket caller = service.caller()) {
+                send(caller, rpc("1"));
+                long id = service.request();
+                service.drain(() -> {
+                    service.refusesAtOnce = true;
+                    send(caller, atOnce + rpc("3") + rpc("4"));
+                    service.actions.refuse(id, 0);
+                    return null;
+                });
+                for (int i = 1; i <= 4; i++) {
+                    String answer = read(caller);
+                    assertTrue(answer.startsWith("HTTP/1.1 503"), "answer " + i + ": " + answer);
+                    assertEquals(answer.contains("Connection: close"), i == 4, "answer " + i);
+                }
+                assertEquals(caller.getInputStream().read(), -1);
+            }
+        }
+    }
+
+    /** Guards against requests that stand behind one that is cut off as the service ends: they get no answer. */
+    @Test
+    public void whatStandsBehindWhatIsCutOffIsAnsweredToo() throws Exception {
+        try (Service service = new Service(); Socket caller = service.caller()) {
+            send(caller, rpc("1") + rpc("2") + rpc("3"));
+            Await.until("it is taken", () -> service.requests.size() == 1);
+            service.refusesAtOnce = true;
+            service.drain();
+            for (int i = 1; i <= 3; i++) {
+                String answer = read(caller);
+                assertTrue(answer.startsWith("HTTP/1.1 503"), "answer " + i + ": " + answer);
+                assertEquals(answer.contains("Connection: close"), i == 3, "answer " + i);
+            }
+            assertEquals(caller.getInputStream().read(), -1);
+        }
+    }
+
     /** Guards against a caller that sends ahead for good and so holds its connection. */
     @Test
     public void whoSendsAheadWithoutEndIsLetGo() throws Exception {
@@ -472,23 +567,33 @@
         }
     }
 
-    /** Guards against a request that has come on a connection that is closed for want of room. */
+    /**
+     * Guards against a request that has come on a connection that is closed for want of room, also where it is
+     * answered at once, and the connection is between requests again.
+     */
     @Test
     public void whoIsToMakeRoomIsReadFirst() throws Exception {
-        try (Service service = new Service(); Socket asks = service.caller();
-                Socket rests = service.caller()) {
-            for (Socket caller : List.of(asks, rests)) {
-                send(caller, HEALTH);
-                read(caller);
+        for (boolean atOnce : new boolean[] {false, true}) {
+            try (Service service = new Service(); Socket asks = service.caller();
+                    Socket rests = service.caller()) {
+                for (Socket caller : List.of(asks, rests)) {
+                    send(caller, HEALTH);
+                    read(caller);
+                }
+                service.refusesAtOnce = atOnce;
+                service.on(() -> {
+                    send(asks, rpc("1"));
+                    service.listener.apply(PATIENT, 1);
+                    return null;
+                });
+                if (!atOnce) {
+                    service.refuse();
+                }
+                assertTrue(read(asks).startsWith("HTTP/1.1 503"));
+                assertEquals(rests.getInputStream().read(), -1, "the other goes");
+                send(asks, HEALTH);
+                assertTrue(read(asks).startsWith("HTTP/1.1 200"));
             }
-            service.on(() -> {
-                send(asks, rpc("1"));
-                service.listener.apply(PATIENT, 1);
-                return null;
-            });
-            assertEquals(rests.getInputStream().read(), -1, "the other goes");
-            service.refuse();
-            assertTrue(read(asks).startsWith("HTTP/1.1 503"));
         }
     }
 
