Never turn away what endpoints may always hold, however slow answers are

Cause: the limit of calls out falls with each answer past 0.8 of its aim, whatever made it slow, down to one call for each endpoint divided by the copies; with 8 nodes and 9 copies that is one call.

Lines: Decide.outcome, limit.answered's least.

Change: the least is this copy's part of what endpoints may always hold by the hold limit (four each, over all copies), which the module's own second limit never forbids.

DecideTest.turnsNothingAwayThatEndpointsMayAlwaysHold failed before.

--- a/core/src/main/java/cedarrudder/Decide.java
+++ b/core/src/main/java/cedarrudder/Decide.java
@@ -474,7 +474,7 @@
             // connections do not: they are no sign of too much work, and turning more away mends nothing.
             double aim = tuning.get(Figure.SLOW_SHARE) * call.kind.aim();
             limit.answered(now - call.arrived > aim || outcome == Outcome.FULL, out, mostOut,
-                    (double) pool.ring.size() / settings.copies());
+                    tuning.get(Figure.HELD_START) * pool.ring.size() / settings.copies());
         }
         call.to[attempt].ended(now, outcome);
         pool.ended(outcome);
--- a/core/src/main/java/cedarrudder/overload/CallLimit.java
+++ b/core/src/main/java/cedarrudder/overload/CallLimit.java
@@ -39,9 +39,9 @@
      *
      * @param out calls out now
      * @param recentMost the most that were out at once lately
-     * @param least the limit never falls under this. With fewer calls out than endpoints there is no queue
-     * left to shorten by turning more away: guards against refusing for good where answers are slow for
-     * another reason
+     * @param least the limit never falls under this: this copy's part of what endpoints may always hold. With
+     * no more out there is no queue left to shorten by turning more away. Guards against refusing for good
+     * where answers are slow for another reason: connections that come up late, endpoints that hang
      */
     public void answered(boolean slow, int out, double recentMost, double least) {
         if (slow && less > 0) {
--- a/core/src/test/java/cedarrudder/DecideTest.java
+++ b/core/src/test/java/cedarrudder/DecideTest.java
@@ -630,6 +630,24 @@
         assertTrue(did.refused.size() < 60, "turned away " + did.refused.size() + " of 500");
     }
 
+    /**
+     * Guards against a limit that falls to one call where answers are slow for another reason than too many
+     * of them: endpoints may always hold four, of which a third are this copy's.
+     */
+    @Test
+    void turnsNothingAwayThatEndpointsMayAlwaysHold() {
+        site.copies = 3;
+        Decide decide = startWith(Site.UNSAFE, THREE);
+        for (int id = 1; id <= 400; id++) {
+            ask(decide, id);
+            now += 300 * MS;
+            if (id > 3) {
+                end(decide, id - 3, 0, Outcome.OK); // 0.9 s after it came, of an aim of 1 s
+            }
+        }
+        assertEquals(did.refused, List.of());
+    }
+
     @Test
     void turnsNothingAwayFurtherDown() {
         site.tiers = 2;
--- a/daemon/src/test/java/cedarrudder/program/BodyStoriesTest.java
+++ b/daemon/src/test/java/cedarrudder/program/BodyStoriesTest.java
@@ -210,9 +210,9 @@
     }
 
     /**
-     * Guards against a caller that reads all there is being given up as one that doesn't, since its node takes
-     * longer over the answer than there is patience with callers. Another one, whose answer began later and
-     * who reads nothing of it, is given up meanwhile.
+     * Guards against a caller that reads all there is being given up as one that doesn't, since its node
+     * takes longer over the answer than there is patience with callers. Another one, whose answer began later
+     * and who reads nothing of it, is given up meanwhile.
      */
     @Test
     public void whoReadsAllOfAnAnswerThatComesSlowlyIsNotGivenUp() throws Exception {
