Take nothing that discovery did at its former address for a sign of the new one

A first call at the new address that hangs was then found out after its whole patience, 3 s, without a spare connection, where DISCOVERY.md promises the next call after 1.25 s and 4 s are owed after SIGHUP (3.0 to find it out, the backoff and a connection that may be a second late, by sum).

Now `move` forgets it, and the end of a former watch says nothing of the new address.

Measured: ResolverClockTest.whatAFormerAddress... failed before ("expected [3] but found [2]", no second call), and its second half with the change of `move` alone; DiscoveryClientTest.aCallThatHangsAtANewAddress... failed before (no second connection in 20 s). Both pass now, with the rest of these two classes; the tables that ResolverClockTest prints are the same line for line.

--- a/core/src/main/java/cedarrudder/routing/ResolverClock.java
+++ b/core/src/main/java/cedarrudder/routing/ResolverClock.java
@@ -168,6 +168,7 @@
             dropAsked();
             moving = standing != null;
             failures = 0;
+            answers = false; // of the new address nothing is known
             open(now);
         }
     }
@@ -306,9 +307,9 @@
         if (now - standing.openedAt >= longest) {
             failures = 0; // else one that ends as soon as it has told would be asked for without a pause
         }
-        answers = true;
         standing = null;
         if (!moving) {
+            answers = true;
             failed(now, patience.spread());
         }
         moving = false;
--- a/core/src/test/java/cedarrudder/ResolverClockTest.java
+++ b/core/src/test/java/cedarrudder/ResolverClockTest.java
@@ -459,6 +459,32 @@
         assertEquals(calls(done), List.of("open 1", "failed", "open 2", "open 3"));
     }
 
+    /**
+     * Guards against a call at a new address that hangs, and is made anew only after its whole patience, since
+     * discovery had ended a watch at its former one: 4 s are owed after it has moved.
+     */
+    @Test
+    public void whatAFormerAddressAnsweredSaysNothingOfTheNewOne() {
+        for (boolean endsAfterwards : new boolean[] {false, true}) {
+            List<String> done = new ArrayList<>();
+            ResolverClock clock = clock(done, 1500 * MS);
+            clock.ask(0);
+            clock.told(0, 1);
+            clock.broke(2 * S, 1);
+            clock.due(3 * S);
+            clock.told(3 * S, 2);
+            done.clear();
+            clock.move(4 * S);
+            if (endsAfterwards) {
+                clock.broke(4 * S + 1, 2);
+            }
+            clock.connected(3);
+            clock.due(4 * S + 250 * MS);
+            clock.due(4 * S + 1250 * MS);
+            assertEquals(calls(done), List.of("open 3", "spare true", "open 4"), "ends: " + endsAfterwards);
+        }
+    }
+
     /**
      * Guards against a storm of hedged calls at a discovery that is there and serves few in a second: one
      * that has its place in the queue is made once, until it was silent for a call's whole patience.
--- a/daemon/src/test/java/cedarrudder/transport/DiscoveryClientTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/DiscoveryClientTest.java
@@ -627,4 +627,36 @@
             });
         }
     }
+
+    /**
+     * Guards against a list that is late after discovery has moved, since it had ended a watch at its former
+     * address before, and so counts as there: of the new address nothing is known.
+     */
+    @Test
+    public void aCallThatHangsAtANewAddressIsMadeASecondTimeWhateverTheFormerDid() throws Exception {
+        play(NEVER_SOON, () -> { }, (loop, client, discovery, watch) -> {
+            loop.run(() -> client.apply(patience(600_000, 600, 600_000)));
+            tell(watch, 1, true, "in_service");
+            assertNotNull(told.poll(20, TimeUnit.SECONDS));
+            watch.close();
+            try (Socket again = discovery.accept();
+                    ServerSocket next = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+                next.setSoTimeout(20_000);
+                again.getOutputStream().write(STREAM.getBytes());
+                tell(again, 2, false, "in_service");
+                assertEquals(told.poll(20, TimeUnit.SECONDS).version(), 2);
+                loop.run(() -> client.moveTo((InetSocketAddress) next.getLocalSocketAddress()));
+                try (Socket hangs = next.accept()) {
+                    assertEquals(asked(hangs), FOLLOW + 2);
+                    try (Socket second = next.accept()) {
+                        assertEquals(asked(second), FOLLOW + 2);
+                        second.getOutputStream().write(STREAM.getBytes());
+                        tell(second, 3, false, "terminating");
+                        assertEquals(told.poll(20, TimeUnit.SECONDS).version(), 3);
+                        awaitEnd(hangs);
+                    }
+                }
+            }
+        });
+    }
 }
