--- a/core/src/test/java/cedarrudder/ResolverClockTest.java
+++ b/core/src/test/java/cedarrudder/ResolverClockTest.java
@@ -460,8 +460,8 @@
     }
 
     /**
-     * Guards against a call at a new address that hangs, and is made anew only after its whole patience, since
-     * discovery had ended a watch at its former one: 4 s are owed after it has moved.
+     * Guards against a call at a new address that hangs, and is made anew only after its whole patience,
+     * since discovery had ended a watch at its former one: 4 s are owed after it has moved.
      */
     @Test
     public void whatAFormerAddressAnsweredSaysNothingOfTheNewOne() {
