--- a/core/src/main/java/cedarrudder/Decide.java
+++ b/core/src/main/java/cedarrudder/Decide.java
@@ -314,8 +314,9 @@
                 && !call.tried(s));
         Server server = deal == null ? pick(now, may, s -> suspect(now, s), pool.roster()) : draw(pool.ring,
                 s -> deal.has(s.listed.zone()) == known && !suspect(now, s) && may.test(s));
-        return server != null || known ? server : draw(call.attempts == 0 ? pool.ring
-                : pool.ring.stream().filter(may).toList(), may); // of a repeat's few, chance may miss all
+        boolean few = call.attempts > 0 && call.kind.keyScope() != KeyScope.ALL; // chance may miss a cell
+        return server != null || known ? server : draw(few ? pool.ring.stream().filter(may).toList()
+                : pool.ring, may);
     }
 
     private Server pick(long now, Predicate<Server> may, Predicate<Server> suspect, List<Server> roster) {
