--- a/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
@@ -502,7 +502,7 @@
         }
     }
 
-    /** Guards against requests that stand behind one that is cut off as the service ends: they get no answer. */
+    /** Guards against requests behind one that is cut off as the service ends: they would get no answer. */
     @Test
     public void whatStandsBehindWhatIsCutOffIsAnsweredToo() throws Exception {
         try (Service service = new Service(); Socket caller = service.caller()) {
