--- a/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
@@ -519,6 +519,26 @@
         }
     }
 
+    /**
+     * Guards against a body that begins to flow to a node behind an RPC that was cut off, and is broken off
+     * there by the end of the process: what flows has a longer time, but not past that moment.
+     */
+    @Test
+    public void aLargeBodyBehindWhatIsCutOffHasNoTimeLeft() throws Exception {
+        try (Service service = new Service(); Socket caller = service.caller()) {
+            BlockingQueue<Long> left = new LinkedBlockingQueue<>();
+            service.taken = (rpc, reply) -> left.add(rpc.request().deadline() - service.loop.now());
+            send(caller, rpc("1") + rpc("2", "Content-Length: 80000\r\n").replace("GET", "POST")
+                    + "x".repeat(80_000));
+            assertTrue(Await.next("the first RPC", left) > 0);
+            service.refusesAtOnce = true;
+            service.drain();
+            assertTrue(Await.next("the one behind it", left) <= 0, "it has time left");
+            assertTrue(read(caller).startsWith("HTTP/1.1 503"));
+            assertTrue(read(caller).startsWith("HTTP/1.1 503"));
+        }
+    }
+
     /** Guards against a caller that sends ahead for good and so holds its connection. */
     @Test
     public void whoSendsAheadWithoutEndIsLetGo() throws Exception {
