Work out what a copy takes once for each judgement

Cause: CopyFootprintTest.aCopyOfAThousandEntriesIsJudgedInUnderAMillisecondOnceItIsWarm failed on this machine, on the untouched build too (1.01 to 1.12 ms, best of 200, at a load of 5 on eight cores): a judgement worked out all terms twice, once for what the copy takes and once more for what is resident, and each writes the route table four times to know its bytes.

Lines: CopyFootprint.judge, resident.

Change: what was worked out is handed on.

Ruled out: an easier bound; the guard is against just this, a table read anew for each part.

--- a/core/src/main/java/cedarrudder/footprint/CopyFootprint.java
+++ b/core/src/main/java/cedarrudder/footprint/CopyFootprint.java
@@ -161,7 +161,10 @@
 
     /** What the copy takes of the machine's memory, in bytes. */
     public long resident(CopyShape copy) {
-        Takes all = takes(copy);
+        return resident(copy, takes(copy));
+    }
+
+    private long resident(CopyShape copy, Takes all) {
         long grown = all.peak() - ground.heap();
         long young = copy.callers() > 0 ? YOUNG : Math.min(YOUNG, ALLOCATED * grown);
         return ground.resident() + young + grown + all.direct() - ground.direct();
@@ -177,7 +180,7 @@
         Takes all = takes(copy);
         Verdict rest = verdict(Bound.HEAP_AT_REST, all.rest(), limits.heap());
         return Stream.of(rest, verdict(Bound.HEAP_AT_PEAK, all.peak(), limits.heap()),
-                verdict(Bound.RESIDENT, resident(copy), limits.resident()),
+                verdict(Bound.RESIDENT, resident(copy, all), limits.resident()),
                 verdict(Bound.DIRECT, all.direct(), limits.direct()),
                 verdict(Bound.DESCRIPTORS, all.descriptors(), limits.descriptors()))
                 // What does not even fit at rest is said so, though the peak lacks more.
