Close a disabled node in a test once nothing is on its way there any more

It closed the node right behind the yes to its being disabled, as callers were sending there. An order that has gone out by then may have run; its node breaks off, and it has to be answered as failed. So the check that nothing fails was wrong at that instant.

Lines: the order of the close and the wait for what is sent to a disabled node.

Change: the node stays open while the test looks whether it is sent anything, which is stricter, since a closed one records nothing; it closes after that, and 100 more have to be served without it before it is back. Both checks, nothing sent after the grace and nothing failed, stand as they were.

Ruled out: a fault of the program: what is sent within the grace, and not answered, may have run.

--- a/daemon/src/test/java/cedarrudder/program/OperationUnderLoadTest.java
+++ b/daemon/src/test/java/cedarrudder/program/OperationUnderLoadTest.java
@@ -136,11 +136,14 @@
             Await.until("a request at n0", () -> !at.isEmpty());
             assertEquals(world.status("POST", "/-/nodes/n0/disable"), 200);
             long yes = System.nanoTime();
-            world.nodes.get(0).close();
             int before = served.get();
             Await.until("100 more served", () -> System.nanoTime() - yes >= 2 * DRAIN_GRACE
                     && served.get() >= before + 100);
             assertTrue(at.stream().allMatch(time -> time < yes + DRAIN_GRACE), "sent to a disabled node");
+            // Not before: what is on its way there as it closes may have run, and fails as it must.
+            world.nodes.get(0).close();
+            int without = served.get();
+            Await.until("100 more served without it", () -> served.get() >= without + 100);
             world.restart(0);
             int then = at.size();
             assertEquals(world.status("POST", "/-/nodes/n0/enable"), 200);
