Refuse at once in a test only from the second RPC on

So that one was refused too, and the one behind it came long before the cut-off, with its time left.

Lines: the test's order alone; the check stands as it was.

Change: it waits until the first RPC has been taken, as the test above it does.

--- a/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/CallerConnectionTest.java
@@ -531,6 +531,7 @@
             send(caller, rpc("1") + rpc("2", "Content-Length: 80000\r\n").replace("GET", "POST")
                     .replace("lookup", "order") + "x".repeat(80_000));
             assertTrue(Await.next("the first RPC", left) > 0);
+            Await.until("it is taken", () -> service.requests.size() == 1);
             service.refusesAtOnce = true;
             service.drain();
             assertTrue(Await.next("the one behind it", left) <= 0, "it has time left");
