Read the heap at rest for what a list alone holds

What was seen: FootprintOfProcessesIT.atRestNeverUnder... failed now and then beside load, at 10 nodes, by 64,016 to 85,240 bytes where some 82,000 are estimated.

Cause: the reading, not the estimate. 40 readings before and 40 after the list, beside nine busy processes: right behind the start they are 6 to 16 KB above rest, with a call to discovery in flight 2.5 KB, and one of 40 after the list is 14 KB above. The least readings differ by 83,456 bytes, where 82,316 are estimated.

Mend: the least of ten readings on either side, in a process of its own, as so many readings enlarge what is resident. Bounds and all other readings are as they were.

--- a/daemon/src/test/java/cedarrudder/program/FootprintOfProcessesIT.java
+++ b/daemon/src/test/java/cedarrudder/program/FootprintOfProcessesIT.java
@@ -29,8 +29,15 @@
     private static final double MAX_UNDER = 0.03;
     private static final double MAX_OVER = 0.15;
 
-    /** What a process said and held, and what the heap held before the list. */
-    private record Seen(JsonObject says, long before, long heap, long resident, int descriptors) {}
+    /**
+     * The heap is read this often for what a list alone holds. What a process does for a moment,
+     * such as a call to discovery or the last of its start, only adds to a reading: the least is at
+     * rest.
+     */
+    private static final int READINGS = 10;
+
+    /** What a process said and held. */
+    private record Seen(JsonObject says, long heap, long resident, int descriptors) {}
 
     /** The flags of the platform's command, with every collection one that compacts all. */
     private static List<String> flags() throws Exception {
@@ -155,7 +162,7 @@
             AtomicBoolean away = turnAway(world);
             proxy.awaitLine("proxy.started");
             live(proxy.process); // first: what jcmd itself leaves there counts for nothing
-            long before = live(proxy.process);
+            live(proxy.process);
             away.set(false);
             tell(world, list(nodes, zones));
             proxy.awaitFigure("registry_entries", nodes);
@@ -171,8 +178,42 @@
                     JsonObject.parse(proxy.call("GET", "/-/metrics").body())
                             .child("footprint")
                             .child("process");
-            return new Seen(says, before, live(proxy.process), resident, descriptors);
+            return new Seen(says, live(proxy.process), resident, descriptors);
+        }
+    }
+
+    /**
+     * By how much a list lets the heap grow, in a process of its own: the many readings enlarge
+     * what is resident.
+     */
+    private static long heldByList(int nodes, int zones, int tenants) throws Exception {
+        List<String> flags = new ArrayList<>(flags());
+        // Else what soft references hold may go between two readings.
+        flags.add("-XX:SoftRefLRUPolicyMSPerMB=1000000");
+        try (World world = world(zones, tenants);
+                ProxyUnderTest proxy =
+                        new ProxyUnderTest(
+                                world,
+                                Files.createTempDirectory("fit"),
+                                "",
+                                flags,
+                                List.of("--operator", operator("").toString()))) {
+            AtomicBoolean away = turnAway(world);
+            proxy.awaitLine("proxy.started");
+            long before = leastLive(proxy.process);
+            away.set(false);
+            tell(world, list(nodes, zones));
+            proxy.awaitFigure("registry_entries", nodes);
+            return leastLive(proxy.process) - before;
+        }
+    }
+
+    private static long leastLive(Process process) throws Exception {
+        long least = Long.MAX_VALUE;
+        for (int i = 0; i < READINGS; i++) {
+            least = Math.min(least, live(process));
         }
+        return least;
     }
 
     /** What a list is said to take, with the watch that tells it. */
@@ -209,7 +250,7 @@
                             compare(
                                     name + "list alone",
                                     list(list(nodes, zones), nodes),
-                                    seen.heap - seen.before));
+                                    heldByList(nodes, zones, tenants)));
                     wrong.append(
                             compare(
                                     name + "resident",
