--- a/daemon/src/test/java/cedarrudder/program/FootprintOfProcessesIT.java
+++ b/daemon/src/test/java/cedarrudder/program/FootprintOfProcessesIT.java
@@ -150,15 +150,18 @@
         return away;
     }
 
+    private static ProxyUnderTest start(World world, List<String> flags) throws IOException {
+        return new ProxyUnderTest(
+                world,
+                Files.createTempDirectory("fit"),
+                "",
+                flags,
+                List.of("--operator", operator("").toString()));
+    }
+
     private static Seen rest(int nodes, int zones, int tenants) throws Exception {
         try (World world = world(zones, tenants);
-                ProxyUnderTest proxy =
-                        new ProxyUnderTest(
-                                world,
-                                Files.createTempDirectory("fit"),
-                                "",
-                                flags(),
-                                List.of("--operator", operator("").toString()))) {
+                ProxyUnderTest proxy = start(world, flags())) {
             AtomicBoolean away = turnAway(world);
             proxy.awaitLine("proxy.started");
             live(proxy.process); // first: what jcmd itself leaves there counts for nothing
@@ -191,13 +194,7 @@
         // Else what soft references hold may go between two readings.
         flags.add("-XX:SoftRefLRUPolicyMSPerMB=1000000");
         try (World world = world(zones, tenants);
-                ProxyUnderTest proxy =
-                        new ProxyUnderTest(
-                                world,
-                                Files.createTempDirectory("fit"),
-                                "",
-                                flags,
-                                List.of("--operator", operator("").toString()))) {
+                ProxyUnderTest proxy = start(world, flags)) {
             AtomicBoolean away = turnAway(world);
             proxy.awaitLine("proxy.started");
             long before = leastLive(proxy.process);
--- a/daemon/src/test/java/cedarrudder/program/IgnoredSignalIT.java
+++ b/daemon/src/test/java/cedarrudder/program/IgnoredSignalIT.java
@@ -55,6 +55,13 @@
         return builder.start();
     }
 
+    /** Returns what the process writes from then on. */
+    private static BufferedReader awaitStart(Process process) throws Exception {
+        BufferedReader log = process.inputReader(StandardCharsets.UTF_8);
+        Await.line("its start", process, log, line -> line.contains("proxy.started"));
+        return log;
+    }
+
     private static boolean nextLookupIsAt(World world, int port) {
         Received lookup = world.lookups.poll();
         return lookup != null && lookup.socket().getLocalPort() == port;
@@ -68,8 +75,7 @@
             Files.writeString(file, world.configuration());
             Process process = start(command, file);
             try {
-                BufferedReader log = process.inputReader(StandardCharsets.UTF_8);
-                Await.line("its start", process, log, line -> line.contains("proxy.started"));
+                awaitStart(process);
                 int former = world.discovery.server.getLocalPort();
                 world.discovery = world.new Peer(world.lookups);
                 int moved = world.discovery.server.getLocalPort();
@@ -91,8 +97,7 @@
             Files.writeString(file, world.configuration());
             Process process = start(command, file);
             try {
-                BufferedReader log = process.inputReader(StandardCharsets.UTF_8);
-                Await.line("its start", process, log, line -> line.contains("proxy.started"));
+                BufferedReader log = awaitStart(process);
                 ProxyUnderTest.signal(process, "TERM");
                 String rest = Await.all("its end", process, log);
                 assertTrue(rest.contains("proxy.shutdown_started"), rest);
--- a/daemon/src/test/java/cedarrudder/program/ShortageIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ShortageIT.java
@@ -40,6 +40,13 @@
         }
     }
 
+    /** Has no line of the log left out for coming too soon behind others. */
+    private static Path operatorFileOfAFullLog() throws IOException {
+        Path operator = Files.createTempFile("operator", ".toml");
+        Files.writeString(operator, "[log]\nlines_per_s = 10000\n");
+        return operator;
+    }
+
     /** Has the proxy say this many lines. */
     private static void complain(World world, int times) throws IOException {
         for (int i = 0; i < times; i++) {
@@ -55,8 +62,7 @@
      */
     @Test
     public void aLogThatNobodyReadsStopsNothing() throws Exception {
-        Path operator = Files.createTempFile("operator", ".toml");
-        Files.writeString(operator, "[log]\nlines_per_s = 10000\n");
+        Path operator = operatorFileOfAFullLog();
         try (World world = new World(1);
                 ProxyUnderTest proxy =
                         new ProxyUnderTest(
@@ -213,8 +219,7 @@
     @Test
     public void directMemoryOfBodiesThatEndedServesBuffersOfOtherSizes() throws Exception {
         byte[] body = new byte[8 * 1024 * 1024];
-        Path operator = Files.createTempFile("operator", ".toml");
-        Files.writeString(operator, "[log]\nlines_per_s = 10000\n");
+        Path operator = operatorFileOfAFullLog();
         try (World world = new World(1);
                 ProxyUnderTest proxy =
                         new ProxyUnderTest(
