--- a/daemon/src/test/java/cedarrudder/program/ShortageIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ShortageIT.java
@@ -29,6 +29,12 @@
      */
     private static final long MAX_OF_BOTH = 172;
 
+    /**
+     * Each has over 16 KiB of an answer wait for its client, in a buffer of 20 KiB: twice what
+     * there is of direct memory.
+     */
+    private static final int UNREAD_ANSWERS = 200;
+
     private static Path folder() throws IOException {
         return Files.createTempDirectory("shortage");
     }
@@ -249,8 +255,8 @@
                     });
             for (String kind : List.of("sized-", "chunked-")) {
                 List<Caller> unread = new ArrayList<>();
-                for (int i = 0; i < 100; i++) {
-                    Caller caller = world.caller();
+                for (int i = 0; i < UNREAD_ANSWERS; i++) {
+                    Caller caller = new Caller(world.port, 4096);
                     unread.add(caller);
                     caller.send(World.request("lookup", "/api", "").replace("id-1", kind + i));
                 }
--- a/daemon/src/test/java/cedarrudder/program/World.java
+++ b/daemon/src/test/java/cedarrudder/program/World.java
@@ -249,7 +249,19 @@
         private final Socket socket;
 
         Caller(int port) throws IOException {
-            socket = new Socket(InetAddress.getLoopbackAddress(), port);
+            this(port, 0);
+        }
+
+        /**
+         * @param receiveBufferBytes what its kernel takes of an answer that it doesn't read; 0: as
+         *     the system has it
+         */
+        Caller(int port, int receiveBufferBytes) throws IOException {
+            socket = new Socket();
+            if (receiveBufferBytes > 0) {
+                socket.setReceiveBufferSize(receiveBufferBytes);
+            }
+            socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
             socket.setSoTimeout(PATIENCE_MILLIS);
             socket.setTcpNoDelay(true);
         }
