--- a/review/lib/Rig.java
+++ b/review/lib/Rig.java
@@ -63,6 +63,9 @@
     }
 
     static void sleep(double millis) {
+        if (millis <= 0) {
+            return;
+        }
         try {
             TimeUnit.NANOSECONDS.sleep((long) (millis * 1e6));
         } catch (InterruptedException e) {
@@ -429,6 +432,9 @@
         private final Node node;
         private final OutputStream out;
 
+        /** A request has arrived, in part or whole, and is not answered yet. */
+        volatile boolean waiting;
+
         Wire(Node node, Socket socket) throws IOException {
             this.node = node;
             this.socket = socket;
@@ -437,11 +443,13 @@
 
         synchronized void write(String text) throws IOException {
             node.awaitAwake();
+            sleep(node.oneWayMs);
             out.write(text.getBytes(StandardCharsets.UTF_8));
             out.flush();
         }
 
         void answer(int status, String fields, String body) throws IOException {
+            waiting = false;
             write("HTTP/1.1 " + status + " X\r\n" + fields + "Content-Length: "
                     + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body);
         }
@@ -450,11 +458,13 @@
     /** What a node reads from a connection, at the node's rate. */
     private static final class PacedInput extends InputStream {
         private static final int PIECE = 16 * 1024;
+        private final Wire wire;
         private final Node node;
         private final InputStream in;
 
-        PacedInput(Node node, InputStream in) {
-            this.node = node;
+        PacedInput(Wire wire, InputStream in) {
+            this.wire = wire;
+            this.node = wire.node;
             this.in = in;
         }
 
@@ -470,6 +480,8 @@
             int count = in.read(into, from, Math.min(PIECE, length));
             node.awaitAwake();
             if (count > 0) {
+                sleep(node.oneWayMs);
+                wire.waiting = true;
                 node.received.addAndGet(count);
                 sleep(1000 * count / node.rate);
             }
@@ -492,6 +504,9 @@
         /** The rate at which the node reads a connection, in bytes a second. */
         volatile double rate = Double.MAX_VALUE;
 
+        /** The time that bytes take on the network, each way, in milliseconds. */
+        volatile double oneWayMs;
+
         /** A node that hangs keeps its connections, and reads and writes nothing. */
         volatile boolean hangs;
 
@@ -529,9 +544,10 @@
         private void serve(Socket socket) {
             try (socket) {
                 socket.setTcpNoDelay(true);
-                InputStream in = new BufferedInputStream(new PacedInput(this, socket.getInputStream()));
                 Wire wire = new Wire(this, socket);
+                InputStream in = new BufferedInputStream(new PacedInput(wire, socket.getInputStream()));
                 for (Message request = Message.read(in, true); request != null; request = Message.read(in, true)) {
+                    wire.waiting = true;
                     if (request.first.startsWith("GET /_load ")) {
                         wire.answer(200, "", "TEXT latency_ms=30, inflight=" + inFlight.get() + ", util=0.3");
                         continue;
