--- a/review/lib/Rig.java
+++ b/review/lib/Rig.java
@@ -4,14 +4,15 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.net.BindException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -35,6 +36,7 @@
 final class Rig implements AutoCloseable {
 
     static final long START = System.nanoTime();
+    private static final SecureRandom RANDOM = new SecureRandom();
     static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
 
     final Path root;
@@ -80,9 +82,14 @@
         }
     }
 
+    /** Returns a free port below those that the system gives to outgoing connections. */
     static int freePort() throws IOException {
-        try (ServerSocket probe = new ServerSocket(0, 1, LOOPBACK)) {
-            return probe.getLocalPort();
+        for (; ; ) {
+            try (ServerSocket probe = new ServerSocket(15_000 + RANDOM.nextInt(17_000), 1, LOOPBACK)) {
+                return probe.getLocalPort();
+            } catch (BindException e) {
+                // in use
+            }
         }
     }
 
