--- a/review/lib/Rig.java
+++ b/review/lib/Rig.java
@@ -27,6 +27,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Stream;
 
 /**
@@ -36,6 +37,7 @@
 final class Rig implements AutoCloseable {
 
     static final long START = System.nanoTime();
+    private static final long SPIN_NANOS = 100_000;
     private static final SecureRandom RANDOM = new SecureRandom();
     static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
 
@@ -64,14 +66,15 @@
         return (System.nanoTime() - START) / 1e9;
     }
 
+    /** Waits for a time, exact to some microseconds: the class library's sleep takes a whole millisecond at least. */
     static void sleep(double millis) {
-        if (millis <= 0) {
-            return;
-        }
-        try {
-            TimeUnit.NANOSECONDS.sleep((long) (millis * 1e6));
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+        long end = System.nanoTime() + (long) (millis * 1e6);
+        for (long left = end - System.nanoTime(); left > 0; left = end - System.nanoTime()) {
+            if (left > SPIN_NANOS) {
+                LockSupport.parkNanos(left - SPIN_NANOS);
+            } else {
+                Thread.onSpinWait();
+            }
         }
     }
 
