Move the deadlines of requests out of the forwarder into one class

Change: RequestDeadlines has the timer, its restart after an upload, expiry, expiry ahead of time and the end of what is overdue.

--- /dev/null
+++ b/core/src/main/java/cedarrudder/forwarding/RequestDeadlines.java
@@ -0,0 +1,97 @@
+package cedarrudder.forwarding;
+
+import cedarrudder.balancer.LoadBalancer.Outcome;
+import cedarrudder.logging.Logger;
+import cedarrudder.metrics.RequestMetrics.End;
+import java.util.List;
+
+/**
+ * The deadlines of all requests. Each request has a separate timer, so that no answer depends on
+ * the attempts or on the balancer. Not thread-safe; used on the event loop only.
+ *
+ * @param <Q> the content that is forwarded to an endpoint
+ * @param <A> an endpoint's response
+ */
+final class RequestDeadlines<Q, A> {
+
+    /**
+     * The time after its deadline at which a request is ended without the balancer. The protocol
+     * allows ten times as much past any site's limits, and the deadline here is earlier than the
+     * client's.
+     */
+    private static final long OVERDUE_NANOS = 5_000_000L;
+
+    private final RequestForwarder<Q, A> forwarder;
+    private final RequestAccounting accounting;
+    private final TimerService timers;
+    private final Logger log;
+
+    RequestDeadlines(
+            RequestForwarder<Q, A> forwarder,
+            RequestAccounting accounting,
+            TimerService timers,
+            Logger log) {
+        this.forwarder = forwarder;
+        this.accounting = accounting;
+        this.timers = timers;
+        this.log = log;
+    }
+
+    /** Starts the timer of a new request. */
+    void start(Exchange<Q, A> exchange) {
+        schedule(exchange, exchange.expiry());
+    }
+
+    /** Restarts the timer of a request whose content is complete from now on. */
+    void restartAfterUpload(Exchange<Q, A> exchange) {
+        exchange.expiry(timers.now() + exchange.timeoutAfterUpload());
+        exchange.cancelDeadline();
+        schedule(exchange, exchange.expiry());
+    }
+
+    private void schedule(Exchange<Q, A> exchange, long instant) {
+        exchange.deadlineTimer(timers.at(instant, () -> expire(exchange)));
+    }
+
+    /**
+     * Expires a request before its deadline, since this process is about to end and the client
+     * would otherwise get no answer at all.
+     */
+    void expireNow(Exchange<Q, A> exchange) {
+        if (!exchange.isOver()) {
+            exchange.expiry(timers.now()); // set first, so that no further attempt starts
+            exchange.cancelDeadline();
+            expire(exchange);
+        }
+    }
+
+    /**
+     * Ends the attempts in flight of a request whose deadline has passed. After the last of them
+     * the balancer ends the request, since it is then known whether any may have run.
+     */
+    private void expire(Exchange<Q, A> exchange) {
+        // Iterates over a copy, since the balancer may start another attempt after a timeout.
+        for (RequestAttempt<Q, A> attempt : List.copyOf(exchange.attempts())) {
+            forwarder.giveUp(attempt, Outcome.TIMEOUT);
+        }
+        if (!exchange.isOver()) {
+            accounting.onDeadlineMissed();
+            timers.at(timers.now() + OVERDUE_NANOS, () -> endOverdue(exchange));
+        }
+    }
+
+    /** Ends a request that the balancer did not end: rejects it if it is known not to have run. */
+    private void endOverdue(Exchange<Q, A> exchange) {
+        if (exchange.isOver()) {
+            return;
+        }
+        log.warn("request.deadline_exceeded").with("request", exchange.request().id()).write();
+        if (exchange.mayHaveRun()) {
+            exchange.reply().failed();
+            forwarder.endWithoutBalancer(exchange, End.FAILED);
+        } else {
+            exchange.reply().rejected(0);
+            forwarder.endWithoutBalancer(exchange, End.REJECTED);
+        }
+    }
+}
--- a/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
@@ -33,18 +33,11 @@
  */
 public final class RequestForwarder<Q, A> {
 
-    /**
-     * The time after its deadline at which a request is ended without the balancer. The protocol
-     * allows ten times as much past any site's limits, and the deadline here is earlier than the
-     * client's.
-     */
-    private static final long OVERDUE_NANOS = 5_000_000L;
-
     private final TimerService timers;
-    private final Logger log;
     private final LoadBalancer balancer;
     private final Budgets budgets;
     private final RequestAccounting accounting;
+    private final RequestDeadlines<Q, A> deadlines;
     private final SerialEventQueue events;
     private final BalancerActions<Q, A> actions;
     private final AttemptGate<Q, A> gate;
@@ -78,7 +71,7 @@
             RequestMetrics metrics) {
         this.accounting = new RequestAccounting(metrics);
         this.timers = timers;
-        this.log = log;
+        this.deadlines = new RequestDeadlines<>(this, accounting, timers, log);
         this.budgets = budgets;
         this.events = new SerialEventQueue(log, this::expireZoneShares);
         this.actions = new BalancerActions<>(this, accounting, budgets, zoneShares, timers, log);
@@ -107,7 +100,7 @@
     public void accept(Exchange<Q, A> exchange) {
         exchanges.put(exchange.request().id(), exchange);
         accounting.onAccepted(exchange);
-        exchange.deadlineTimer(timers.at(exchange.request().deadline(), () -> expire(exchange)));
+        deadlines.start(exchange);
         events.post(() -> deliverRequest(exchange));
     }
 
@@ -128,9 +121,7 @@
         if (exchange.isOver()) {
             return;
         }
-        exchange.expiry(timers.now() + exchange.timeoutAfterUpload());
-        exchange.cancelDeadline();
-        exchange.deadlineTimer(timers.at(exchange.expiry(), () -> expire(exchange)));
+        deadlines.restartAfterUpload(exchange);
         events.post(() -> balancer.onUploadComplete(timers.now(), exchange.request().id()));
     }
 
@@ -145,7 +136,7 @@
     }
 
     /** Ends an exchange that the balancer has not ended, and notifies the balancer. */
-    private void endWithoutBalancer(Exchange<Q, A> exchange, End end) {
+    void endWithoutBalancer(Exchange<Q, A> exchange, End end) {
         if (exchange.isOver()) {
             return;
         }
@@ -383,49 +374,12 @@
         attemptEnded(attempt, proven, null);
     }
 
-    // ---- the deadline of a request
-
-    /**
-     * Ends the attempts in flight of a request whose deadline has passed. After the last of them
-     * the balancer ends the request, since it is then known whether any may have run. Each request
-     * has a separate timer, so that no answer depends on the attempts or on the balancer.
-     */
-    private void expire(Exchange<Q, A> exchange) {
-        // Iterates over a copy, since the balancer may start another attempt after a timeout.
-        for (RequestAttempt<Q, A> attempt : List.copyOf(exchange.attempts())) {
-            giveUp(attempt, Outcome.TIMEOUT);
-        }
-        if (!exchange.isOver()) {
-            accounting.onDeadlineMissed();
-            timers.at(timers.now() + OVERDUE_NANOS, () -> endOverdue(exchange));
-        }
-    }
-
     /**
      * Expires a request before its deadline, since this process is about to end and the client
      * would otherwise get no answer at all.
      */
     public void expireNow(Exchange<Q, A> exchange) {
-        if (!exchange.isOver()) {
-            exchange.expiry(timers.now()); // set first, so that no further attempt starts
-            exchange.cancelDeadline();
-            expire(exchange);
-        }
-    }
-
-    /** Ends a request that the balancer did not end: rejects it if it is known not to have run. */
-    private void endOverdue(Exchange<Q, A> exchange) {
-        if (exchange.isOver()) {
-            return;
-        }
-        log.warn("request.deadline_exceeded").with("request", exchange.request().id()).write();
-        if (exchange.mayHaveRun()) {
-            exchange.reply().failed();
-            endWithoutBalancer(exchange, End.FAILED);
-        } else {
-            exchange.reply().rejected(0);
-            endWithoutBalancer(exchange, End.REJECTED);
-        }
+        deadlines.expireNow(exchange);
     }
 
     // ---- endpoints, probes and other replicas
