End a short response that never ends at its request's deadline

Cause: a response that was still coming 300 ms after its first byte was streamed whatever its length, and with the first bytes of a streamed response the deadline of its request was cancelled for good. Only 10 s of silence ended it then, and each byte put those off. The deadline of attempts beside it went too.

Change: RequestDeadlines alone decides, and streaming cancels nothing.

--- a/core/src/main/java/cedarrudder/forwarding/Exchange.java
+++ b/core/src/main/java/cedarrudder/forwarding/Exchange.java
@@ -62,7 +62,7 @@
     private enum State {
         /** The client has received no answer yet. */
         OPEN,
-        /** A response streams to the client; no deadline applies any more. */
+        /** A response streams to the client; see {@link StreamedResponse} for its deadline. */
         STREAMING,
         /** The client has its answer, or has left. */
         ENDED
--- a/core/src/main/java/cedarrudder/forwarding/RequestAttempt.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestAttempt.java
@@ -23,8 +23,6 @@
         ENDED
     }
 
-    private static final long NO_RESPONSE = 0;
-
     private final Exchange<Q, A> exchange;
     private final int number;
     private final long endpoint;
@@ -33,7 +31,8 @@
     private State state = State.WAITING;
     private boolean countedForZone = true;
     private long latencyFrom;
-    private long responseAt = NO_RESPONSE;
+    private long responseAt;
+    private StreamedResponse response;
     private PropagatedBudget propagatedBudget;
 
     RequestAttempt(Exchange<Q, A> exchange, int number, long endpoint, long latencyFrom, int zone) {
@@ -113,13 +112,22 @@
     }
 
     /** Records that the response has begun to stream to the client. */
-    void responseStarted(long now) {
+    void responseStarted(long now, StreamedResponse streamed) {
         responseAt = now;
+        response = streamed;
     }
 
     /** Returns whether the response is or was streamed; true from its start on. */
     boolean isStreaming() {
-        return responseAt != NO_RESPONSE;
+        return response != null;
+    }
+
+    /**
+     * Returns the instant until which this attempt may continue although the deadline of its
+     * request has passed; not later than now unless its response streams.
+     */
+    long mayContinueUntil(long now) {
+        return isStreaming() ? response.mayContinueUntil(now) : now;
     }
 
     /**
--- a/core/src/main/java/cedarrudder/forwarding/RequestDeadlines.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestDeadlines.java
@@ -66,13 +66,14 @@
     }
 
     /**
-     * Ends the attempts in flight of a request whose deadline has passed. After the last of them
-     * the balancer ends the request, since it is then known whether any may have run.
+     * Ends the attempts in flight of a request whose deadline has passed, except one whose response
+     * streams and may continue. After the last of them the balancer ends the request, since it is
+     * then known whether any may have run.
      */
     private void expire(Exchange<Q, A> exchange) {
         // Iterates over a copy, since the balancer may start another attempt after a timeout.
         for (RequestAttempt<Q, A> attempt : List.copyOf(exchange.attempts())) {
-            forwarder.giveUp(attempt, Outcome.TIMEOUT);
+            expire(exchange, attempt);
         }
         if (!exchange.isOver()) {
             accounting.onDeadlineMissed();
@@ -80,6 +81,29 @@
         }
     }
 
+    private void expire(Exchange<Q, A> exchange, RequestAttempt<Q, A> attempt) {
+        if (attempt.hasEnded()) {
+            return;
+        }
+        long now = timers.now();
+        long continuesUntil = attempt.mayContinueUntil(now);
+        if (continuesUntil <= now) {
+            endExpired(exchange, attempt);
+        } else if (continuesUntil != StreamedResponse.NO_LIMIT) {
+            schedule(exchange, continuesUntil);
+        }
+    }
+
+    private void endExpired(Exchange<Q, A> exchange, RequestAttempt<Q, A> attempt) {
+        if (exchange.streamingAttempt() == attempt) {
+            accounting.onDeadlineMissed();
+            log.warn("request.response_incomplete")
+                    .with("request", exchange.request().id())
+                    .write();
+        }
+        forwarder.giveUp(attempt, Outcome.TIMEOUT);
+    }
+
     /** Ends a request that the balancer did not end: rejects it if it is known not to have run. */
     private void endOverdue(Exchange<Q, A> exchange) {
         if (exchange.isOver()) {
--- a/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
@@ -239,19 +239,22 @@
     // ---- the end of an attempt
 
     /**
-     * Records that an endpoint's response has begun which is too large to be buffered. It streams
-     * to the client from now on, and no deadline cuts it off. Its end is reported by {@link
-     * #attemptEnded}.
+     * Records that an endpoint's response has begun which is too large to be buffered, or may be.
+     * It streams to the client from now on. Its end is reported by {@link #attemptEnded}.
      *
      * <p>To the balancer the attempt is reported as served now; otherwise clients that read slowly
      * would make endpoints count as full or unresponsive. If the response is aborted later, the
      * balancer is notified again.
+     *
+     * @param response what is received of the response, which the transport keeps current
      */
-    public void responseStarted(RequestAttempt<Q, A> attempt, A answer, LoadReport load) {
-        events.post(() -> deliverResponseStart(attempt, answer, load));
+    public void responseStarted(
+            RequestAttempt<Q, A> attempt, A answer, LoadReport load, StreamedResponse response) {
+        events.post(() -> deliverResponseStart(attempt, answer, load, response));
     }
 
-    private void deliverResponseStart(RequestAttempt<Q, A> attempt, A answer, LoadReport load) {
+    private void deliverResponseStart(
+            RequestAttempt<Q, A> attempt, A answer, LoadReport load, StreamedResponse response) {
         Exchange<Q, A> exchange = attempt.exchange();
         if (attempt.hasEnded()) {
             return;
@@ -260,11 +263,10 @@
             giveUp(attempt, Outcome.CANCELLED);
             return;
         }
-        attempt.responseStarted(timers.now());
+        attempt.responseStarted(timers.now(), response);
         accounting.onAttemptEnded(timers.now(), attempt, Outcome.OK, load);
         exchange.startStreaming(attempt);
         dropWaitingAttempts(exchange);
-        exchange.cancelDeadline();
         exchange.feedback(budgets == null ? null : exchange.budget().servedFeedback());
         exchange.reply().served(answer);
         reportOutcome(attempt, Outcome.OK, attempt.latencyNanos(timers.now()), true, load);
--- /dev/null
+++ b/core/src/main/java/cedarrudder/forwarding/StreamedResponse.java
@@ -0,0 +1,90 @@
+package cedarrudder.forwarding;
+
+/**
+ * How much of a response has been received while it streams to its client. This determines for how
+ * long the response may continue after the deadline of its request.
+ *
+ * <p>The deadline bounds the last byte of a short response, and only the first bytes of a long one.
+ * A response without a declared length may become either. Past the deadline it continues as long as
+ * its bytes are received no more slowly than those of long responses are; once it is a long one, it
+ * may take as long as it needs.
+ *
+ * <p>The time during which the proxy itself does not read the response, because the client does not
+ * take it or buffers are short, does not count against the endpoint.
+ */
+public final class StreamedResponse {
+
+    /** The declared length of a response that declares none. */
+    public static final long UNKNOWN_LENGTH = -1;
+
+    /** The instant until which a long response may continue. */
+    static final long NO_LIMIT = Long.MAX_VALUE;
+
+    /**
+     * The rate below which a response counts as short past its deadline. Half of the slowest rate
+     * at which long bodies are sent, so that pauses between their pieces are allowed.
+     */
+    private static final long MIN_BYTES_PER_SECOND = 32_000;
+
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+    /** The interval at which the limit of a response that is not read at present is checked. */
+    private static final long PAUSED_CHECK_NANOS = 10_000_000L;
+
+    private static final long NOT_PAUSED = Long.MAX_VALUE;
+
+    private final long declaredLength;
+    private final long maxShortLength;
+
+    /** When streaming began, later by the duration of all pauses that are over. */
+    private long startedAt;
+
+    private long receivedBytes;
+    private long pausedAt = NOT_PAUSED;
+
+    /**
+     * Creates the state of a response that begins to stream now.
+     *
+     * @param declaredLength {@link #UNKNOWN_LENGTH} if its head declares none
+     * @param maxShortLength the maximum length of a short response, in bytes
+     */
+    public StreamedResponse(long declaredLength, long maxShortLength, long now) {
+        this.declaredLength = declaredLength;
+        this.maxShortLength = maxShortLength;
+        this.startedAt = now;
+    }
+
+    /** Sets how many bytes of the body have been received so far. */
+    public void received(long bytes) {
+        receivedBytes = bytes;
+    }
+
+    /** Records whether the response is read from now on; repeating the last state has no effect. */
+    public void readable(boolean reads, long now) {
+        if (!reads && pausedAt == NOT_PAUSED) {
+            pausedAt = now;
+        } else if (reads && pausedAt != NOT_PAUSED) {
+            startedAt += now - pausedAt;
+            pausedAt = NOT_PAUSED;
+        }
+    }
+
+    /**
+     * Returns the instant until which the response may continue although the deadline of its
+     * request has passed, unless more of it is received by then; {@link #NO_LIMIT} if it is long.
+     */
+    long mayContinueUntil(long now) {
+        if (declaredLength > maxShortLength || receivedBytes > maxShortLength) {
+            return NO_LIMIT;
+        }
+        if (declaredLength != UNKNOWN_LENGTH) {
+            return now;
+        }
+        long allowance = receivedBytes * NANOS_PER_SECOND / MIN_BYTES_PER_SECOND;
+        if (pausedAt == NOT_PAUSED) {
+            return startedAt + allowance;
+        }
+        boolean slowBeforePause = pausedAt - startedAt >= allowance;
+        return slowBeforePause ? now : now + PAUSED_CHECK_NANOS;
+    }
+}
--- a/core/src/test/java/cedarrudder/balancer/RulesWorld.java
+++ b/core/src/test/java/cedarrudder/balancer/RulesWorld.java
@@ -14,6 +14,7 @@
 import cedarrudder.forwarding.Exchange;
 import cedarrudder.forwarding.RequestAttempt;
 import cedarrudder.forwarding.RequestForwarder;
+import cedarrudder.forwarding.StreamedResponse;
 import cedarrudder.forwarding.TimerService;
 import cedarrudder.logging.Logger;
 import cedarrudder.metrics.RequestMetrics;
@@ -723,7 +724,14 @@
         private void startResponse(RequestAttempt<String, String> attempt) {
             if (endRecorded.putIfAbsent(attempt, true) == null) {
                 model.ended(now, attempt.exchange().request().id(), attempt.number(), Outcome.OK);
-                forwarder.responseStarted(attempt, String.valueOf(attempt.number()), null);
+                forwarder.responseStarted(
+                        attempt,
+                        String.valueOf(attempt.number()),
+                        null,
+                        new StreamedResponse(
+                                attempt.number() == 0 ? 2 : StreamedResponse.UNKNOWN_LENGTH,
+                                1,
+                                now));
                 Outcome end = random.nextBoolean() ? Outcome.OK : Outcome.RESET;
                 at(now + random.nextLong(500 * MS), () -> forwardEnd(attempt, end));
             }
--- /dev/null
+++ b/core/src/test/java/cedarrudder/forwarding/RequestDeadlinesTest.java
@@ -0,0 +1,238 @@
+package cedarrudder.forwarding;
+
+import static org.testng.Assert.assertEquals;
+
+import cedarrudder.balancer.LoadBalancer;
+import cedarrudder.balancer.LoadBalancer.Actions;
+import cedarrudder.logging.Logger;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Tests at which instant a response that streams is given up. The clock is virtual; the balancer,
+ * the transport and the client are fakes.
+ */
+public class RequestDeadlinesTest {
+
+    private static final long DEADLINE = TimeUnit.SECONDS.toNanos(1);
+    private static final long STREAM_START = TimeUnit.MILLISECONDS.toNanos(800);
+    private static final long LARGEST_SHORT_BYTES = 64 * 1024;
+    private static final long ENDPOINT = 7;
+
+    private final TreeMap<Long, List<Runnable>> timers = new TreeMap<>();
+    private final List<RequestAttempt<String, String>> started = new ArrayList<>();
+    private final List<String> abandoned = new ArrayList<>();
+    private long now;
+    private Actions actions;
+    private RequestForwarder<String, String> forwarder;
+
+    @BeforeMethod
+    public void build() {
+        timers.clear();
+        started.clear();
+        abandoned.clear();
+        now = 0;
+        forwarder =
+                new RequestForwarder<>(
+                        balancerActions -> {
+                            actions = balancerActions;
+                            return ignore(LoadBalancer.class);
+                        },
+                        2,
+                        new VirtualTimers(),
+                        new Logger(new PrintStream(OutputStream.nullOutputStream())));
+        forwarder.attach(new FakeTransport(), null, null);
+        forwarder.accept(
+                new Exchange<>(
+                        new LoadBalancer.Request(1, 0, 0, DEADLINE, 0, false, false, 0),
+                        "q",
+                        new Client()));
+    }
+
+    /** Returns an object whose methods do nothing and return null, false or 0. */
+    private static <T> T ignore(Class<T> type) {
+        return type.cast(
+                Proxy.newProxyInstance(
+                        type.getClassLoader(),
+                        new Class<?>[] {type},
+                        (proxy, method, arguments) ->
+                                method.getReturnType() == int.class ? (Object) 0 : null));
+    }
+
+    /** Starts an attempt whose response streams from {@link #STREAM_START} on. */
+    private StreamedResponse stream(long declaredLength, long receivedBytes) {
+        RequestAttempt<String, String> attempt = startAttempt();
+        advanceTo(STREAM_START);
+        StreamedResponse response =
+                new StreamedResponse(declaredLength, LARGEST_SHORT_BYTES, STREAM_START);
+        response.received(receivedBytes);
+        forwarder.responseStarted(attempt, "a", null, response);
+        return response;
+    }
+
+    private RequestAttempt<String, String> startAttempt() {
+        actions.startAttempt(1, ENDPOINT, 0);
+        RequestAttempt<String, String> attempt = started.get(started.size() - 1);
+        attempt.startWriting();
+        attempt.writeComplete(now);
+        return attempt;
+    }
+
+    private void advanceTo(long instant) {
+        while (!timers.isEmpty() && timers.firstKey() <= instant) {
+            var due = timers.pollFirstEntry();
+            now = Math.max(now, due.getKey());
+            due.getValue().forEach(Runnable::run);
+        }
+        now = instant;
+    }
+
+    /** Returns what is abandoned up to an instant, as the attempt's number and the time in ms. */
+    private List<String> abandonedBy(long millis) {
+        advanceTo(TimeUnit.MILLISECONDS.toNanos(millis));
+        return abandoned;
+    }
+
+    /** Guards against a short response that never ends and keeps its client without an end. */
+    @Test
+    public void shortStreamedResponseEndsAtTheDeadline() {
+        stream(StreamedResponse.UNKNOWN_LENGTH, 3);
+        assertEquals(abandonedBy(10_000), List.of("0 at 1000 ms"));
+    }
+
+    /** Guards against cutting off what the endpoint of a large response still sends. */
+    @Test
+    public void longResponseHasNoDeadlineOnceItStreams() {
+        stream(LARGEST_SHORT_BYTES + 1, 3);
+        assertEquals(abandonedBy(600_000), List.of());
+        build();
+        stream(StreamedResponse.UNKNOWN_LENGTH, LARGEST_SHORT_BYTES + 1);
+        assertEquals(abandonedBy(600_000), List.of());
+    }
+
+    /** Guards against cutting off a large response without a length that arrives slowly. */
+    @Test
+    public void responseOfUnknownLengthContinuesAtTheRateOfLongOnes() {
+        StreamedResponse response = stream(StreamedResponse.UNKNOWN_LENGTH, 16_000);
+        assertEquals(abandonedBy(1_299), List.of());
+        response.received(32_000);
+        assertEquals(abandonedBy(1_799), List.of());
+        assertEquals(abandonedBy(10_000), List.of("0 at 1800 ms"));
+        build();
+        response = stream(StreamedResponse.UNKNOWN_LENGTH, 16_000);
+        assertEquals(abandonedBy(1_299), List.of());
+        response.received(LARGEST_SHORT_BYTES);
+        assertEquals(abandonedBy(2_800), List.of());
+        response.received(LARGEST_SHORT_BYTES + 1);
+        assertEquals(abandonedBy(600_000), List.of());
+    }
+
+    /** Guards against blaming an endpoint for what its client does not read. */
+    @Test
+    public void timeDuringWhichAResponseIsNotReadDoesNotCount() {
+        StreamedResponse response = stream(StreamedResponse.UNKNOWN_LENGTH, 16_000);
+        response.readable(false, now);
+        assertEquals(abandonedBy(5_800), List.of());
+        response.readable(true, now);
+        assertEquals(abandonedBy(6_299), List.of());
+        assertEquals(abandonedBy(10_000), List.of("0 at 6300 ms"));
+        build();
+        response = stream(StreamedResponse.UNKNOWN_LENGTH, 3);
+        advanceTo(STREAM_START + TimeUnit.MILLISECONDS.toNanos(1));
+        response.readable(false, now);
+        assertEquals(abandonedBy(10_000), List.of("0 at 1000 ms"));
+    }
+
+    /** Guards against an attempt that is never given up because another one's response streams. */
+    @Test
+    public void attemptBesideAStreamedResponseEndsAtTheDeadline() {
+        startAttempt();
+        stream(LARGEST_SHORT_BYTES + 1, 3);
+        assertEquals(abandonedBy(10_000), List.of("0 at 1000 ms"));
+        build();
+        startAttempt();
+        stream(StreamedResponse.UNKNOWN_LENGTH, 3);
+        assertEquals(abandonedBy(10_000), List.of("0 at 1000 ms", "1 at 1000 ms"));
+    }
+
+    /** Guards against an attempt that is never given up because its client left a response. */
+    @Test
+    public void attemptBesideAResponseWhoseClientLeftEndsAtTheDeadline() {
+        startAttempt();
+        stream(LARGEST_SHORT_BYTES + 1, 3);
+        forwarder.clientLeft(started.get(0).exchange());
+        assertEquals(abandonedBy(10_000), List.of("1 at 800 ms", "0 at 1000 ms"));
+    }
+
+    /** Guards against a timer that remains after the end of its response. */
+    @Test
+    public void endOfAStreamedResponseCancelsItsDeadlineTimer() {
+        stream(StreamedResponse.UNKNOWN_LENGTH, 16_000);
+        advanceTo(DEADLINE);
+        assertEquals(timers.size(), 1);
+        forwarder.served(started.get(0), "", null);
+        assertEquals(timers.size(), 0);
+    }
+
+    private final class VirtualTimers implements TimerService {
+        @Override
+        public long now() {
+            return now;
+        }
+
+        @Override
+        public Timer at(long instant, Runnable task) {
+            timers.computeIfAbsent(instant, due -> new ArrayList<>()).add(task);
+            return () -> {
+                timers.values().forEach(due -> due.remove(task));
+                timers.values().removeIf(List::isEmpty);
+            };
+        }
+    }
+
+    private final class FakeTransport implements AttemptTransport<String, String> {
+        @Override
+        public boolean knowsEndpoint(long endpoint) {
+            return true;
+        }
+
+        @Override
+        public void startAttempt(RequestAttempt<String, String> attempt) {
+            started.add(attempt);
+        }
+
+        @Override
+        public void abandonAttempt(RequestAttempt<String, String> attempt) {
+            abandoned.add(attempt.number() + " at " + TimeUnit.NANOSECONDS.toMillis(now) + " ms");
+        }
+
+        @Override
+        public void sendProbe(long endpoint) {}
+
+        @Override
+        public void closeIdleConnections(long endpoint) {}
+    }
+
+    private static final class Client implements Exchange.Reply<String> {
+        @Override
+        public void served(String answer) {}
+
+        @Override
+        public void rejected(long retryAfter) {}
+
+        @Override
+        public void failed() {}
+
+        @Override
+        public boolean isClientWaiting() {
+            return true;
+        }
+    }
+}
--- a/core/src/test/java/cedarrudder/forwarding/RequestForwarderTest.java
+++ b/core/src/test/java/cedarrudder/forwarding/RequestForwarderTest.java
@@ -454,7 +454,8 @@
             assertTrue(forwarder.mayStart(started.get(1)));
             started.get(1).writeComplete(now);
             if (streamed) {
-                forwarder.responseStarted(started.get(1), "b", null);
+                forwarder.responseStarted(
+                        started.get(1), "b", null, new StreamedResponse(2, 1, now));
                 forwarder.served(started.get(1), "b", null);
             } else {
                 forwarder.served(started.get(1), "b", null);
--- a/daemon/src/main/java/cedarrudder/protocol/HttpDecoder.java
+++ b/daemon/src/main/java/cedarrudder/protocol/HttpDecoder.java
@@ -194,6 +194,11 @@
         return declaredLength;
     }
 
+    /** Returns how many bytes of the current body have been read, collected or not. */
+    public long bodyBytesRead() {
+        return bodyBytesRead;
+    }
+
     /** Returns how many bytes of the current body are collected. */
     public int collected() {
         return collected.size();
--- a/daemon/src/main/java/cedarrudder/transport/AttemptCall.java
+++ b/daemon/src/main/java/cedarrudder/transport/AttemptCall.java
@@ -5,6 +5,7 @@
 import cedarrudder.budget.DownstreamFeedback;
 import cedarrudder.budget.PropagatedBudget;
 import cedarrudder.forwarding.RequestAttempt;
+import cedarrudder.forwarding.StreamedResponse;
 import cedarrudder.protocol.BodyRemainder;
 import cedarrudder.protocol.BudgetHeaders;
 import cedarrudder.protocol.HttpEncoder;
@@ -78,8 +79,8 @@
     }
 
     @Override
-    void responseStarted(HttpMessage answer) {
-        pool.forwarder().responseStarted(attempt, answer, load(answer));
+    void responseStarted(HttpMessage answer, StreamedResponse response) {
+        pool.forwarder().responseStarted(attempt, answer, load(answer), response);
     }
 
     /** Returns the load that a response reports; null if it reports none. */
--- a/daemon/src/main/java/cedarrudder/transport/EndpointCall.java
+++ b/daemon/src/main/java/cedarrudder/transport/EndpointCall.java
@@ -1,6 +1,7 @@
 package cedarrudder.transport;
 
 import cedarrudder.balancer.LoadBalancer.Outcome;
+import cedarrudder.forwarding.StreamedResponse;
 import cedarrudder.protocol.BodyRemainder;
 import cedarrudder.protocol.HttpMessage;
 import cedarrudder.protocol.MessageHead;
@@ -80,8 +81,10 @@
     /**
      * Called when the response begins to be streamed; its end is reported as a response without a
      * body.
+     *
+     * @param response what is received of it, which the connection keeps current
      */
-    void responseStarted(HttpMessage answer) {}
+    void responseStarted(HttpMessage answer, StreamedResponse response) {}
 
     /** Reports a response. */
     abstract void onAnswer(HttpMessage answer);
--- a/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
@@ -1,6 +1,7 @@
 package cedarrudder.transport;
 
 import cedarrudder.bodyflow.BodyFlow;
+import cedarrudder.forwarding.StreamedResponse;
 import cedarrudder.forwarding.TimerService;
 import cedarrudder.protocol.BodyRemainder;
 import cedarrudder.protocol.HttpDecoder;
@@ -20,7 +21,10 @@
  */
 final class EndpointConnection extends SimpleChannelInboundHandler<ByteBuf> {
 
-    /** The time after which a streamed response of which nothing is received has failed. */
+    /**
+     * The time after which a response has failed that was still being received at its first check,
+     * or is streamed, and of which nothing more is received.
+     */
     private static final long STREAM_SILENCE_NANOS = 10_000_000_000L;
 
     /**
@@ -44,6 +48,12 @@
     /** The response body that is being streamed; null if there is none. */
     private BodyFlow download;
 
+    /** What is received of the response that is being streamed; null if there is none. */
+    private StreamedResponse streamed;
+
+    /** Whether the response was still being received at its first check. */
+    private boolean slow;
+
     /** The request body that is being streamed; null if there is none. */
     private BodyWriter upload;
 
@@ -284,10 +294,17 @@
             scheduleAnswerCheck();
         }
         if (download != null) {
-            channel.config().setAutoRead(!download.isFull());
+            streamed.received(decoder.bodyBytesRead());
+            readDownload(!download.isFull());
         }
     }
 
+    /** Continues to read the response that is being streamed, or stops reading it. */
+    private void readDownload(boolean reads) {
+        streamed.readable(reads, loop.now());
+        channel.config().setAutoRead(reads);
+    }
+
     /** Charges the buffered bytes of the response that is being read to the account. */
     private void chargeCollected() {
         int now = decoder.collected();
@@ -307,15 +324,18 @@
         BodyFlow flow = new BodyFlow(pool.buffers());
         download = flow;
         MessageHead head = decoder.head();
-        BodyRemainder rest = new BodyRemainder(flow, decoder.bodyLength());
+        long length = decoder.bodyLength();
+        streamed = new StreamedResponse(length, BodyFlow.WINDOW, loop.now());
+        streamed.received(decoder.bodyBytesRead());
+        BodyRemainder rest = new BodyRemainder(flow, length);
         flow.whenWritable(() -> loop.run(() -> continueDownload(flow)));
-        call.responseStarted(new HttpMessage(head, decoder.flow(flow::put), rest));
+        call.responseStarted(new HttpMessage(head, decoder.flow(flow::put), rest), streamed);
     }
 
     private void continueDownload(BodyFlow flow) {
         if (download == flow && !flow.isFull()) {
             lastReceivedAt = loop.now(); // the timeout for silence starts when reading resumes
-            channel.config().setAutoRead(true);
+            readDownload(true);
         }
     }
 
@@ -323,25 +343,36 @@
         answerTimer = loop.at(loop.now() + limits.responseTimeout(), this::checkAnswer);
     }
 
-    /** Checks a response that has begun some time ago and is not complete. */
+    /**
+     * Checks a response that has begun some time ago and is not complete. One without a length is
+     * streamed from now on, since the client of a large response waits for its first bytes. One
+     * with a length is a short one here, of which the client needs the last byte: until that is
+     * received, another attempt may serve the request.
+     */
     private void checkAnswer() {
         answerTimer = null;
-        long silence = loop.now() - lastReceivedAt;
-        boolean silentStream =
-                download != null && !download.isFull() && silence >= STREAM_SILENCE_NANOS;
-        boolean silentAnswer = download == null && silence >= limits.responseTimeout();
-        if (silentStream || silentAnswer) {
+        if (isSilent()) {
             failMalformed("response is incomplete and no more of it is received");
             return;
         }
         if (download == null && decoder.head() != null && call.mayStream(decoder.head())) {
-            startDownload();
+            slow = true;
+            if (decoder.bodyLength() < 0) {
+                startDownload();
+            }
         }
         if (!hasEnded()) {
             scheduleAnswerCheck();
         }
     }
 
+    /** Returns whether no more of the response is received, although the proxy reads it. */
+    private boolean isSilent() {
+        boolean paused = download != null && download.isFull();
+        long limit = slow || download != null ? STREAM_SILENCE_NANOS : limits.responseTimeout();
+        return !paused && loop.now() - lastReceivedAt >= limit;
+    }
+
     private void cancelAnswerCheck() {
         if (answerTimer != null) {
             answerTimer.cancel();
@@ -361,9 +392,11 @@
         }
         EndpointCall done = call;
         call = null;
+        slow = false;
         if (download != null) {
             BodyFlow flow = download;
             download = null;
+            streamed = null;
             flow.end();
             channel.config().setAutoRead(true);
         }
@@ -429,6 +462,7 @@
         if (download != null) {
             download.fail();
             download = null;
+            streamed = null;
         }
         endpoint.removeIdle(this);
         channel.close();
--- a/daemon/src/test/java/cedarrudder/transport/HttpServerTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/HttpServerTest.java
@@ -13,6 +13,7 @@
 import cedarrudder.forwarding.PeerTransport;
 import cedarrudder.forwarding.RequestAttempt;
 import cedarrudder.forwarding.RequestForwarder;
+import cedarrudder.forwarding.StreamedResponse;
 import cedarrudder.logging.Level;
 import cedarrudder.logging.LogSettings;
 import cedarrudder.logging.Logger;
@@ -102,7 +103,10 @@
                 runWithEndpoint(
                         (forwarder, attempt) ->
                                 forwarder.responseStarted(
-                                        attempt, new HttpMessage(null, null, rest), null));
+                                        attempt,
+                                        new HttpMessage(null, null, rest),
+                                        null,
+                                        new StreamedResponse(100_000, 1000, 0)));
         assertEquals(node.abandoned().poll(20, TimeUnit.SECONDS), Boolean.TRUE);
     }
 
