Stream short responses with a length as before, and only keep their deadline

Need: passed on a response that declares up to 64 KiB only once it was whole. Hundreds of slow ones would then be buffered at once, up to 64 KiB each, which the account of buffers counts and can't refuse. That it runs out of memory is reasoned from the bounds, not shown.

Change: checkAnswer streams as it did before; the mend is the deadline alone, which StreamedResponse already ends for a declared short response too.

--- a/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
@@ -21,10 +21,7 @@
  */
 final class EndpointConnection extends SimpleChannelInboundHandler<ByteBuf> {
 
-    /**
-     * The time after which a response has failed that was still being received at its first check,
-     * or is streamed, and of which nothing more is received.
-     */
+    /** The time after which a streamed response of which nothing is received has failed. */
     private static final long STREAM_SILENCE_NANOS = 10_000_000_000L;
 
     /**
@@ -51,9 +48,6 @@
     /** What is received of the response that is being streamed; null if there is none. */
     private StreamedResponse streamed;
 
-    /** Whether the response was still being received at its first check. */
-    private boolean slow;
-
     /** The request body that is being streamed; null if there is none. */
     private BodyWriter upload;
 
@@ -344,35 +338,28 @@
     }
 
     /**
-     * Checks a response that has begun some time ago and is not complete. One without a length is
-     * streamed from now on, since the client of a large response waits for its first bytes. One
-     * with a length is a short one here, of which the client needs the last byte: until that is
-     * received, another attempt may serve the request.
+     * Checks a response that has begun some time ago and is not complete. One that is still being
+     * received is streamed from now on, so that many slow ones are not all buffered; {@link
+     * StreamedResponse} determines whether the request's deadline ends it.
      */
     private void checkAnswer() {
         answerTimer = null;
-        if (isSilent()) {
+        long silence = loop.now() - lastReceivedAt;
+        boolean silentStream =
+                download != null && !download.isFull() && silence >= STREAM_SILENCE_NANOS;
+        boolean silentAnswer = download == null && silence >= limits.responseTimeout();
+        if (silentStream || silentAnswer) {
             failMalformed("response is incomplete and no more of it is received");
             return;
         }
         if (download == null && decoder.head() != null && call.mayStream(decoder.head())) {
-            slow = true;
-            if (decoder.bodyLength() < 0) {
-                startDownload();
-            }
+            startDownload();
         }
         if (!hasEnded()) {
             scheduleAnswerCheck();
         }
     }
 
-    /** Returns whether no more of the response is received, although the proxy reads it. */
-    private boolean isSilent() {
-        boolean paused = download != null && download.isFull();
-        long limit = slow || download != null ? STREAM_SILENCE_NANOS : limits.responseTimeout();
-        return !paused && loop.now() - lastReceivedAt >= limit;
-    }
-
     private void cancelAnswerCheck() {
         if (answerTimer != null) {
             answerTimer.cancel();
@@ -392,7 +379,6 @@
         }
         EndpointCall done = call;
         call = null;
-        slow = false;
         if (download != null) {
             BodyFlow flow = download;
             download = null;
