Let a response of unknown length go on past its deadline while its bytes keep coming

Cause: the mean rate since streaming began decided, at 32 kB a second. It is too high for slow large answers, and a burst at the start pays for a long trickle.

Change: what has been received suffices for as long as its bytes take at 8 kB a second, and for 0.45 s at most, so a trickle runs out at once or within the half second in which an answer isn't lost. At that rate a response becomes a long one within some 8 s.

Result: ResponseDeadlineScenarioTest (16), RequestDeadlinesTest (8) and RequestForwarderTest (29) passed.

--- a/core/src/main/java/cedarrudder/forwarding/StreamedResponse.java
+++ b/core/src/main/java/cedarrudder/forwarding/StreamedResponse.java
@@ -6,7 +6,7 @@
  *
  * <p>The deadline bounds the last byte of a short response, and only the first bytes of a long one.
  * A response without a declared length may become either. Past the deadline it continues as long as
- * its bytes are received no more slowly than those of long responses are; once it is a long one, it
+ * its bytes keep coming at a rate that makes it a long one before long; once it is a long one, it
  * may take as long as it needs.
  *
  * <p>The time during which the proxy itself does not read the response, because the client does not
@@ -20,11 +20,14 @@
     /** The instant until which a long response may continue. */
     static final long NO_LIMIT = Long.MAX_VALUE;
 
+    /** The rate below which a response of unknown length counts as short past its deadline. */
+    private static final long MIN_BYTES_PER_SECOND = 8_000;
+
     /**
-     * The rate below which a response counts as short past its deadline. Half of the slowest rate
-     * at which long bodies are sent, so that pauses between their pieces are allowed.
+     * The longest pause between two pieces past the deadline. A response that is still short then
+     * ends before it is too late for any answer.
      */
-    private static final long MIN_BYTES_PER_SECOND = 32_000;
+    private static final long MAX_PAUSE_NANOS = 450_000_000L;
 
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
@@ -36,8 +39,8 @@
     private final long declaredLength;
     private final long maxShortLength;
 
-    /** When streaming began, later by the duration of all pauses that are over. */
-    private long startedAt;
+    /** The instant until which what was received so far suffices. */
+    private long sufficesUntil;
 
     private long receivedBytes;
     private long pausedAt = NOT_PAUSED;
@@ -51,12 +54,15 @@
     public StreamedResponse(long declaredLength, long maxShortLength, long now) {
         this.declaredLength = declaredLength;
         this.maxShortLength = maxShortLength;
-        this.startedAt = now;
+        this.sufficesUntil = now;
     }
 
-    /** Sets how many bytes of the body have been received so far. */
-    public void received(long bytes) {
+    /** Sets how many bytes of the body have been received by now, from its first on. */
+    public void received(long bytes, long now) {
+        long added = bytes - receivedBytes;
         receivedBytes = bytes;
+        long earned = added * NANOS_PER_SECOND / MIN_BYTES_PER_SECOND;
+        sufficesUntil = Math.min(now + MAX_PAUSE_NANOS, Math.max(now, sufficesUntil) + earned);
     }
 
     /** Records whether the response is read from now on; repeating the last state has no effect. */
@@ -64,7 +70,7 @@
         if (!reads && pausedAt == NOT_PAUSED) {
             pausedAt = now;
         } else if (reads && pausedAt != NOT_PAUSED) {
-            startedAt += now - pausedAt;
+            sufficesUntil += now - pausedAt;
             pausedAt = NOT_PAUSED;
         }
     }
@@ -80,11 +86,9 @@
         if (declaredLength != UNKNOWN_LENGTH) {
             return now;
         }
-        long allowance = receivedBytes * NANOS_PER_SECOND / MIN_BYTES_PER_SECOND;
         if (pausedAt == NOT_PAUSED) {
-            return startedAt + allowance;
+            return sufficesUntil;
         }
-        boolean slowBeforePause = pausedAt - startedAt >= allowance;
-        return slowBeforePause ? now : now + PAUSED_CHECK_NANOS;
+        return pausedAt >= sufficesUntil ? now : now + PAUSED_CHECK_NANOS;
     }
 }
--- a/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
@@ -288,7 +288,7 @@
             scheduleAnswerCheck();
         }
         if (download != null) {
-            streamed.received(decoder.bodyBytesRead());
+            streamed.received(decoder.bodyBytesRead(), loop.now());
             readDownload(!download.isFull());
         }
     }
@@ -320,7 +320,7 @@
         MessageHead head = decoder.head();
         long length = decoder.bodyLength();
         streamed = new StreamedResponse(length, BodyFlow.WINDOW, loop.now());
-        streamed.received(decoder.bodyBytesRead());
+        streamed.received(decoder.bodyBytesRead(), loop.now());
         BodyRemainder rest = new BodyRemainder(flow, length);
         flow.whenWritable(() -> loop.run(() -> continueDownload(flow)));
         call.responseStarted(new HttpMessage(head, decoder.flow(flow::put), rest), streamed);
