--- a/daemon/src/test/java/cedarrudder/program/ProxyHarness.java
+++ b/daemon/src/test/java/cedarrudder/program/ProxyHarness.java
@@ -149,9 +149,13 @@
             }
         }
 
+        private Received receive(Socket socket) throws IOException {
+            return leavesBodies ? readHead(socket) : read(socket);
+        }
+
         private void serve(Socket socket) {
             try {
-                for (Received next = read(socket); next != null; next = read(socket)) {
+                for (Received next = receive(socket); next != null; next = receive(socket)) {
                     if (next.first().startsWith("GET /_load ") && probesWait) {
                         probes.add(next);
                     } else if (next.first().startsWith("GET /_load ")) {
@@ -316,6 +320,9 @@
     /** True if probes also wait for the test's answer. */
     volatile boolean probesWait;
 
+    /** True if the test reads the bodies of requests to endpoints itself. */
+    volatile boolean leavesBodies;
+
     /**
      * The connections to endpoints and discovery in the order of their accept, except those still
      * in an accept queue.
