Count the wait of a streamed request while its body is not read

Cause: the deadline of a request whose body is streamed was set when the proxy had decoded its last byte. Where the node read late, the wait counted anew from then.

Class: a span that starts with an event at the client was started by the proxy's own progress. Change: UploadProgress holds the earliest instant at which the client may have written its last byte: when the socket was last found empty, or when more was missing than the sockets' buffers hold. The deadline, the time left that a node is told and the check before each attempt all come from it through Exchange.expiry; RequestDeadlines looks at it when its timer fires.

--- a/core/src/main/java/cedarrudder/forwarding/Exchange.java
+++ b/core/src/main/java/cedarrudder/forwarding/Exchange.java
@@ -78,7 +78,8 @@
     private TimerService.Timer deadlineTimer;
     private int attemptsInFlight;
     private long expiry;
-    private boolean upload;
+    private UploadProgress upload;
+    private boolean uploading;
     private long timeoutAfterUpload;
     private boolean contentDiscarded;
     private boolean mayHaveRun;
@@ -157,45 +158,61 @@
     // ---- deadline and upload
 
     /**
-     * Marks the content as still being received. The deadline then counts from the last byte of the
-     * content; until that arrives, the request's own deadline applies.
+     * Marks the content as still being received. The deadline then counts from the instant at which
+     * the client may have written the last byte of the content; the request's own deadline applies
+     * in any case.
      *
      * @param timeout how long the client waits from the last byte on, in nanoseconds
+     * @param progress what is received of the content, which the server side keeps current
      */
-    public Exchange<Q, A> withUpload(long timeout) {
-        upload = true;
+    public Exchange<Q, A> withUpload(long timeout, UploadProgress progress) {
+        upload = progress;
+        uploading = true;
         timeoutAfterUpload = timeout;
         return this;
     }
 
     /** Returns whether the content was still being received when the exchange was accepted. */
     boolean isUpload() {
-        return upload;
+        return upload != null;
     }
 
-    long timeoutAfterUpload() {
-        return timeoutAfterUpload;
+    /** Returns whether the content is still being received. */
+    boolean isUploading() {
+        return uploading;
+    }
+
+    /** Fixes the deadline of an exchange whose content was received completely. */
+    void completeUpload(long lastByteAt, long now) {
+        expiry = Math.min(upload.mayBeCompleteSince(now), lastByteAt) + timeoutAfterUpload;
+        uploading = false;
     }
 
     /**
      * Returns how long the client still waits, in nanoseconds: the maximum timeout of an attempt.
-     * While the content is being received, this is at most the wait from its last byte on.
      */
     public long remainingNanos(long now) {
-        return upload ? Math.min(timeoutAfterUpload, expiry - now) : expiry - now;
+        return expiry(now) - now;
     }
 
-    /** Returns the instant at which the exchange expires. */
-    public long expiry() {
-        return expiry;
+    /**
+     * Returns the instant at which the exchange expires, as far as that is known now. While the
+     * content is being received, it may become later.
+     */
+    public long expiry(long now) {
+        return uploading
+                ? Math.min(expiry, upload.mayBeCompleteSince(now) + timeoutAfterUpload)
+                : expiry;
     }
 
-    void expiry(long instant) {
+    /** Makes the exchange expire at this instant. */
+    void expireAt(long instant) {
         expiry = instant;
+        uploading = false;
     }
 
     boolean isExpired(long now) {
-        return now >= expiry;
+        return now >= expiry(now);
     }
 
     void deadlineTimer(TimerService.Timer timer) {
--- a/core/src/main/java/cedarrudder/forwarding/RequestDeadlines.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestDeadlines.java
@@ -39,14 +39,16 @@
 
     /** Starts the timer of a new request. */
     void start(Exchange<Q, A> exchange) {
-        schedule(exchange, exchange.expiry());
+        schedule(exchange, exchange.expiry(timers.now()));
     }
 
-    /** Restarts the timer of a request whose content is complete from now on. */
-    void restartAfterUpload(Exchange<Q, A> exchange) {
-        exchange.expiry(timers.now() + exchange.timeoutAfterUpload());
+    /**
+     * Restarts the timer of a request whose content is complete, the last byte of it since then.
+     */
+    void restartAfterUpload(Exchange<Q, A> exchange, long lastByteAt) {
+        exchange.completeUpload(lastByteAt, timers.now());
         exchange.cancelDeadline();
-        schedule(exchange, exchange.expiry());
+        start(exchange);
     }
 
     private void schedule(Exchange<Q, A> exchange, long instant) {
@@ -59,7 +61,7 @@
      */
     void expireNow(Exchange<Q, A> exchange) {
         if (!exchange.isOver()) {
-            exchange.expiry(timers.now()); // set first, so that no further attempt starts
+            exchange.expireAt(timers.now()); // set first, so that no further attempt starts
             exchange.cancelDeadline();
             expire(exchange);
         }
@@ -68,9 +70,18 @@
     /**
      * Ends the attempts in flight of a request whose deadline has passed, except one whose response
      * streams and may continue. After the last of them the balancer ends the request, since it is
-     * then known whether any may have run.
+     * then known whether any may have run. The deadline of a request whose content is still being
+     * received may have become later.
      */
     private void expire(Exchange<Q, A> exchange) {
+        if (exchange.isUploading()) {
+            exchange.reply().isClientWaiting(); // reads what the client has written by now
+        }
+        long now = timers.now();
+        if (!exchange.isOver() && !exchange.isExpired(now)) {
+            schedule(exchange, exchange.expiry(now));
+            return;
+        }
         // Iterates over a copy, since the balancer may start another attempt after a timeout.
         for (RequestAttempt<Q, A> attempt : List.copyOf(exchange.attempts())) {
             expire(exchange, attempt);
--- a/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
@@ -116,12 +116,16 @@
         balancer.onRequest(timers.now(), exchange.request(), budget.admissionHint());
     }
 
-    /** Records that the last byte of a request's body was received: its timeout starts. */
-    public void uploadComplete(Exchange<Q, A> exchange) {
-        if (exchange.isOver()) {
+    /**
+     * Records that the last byte of a request's body was decoded, which fixes its deadline.
+     *
+     * @param lastByteAt when that byte was received
+     */
+    public void uploadComplete(Exchange<Q, A> exchange, long lastByteAt) {
+        if (exchange.isOver() || !exchange.isUpload()) {
             return;
         }
-        deadlines.restartAfterUpload(exchange);
+        deadlines.restartAfterUpload(exchange, lastByteAt);
         events.post(() -> balancer.onUploadComplete(timers.now(), exchange.request().id()));
     }
 
--- a/core/src/test/java/cedarrudder/balancer/RulesWorld.java
+++ b/core/src/test/java/cedarrudder/balancer/RulesWorld.java
@@ -16,6 +16,7 @@
 import cedarrudder.forwarding.RequestForwarder;
 import cedarrudder.forwarding.StreamedResponse;
 import cedarrudder.forwarding.TimerService;
+import cedarrudder.forwarding.UploadProgress;
 import cedarrudder.logging.Logger;
 import cedarrudder.metrics.RequestMetrics;
 import cedarrudder.metrics.RequestMetrics.End;
@@ -549,7 +550,11 @@
         Exchange<String, String> exchange =
                 new Exchange<>(request, "q" + requestId, new RecordingReply(requestId));
         if (uploads) {
-            uploading.put(requestId, exchange.withUpload(forwarderPatience));
+            uploading.put(
+                    requestId,
+                    exchange.withUpload(
+                            forwarderPatience,
+                            new UploadProgress(UploadProgress.UNKNOWN_LENGTH, now)));
             at(now + random.nextLong(150 * MS), () -> completeUpload(requestId, clientPatience));
         } else {
             model.uploadCompleted(now, requestId, now + clientPatience);
@@ -564,7 +569,7 @@
         Exchange<String, String> exchange = uploading.remove(requestId);
         if (exchange != null) {
             model.uploadCompleted(now, requestId, now + clientPatience);
-            forwarder.uploadComplete(exchange);
+            forwarder.uploadComplete(exchange, now);
         }
     }
 
--- a/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
@@ -4,6 +4,7 @@
 import cedarrudder.bodyflow.BodyFlow;
 import cedarrudder.budget.PropagatedBudget;
 import cedarrudder.forwarding.Exchange;
+import cedarrudder.forwarding.UploadProgress;
 import cedarrudder.protocol.HttpEncoder;
 import cedarrudder.protocol.HttpMessage;
 import cedarrudder.protocol.MalformedMessageException;
@@ -31,6 +32,9 @@
      */
     private static final int MAX_PIPELINED_AFTER_LAST = 64;
 
+    /** The maximum duration of an upload: 32 MB at 64 kB a second take 500 s. */
+    private static final long MAX_UPLOAD_NANOS = 600_000_000_000L;
+
     private final ServerContext server;
     private final ClientConnections connections;
     private final GracefulShutdown shutdown;
@@ -207,10 +211,11 @@
     /**
      * Accepts a request and passes it to the forwarder.
      *
-     * @param uploadNanos by how much the deadline is extended while the body is streamed, in
-     *     nanoseconds; 0: the request is complete
+     * @param upload what is received of the body while it is streamed; null: the request is
+     *     complete
      */
-    void acceptRequest(HttpMessage message, long uploadNanos) throws MalformedMessageException {
+    void acceptRequest(HttpMessage message, UploadProgress upload)
+            throws MalformedMessageException {
         keepAlive = message.head().keepsAlive();
         if (message.head().target().equals(HEALTH_PATH)) {
             respondToHealthCheck();
@@ -225,25 +230,21 @@
         ClientRequest accepted = new ClientRequest(server, this, message, id);
         on(ClientConnectionState.Event.REQUEST);
         Exchange<HttpMessage, HttpMessage> exchange =
-                new Exchange<>(
-                        uploadNanos > 0 ? uploading(read, uploadNanos) : read,
-                        message,
-                        accepted,
-                        budget);
-        if (uploadNanos > 0) {
-            exchange.withUpload(timeoutAfterUpload);
+                new Exchange<>(upload == null ? read : uploading(read), message, accepted, budget);
+        if (upload != null) {
+            exchange.withUpload(timeoutAfterUpload, upload);
         }
         accepted.setExchange(exchange);
         request = accepted;
         server.accept(exchange, accepted);
     }
 
-    private static Request uploading(Request request, long uploadNanos) {
+    private static Request uploading(Request request) {
         return new Request(
                 request.id(),
                 request.classIndex(),
                 request.tenant(),
-                request.deadline() + uploadNanos,
+                request.deadline() + MAX_UPLOAD_NANOS,
                 request.idempotencyKey(),
                 request.repeat(),
                 request.write(),
@@ -259,7 +260,7 @@
 
     /** Notifies the forwarder that the body of the open request is complete. */
     void uploadComplete() {
-        server.forwarder().uploadComplete(request.exchange());
+        server.forwarder().uploadComplete(request.exchange(), reader.lastDecodedAt());
     }
 
     /**
--- a/daemon/src/main/java/cedarrudder/transport/RequestReader.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestReader.java
@@ -2,6 +2,7 @@
 
 import cedarrudder.bodyflow.BodyFlow;
 import cedarrudder.bodyflow.BufferAccount;
+import cedarrudder.forwarding.UploadProgress;
 import cedarrudder.protocol.BodyRemainder;
 import cedarrudder.protocol.HttpDecoder;
 import cedarrudder.protocol.HttpEncoder;
@@ -47,9 +48,6 @@
      */
     private static final long UPLOAD_SILENCE_NANOS = 5_000_000_000L;
 
-    /** The maximum duration of an upload: 32 MB at 64 kB a second take 500 s. */
-    private static final long MAX_UPLOAD_NANOS = 600_000_000_000L;
-
     private static final long NEVER = Long.MAX_VALUE;
 
     private final ServerContext server;
@@ -63,6 +61,9 @@
     /** The request body that is being streamed; null if there is none. */
     private BodyFlow upload;
 
+    /** What is received of the request body that is being streamed. */
+    private UploadProgress progress;
+
     private boolean decoding;
 
     /** The bytes of the request that is being read that are charged to the account. */
@@ -93,8 +94,9 @@
     /** Processes bytes that were read from the channel, and releases them. */
     void receive(ByteBuf bytes) {
         buffer.onReceived(bytes.readableBytes());
-        if (bytes.isWritable()) {
-            unreadSince = NEVER; // the socket had no more
+        boolean socketEmpty = bytes.isWritable();
+        if (socketEmpty) {
+            unreadSince = NEVER;
         }
         if (dropsInput()) {
             connection.drop(bytes);
@@ -102,9 +104,17 @@
         }
         buffer.add(bytes);
         decode();
+        noteProgress(socketEmpty);
         continueReading();
     }
 
+    private void noteProgress(boolean socketEmpty) {
+        if (upload != null) {
+            progress.received(
+                    decoder.bodyBytesRead(), buffer.size(), socketEmpty, server.loop().now());
+        }
+    }
+
     /** Returns whether input is dropped. */
     boolean dropsInput() {
         return connection.state().isEnding() && !decodesInput();
@@ -164,6 +174,7 @@
             channel.unsafe().read();
             if (buffer.received() == before) {
                 unreadSince = NEVER;
+                noteProgress(true);
                 return;
             }
         }
@@ -243,7 +254,7 @@
         HttpMessage request = decoder.decode(buffer.bytes());
         chargeCollected();
         if (request != null) {
-            connection.acceptRequest(request, 0);
+            connection.acceptRequest(request, null);
         } else if (decoder.large()) {
             startUpload();
         } else {
@@ -281,14 +292,16 @@
         chargeCollected();
         upload = flow;
         flow.whenWritable(() -> server.loop().run(this::continueUpload));
-        boolean mayBegin = server.loop().now() < shutdown.answerBy();
-        connection.acceptRequest(request, mayBegin ? MAX_UPLOAD_NANOS : 0);
+        long now = server.loop().now();
+        progress = new UploadProgress(length, now);
+        connection.acceptRequest(request, now < shutdown.answerBy() ? progress : null);
     }
 
     /** Resumes an upload whose flow has capacity again. */
     private void continueUpload() {
         if (upload != null) {
             decode();
+            noteProgress(false);
             continueReading();
         }
     }
