Let a response that pauses go on, with a second attempt beside it

Cause: EndpointConnection.checkAnswer took a silence of responseTimeout (300 ms) as the end of any response that was not yet known to be over 64 KiB, ended the attempt as a broken connection, and so used up all attempts of the request one after the other. Past the deadline, a response of unknown length was ended 0.45 s after its last byte even where that was before the deadline.

Class: silence was taken for an end. An attempt now ends by its connection, by an answer that can't be read, or by its deadline. A pause is reported to the balancer (onResponsePaused), which may send a hedged request beside the attempt where class, settings and retry budget allow one. What was received of a response without a length is passed on after a second at most, and before the deadline. A response that pauses across its deadline may go on until 0.45 s after it, if what came before earns that time.

The 503 of a safe class, by reading: three attempts, each ended at its pause, then a refusal; each end also counted as a failure of its node, which made nodes that pause suspect. Nothing is recorded against a node for a pause now.

--- a/core/src/main/java/cedarrudder/balancer/LoadBalancer.java
+++ b/core/src/main/java/cedarrudder/balancer/LoadBalancer.java
@@ -291,6 +291,13 @@
      */
     default void onUploadComplete(long now, long request) {}
 
+    /**
+     * Handles a pause in the response of an attempt in flight: the response has begun, nothing more
+     * of it was received for some time, and none of it was forwarded to the client. The attempt
+     * goes on; another one may be sent beside it. Reported again as long as the pause lasts.
+     */
+    default void onResponsePaused(long now, long request) {}
+
     /** Handles the disconnection of the client; the request is over. */
     void onClientLeft(long now, long request);
 
--- a/core/src/main/java/cedarrudder/balancer/PrequalBalancer.java
+++ b/core/src/main/java/cedarrudder/balancer/PrequalBalancer.java
@@ -255,6 +255,14 @@
         }
     }
 
+    @Override
+    public void onResponsePaused(long now, long requestId) {
+        RequestState request = requests.get(requestId);
+        if (request != null && !request.isAnswered() && retries.isHedged(request)) {
+            hedge(now, request);
+        }
+    }
+
     // ---- end of attempts
 
     @Override
--- a/core/src/main/java/cedarrudder/forwarding/RequestAttempt.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestAttempt.java
@@ -127,7 +127,7 @@
      * request has passed; not later than now unless its response streams.
      */
     long mayContinueUntil(long now) {
-        return isStreaming() ? response.mayContinueUntil(now) : now;
+        return isStreaming() ? response.mayContinueUntil(now, exchange.expiry(now)) : now;
     }
 
     /**
--- a/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
@@ -257,6 +257,19 @@
         events.post(() -> deliverResponseStart(attempt, answer, load, response));
     }
 
+    /**
+     * Records that the response of an attempt has begun, that none of it was passed on yet, and
+     * that nothing more of it was received for some time. The attempt goes on.
+     */
+    public void responsePaused(RequestAttempt<Q, A> attempt) {
+        events.post(
+                () -> {
+                    if (!attempt.hasEnded() && !attempt.exchange().isOver()) {
+                        balancer.onResponsePaused(timers.now(), attempt.exchange().request().id());
+                    }
+                });
+    }
+
     private void deliverResponseStart(
             RequestAttempt<Q, A> attempt, A answer, LoadReport load, StreamedResponse response) {
         Exchange<Q, A> exchange = attempt.exchange();
--- a/core/src/main/java/cedarrudder/forwarding/StreamedResponse.java
+++ b/core/src/main/java/cedarrudder/forwarding/StreamedResponse.java
@@ -24,8 +24,9 @@
     private static final long MIN_BYTES_PER_SECOND = 8_000;
 
     /**
-     * The longest pause between two pieces past the deadline. A response that is still short then
-     * ends before it is too late for any answer.
+     * The longest pause between two pieces past the deadline, and the time past the deadline by
+     * which a pause has to end. A response that is still short then ends before it is too late for
+     * any answer.
      */
     private static final long MAX_PAUSE_NANOS = 450_000_000L;
 
@@ -39,6 +40,9 @@
     private final long declaredLength;
     private final long maxShortLength;
 
+    /** The instant until which what was received so far suffices, however long it pauses. */
+    private long earnedUntil;
+
     /** The instant until which what was received so far suffices. */
     private long sufficesUntil;
 
@@ -54,6 +58,7 @@
     public StreamedResponse(long declaredLength, long maxShortLength, long now) {
         this.declaredLength = declaredLength;
         this.maxShortLength = maxShortLength;
+        this.earnedUntil = now;
         this.sufficesUntil = now;
     }
 
@@ -62,6 +67,7 @@
         long added = bytes - receivedBytes;
         receivedBytes = bytes;
         long earned = added * NANOS_PER_SECOND / MIN_BYTES_PER_SECOND;
+        earnedUntil = Math.max(now, earnedUntil) + earned;
         sufficesUntil = Math.min(now + MAX_PAUSE_NANOS, Math.max(now, sufficesUntil) + earned);
     }
 
@@ -70,6 +76,7 @@
         if (!reads && pausedAt == NOT_PAUSED) {
             pausedAt = now;
         } else if (reads && pausedAt != NOT_PAUSED) {
+            earnedUntil += now - pausedAt;
             sufficesUntil += now - pausedAt;
             pausedAt = NOT_PAUSED;
         }
@@ -79,7 +86,7 @@
      * Returns the instant until which the response may continue although the deadline of its
      * request has passed, unless more of it is received by then; {@link #NO_LIMIT} if it is long.
      */
-    long mayContinueUntil(long now) {
+    long mayContinueUntil(long now, long deadline) {
         if (declaredLength > maxShortLength || receivedBytes > maxShortLength) {
             return NO_LIMIT;
         }
@@ -87,8 +94,12 @@
             return now;
         }
         if (pausedAt == NOT_PAUSED) {
-            return sufficesUntil;
+            return sufficesUntil(deadline);
         }
-        return pausedAt >= sufficesUntil ? now : now + PAUSED_CHECK_NANOS;
+        return pausedAt >= sufficesUntil(deadline) ? now : now + PAUSED_CHECK_NANOS;
+    }
+
+    private long sufficesUntil(long deadline) {
+        return Math.max(sufficesUntil, Math.min(earnedUntil, deadline + MAX_PAUSE_NANOS));
     }
 }
--- a/daemon/src/main/java/cedarrudder/transport/AttemptCall.java
+++ b/daemon/src/main/java/cedarrudder/transport/AttemptCall.java
@@ -21,6 +21,15 @@
     private static final int OK_STATUS = 200;
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    /**
+     * The maximum time for which the first bytes of a response that may be a long one are held back
+     * in favour of a second attempt.
+     */
+    private static final long MAX_HOLD_NANOS = 1_000_000_000L;
+
+    /** The first bytes of a long response are due at the deadline. */
+    private static final long PASS_ON_BEFORE_DEADLINE_NANOS = 50_000_000L;
+
     private final EndpointConnectionPool pool;
     private final RequestAttempt<HttpMessage, HttpMessage> attempt;
 
@@ -78,6 +87,17 @@
         return head.status() == OK_STATUS;
     }
 
+    @Override
+    long passOnBy(long begunAt) {
+        long expiry = attempt.exchange().expiry(pool.loop().now());
+        return Math.min(begunAt + MAX_HOLD_NANOS, expiry - PASS_ON_BEFORE_DEADLINE_NANOS);
+    }
+
+    @Override
+    void responsePaused() {
+        pool.forwarder().responsePaused(attempt);
+    }
+
     @Override
     void responseStarted(HttpMessage answer, StreamedResponse response) {
         pool.forwarder().responseStarted(attempt, answer, load(answer), response);
--- a/daemon/src/main/java/cedarrudder/transport/EndpointCall.java
+++ b/daemon/src/main/java/cedarrudder/transport/EndpointCall.java
@@ -78,6 +78,19 @@
         }
     }
 
+    /**
+     * Returns the instant by which what was received of a response that may be a long one is to be
+     * passed on.
+     *
+     * @param begunAt the instant of its first byte
+     */
+    long passOnBy(long begunAt) {
+        return Long.MAX_VALUE;
+    }
+
+    /** Called when nothing more of a response was received for some time; it may go on. */
+    void responsePaused() {}
+
     /**
      * Called when the response begins to be streamed; its end is reported as a response without a
      * body.
--- a/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
@@ -58,6 +58,10 @@
     private int collected;
 
     private long lastReceivedAt;
+
+    /** The instant of the first byte of the response that is being read. */
+    private long answerBegunAt;
+
     private long connectedAt;
     private long idleSince;
 
@@ -285,6 +289,7 @@
         if (answer != null) {
             finish(answer, answer.head().keepsAlive() && !in.isReadable());
         } else if (answerTimer == null && !decoder.between()) {
+            answerBegunAt = loop.now();
             scheduleAnswerCheck();
         }
         if (download != null) {
@@ -334,32 +339,49 @@
     }
 
     private void scheduleAnswerCheck() {
-        answerTimer = loop.at(loop.now() + limits.responseTimeout(), this::checkAnswer);
+        long now = loop.now();
+        long next = now + limits.responseTimeout();
+        long passOnBy = download == null ? call.passOnBy(answerBegunAt) : next;
+        answerTimer = loop.at(passOnBy > now ? Math.min(next, passOnBy) : next, this::checkAnswer);
     }
 
     /**
-     * Checks a response that has begun some time ago and is not complete. One that is still being
-     * received is streamed from now on, so that many slow ones are not all buffered; {@link
-     * StreamedResponse} determines whether the request's deadline ends it.
+     * Checks a response that has begun some time ago and is not complete. A pause is not its end:
+     * until its deadline the attempt goes on, and the balancer may send another one beside it.
      */
     private void checkAnswer() {
         answerTimer = null;
         long silence = loop.now() - lastReceivedAt;
-        boolean silentStream =
-                download != null && !download.isFull() && silence >= STREAM_SILENCE_NANOS;
-        boolean silentAnswer = download == null && silence >= limits.responseTimeout();
-        if (silentStream || silentAnswer) {
-            failMalformed("response is incomplete and no more of it is received");
-            return;
-        }
-        if (download == null && decoder.head() != null && call.mayStream(decoder.head())) {
+        if (download != null) {
+            if (!download.isFull() && silence >= STREAM_SILENCE_NANOS) {
+                failMalformed("response is incomplete and no more of it is received");
+                return;
+            }
+        } else if (mustStream(silence)) {
             startDownload();
+        } else if (silence >= limits.responseTimeout()) {
+            call.responsePaused();
         }
-        if (!hasEnded()) {
+        if (!hasEnded() && call != null) {
             scheduleAnswerCheck();
         }
     }
 
+    /**
+     * Returns whether an incomplete response is streamed from now on: if it is still being
+     * received, so that many slow ones are not all buffered, or if it may be a long one whose first
+     * bytes are due. {@link StreamedResponse} determines whether the deadline ends it.
+     */
+    private boolean mustStream(long silence) {
+        if (decoder.head() == null || !call.mayStream(decoder.head())) {
+            return false;
+        }
+        boolean mayBeLong = decoder.bodyLength() < 0;
+        return silence < limits.responseTimeout()
+                || pool.buffers().isExhausted()
+                || mayBeLong && loop.now() >= call.passOnBy(answerBegunAt);
+    }
+
     private void cancelAnswerCheck() {
         if (answerTimer != null) {
             answerTimer.cancel();
--- a/daemon/src/main/java/cedarrudder/transport/EndpointLimits.java
+++ b/daemon/src/main/java/cedarrudder/transport/EndpointLimits.java
@@ -8,9 +8,8 @@
  *
  * @param probeTimeout the time after which a probe without a response has failed
  * @param responseTimeout the time after which an incomplete response of which nothing more is
- *     received has failed; one that is still being received after this time is streamed to its
- *     client. Without it, a response that is shorter than its declared length, or whose head never
- *     ends, would be waited for until the request's deadline
+ *     received counts as paused, so that another attempt may be sent beside its own; one that is
+ *     still being received after this time is streamed to its client
  * @param maxHeadBytes the maximum size of a response's head, in bytes
  * @param maxBodyBytes the maximum size of a response's body, in bytes; a body over {@link
  *     BodyFlow#WINDOW} is streamed
--- a/lab/src/main/java/cedarrudder/lab/model/GuardedBalancer.java
+++ b/lab/src/main/java/cedarrudder/lab/model/GuardedBalancer.java
@@ -109,6 +109,11 @@
         event(() -> balancer.onRequest(at, request, standing));
     }
 
+    @Override
+    public void onResponsePaused(long at, long request) {
+        event(() -> balancer.onResponsePaused(at, request));
+    }
+
     @Override
     public void onFirstByte(long at, long request, int attempt, long endpoint, long latency) {
         event(() -> balancer.onFirstByte(at, request, attempt, endpoint, latency));
--- a/lab/src/main/java/cedarrudder/lab/trace/TracingBalancer.java
+++ b/lab/src/main/java/cedarrudder/lab/trace/TracingBalancer.java
@@ -111,6 +111,12 @@
                 request.deadline());
     }
 
+    @Override
+    public void onResponsePaused(long at, long request) {
+        now = at;
+        balancer.onResponsePaused(at, request);
+    }
+
     @Override
     public void onFirstByte(long at, long request, int attempt, long endpoint, long latency) {
         now = at;
