Follow what sockets hold, so that an upload read steadily keeps its wait

Cause: what the sockets may hold was taken as 10 MiB, which is a whole body there, so the wait counted from the start. Change: it is the largest send buffer of a client (4 MiB) and the receive buffer that this connection has now, and the instant until which more than that was missing follows each step of the body, with a declared length and without one.

--- a/core/src/main/java/cedarrudder/forwarding/UploadProgress.java
+++ b/core/src/main/java/cedarrudder/forwarding/UploadProgress.java
@@ -7,18 +7,15 @@
  * <p>The wait counts from the last byte that the client writes. While the proxy does not read the
  * body, because the endpoint does not take it or buffers are short, the client may write the rest
  * into the buffers of the sockets. The wait then counts from the earliest instant at which the
- * client may have written the last byte.
+ * client may have written the last byte: until then more was missing than these buffers hold.
  */
 public final class UploadProgress {
 
     /** The declared length of a body that declares none. */
     public static final long UNKNOWN_LENGTH = -1;
 
-    /**
-     * The most that the sockets between a client and the proxy buffer: Linux's default maxima of 4
-     * MiB for sending and 6 MiB for receiving.
-     */
-    static final long MAX_SOCKET_BUFFER_BYTES = 10L * 1024 * 1024;
+    /** Into how many steps the bytes that the buffers hold are divided to remember their times. */
+    private static final int STEPS = 32;
 
     private static final long NEVER = Long.MAX_VALUE;
 
@@ -28,43 +25,63 @@
     /** The instant since which written bytes may be unread; {@link #NEVER} if none are. */
     private long unreadSince = NEVER;
 
-    /** An earlier instant, and how many bytes had been received by then. */
-    private long markedAt;
+    /** Earlier instants, and how many bytes had been received by then; a ring, oldest first. */
+    private final long[] stepAt = new long[STEPS];
 
-    private long markedBytes;
+    private final long[] stepBytes = new long[STEPS];
+    private int firstStep;
+    private int steps;
 
     /**
-     * Creates the progress of a body that begins to be streamed now.
+     * Creates the progress of a body of which nothing is received yet.
      *
      * @param declaredLength {@link #UNKNOWN_LENGTH} if its head declares none
      */
-    public UploadProgress(long declaredLength, long now) {
+    public UploadProgress(long declaredLength) {
         this.declaredLength = declaredLength;
-        this.markedAt = now;
+    }
+
+    /** Records that all that the client had written by now was received. */
+    public void receivedAll(long bytes) {
+        receivedBytes = bytes;
+        unreadSince = NEVER;
+        steps = 0;
     }
 
     /**
-     * Sets how many bytes of the body have been received by now.
+     * Records how many bytes of the body have been received by now, where the client may have
+     * written more.
      *
-     * @param undecodedBytes how many bytes that were read wait to be decoded
-     * @param socketEmpty whether the client had written no more than these by now
+     * @param socketBufferBytes how many bytes the sockets between the client and the proxy hold
      */
-    public void received(long bytes, long undecodedBytes, boolean socketEmpty, long now) {
+    public void received(long bytes, long socketBufferBytes, long now) {
         boolean progressed = bytes > receivedBytes;
         receivedBytes = bytes;
-        boolean incomplete = undecodedBytes == 0 || bytes + undecodedBytes < declaredLength;
-        if (socketEmpty && incomplete) {
-            unreadSince = NEVER;
-            return;
-        }
         unreadSince = Math.min(unreadSince, now);
-        if (progressed && declaredLength - receivedBytes > MAX_SOCKET_BUFFER_BYTES) {
-            unreadSince = now; // the client can't have written the rest before
-        } else if (receivedBytes - markedBytes > MAX_SOCKET_BUFFER_BYTES) {
-            unreadSince = Math.max(unreadSince, markedAt); // it was still writing then
-            markedAt = now;
-            markedBytes = receivedBytes;
+        if (progressed && declaredLength - bytes > socketBufferBytes) {
+            unreadSince = now;
         }
+        while (steps > 0 && bytes - stepBytes[firstStep] > socketBufferBytes) {
+            unreadSince = Math.max(unreadSince, stepAt[firstStep]);
+            firstStep = (firstStep + 1) % STEPS;
+            steps--;
+        }
+        int last = (firstStep + steps + STEPS - 1) % STEPS;
+        boolean nextStep = steps == 0 || bytes - stepBytes[last] > socketBufferBytes / (STEPS - 2);
+        if (nextStep && steps < STEPS) {
+            int next = (firstStep + steps) % STEPS;
+            stepAt[next] = now;
+            stepBytes[next] = bytes;
+            steps++;
+        }
+    }
+
+    /**
+     * Returns whether bytes that were read and wait to be decoded, after this many that were
+     * received, may contain the last one.
+     */
+    public boolean mayEndWithin(long undecodedBytes, long bytes) {
+        return undecodedBytes > 0 && bytes + undecodedBytes >= declaredLength;
     }
 
     /** Returns the earliest instant, up to now, at which the client may have written all. */
--- a/daemon/src/main/java/cedarrudder/transport/RequestReader.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestReader.java
@@ -48,6 +48,9 @@
      */
     private static final long UPLOAD_SILENCE_NANOS = 5_000_000_000L;
 
+    /** The most that a client's socket holds: Linux's default maximum of a send buffer. */
+    private static final long MAX_SEND_BUFFER_BYTES = 4 * 1024 * 1024;
+
     private static final long NEVER = Long.MAX_VALUE;
 
     private final ServerContext server;
@@ -109,9 +112,15 @@
     }
 
     private void noteProgress(boolean socketEmpty) {
-        if (upload != null) {
-            progress.received(
-                    decoder.bodyBytesRead(), buffer.size(), socketEmpty, server.loop().now());
+        if (upload == null) {
+            return;
+        }
+        long received = decoder.bodyBytesRead();
+        if (socketEmpty && !progress.mayEndWithin(buffer.size(), received)) {
+            progress.receivedAll(received);
+        } else {
+            long socketBytes = MAX_SEND_BUFFER_BYTES + channel.config().getReceiveBufferSize();
+            progress.received(received, buffer.size() + socketBytes, server.loop().now());
         }
     }
 
@@ -293,7 +302,7 @@
         upload = flow;
         flow.whenWritable(() -> server.loop().run(this::continueUpload));
         long now = server.loop().now();
-        progress = new UploadProgress(length, now);
+        progress = new UploadProgress(length);
         connection.acceptRequest(request, now < shutdown.answerBy() ? progress : null);
     }
 
