Deny a request whose id may have run already

Cause: an id was known only while its request was open; as its client left, it was forgotten, though an attempt of it might still run.

Class: what an effect needs to be remembered for ended with its connection. Change: RequestForwarder.mayStart, through which every attempt passes right before its first byte, asks a RepeatGuard once for each request.

AdminOperationsTest excluded files by the end of their name from those that a call may leave behind; it now names the two that are not operators' requests, which is stricter.

--- a/core/src/main/java/cedarrudder/forwarding/Exchange.java
+++ b/core/src/main/java/cedarrudder/forwarding/Exchange.java
@@ -83,6 +83,8 @@
     private long timeoutAfterUpload;
     private boolean contentDiscarded;
     private boolean mayHaveRun;
+    private boolean abandoned;
+    private RepeatGuard.Permission startPermission;
     private RequestBudget budget;
     private DownstreamFeedback feedback;
 
@@ -293,6 +295,25 @@
         return mayHaveRun;
     }
 
+    /** Records that the client has left before the end of its answer. */
+    void abandon() {
+        abandoned = true;
+    }
+
+    /** Returns whether the request may start, given its id; null before its first attempt. */
+    RepeatGuard.Permission startPermission() {
+        return startPermission;
+    }
+
+    void startPermission(RepeatGuard.Permission granted) {
+        startPermission = granted;
+    }
+
+    /** Returns whether the id of the request, which is over, need not be remembered any longer. */
+    boolean forgetsId() {
+        return startPermission == RepeatGuard.Permission.FIRST && !(abandoned && mayHaveRun);
+    }
+
     /** Returns whether the exchange is over and no attempt is in flight, so it can be removed. */
     boolean isDone() {
         return isOver() && attemptsInFlight == 0;
--- a/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
@@ -34,6 +34,7 @@
 public final class RequestForwarder<Q, A> {
 
     private final TimerService timers;
+    private final Logger log;
     private final LoadBalancer balancer;
     private final Budgets budgets;
     private final RequestAccounting accounting;
@@ -44,6 +45,7 @@
     private final Map<Long, Exchange<Q, A>> exchanges = new HashMap<>();
     private AttemptTransport<Q, A> transport;
     private final ZoneShareLease zoneShares = new ZoneShareLease();
+    private RepeatGuard<Q> repeatGuard = RepeatGuard.none();
 
     /** Creates a forwarder without budgets and metrics. */
     public RequestForwarder(
@@ -71,6 +73,7 @@
             RequestMetrics metrics) {
         this.accounting = new RequestAccounting(metrics);
         this.timers = timers;
+        this.log = log;
         this.deadlines = new RequestDeadlines<>(this, accounting, timers, log);
         this.budgets = budgets;
         this.events = new SerialEventQueue(log, this::expireZoneShares);
@@ -89,6 +92,11 @@
         gate.attach(attemptTransport);
     }
 
+    /** Sets the guard against repeated requests; called before the first event. */
+    public void setRepeatGuard(RepeatGuard<Q> guard) {
+        repeatGuard = guard;
+    }
+
     /** Sets the counter of requests by zone; called before the first event. */
     public void countByZone(ZoneTrafficCounter counter) {
         accounting.countByZone(counter);
@@ -131,6 +139,7 @@
 
     /** Records that the client has disconnected: nothing more is sent for its request. */
     public void clientLeft(Exchange<Q, A> exchange) {
+        exchange.abandon();
         RequestAttempt<Q, A> streaming = exchange.streamingAttempt();
         if (exchange.endStreaming()) {
             accounting.onEnded(exchange, End.CLIENT_LEFT);
@@ -186,6 +195,9 @@
         if (exchange.isDone()) {
             exchange.cancelDeadline();
             exchanges.remove(exchange.request().id());
+            if (exchange.forgetsId()) {
+                repeatGuard.forget(exchange.content());
+            }
         }
     }
 
@@ -206,6 +218,9 @@
         }
         boolean canDetectDisconnect = exchange.isOver() || exchange.reply().canDetectDisconnect();
         endIfDenied(attempt, canDetectDisconnect);
+        if (!attempt.hasEnded() && !mayStartWithItsId(exchange)) {
+            failRepeat(exchange);
+        }
         if (attempt.hasEnded()) {
             return false;
         }
@@ -213,6 +228,20 @@
         return true;
     }
 
+    private boolean mayStartWithItsId(Exchange<Q, A> exchange) {
+        if (exchange.startPermission() == null) {
+            exchange.startPermission(repeatGuard.start(exchange.request(), exchange.content()));
+        }
+        return exchange.startPermission() != RepeatGuard.Permission.DENIED;
+    }
+
+    /** Fails a request whose id may have run before, which ends its attempts. */
+    private void failRepeat(Exchange<Q, A> exchange) {
+        log.warn("request.repeat_denied").with("request", exchange.request().id()).write();
+        exchange.reply().failed();
+        endWithoutBalancer(exchange, End.FAILED);
+    }
+
     /**
      * Returns the outcome with which a new attempt ends at once; null if it may be passed to the
      * transport.
--- a/daemon/src/main/java/cedarrudder/program/HandoverCoordinator.java
+++ b/daemon/src/main/java/cedarrudder/program/HandoverCoordinator.java
@@ -1,5 +1,6 @@
 package cedarrudder.program;
 
+import cedarrudder.forwarding.StartedRequestIds;
 import cedarrudder.logging.Logger;
 import cedarrudder.program.PersistedAdminState.AdminState;
 import cedarrudder.program.ProcessHandover.SiblingProcesses;
@@ -45,6 +46,8 @@
     private final Logger log;
     private final HttpServer server;
     private final EndpointAdministration endpoints;
+    private final Path folder;
+    private final StartedRequestIds startedRequests;
     private final Listener listener;
     private final PersistedAdminState persisted;
     private final ProcessHandover processes;
@@ -61,6 +64,7 @@
      *
      * @param folder the folder through which processes exchange state; used only where the proxy
      *     has an administrative address
+     * @param startedRequests the ids that the processes share
      */
     HandoverCoordinator(
             ProxyEventLoop loop,
@@ -68,11 +72,14 @@
             HttpServer server,
             EndpointAdministration endpoints,
             Path folder,
+            StartedRequestIds startedRequests,
             Listener listener) {
         this.loop = loop;
         this.log = log;
         this.server = server;
         this.endpoints = endpoints;
+        this.folder = folder;
+        this.startedRequests = startedRequests;
         this.listener = listener;
         this.persisted = new PersistedAdminState(folder);
         this.processes = new ProcessHandover(folder);
@@ -94,6 +101,19 @@
         } catch (IOException e) {
             warnUnreadable(e.toString());
         }
+        shareStartedRequests();
+    }
+
+    /** Shares the ids of started requests with the other processes. */
+    private void shareStartedRequests() {
+        if (processes.ownSlot() < 0) {
+            return;
+        }
+        try {
+            startedRequests.share(StartedRequestsFile.map(folder), processes.ownSlot(), loop.now());
+        } catch (IOException e) {
+            log.warn("state.write_failed").with("why", e.toString()).write();
+        }
     }
 
     /** Returns whether another process of this proxy ran before this one. */
@@ -195,6 +215,7 @@
                 mayRestore = pollsAwaitingPredecessor > MAX_POLLS_AWAITING_PREDECESSOR;
             }
             if (processes.rejoinIfReplaced(mayRestore, this::persistAll)) {
+                shareStartedRequests();
                 log.warn("state.restored").write();
             }
             pollsAwaitingPredecessor = 0;
--- a/daemon/src/main/java/cedarrudder/program/ProcessHandover.java
+++ b/daemon/src/main/java/cedarrudder/program/ProcessHandover.java
@@ -224,6 +224,11 @@
         return lock;
     }
 
+    /** Returns the number of this process's slot; -1 if it has none. */
+    int ownSlot() {
+        return ownSlot;
+    }
+
     /** Notifies the other processes that this one can serve. */
     void markReady() throws IOException, InterruptedException {
         ready = ready || ownSlot >= 0 && lock((long) READY_OFFSET + ownSlot) != null;
--- a/daemon/src/main/java/cedarrudder/program/ProxyServer.java
+++ b/daemon/src/main/java/cedarrudder/program/ProxyServer.java
@@ -8,6 +8,7 @@
 import cedarrudder.footprint.RouteTableCapacity;
 import cedarrudder.forwarding.DiscoveryPollSchedule;
 import cedarrudder.forwarding.RequestForwarder;
+import cedarrudder.forwarding.StartedRequestIds;
 import cedarrudder.logging.Logger;
 import cedarrudder.logging.TextLines;
 import cedarrudder.metrics.RequestMetrics;
@@ -45,6 +46,7 @@
 import cedarrudder.transport.MembershipService;
 import cedarrudder.transport.PeerSocket;
 import cedarrudder.transport.ProxyEventLoop;
+import cedarrudder.transport.RequestIdGuard;
 import cedarrudder.transport.SkewedClock;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -133,8 +135,7 @@
         server = newServer(budgets);
         forwarder.attach(connections, discovery, peers);
         endpoints = new EndpointAdministration(loop, log, forwarder);
-        handover =
-                new HandoverCoordinator(loop, log, server, endpoints, state, new OtherProcesses());
+        handover = newHandover(state);
         history =
                 historySettings == null
                         ? null
@@ -193,6 +194,14 @@
                 buffers);
     }
 
+    private HandoverCoordinator newHandover(Path state) {
+        StartedRequestIds startedRequests = new StartedRequestIds();
+        forwarder.setRepeatGuard(
+                new RequestIdGuard(configuration.site().module().classes(), startedRequests, loop));
+        return new HandoverCoordinator(
+                loop, log, server, endpoints, state, startedRequests, new OtherProcesses());
+    }
+
     /** Returns the maximum number of clients this process may have at once. */
     private int maxClients() {
         return operator.of(CallersTable.CALLERS).maxClients(configuration.sockets());
--- a/daemon/src/test/java/cedarrudder/program/AdminOperationsTest.java
+++ b/daemon/src/test/java/cedarrudder/program/AdminOperationsTest.java
@@ -174,9 +174,9 @@
             assertEquals(harness.status("POST", "/-/nodes/n0/enable"), 200);
             assertEquals(metric(harness, "out_of_rotation"), 0);
             try (Stream<Path> remaining = Files.list(harness.state)) {
-                assertEquals(
-                        remaining.filter(file -> !file.toString().endsWith("processes")).count(),
-                        0);
+                List<String> names =
+                        remaining.map(file -> file.getFileName().toString()).sorted().toList();
+                assertEquals(names, List.of("processes", "started-requests"));
             }
         }
         try (ProxyHarness harness = new ProxyHarness(1).withAdmin()) {
