--- a/daemon/src/test/java/cedarrudder/protocol/EndpointListParserTest.java
+++ b/daemon/src/test/java/cedarrudder/protocol/EndpointListParserTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -68,6 +69,24 @@
         assertEquals(startedAt(reader, "e", 0), 0, "long ago");
     }
 
+    /** Guards against overloading an endpoint that starts after the proxy's clock was set. */
+    @Test
+    public void anEndpointIsColdAfterAStepOfTheProxysWallClockAlone() throws Exception {
+        long hourMillis = 3_600_000;
+        for (long step : new long[] {hourMillis, -hourMillis, 30_000}) {
+            EndpointListParser reader = reader();
+            long trueMillis = unixMillis;
+            startedAt(reader, "a", 0);
+            unixMillis += step;
+            startedAt(reader, "a", 0);
+            long aSecondAgo = clock - 1_000_000_000L;
+            assertEquals(startedAt(reader, "b", trueMillis - 1000), aSecondAgo, "step " + step);
+            unixMillis += step; // a second one
+            assertEquals(startedAt(reader, "c", trueMillis - 1000), aSecondAgo, "step " + step);
+            assertTrue(startedAt(reader, "d", trueMillis + step - 1000) >= aSecondAgo);
+        }
+    }
+
     /** The ids of a long day must not accumulate. */
     @Test
     public void removedEndpointIsForgotten() throws Exception {
