Take the shortest possible age of an endpoint after the wall clock was set

Cause: its start time, of a clock that was not set, was compared with the wall clock of the proxy as it was then. Class: a span of real time was measured on a clock that may be set.

Change: WallClock remembers by how much the wall clock and the monotonic clock differed, for up to 16 settings, and takes the shortest age that is possible under one of them, or 0: an endpoint that may be cold counts as cold. Clocks that were never set give the same ages as before.

Looked at besides: a start time once reported keeps its instant, so a step in the middle of the slow start changes nothing (as before); a step back before a restart of the proxy gives ages below 0, which count as a start now, for the time of one slow start and not for an hour; a step forward before a restart can't be seen by the new process (open). Other uses of the wall clock: calendar conditions of drain policies and time stamps, which mean that clock; the incarnation of a replica, in parts that the deploy file leaves off (open).

The new test left its clock set, which failed another test of the class; it now restores it.

--- a/daemon/src/main/java/cedarrudder/protocol/EndpointListParser.java
+++ b/daemon/src/main/java/cedarrudder/protocol/EndpointListParser.java
@@ -23,7 +23,7 @@
 
     private final SiteSettings site;
     private final LongSupplier clock;
-    private final LongSupplier unixMillis;
+    private final WallClock wallClock;
     private final Map<String, Long> numbersById = new HashMap<>();
     private final Map<String, Start> startsById = new HashMap<>();
     private final Map<Long, String> idsByNumber = new HashMap<>();
@@ -42,7 +42,7 @@
     public EndpointListParser(SiteSettings site, LongSupplier clock, LongSupplier unixMillis) {
         this.site = site;
         this.clock = clock;
-        this.unixMillis = unixMillis;
+        this.wallClock = new WallClock(clock, unixMillis);
     }
 
     /** Returns how many endpoints have a number. */
@@ -60,6 +60,7 @@
      * @throws IllegalArgumentException if the list as a whole can't be read; the message says why
      */
     public EndpointList read(JsonObject json) {
+        wallClock.observe();
         long version = json.integer("version");
         boolean full = json.flag("full", false);
         List<JsonObject> entries = json.objects("servers", true);
@@ -142,14 +143,13 @@
      * Returns the instant of an endpoint's start; 0 for long ago.
      *
      * <p>The instant is computed from both clocks when the start time is first reported, and
-     * cached. If it were computed again, a slightly different result would look like a restart, and
-     * after the machine's clock was set a cold endpoint would look warm or a warm one cold.
+     * cached. If it were computed again, a slightly different result would look like a restart.
      */
     private long startedAt(String id, double millis) {
         Start known = startsById.get(id);
         if (known == null || known.millis() != millis) {
-            double age = Math.max(0, unixMillis.getAsLong() - millis);
-            known = new Start(millis, millis == 0 ? 0 : clock.getAsLong() - (long) (age * 1e6));
+            long instant = clock.getAsLong() - wallClock.nanosSince(millis);
+            known = new Start(millis, millis == 0 ? 0 : instant);
             startsById.put(id, known);
         }
         return known.instant();
--- a/daemon/src/test/java/cedarrudder/protocol/EndpointListParserTest.java
+++ b/daemon/src/test/java/cedarrudder/protocol/EndpointListParserTest.java
@@ -84,6 +84,7 @@
             unixMillis += step; // a second one
             assertEquals(startedAt(reader, "c", trueMillis - 1000), aSecondAgo, "step " + step);
             assertTrue(startedAt(reader, "d", trueMillis + step - 1000) >= aSecondAgo);
+            unixMillis = trueMillis;
         }
     }
 
