Accept the next connection at once after a failed accept

Cause: Netty's acceptor takes any error of accept for a shortage and accepts nothing for 1 s. ECONNABORTED is the end of one client only.

Change: HandoverSocket, which clients' and operators' addresses use, goes on with the next connection; after 8 failures in a row it pauses for 20 ms, since a shortage would report the same connection without end. A handover that empties the queue goes on after a failure too, where it reset the rest of the queue.

--- a/daemon/src/main/java/cedarrudder/transport/HandoverSocket.java
+++ b/daemon/src/main/java/cedarrudder/transport/HandoverSocket.java
@@ -10,11 +10,23 @@
 import java.util.List;
 
 /**
- * A listening socket that can be closed without losing the connections that wait to be accepted.
+ * A listening socket that can be closed without losing the connections that wait to be accepted,
+ * and that goes on accepting after a failure.
  */
 final class HandoverSocket extends NioServerSocketChannel {
 
+    /**
+     * The number of failures in a row after which accepting pauses: not one aborted connection, but
+     * a shortage, of which the selector would report the same connection without end.
+     */
+    private static final int MAX_FAILURES_IN_A_ROW = 8;
+
+    private static final long SHORTAGE_PAUSE_NANOS = 20_000_000L;
+
     private final ProxyEventLoop loop;
+    private boolean accepting = true;
+    private boolean paused;
+    private int failuresInARow;
 
     /**
      * Creates a socket that is not bound yet.
@@ -40,6 +52,49 @@
         };
     }
 
+    /** Sets whether connections are accepted from now on; others wait in the queue. */
+    void setAccepting(boolean accepts) {
+        accepting = accepts;
+        config().setAutoRead(accepting && !paused);
+    }
+
+    /**
+     * Accepts one connection. A failure is not passed on, for which Netty would accept no further
+     * connection for a second.
+     */
+    @Override
+    protected int doReadMessages(List<Object> accepted) throws Exception {
+        try {
+            int count = super.doReadMessages(accepted);
+            failuresInARow = 0;
+            return count;
+        } catch (IOException e) {
+            if (!isOpen()) {
+                throw e;
+            }
+            onAcceptFailed(e);
+            return 0;
+        }
+    }
+
+    private void onAcceptFailed(IOException cause) {
+        loop.log().warn("listener.accept_failed").with("why", cause).write();
+        failuresInARow++;
+        if (failuresInARow >= MAX_FAILURES_IN_A_ROW) {
+            failuresInARow = 0;
+            paused = true;
+            setAccepting(accepting);
+            loop.at(loop.now() + SHORTAGE_PAUSE_NANOS, this::endPause);
+        }
+    }
+
+    private void endPause() {
+        paused = false;
+        if (isOpen()) {
+            setAccepting(accepting);
+        }
+    }
+
     /**
      * Accepts all waiting connections and closes the socket right after the last. The kernel resets
      * the connections that are in the queue of a socket when it is closed.
@@ -61,15 +116,10 @@
             return;
         }
         List<SocketChannel> waiting = new ArrayList<>();
-        try {
-            for (SocketChannel next = javaChannel().accept();
-                    next != null;
-                    next = javaChannel().accept()) {
-                waiting.add(next);
+        for (int failures = 0; failures < MAX_FAILURES_IN_A_ROW; failures++) {
+            if (acceptWaiting(waiting)) {
+                break;
             }
-        } catch (IOException e) {
-            // For example, no descriptor is left: waiting connections are reset, as they would be
-            // if none were accepted here.
         }
         try {
             javaChannel().close();
@@ -83,4 +133,21 @@
         close();
         then.run();
     }
+
+    /**
+     * Accepts until the queue is empty; returns false if that fails before. If it keeps failing,
+     * the waiting connections are reset, as they would be if none were accepted here.
+     */
+    private boolean acceptWaiting(List<SocketChannel> waiting) {
+        try {
+            for (SocketChannel next = javaChannel().accept();
+                    next != null;
+                    next = javaChannel().accept()) {
+                waiting.add(next);
+            }
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
 }
--- a/daemon/src/main/java/cedarrudder/transport/HttpServer.java
+++ b/daemon/src/main/java/cedarrudder/transport/HttpServer.java
@@ -75,9 +75,7 @@
         this.shutdown = new GracefulShutdown(context, SWEEP_NANOS);
         this.connections =
                 new ClientConnections(
-                        context,
-                        maxClients,
-                        accepting -> listening.config().setAutoRead(accepting));
+                        context, maxClients, accepting -> listening.setAccepting(accepting));
         shutdown.attach(connections);
     }
 
