Repeat a connect that fails on this machine, and blame no endpoint for it

Cause: each failed connect counted as an endpoint that is out of connections: no new ones to it for 300 ms, and no idle ones kept for 3 s at any, so that each attempt needed a new connection and more of them failed.

Class: a failure of the own machine was held against the endpoint. Change: the pool repeats such a connect after 10 ms, until the connect timeout; only a refused connection and one not accepted in time are the endpoint's.

An outage in which every connect fails gets final answers, and requests are served right after it.

--- a/daemon/src/main/java/cedarrudder/transport/EndpointConnectionPool.java
+++ b/daemon/src/main/java/cedarrudder/transport/EndpointConnectionPool.java
@@ -15,7 +15,8 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelOption;
-import io.netty.util.concurrent.Future;
+import io.netty.channel.ConnectTimeoutException;
+import java.net.ConnectException;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
@@ -46,6 +47,13 @@
 
     private static final int FIRST_READ_BYTES = 1024;
     private static final long DEFAULT_CONNECT_TIMEOUT_NANOS = 1_000_000_000L;
+
+    /** The delay after which a connect is repeated that failed on this machine. */
+    private static final long RECONNECT_NANOS = 10_000_000L;
+
+    /** How the error of a refused connection begins; the class of several errors is the same. */
+    private static final String CONNECTION_REFUSED = "Connection refused";
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /**
@@ -60,6 +68,7 @@
     private final RequestMetrics metrics;
     private final BufferAccount buffers;
     private final Bootstrap bootstrap;
+    private final long connectTimeoutNanos;
     private final long idleLimitNanos;
     private EndpointLimits limits;
     private EndpointLimits.Bounds bounds;
@@ -93,11 +102,12 @@
         this.buffers = buffers;
         long idle = site.module().limits().connectionIdleNanos();
         this.idleLimitNanos = idle == 0 ? Long.MAX_VALUE : (long) (idle * IDLE_LIMIT_FRACTION);
-        this.bootstrap = bootstrap(connectTimeoutNanos(site.module()));
+        this.connectTimeoutNanos = connectTimeoutNanos(site.module());
+        this.bootstrap = bootstrap();
         sweepTimer = loop.at(loop.now() + SWEEP_NANOS, this::sweep);
     }
 
-    private Bootstrap bootstrap(long connectTimeoutNanos) {
+    private Bootstrap bootstrap() {
         return new Bootstrap()
                 .group(loop.group())
                 .channelFactory(EndpointSocket::new)
@@ -245,24 +255,47 @@
     }
 
     private void connect(UpstreamEndpoint endpoint, EndpointCall call) {
+        connect(endpoint, call, loop.now() + connectTimeoutNanos);
+    }
+
+    /** Connects; repeats that until an instant if it fails on this machine. */
+    private void connect(UpstreamEndpoint endpoint, EndpointCall call, long repeatUntil) {
         EndpointConnection connection = new EndpointConnection(this, endpoint);
         loop.connect(
                 bootstrap.clone().handler(connection),
                 endpoint.address(),
-                done -> onConnectDone(done, connection, call));
+                done -> {
+                    if (done.isSuccess()) {
+                        connection.onConnected(call);
+                    } else if (done.cause() instanceof ChannelException) {
+                        call.notStarted(); // no descriptor is available
+                    } else if (isRefused(done.cause()) || loop.now() >= repeatUntil) {
+                        call.connectionFailed();
+                    } else {
+                        loop.at(
+                                loop.now() + RECONNECT_NANOS,
+                                () -> reconnect(endpoint, call, repeatUntil));
+                    }
+                });
     }
 
-    private static void onConnectDone(
-            Future<?> done, EndpointConnection connection, EndpointCall call) {
-        if (done.isSuccess()) {
-            connection.onConnected(call);
-        } else if (done.cause() instanceof ChannelException) {
-            call.notStarted(); // no descriptor is available
-        } else {
-            call.connectionFailed();
+    private void reconnect(UpstreamEndpoint endpoint, EndpointCall call, long repeatUntil) {
+        if (!call.hasEnded()) {
+            connect(endpoint, call, repeatUntil);
         }
     }
 
+    /**
+     * Returns whether a failure to connect is the endpoint's: it refused the connection or did not
+     * accept it in time. All others are of this machine, such as no address or no route for a
+     * moment, and say nothing about the endpoint.
+     */
+    private static boolean isRefused(Throwable cause) {
+        return cause instanceof ConnectTimeoutException
+                || cause instanceof ConnectException
+                        && String.valueOf(cause.getMessage()).contains(CONNECTION_REFUSED);
+    }
+
     // ---- idle connections
 
     @Override
