--- a/daemon/src/test/java/cedarrudder/transport/ClientConnectionTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/ClientConnectionTest.java
@@ -363,6 +363,42 @@
         }
     }
 
+    /** Guards against one client that pipelines requests and delays all others. */
+    @Test
+    public void aPipeliningClientGetsABoundedPartOfATurnOfTheLoop() throws Exception {
+        int pipelined = 280;
+        int maxBefore = 64;
+        List<String> order = new ArrayList<>();
+        try (Service service = new Service();
+                Socket pipelines = service.client();
+                Socket other = service.client()) {
+            service.rejectsAtOnce = true;
+            service.requestListener =
+                    (request, client) -> order.add(request.content().head().fields().get("req-id"));
+            for (Socket client : List.of(pipelines, other)) {
+                send(client, request("first"));
+                assertTrue(read(client).startsWith("HTTP/1.1 503"));
+            }
+            StringBuilder all = new StringBuilder();
+            for (int i = 0; i < pipelined; i++) {
+                all.append(request("pipelined-" + i));
+            }
+            service.on(
+                    () -> {
+                        order.clear();
+                        send(pipelines, all.toString());
+                        send(other, request("other"));
+                        return null;
+                    });
+            for (int i = 0; i < pipelined; i++) {
+                assertTrue(read(pipelines).startsWith("HTTP/1.1 503"), "answer " + i);
+            }
+            assertTrue(read(other).startsWith("HTTP/1.1 503"));
+            int before = service.on(() -> order.indexOf("other"));
+            assertTrue(before >= 0 && before <= maxBefore, before + " requests before it");
+        }
+    }
+
     /**
      * The timeout of a request starts with its last byte, even if it waits behind another one, and
      * that of a request received later starts later; otherwise responses are sent long after their
