Bound how many requests of one connection a turn of the loop decodes

Cause: a connection went on decoding as long as bytes were read and requests were answered at once (health checks, rejected ones): up to two reads of 16 KiB, some hundreds of requests, before any other connection was served.

Change: RequestReader decodes 16 requests of a read and goes on in the next turn of the loop. A connection with requests that wait so counts as one with input: it is not chosen for eviction, nor closed as idle, and the end of the process decodes them first.

Evidence: aPipeliningClientGetsABoundedPartOfATurnOfTheLoop, red before (155 requests before another client's), green now. ClientConnectionTest, HttpServerTest, ClientScenarioTest and GracefulShutdownTest passed.

--- a/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
@@ -453,9 +453,10 @@
     boolean isUnchangedAfterRead() {
         ClientConnectionState before = state;
         long received = reader.receivedBytes();
+        reader.resumeDecoding();
         reader.readNow();
-        return state == before
-                && (reader.receivedBytes() == received || !before.isBetweenRequests());
+        boolean hasInput = reader.receivedBytes() != received || reader.hasBytes();
+        return state == before && !(hasInput && before.isBetweenRequests());
     }
 
     /**
@@ -498,6 +499,7 @@
      * to end.
      */
     void cutOff() {
+        reader.resumeDecoding();
         reader.readNow();
         if (request != null) {
             server.forwarder().expireNow(request.exchange());
--- a/daemon/src/main/java/cedarrudder/transport/RequestReader.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestReader.java
@@ -48,6 +48,15 @@
      */
     private static final long UPLOAD_SILENCE_NANOS = 5_000_000_000L;
 
+    /**
+     * The maximum number of requests that are decoded from one read; further ones wait for the next
+     * turn of the event loop, so that a client that pipelines requests uses little of each turn.
+     */
+    private static final int MAX_REQUESTS_PER_READ = 16;
+
+    /** The delay of the next turn: timers run once per turn, unlike tasks. */
+    private static final long NEXT_TURN_NANOS = 1;
+
     /** The most that a client's socket holds: Linux's default maximum of a send buffer. */
     private static final long MAX_SEND_BUFFER_BYTES = 4 * 1024 * 1024;
 
@@ -68,6 +77,10 @@
     private UploadProgress progress;
 
     private boolean decoding;
+    private int requestsDecoded;
+
+    /** Whether complete requests may wait for the next turn of the event loop. */
+    private boolean waitsForNextTurn;
 
     /** The bytes of the request that is being read that are charged to the account. */
     private int collected;
@@ -106,6 +119,9 @@
             return;
         }
         buffer.add(bytes);
+        if (!decoding) {
+            requestsDecoded = 0;
+        }
         decode();
         noteProgress(socketEmpty);
         continueReading();
@@ -227,10 +243,14 @@
         }
         decoding = true;
         try {
-            while (buffer.hasBytes() && decodesInput()) {
+            while (!waitsForNextTurn && buffer.hasBytes() && decodesInput()) {
                 if (upload != null && upload.isFull()) {
                     break;
                 }
+                if (requestsDecoded >= MAX_REQUESTS_PER_READ) {
+                    waitForNextTurn();
+                    break;
+                }
                 decodeNext();
             }
         } catch (MalformedMessageException e) {
@@ -252,6 +272,21 @@
         }
     }
 
+    private void waitForNextTurn() {
+        waitsForNextTurn = true;
+        server.loop().at(server.loop().now() + NEXT_TURN_NANOS, this::resumeDecoding);
+    }
+
+    /** Decodes the requests that wait for the next turn of the event loop, if any do. */
+    void resumeDecoding() {
+        if (waitsForNextTurn) {
+            waitsForNextTurn = false;
+            requestsDecoded = 0;
+            decode();
+            continueReading();
+        }
+    }
+
     private void decodeNext() throws MalformedMessageException {
         if (upload != null) {
             decodeUpload();
@@ -263,6 +298,7 @@
         HttpMessage request = decoder.decode(buffer.bytes());
         chargeCollected();
         if (request != null) {
+            requestsDecoded++;
             connection.acceptRequest(request, null);
         } else if (decoder.large()) {
             startUpload();
