Add a failing test for clients that stop within a large body

Within a body of over 64 KiB it took 5.0 and 5.1 s, by length and chunked; smaller ones were in time.

--- a/daemon/src/test/java/cedarrudder/program/StalledUploadScenarioTest.java
+++ b/daemon/src/test/java/cedarrudder/program/StalledUploadScenarioTest.java
@@ -7,6 +7,7 @@
 import cedarrudder.program.ProxyHarness.Received;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +28,9 @@
     /** The time past its deadline after which an answer counts as lost, and the network's share. */
     private static final int ALLOWED_LATE_MILLIS = 550;
 
+    /** What a client is owed that stops within a request and stays, and the network's share. */
+    private static final int MAX_STOP_MILLIS = 3_050;
+
     private static final int PIECE_BYTES = 16 * 1024;
     private static final String LAST_CHUNK = "0\r\n\r\n";
 
@@ -166,4 +170,30 @@
             assertEquals(client.read().body(), "done");
         }
     }
+
+    @DataProvider
+    public Object[][] stops() {
+        return new Object[][] {{false, 1_000}, {false, 100_000}, {true, 1_000}, {true, 100_000}};
+    }
+
+    /** Guards against a client that stops within its body and stays without an end. */
+    @Test(dataProvider = "stops")
+    public void aClientThatStopsWithinItsBodyGetsItsEndInTime(boolean chunked, int bytes)
+            throws Exception {
+        try (ProxyHarness harness = harness(1);
+                Client client = harness.client()) {
+            TestEndpoints.handleRequests(
+                    harness, request -> readSlowly(request, Integer.MAX_VALUE, 0));
+            client.send(head("stops", "order", chunked ? -1 : STALLING_BYTES, 20_000));
+            client.send((chunked ? "f4240\r\n" : "") + "x".repeat(bytes));
+            long stoppedAt = System.nanoTime();
+            try {
+                client.readAll();
+            } catch (SocketException e) {
+                // a reset is an end too
+            }
+            long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stoppedAt);
+            assertTrue(tookMillis <= MAX_STOP_MILLIS, tookMillis + " ms");
+        }
+    }
 }
