Count all that the kernel holds between a client and the proxy

What was seen: anUploadThatIsReadLateIsAnsweredAtItsDeadline failed once, 1,760 ms late, after 4 passes. Traced: the wait moved to the instant at which the node began to read, as 4.2 MB were missing then and 4.13 MB were taken for the most that the sockets hold. The virtual machine reports half of SO_RCVBUF (65,536 in the trace, where the kernel holds 131,072), and a write may pass a send buffer that is not full.

Change: both count.

--- a/daemon/src/main/java/cedarrudder/transport/RequestReader.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestReader.java
@@ -57,8 +57,11 @@
     /** The delay of the next turn: timers run once per turn, unlike tasks. */
     private static final long NEXT_TURN_NANOS = 1;
 
-    /** The most that a client's socket holds: Linux's default maximum of a send buffer. */
-    private static final long MAX_SEND_BUFFER_BYTES = 4 * 1024 * 1024;
+    /**
+     * The most that a client's socket holds: Linux's default maximum of a send buffer, 4 MiB, and
+     * what one write may add to a buffer that is not full.
+     */
+    private static final long MAX_SEND_BUFFER_BYTES = (4 * 1024 + 256) * 1024;
 
     private static final long NEVER = Long.MAX_VALUE;
 
@@ -135,11 +138,16 @@
         if (socketEmpty && !progress.mayEndWithin(buffer.size(), received)) {
             progress.receivedAll(received);
         } else {
-            long socketBytes = MAX_SEND_BUFFER_BYTES + channel.config().getReceiveBufferSize();
-            progress.received(received, buffer.size() + socketBytes, server.loop().now());
+            progress.received(received, buffer.size() + socketBytes(), server.loop().now());
         }
     }
 
+    /** Returns the most that the sockets between the client and the proxy hold now, in bytes. */
+    private long socketBytes() {
+        // The virtual machine reports half of what the kernel holds (socket(7), SO_RCVBUF).
+        return MAX_SEND_BUFFER_BYTES + 2L * channel.config().getReceiveBufferSize();
+    }
+
     /** Returns whether input is dropped. */
     boolean dropsInput() {
         return connection.state().isEnding() && !decodesInput();
