Close on a client that stops within a large body after 2.5 s

Cause: the bound on silence of a streamed body, UPLOAD_SILENCE_NANOS, was 5 s; that on whole requests is 2.5 s, and now both are.

Evidence: aClientThatStopsWithinItsBodyGetsItsEndInTime, 2 of 4 rows red before (5.0 and 5.1 s), 4 of 4 green; BodyScenarioTest and the sound slow uploads of StalledUploadScenarioTest passed.

--- a/daemon/src/main/java/cedarrudder/transport/RequestReader.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestReader.java
@@ -46,7 +46,7 @@
      * The time after which a client that sends no more of a body, although it could, is considered
      * gone.
      */
-    private static final long UPLOAD_SILENCE_NANOS = 5_000_000_000L;
+    private static final long UPLOAD_SILENCE_NANOS = 2_500_000_000L;
 
     /**
      * The maximum number of requests that are decoded from one read; further ones wait for the next
