Log what happens to each request, by number, with the reason of each end

At level debug: request.accepted with the number and the Req-Id, attempt.started, attempt.response_paused, attempt.ended with its outcome, request.ended with what its client got after how many attempts, client.timed_out with the state, endpoint.connection_closed with the reason. endpoint.response_rejected (a warning) has the request now. Below its level an event costs a comparison.

--- a/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
@@ -34,7 +34,7 @@
 public final class RequestForwarder<Q, A> {
 
     private final TimerService timers;
-    private final Logger log;
+    private final RequestLog requestLog;
     private final LoadBalancer balancer;
     private final Budgets budgets;
     private final RequestAccounting accounting;
@@ -73,7 +73,7 @@
             RequestMetrics metrics) {
         this.accounting = new RequestAccounting(metrics);
         this.timers = timers;
-        this.log = log;
+        this.requestLog = new RequestLog(timers, log);
         this.deadlines = new RequestDeadlines<>(this, accounting, timers, log);
         this.budgets = budgets;
         this.events = new SerialEventQueue(log, this::expireZoneShares);
@@ -164,6 +164,7 @@
     /** Ends an exchange; only {@link #responseStarted} ends one in another way. */
     private void end(Exchange<Q, A> exchange, End end) {
         exchange.end();
+        requestLog.requestEnded(exchange, end);
         accounting.onEnded(exchange, end);
         dropWaitingAttempts(exchange);
     }
@@ -225,6 +226,7 @@
             return false;
         }
         attempt.startWriting();
+        requestLog.attemptStarted(attempt);
         return true;
     }
 
@@ -237,7 +239,7 @@
 
     /** Fails a request whose id may have run before, which ends its attempts. */
     private void failRepeat(Exchange<Q, A> exchange) {
-        log.warn("request.repeat_denied").with("request", exchange.request().id()).write();
+        requestLog.repeatDenied(exchange);
         exchange.reply().failed();
         endWithoutBalancer(exchange, End.FAILED);
     }
@@ -294,6 +296,7 @@
         events.post(
                 () -> {
                     if (!attempt.hasEnded() && !attempt.exchange().isOver()) {
+                        requestLog.responsePaused(attempt);
                         balancer.onResponsePaused(timers.now(), attempt.exchange().request().id());
                     }
                 });
@@ -364,6 +367,7 @@
             DownstreamFeedback feedback) {
         Exchange<Q, A> exchange = attempt.exchange();
         exchange.attemptEnded(outcome);
+        requestLog.attemptEnded(attempt, outcome, latency);
         if (attempt.propagatedBudget() != null) {
             budgets.onAttemptEnded(
                     timers.now(),
--- a/daemon/src/main/java/cedarrudder/transport/AttemptCall.java
+++ b/daemon/src/main/java/cedarrudder/transport/AttemptCall.java
@@ -42,6 +42,11 @@
         this.attempt = attempt;
     }
 
+    @Override
+    long requestNumber() {
+        return attempt.exchange().request().id();
+    }
+
     /**
      * Returns whether the attempt may start; fails it if the endpoint was removed, since its
      * address may belong to another endpoint now.
--- a/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
@@ -146,6 +146,12 @@
         if (server.loop().now() < timeoutAt) {
             return;
         }
+        server.loop()
+                .log()
+                .debug("client.timed_out")
+                .with("client", remoteAddress())
+                .with("state", state)
+                .write();
         if (state.acceptsRequests()) {
             closeOrLinger();
         } else {
@@ -236,6 +242,14 @@
         }
         accepted.setExchange(exchange);
         request = accepted;
+        server.loop()
+                .log()
+                .debug("request.accepted")
+                .with("request", read.id())
+                .with("id", id)
+                .with("client", remoteAddress())
+                .with("upload", upload == null ? "no" : "yes")
+                .write();
         server.accept(exchange, accepted);
     }
 
--- a/daemon/src/main/java/cedarrudder/transport/EndpointCall.java
+++ b/daemon/src/main/java/cedarrudder/transport/EndpointCall.java
@@ -41,6 +41,11 @@
         return state == State.ENDED;
     }
 
+    /** Returns the number of the request, for the log; 0 if this is none of a client. */
+    long requestNumber() {
+        return 0;
+    }
+
     // ---- content
 
     /**
--- a/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
@@ -435,11 +435,24 @@
         loop.log()
                 .warn("endpoint.response_rejected")
                 .with("endpoint", endpoint.address())
+                .with("request", call == null ? 0 : call.requestNumber())
                 .with("why", why)
                 .write();
         fail();
     }
 
+    private void failClosed(String why) {
+        if (call != null) {
+            loop.log()
+                    .debug("endpoint.connection_closed")
+                    .with("endpoint", endpoint.address())
+                    .with("request", call.requestNumber())
+                    .with("why", why)
+                    .write();
+        }
+        fail();
+    }
+
     /**
      * Closes the connection, then reports the failure of its call: a closed channel delivers no
      * more events.
@@ -482,7 +495,7 @@
         if (last != null) {
             finish(last, false);
         } else {
-            fail();
+            failClosed("closed by the endpoint");
         }
     }
 
@@ -495,6 +508,6 @@
                     .write();
         }
         // Called before the channel is inactive: the received part of a response is not complete.
-        fail();
+        failClosed(cause.toString());
     }
 }
--- a/daemon/src/test/java/cedarrudder/program/PausingResponseScenarioTest.java
+++ b/daemon/src/test/java/cedarrudder/program/PausingResponseScenarioTest.java
@@ -109,6 +109,37 @@
         }
     }
 
+    /** What happens to the proxy while a response pauses. */
+    private interface Disturbance {
+        void begin(ProxyHarness harness) throws Exception;
+    }
+
+    @DataProvider
+    public Object[][] disturbances() {
+        Disturbance reload = harness -> harness.reload(harness.configuration());
+        Disturbance drain = harness -> assertEquals(harness.status("POST", "/-/drain"), 200);
+        Disturbance end = harness -> new Thread(harness::end).start();
+        return new Object[][] {{reload, CHUNKED}, {drain, ENDS_BY_CLOSE}, {end, CHUNKED}};
+    }
+
+    /** Guards against cutting off a response that pauses during a reload, a drain or an end. */
+    @Test(dataProvider = "disturbances")
+    public void aLongResponseThatPausesMeanwhileIsServedWhole(
+            Disturbance disturbance, String framing) throws Exception {
+        try (ProxyHarness harness = new ProxyHarness(1).withAdmin().start();
+                Client client = harness.client()) {
+            client.send(request("order", 30_000));
+            Received received = harness.nextRequest();
+            TestEndpoints.daemon(
+                    () -> {
+                        received.raw("HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n");
+                        sendWithOnePause(received, framing, 26_603);
+                    });
+            disturbance.begin(harness);
+            assertWhole(client, framing);
+        }
+    }
+
     private static void sendWithOnePause(Received request, String framing, int firstBytes)
             throws Exception {
         String first = "y".repeat(firstBytes);
--- a/daemon/src/test/java/cedarrudder/program/RepeatedIdScenarioTest.java
+++ b/daemon/src/test/java/cedarrudder/program/RepeatedIdScenarioTest.java
@@ -6,6 +6,7 @@
 import cedarrudder.balancer.Await;
 import cedarrudder.program.ProxyHarness.Client;
 import cedarrudder.program.ProxyHarness.Received;
+import java.nio.file.Files;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -102,6 +103,22 @@
         }
     }
 
+    /** Guards against a start that fails because the folder of the processes does. */
+    @Test
+    public void anUnsafeIdDoesNotRunAgainWhereTheSharedFileFails() throws Exception {
+        try (ProxyHarness harness = new ProxyHarness(2).withAdmin()) {
+            Files.createDirectories(harness.state.resolve("started-requests"));
+            harness.start();
+            harness.awaitLog("state.write_failed");
+            try (Client leaves = harness.client()) {
+                leaves.send(request("order"));
+                harness.nextRequest();
+            }
+            awaitLeft(harness);
+            assertEquals(answer(harness, request("order")).first(), FAILED);
+        }
+    }
+
     /** Guards against an effect whose answer was cut off with its client, and that comes again. */
     @Test
     public void anIdWhoseClientLeftWithinItsAnswerDoesNotRunAgain() throws Exception {
