Count a paused response that another attempt overtakes as a failure

A response that pauses no longer ends its attempt, so an endpoint whose responses never end was not seen as failing any more: its attempts were cancelled once the hedged request beside them was served, which says nothing about an endpoint.

Such an attempt counts as one failure of its endpoint now. A pause alone, or one that ends, counts as none, so that slow responses don't empty the choice.

Evidence: endpointWhosePausedResponsesAreOvertakenIsAvoided fails without the change (the endpoint keeps getting requests until no retry token is left for a hedged one) and passes with it; RulesTest and RequestForwarderTest passed.

--- a/core/src/main/java/cedarrudder/balancer/EndpointState.java
+++ b/core/src/main/java/cedarrudder/balancer/EndpointState.java
@@ -168,6 +168,14 @@
         failures.record(now, outcome == Outcome.OK);
     }
 
+    /**
+     * Records that another attempt was served while the response of this endpoint to the same
+     * request paused.
+     */
+    void onOvertaken(long now) {
+        failures.record(now, false);
+    }
+
     /** Records a successful response; call it before {@link #onAttemptEnded}. */
     void onServed(long now, int replicas, long latency, long expectedWorkNanos) {
         concurrencyLimit.onResponse(estimatedInFlight(now, replicas), latency, expectedWorkNanos);
--- a/core/src/main/java/cedarrudder/balancer/LoadBalancer.java
+++ b/core/src/main/java/cedarrudder/balancer/LoadBalancer.java
@@ -296,7 +296,7 @@
      * of it was received for some time, and none of it was forwarded to the client. The attempt
      * goes on; another one may be sent beside it. Reported again as long as the pause lasts.
      */
-    default void onResponsePaused(long now, long request) {}
+    default void onResponsePaused(long now, long request, int attempt) {}
 
     /** Handles the disconnection of the client; the request is over. */
     void onClientLeft(long now, long request);
--- a/core/src/main/java/cedarrudder/balancer/PrequalBalancer.java
+++ b/core/src/main/java/cedarrudder/balancer/PrequalBalancer.java
@@ -256,9 +256,13 @@
     }
 
     @Override
-    public void onResponsePaused(long now, long requestId) {
+    public void onResponsePaused(long now, long requestId, int attemptNumber) {
         RequestState request = requests.get(requestId);
-        if (request != null && !request.isAnswered() && retries.isHedged(request)) {
+        if (request == null || request.isAnswered() || request.attempt(attemptNumber) == null) {
+            return;
+        }
+        request.attempt(attemptNumber).markPaused();
+        if (retries.isHedged(request)) {
             hedge(now, request);
         }
     }
@@ -320,6 +324,9 @@
         }
         admission.onAttemptEnded(now, request, outcome, subset.ring().size());
         endpoint.onAttemptEnded(now, outcome);
+        if (outcome == Outcome.CANCELLED && attempt.isPaused() && request.isAnswered()) {
+            endpoint.onOvertaken(now);
+        }
         probes.onAttemptEnded(outcome);
         idleConnections.onAttemptEnded(now, endpoint);
         if (settled || request.isAnswered()) {
--- a/core/src/main/java/cedarrudder/balancer/RequestState.java
+++ b/core/src/main/java/cedarrudder/balancer/RequestState.java
@@ -17,6 +17,7 @@
         private final EndpointState endpoint;
         private final long sentAt;
         private Outcome outcome;
+        private boolean paused;
 
         private Attempt(EndpointState endpoint, long sentAt) {
             this.endpoint = endpoint;
@@ -33,6 +34,16 @@
             return sentAt;
         }
 
+        /** Records that the response has begun and pauses. */
+        void markPaused() {
+            paused = true;
+        }
+
+        /** Returns whether the response has paused. */
+        boolean isPaused() {
+            return paused;
+        }
+
         /** Returns whether the attempt has no outcome yet. */
         boolean isInFlight() {
             return outcome == null;
--- a/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
@@ -297,7 +297,8 @@
                 () -> {
                     if (!attempt.hasEnded() && !attempt.exchange().isOver()) {
                         requestLog.responsePaused(attempt);
-                        balancer.onResponsePaused(timers.now(), attempt.exchange().request().id());
+                        balancer.onResponsePaused(
+                                timers.now(), attempt.exchange().request().id(), attempt.number());
                     }
                 });
     }
--- a/core/src/test/java/cedarrudder/balancer/PrequalBalancerTest.java
+++ b/core/src/test/java/cedarrudder/balancer/PrequalBalancerTest.java
@@ -114,6 +114,40 @@
         assertEquals(21, recorder.sent.size());
     }
 
+    /** Guards against waiting for the rest of a response that may never come. */
+    @Test
+    void sendsHedgedRequestBesideAPausedResponseWhereTheClassAllowsIt() {
+        PrequalBalancer balancer = startWith(Site.SAFE, THREE);
+        sendRequest(balancer, 1);
+        balancer.onResponsePaused(now, 1, 0);
+        balancer.onResponsePaused(now, 1, 0);
+        assertEquals(2, recorder.sent.size());
+        recorder.clear();
+        balancer = startWith(Site.UNSAFE, THREE);
+        sendRequest(balancer, 1);
+        balancer.onResponsePaused(now, 1, 0);
+        assertEquals(1, recorder.sent.size());
+    }
+
+    /** Guards against an endpoint whose responses never end and that gets more and more of them. */
+    @Test
+    void endpointWhosePausedResponsesAreOvertakenIsAvoided() {
+        PrequalBalancer balancer = startWith(Site.SAFE, THREE);
+        long pausing = 1;
+        for (int id = 1; id <= 60; id++) {
+            sendRequest(balancer, id);
+            int first = recorder.sent.size() - 1;
+            if (recorder.sent.get(first).endpoint() != pausing) {
+                endAttempt(balancer, id, 0, Outcome.OK);
+                continue;
+            }
+            balancer.onResponsePaused(now, id, 0);
+            endAttempt(balancer, id, 1, Outcome.OK);
+            endAttempt(balancer, id, 0, Outcome.CANCELLED);
+        }
+        assertEquals(1, balancer.avoidedEndpoints(now));
+    }
+
     @Test
     void rejectionCarriesRetryAfter() {
         PrequalBalancer balancer = startWithOverdueRequest(Site.SAFE, THREE);
--- a/lab/src/main/java/cedarrudder/lab/model/GuardedBalancer.java
+++ b/lab/src/main/java/cedarrudder/lab/model/GuardedBalancer.java
@@ -110,8 +110,8 @@
     }
 
     @Override
-    public void onResponsePaused(long at, long request) {
-        event(() -> balancer.onResponsePaused(at, request));
+    public void onResponsePaused(long at, long request, int attempt) {
+        event(() -> balancer.onResponsePaused(at, request, attempt));
     }
 
     @Override
--- a/lab/src/main/java/cedarrudder/lab/trace/TracingBalancer.java
+++ b/lab/src/main/java/cedarrudder/lab/trace/TracingBalancer.java
@@ -112,9 +112,9 @@
     }
 
     @Override
-    public void onResponsePaused(long at, long request) {
+    public void onResponsePaused(long at, long request, int attempt) {
         now = at;
-        balancer.onResponsePaused(at, request);
+        balancer.onResponsePaused(at, request, attempt);
     }
 
     @Override
