Take a client's body as all read only once its socket stays empty

Cause: an empty socket was taken for a client that has written no more. While a stall ends, the proxy reads faster than the client's socket delivers what it holds, so the receiving socket is empty for a moment although the client wrote its last byte long before; the wait then counted anew.

Change: the wait counts from the instant at which reading stops, and goes back only where the socket is read and empty for 5 ms, or by what was received since. A read that fills its buffer is no stall.

--- a/core/src/main/java/cedarrudder/forwarding/UploadProgress.java
+++ b/core/src/main/java/cedarrudder/forwarding/UploadProgress.java
@@ -17,6 +17,12 @@
     /** Into how many steps the bytes that the buffers hold are divided to remember their times. */
     private static final int STEPS = 32;
 
+    /**
+     * The time for which a socket has to be empty while it is read until its client has nothing
+     * left to send: longer than the network takes to deliver what the client's socket holds.
+     */
+    static final long MIN_QUIET_NANOS = 5_000_000L;
+
     private static final long NEVER = Long.MAX_VALUE;
 
     private final long declaredLength;
@@ -25,6 +31,9 @@
     /** The instant since which written bytes may be unread; {@link #NEVER} if none are. */
     private long unreadSince = NEVER;
 
+    /** The instant since which the socket has been empty; {@link #NEVER} if it may not be. */
+    private long emptySince = NEVER;
+
     /** Earlier instants, and how many bytes had been received by then; a ring, oldest first. */
     private final long[] stepAt = new long[STEPS];
 
@@ -41,23 +50,38 @@
         this.declaredLength = declaredLength;
     }
 
-    /** Records that all that the client had written by now was received. */
-    public void receivedAll(long bytes) {
-        receivedBytes = bytes;
-        unreadSince = NEVER;
-        steps = 0;
+    /** Records that the socket is read and was found empty. */
+    public void foundEmpty(long now) {
+        if (emptySince == NEVER) {
+            emptySince = now;
+        } else if (now - emptySince >= MIN_QUIET_NANOS) {
+            unreadSince = NEVER;
+            steps = 0;
+        }
+    }
+
+    /** Records that the socket is not read from now on. */
+    public void stopped(long now) {
+        unreadSince = Math.min(unreadSince, now);
+        emptySince = NEVER;
     }
 
     /**
-     * Records how many bytes of the body have been received by now, where the client may have
-     * written more.
+     * Records how many bytes of the body have been received by now.
      *
      * @param socketBufferBytes how many bytes the sockets between the client and the proxy hold
+     * @param socketEmpty whether these were all that the socket had received
      */
-    public void received(long bytes, long socketBufferBytes, long now) {
+    public void received(long bytes, long socketBufferBytes, boolean socketEmpty, long now) {
+        if (emptySince != NEVER) {
+            foundEmpty(now); // until these bytes
+        }
+        emptySince = socketEmpty ? now : NEVER;
         boolean progressed = bytes > receivedBytes;
         receivedBytes = bytes;
-        unreadSince = Math.min(unreadSince, now);
+        if (unreadSince == NEVER) {
+            return;
+        }
         if (progressed && declaredLength - bytes > socketBufferBytes) {
             unreadSince = now;
         }
@@ -76,14 +100,6 @@
         }
     }
 
-    /**
-     * Returns whether bytes that were read and wait to be decoded, after this many that were
-     * received, may contain the last one.
-     */
-    public boolean mayEndWithin(long undecodedBytes, long bytes) {
-        return undecodedBytes > 0 && bytes + undecodedBytes >= declaredLength;
-    }
-
     /** Returns the earliest instant, up to now, at which the client may have written all. */
     public long mayBeCompleteSince(long now) {
         return Math.min(unreadSince, now);
--- a/daemon/src/main/java/cedarrudder/transport/RequestReader.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestReader.java
@@ -134,11 +134,10 @@
         if (upload == null) {
             return;
         }
-        long received = decoder.bodyBytesRead();
-        if (socketEmpty && !progress.mayEndWithin(buffer.size(), received)) {
-            progress.receivedAll(received);
-        } else {
-            progress.received(received, buffer.size() + socketBytes(), server.loop().now());
+        long now = server.loop().now();
+        progress.received(decoder.bodyBytesRead(), buffer.size() + socketBytes(), socketEmpty, now);
+        if (upload.isFull() || !mayRead()) {
+            progress.stopped(now);
         }
     }
 
@@ -207,7 +206,9 @@
             channel.unsafe().read();
             if (buffer.received() == before) {
                 unreadSince = NEVER;
-                noteProgress(true);
+                if (upload != null && !upload.isFull()) {
+                    progress.foundEmpty(server.loop().now());
+                }
                 return;
             }
         }
