Judge overload by the first byte of a streamed response

Cause: the admission limit counted a response as slow by the instant at which it was reported, which for a streamed one is when it is passed on, 0.3 to 1 s after its first byte.

Change: the balancer is told that a response is streamed (onResponseStreamed), and its latency then tells when it responded.

PrequalBalancerTest and OverloadTest passed.

--- a/core/src/main/java/cedarrudder/balancer/LoadBalancer.java
+++ b/core/src/main/java/cedarrudder/balancer/LoadBalancer.java
@@ -298,6 +298,12 @@
      */
     default void onResponsePaused(long now, long request, int attempt) {}
 
+    /**
+     * Handles the start of a response that is forwarded while it is being received. The end of its
+     * attempt follows at once, with the latency of the first byte, which may be some time ago.
+     */
+    default void onResponseStreamed(long now, long request, int attempt) {}
+
     /** Handles the disconnection of the client; the request is over. */
     void onClientLeft(long now, long request);
 
--- a/core/src/main/java/cedarrudder/balancer/PrequalBalancer.java
+++ b/core/src/main/java/cedarrudder/balancer/PrequalBalancer.java
@@ -267,6 +267,14 @@
         }
     }
 
+    @Override
+    public void onResponseStreamed(long now, long requestId, int attemptNumber) {
+        RequestState request = requests.get(requestId);
+        if (request != null && request.attempt(attemptNumber) != null) {
+            request.attempt(attemptNumber).markStreamed();
+        }
+    }
+
     // ---- end of attempts
 
     @Override
@@ -322,7 +330,11 @@
         if (outcome == Outcome.OK) {
             onServed(now, request, endpoint, latency);
         }
-        admission.onAttemptEnded(now, request, outcome, subset.ring().size());
+        admission.onAttemptEnded(
+                respondedAt(now, request, attempt, latency),
+                request,
+                outcome,
+                subset.ring().size());
         endpoint.onAttemptEnded(now, outcome);
         if (outcome == Outcome.CANCELLED && attempt.isPaused() && request.isAnswered()) {
             endpoint.onOvertaken(now);
@@ -337,6 +349,12 @@
         queue.dispatch(now);
     }
 
+    /** Returns when an attempt responded; a streamed response did with its first byte. */
+    private static long respondedAt(long now, RequestState request, Attempt attempt, long latency) {
+        long from = Math.max(attempt.sentAt(), request.arrivedAt());
+        return attempt.isStreamed() ? Math.min(now, from + latency) : now;
+    }
+
     private void onServed(long now, RequestState request, EndpointState endpoint, long latency) {
         endpoint.onServed(now, settings.replicas(), latency, request.expectedWorkNanos());
         serviceTimes.onServed(request, latency);
--- a/core/src/main/java/cedarrudder/balancer/RequestState.java
+++ b/core/src/main/java/cedarrudder/balancer/RequestState.java
@@ -18,6 +18,7 @@
         private final long sentAt;
         private Outcome outcome;
         private boolean paused;
+        private boolean streamed;
 
         private Attempt(EndpointState endpoint, long sentAt) {
             this.endpoint = endpoint;
@@ -44,6 +45,15 @@
             return paused;
         }
 
+        /** Records that the response is forwarded while it is being received. */
+        void markStreamed() {
+            streamed = true;
+        }
+
+        boolean isStreamed() {
+            return streamed;
+        }
+
         /** Returns whether the attempt has no outcome yet. */
         boolean isInFlight() {
             return outcome == null;
--- a/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
@@ -319,6 +319,7 @@
         dropWaitingAttempts(exchange);
         exchange.feedback(budgets == null ? null : exchange.budget().servedFeedback());
         exchange.reply().served(answer);
+        balancer.onResponseStreamed(timers.now(), exchange.request().id(), attempt.number());
         reportOutcome(attempt, Outcome.OK, attempt.latencyNanos(timers.now()), true, load);
     }
 
--- a/lab/src/main/java/cedarrudder/lab/model/GuardedBalancer.java
+++ b/lab/src/main/java/cedarrudder/lab/model/GuardedBalancer.java
@@ -114,6 +114,11 @@
         event(() -> balancer.onResponsePaused(at, request, attempt));
     }
 
+    @Override
+    public void onResponseStreamed(long at, long request, int attempt) {
+        event(() -> balancer.onResponseStreamed(at, request, attempt));
+    }
+
     @Override
     public void onFirstByte(long at, long request, int attempt, long endpoint, long latency) {
         event(() -> balancer.onFirstByte(at, request, attempt, endpoint, latency));
--- a/lab/src/main/java/cedarrudder/lab/trace/TracingBalancer.java
+++ b/lab/src/main/java/cedarrudder/lab/trace/TracingBalancer.java
@@ -117,6 +117,12 @@
         balancer.onResponsePaused(at, request, attempt);
     }
 
+    @Override
+    public void onResponseStreamed(long at, long request, int attempt) {
+        now = at;
+        balancer.onResponseStreamed(at, request, attempt);
+    }
+
     @Override
     public void onFirstByte(long at, long request, int attempt, long endpoint, long latency) {
         now = at;
