Tell a response that is still received from one whose head came first

Cause: 0.3 s after its first byte a response counted as still being received if any byte had come within 0.3 s, which is so where the body's first bytes follow the head by a millisecond. Change: within the second half of that time. What came of a response without a length is passed on after 0.6 s now, not 1 s, since until then it counts as in flight in the admission limit.

PausingResponseScenarioTest, ProxyServerScenarioTest, FaultScenarioTest, EndpointConnectionPoolTest and ResponseDeadlineScenarioTest passed.

--- a/daemon/src/main/java/cedarrudder/transport/AttemptCall.java
+++ b/daemon/src/main/java/cedarrudder/transport/AttemptCall.java
@@ -25,7 +25,7 @@
      * The maximum time for which the first bytes of a response that may be a long one are held back
      * in favour of a second attempt.
      */
-    private static final long MAX_HOLD_NANOS = 1_000_000_000L;
+    private static final long MAX_HOLD_NANOS = 600_000_000L;
 
     /** The first bytes of a long response are due at the deadline. */
     private static final long PASS_ON_BEFORE_DEADLINE_NANOS = 50_000_000L;
--- a/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
@@ -361,7 +361,7 @@
             }
         } else if (mustStream(silence)) {
             startDownload();
-        } else if (silence >= limits.responseTimeout()) {
+        } else {
             call.responsePaused();
         }
         if (!hasEnded() && call != null) {
@@ -372,14 +372,15 @@
     /**
      * Returns whether an incomplete response is streamed from now on: if it is still being
      * received, so that many slow ones are not all buffered, or if it may be a long one whose first
-     * bytes are due. {@link StreamedResponse} determines whether the deadline ends it.
+     * bytes are due. A head and the first bytes of its body may arrive one after the other, which
+     * is no sign of more. {@link StreamedResponse} determines whether the deadline ends it.
      */
     private boolean mustStream(long silence) {
         if (decoder.head() == null || !call.mayStream(decoder.head())) {
             return false;
         }
         boolean mayBeLong = decoder.bodyLength() < 0;
-        return silence < limits.responseTimeout()
+        return silence < limits.responseTimeout() / 2
                 || pool.buffers().isExhausted()
                 || mayBeLong && loop.now() >= call.passOnBy(answerBegunAt);
     }
