--- a/daemon/src/test/java/cedarrudder/program/StalledUploadScenarioTest.java
+++ b/daemon/src/test/java/cedarrudder/program/StalledUploadScenarioTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import cedarrudder.balancer.Await;
 import cedarrudder.program.ProxyHarness.Client;
 import cedarrudder.program.ProxyHarness.Received;
 import java.io.InputStream;
@@ -171,6 +172,30 @@
         }
     }
 
+    /** Guards against a client without an answer where the process ends, or operators drain it. */
+    @Test
+    public void aStalledUploadIsAnsweredDuringADrainAndBeforeTheProcessEnds() throws Exception {
+        try (ProxyHarness harness = new ProxyHarness(1).withAdmin()) {
+            harness.leavesBodies = true;
+            harness.start();
+            try (Client drained = harness.client();
+                    Client ended = harness.client()) {
+                drained.send(head("drained", "order", STALLING_BYTES, 2 * DEADLINE_MILLIS));
+                ended.send(head("ended", "order", -1, 30_000));
+                TestEndpoints.daemon(() -> writeBody(drained, STALLING_BYTES, false, 0));
+                TestEndpoints.daemon(() -> writeBody(ended, STALLING_BYTES, true, 0));
+                harness.nextRequest();
+                harness.nextRequest();
+                assertEquals(harness.status("POST", "/-/drain"), 200);
+                assertEquals(drained.readHead().first(), "HTTP/1.1 503 Service Unavailable");
+                Thread end = new Thread(harness::end);
+                end.start();
+                assertEquals(ended.readHead().first(), "HTTP/1.1 503 Service Unavailable");
+                Await.end("the end of the service", end);
+            }
+        }
+    }
+
     @DataProvider
     public Object[][] stops() {
         return new Object[][] {{false, 1_000}, {false, 100_000}, {true, 1_000}, {true, 100_000}};
