Repeat listening at the start where a socket can't be had for a moment

Cause: a failed bind of the clients' or the operators' address ended the start, whatever had failed. Class: as for accept and connect, a moment's failure of the machine taken for a lasting one.

--- a/daemon/src/main/java/cedarrudder/transport/AdminListener.java
+++ b/daemon/src/main/java/cedarrudder/transport/AdminListener.java
@@ -67,6 +67,10 @@
 
     /** Listens at an address; blocks until the socket is bound. */
     public void listen(InetSocketAddress address) throws IOException, InterruptedException {
+        channel = ListenRetry.listen(() -> listenOnce(address));
+    }
+
+    private Channel listenOnce(InetSocketAddress address) throws IOException, InterruptedException {
         var bound =
                 new ServerBootstrap()
                         .group(loop.group())
@@ -85,9 +89,10 @@
                         .await();
         if (!bound.isSuccess()) {
             throw new IOException(
-                    "can't listen for operators on " + address + ": " + bound.cause().getMessage());
+                    "can't listen for operators on " + address + ": " + bound.cause().getMessage(),
+                    bound.cause());
         }
-        channel = bound.channel();
+        return bound.channel();
     }
 
     /** Returns the address at which the listener accepts connections. */
--- a/daemon/src/main/java/cedarrudder/transport/HttpServer.java
+++ b/daemon/src/main/java/cedarrudder/transport/HttpServer.java
@@ -113,6 +113,11 @@
      */
     public InetSocketAddress listen(InetSocketAddress address, boolean shared)
             throws IOException, InterruptedException {
+        return ListenRetry.listen(() -> listenOnce(address, shared));
+    }
+
+    private InetSocketAddress listenOnce(InetSocketAddress address, boolean shared)
+            throws IOException, InterruptedException {
         ServerBootstrap bootstrap = bootstrap(shared);
         CompletableFuture<InetSocketAddress> bound = new CompletableFuture<>();
         loop.run(
--- a/daemon/src/test/java/cedarrudder/program/FailingCallsIT.java
+++ b/daemon/src/test/java/cedarrudder/program/FailingCallsIT.java
@@ -21,6 +21,8 @@
 
     private static final Path SOURCE = Path.of("daemon/src/test/c/failing_calls.c");
     private static final int WAIT_MILLIS = 900;
+    private static final String SERVED = "HTTP/1.1 200 OK";
+    private static final int ONE_IN = 10;
     private static final int CLIENTS = 8;
     private static final int REQUESTS_PER_CLIENT = 50;
 
@@ -102,13 +104,33 @@
     /** Guards against blaming endpoints for connections that this machine can't begin. */
     @Test
     public void aFailedConnectIsRepeated() throws Exception {
+        assertEquals(
+                answersWhere("connect").toString(),
+                Map.of(SERVED, CLIENTS * REQUESTS_PER_CLIENT).toString());
+    }
+
+    /** Guards against requests without a final answer where no socket can be had for a moment. */
+    @Test
+    public void aFailedSocketRefusesAtMostItsOwnRequest() throws Exception {
+        Map<String, Integer> answers = answersWhere("socket");
+        int all = CLIENTS * REQUESTS_PER_CLIENT;
+        int served = answers.getOrDefault(SERVED, 0);
+        int refused = answers.getOrDefault("HTTP/1.1 503 Service Unavailable", 0);
+        assertEquals(served + refused, all, answers.toString());
+        assertTrue(refused <= all / ONE_IN, answers.toString());
+    }
+
+    /**
+     * Returns how often each first line of an answer came, with one call of a kind in ten failing.
+     */
+    private Map<String, Integer> answersWhere(String call) throws Exception {
         Path failWhile = Files.createTempFile("fail", "");
         try (ProxyHarness harness = new ProxyHarness(4);
                 ProxyUnderTest proxy =
                         new ProxyUnderTest(
                                 harness,
                                 Files.createTempDirectory("state"),
-                                preload("connect", 10, failWhile),
+                                preload(call, ONE_IN, failWhile),
                                 List.of(),
                                 List.of())) {
             serveAll(harness);
@@ -116,7 +138,7 @@
             Map<String, Integer> answers = new TreeMap<>();
             Thread[] clients = new Thread[CLIENTS];
             for (int c = 0; c < CLIENTS; c++) {
-                String name = "connect-" + c + "-";
+                String name = call + "-" + c + "-";
                 clients[c] =
                         new Thread(
                                 () -> {
@@ -129,9 +151,7 @@
             for (Thread client : clients) {
                 Await.end("the end of a client", client);
             }
-            assertEquals(
-                    answers.toString(),
-                    Map.of("HTTP/1.1 200 OK", CLIENTS * REQUESTS_PER_CLIENT).toString());
+            return answers;
         }
     }
 
@@ -147,6 +167,25 @@
         }
     }
 
+    /** Guards against a process that ends because a socket can't be had as it starts. */
+    @Test
+    public void aFailedSocketDoesNotEndTheStart() throws Exception {
+        Path failWhile = Files.createTempFile("fail", "");
+        for (int oneIn = 2; oneIn <= 5; oneIn++) {
+            try (ProxyHarness harness = new ProxyHarness(1);
+                    ProxyUnderTest proxy =
+                            new ProxyUnderTest(
+                                    harness,
+                                    Files.createTempDirectory("state"),
+                                    preload("socket", oneIn, failWhile),
+                                    List.of(),
+                                    List.of())) {
+                serveAll(harness);
+                proxy.awaitReady();
+            }
+        }
+    }
+
     /** Guards against requests that go on failing after all calls have failed for a while. */
     @Test
     public void requestsAreServedOnceConnectsSucceedAgain() throws Exception {
