Keep half of the log's lines for warnings where debug events are on

Cause: the events of each request and the warnings share a bound of 20 lines a second, and the warm-up's 400 events used it up.

Change: events of level DEBUG may use half of the lines.

--- a/core/src/main/java/cedarrudder/logging/Logger.java
+++ b/core/src/main/java/cedarrudder/logging/Logger.java
@@ -91,7 +91,7 @@
     }
 
     private Entry begin(Level level, String event) {
-        if (level.compareTo(settings.level()) < 0 || level != Level.INFO && !hasCapacity()) {
+        if (level.compareTo(settings.level()) < 0 || level != Level.INFO && !hasCapacity(level)) {
             return SUPPRESSED_ENTRY;
         }
         return start(level, event);
@@ -100,9 +100,10 @@
     /**
      * Returns whether the limit on lines allows another one. Without the limit a peer that sends
      * invalid data without end would fill the pipe that the log is written to, and a full pipe
-     * blocks the event loop.
+     * blocks the event loop. Half of the lines are not open to events that help to find a fault,
+     * since every request causes some.
      */
-    private boolean hasCapacity() {
+    private boolean hasCapacity(Level level) {
         long now = System.nanoTime();
         if (now - windowStart > WINDOW_NANOS) {
             int suppressedBefore = suppressed;
@@ -113,7 +114,8 @@
                 start(Level.WARN, "log.lines_suppressed").with("lines", suppressedBefore).write();
             }
         }
-        if (linesInWindow < settings.linesPerSecond()) {
+        int allowed = settings.linesPerSecond();
+        if (linesInWindow < (level == Level.DEBUG ? allowed / 2 : allowed)) {
             linesInWindow++;
             return true;
         }
