--- a/review/10/src/ten/PausingAnswer.java
+++ b/review/10/src/ten/PausingAnswer.java
@@ -22,6 +22,9 @@
     private static final int REQUESTS = 8;
     private static final AtomicInteger ENDED = new AtomicInteger();
 
+    /** Requests whose answers have begun to reach their clients with status 200. */
+    private static final AtomicInteger SERVED = new AtomicInteger();
+
     private PausingAnswer() {}
 
     public static void main(String[] arguments) throws Exception {
@@ -46,7 +49,9 @@
         for (Thread client : clients) {
             client.join();
         }
-        Kit.finish(ENDED.get() == REQUESTS, "requests that ended " + ENDED);
+        Kit.finish(
+                ENDED.get() == REQUESTS && (Kit.TROUBLE || SERVED.get() == REQUESTS),
+                "requests that ended " + ENDED + ", of which answers began " + SERVED);
     }
 
     private static void ask(int port) throws IOException {
@@ -66,11 +71,14 @@
                 Http.Answer answer = Http.readAnswer(client.in);
                 whole = answer.body.length == SIZE;
                 end = "status " + answer.status + ", " + answer.body.length + " bytes";
-                if (answer.status != 200) {
+                if (answer.status == 200) {
+                    SERVED.incrementAndGet();
+                } else {
                     whole = true; // a final answer, and none of it has been cut off
                 }
             } catch (IOException e) {
                 end = e.toString();
+                SERVED.incrementAndGet();
             }
             ENDED.incrementAndGet();
             String what =
--- a/review/7/src/seven/SlowReader.java
+++ b/review/7/src/seven/SlowReader.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -18,6 +19,7 @@
     private static final int BYTES_PER_S = 64_000;
     private static final int SECONDS = 40;
     private static final int CLIENTS = 4;
+    private static final String HEAD = "HTTP/1.1 200";
     private static final AtomicInteger WELL = new AtomicInteger();
     private static final AtomicInteger CUT = new AtomicInteger();
 
@@ -57,6 +59,11 @@
             client.write(Client.request(id, "order", 2000, null, "two loaves"));
             InputStream in = client.socket.getInputStream();
             byte[] piece = new byte[BYTES_PER_S / 20];
+            byte[] head = in.readNBytes(HEAD.length());
+            if (!new String(head, StandardCharsets.ISO_8859_1).equals(HEAD)) {
+                Kit.note("request " + id + " was not served");
+                return;
+            }
             double began = Kit.now();
             double next = began;
             double lastRead = began;
--- a/review/9/src/nine/CutAnswer.java
+++ b/review/9/src/nine/CutAnswer.java
@@ -58,6 +58,8 @@
             if (answer.status == 200 && answer.body.length == SIZE) {
                 WHOLE.incrementAndGet();
                 Kit.note("client: the answer to " + id + " is whole");
+            } else if (answer.status != 0 && answer.status != 200) {
+                Kit.note("request " + id + " was answered " + answer.status);
             } else {
                 CUT_BY_PROXY.incrementAndGet();
                 Kit.breach("the answer to " + id + " was not whole: " + answer.problem);
--- a/review/lib-2/src/kit/Kit.java
+++ b/review/lib-2/src/kit/Kit.java
@@ -40,6 +40,11 @@
         record = new PrintWriter(Files.newBufferedWriter(Path.of(arguments[1], "record.txt")), false);
         temporary = Files.createTempDirectory("review-");
         Runtime.getRuntime().addShutdownHook(new Thread(Kit::cleanUp));
+        Thread.setDefaultUncaughtExceptionHandler(
+                (thread, failure) -> {
+                    note("the case failed: " + failure);
+                    end(2);
+                });
         Thread limit =
                 new Thread(
                         () -> {
@@ -237,7 +242,9 @@
 
         public void signal(Process process, String signal) throws Exception {
             note(name + ": SIG" + signal);
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid())
+                    .start()
+                    .waitFor();
         }
 
         void kill() {
