Offer waiting bytes to a socket each second, so that slow readers are not cut off

Cause: a client that takes nothing for 10 s is ended, and progress was known only by the writable event. Linux reports it once a third of the send buffer is free, some 20 s at that rate, though the socket accepts bytes meanwhile.

Change: WriteRetry offers what waits to the socket once a second, for responses and for streamed uploads; the writable event and the timeouts are as before. It works because a write succeeds as soon as any space is free; one that reads nothing still takes nothing and is ended after 10 s.

--- a/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
@@ -41,6 +41,7 @@
     private final NioSocketChannel channel;
     private final RequestReader reader;
     private final LingeringClose lingering = new LingeringClose();
+    private final WriteRetry writeRetry;
     private ClientConnectionState state = ClientConnectionState.NEW;
 
     /** The open request; null if there is none. */
@@ -68,6 +69,7 @@
         this.shutdown = shutdown;
         this.channel = channel;
         this.reader = new RequestReader(server, shutdown, this, channel);
+        this.writeRetry = new WriteRetry(channel);
     }
 
     // ---- state
@@ -127,12 +129,18 @@
         timeoutAt = instant;
     }
 
-    boolean hasTimedOut(long now) {
-        return now >= timeoutAt;
+    /** Checks the connection at regular intervals, and ends it if it has timed out. */
+    void sweep(long now) {
+        if (state.isResponding()) {
+            writeRetry.run(now);
+        }
+        if (now >= timeoutAt) {
+            expire();
+        }
     }
 
     /** Handles a timeout, unless input that has been received but not read yet extends it. */
-    void expire() {
+    private void expire() {
         if (!state.isEnding()) {
             reader.readNow();
         }
--- a/daemon/src/main/java/cedarrudder/transport/ClientConnectionState.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientConnectionState.java
@@ -91,6 +91,11 @@
         return this == NEW || this == IDLE;
     }
 
+    /** Returns whether a response is being written. */
+    boolean isResponding() {
+        return this == RESPONDING || this == SENDING_LAST_RESPONSE;
+    }
+
     /** Returns whether input is dropped, except for a body that is still streamed. */
     boolean isEnding() {
         return this == SENDING_LAST_RESPONSE || this == LINGERING || this == CLOSED;
--- a/daemon/src/main/java/cedarrudder/transport/ClientConnections.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientConnections.java
@@ -168,12 +168,10 @@
         }
     }
 
-    /** Ends connections that have timed out, and evicts some while new ones wait to be accepted. */
+    /** Checks all connections, and evicts some while new ones wait to be accepted. */
     void sweep(long now) {
         for (ClientConnection connection : snapshot()) {
-            if (connection.hasTimedOut(now)) {
-                connection.expire();
-            }
+            connection.sweep(now);
         }
         for (int excess = all.size() - max; full && excess > 0; excess--) {
             evictOne();
--- a/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
@@ -25,9 +25,9 @@
     private static final long STREAM_SILENCE_NANOS = 10_000_000_000L;
 
     /**
-     * The time after which an upload has failed if the endpoint accepts none of its bytes. At 64 kB
-     * a second, the slowest rate that occurs, a socket's buffer of 4 MB has capacity again after
-     * some 21 s: the kernel reports it as writable when a third is free.
+     * The time after which an upload has failed if the endpoint accepts none of its bytes. An
+     * endpoint whose receive buffer is full opens its window again in steps, which take seconds at
+     * the slowest rate that occurs, 64 kB a second.
      */
     private static final long UPLOAD_STALL_NANOS = 30_000_000_000L;
 
@@ -38,6 +38,7 @@
     private final HttpDecoder decoder;
     private final EndpointConnectionState state = new EndpointConnectionState();
     private EndpointSocket channel;
+    private WriteRetry writeRetry;
 
     /** The call in flight; null if there is none. */
     private EndpointCall call;
@@ -80,6 +81,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = (EndpointSocket) context.channel();
+        writeRetry = new WriteRetry(channel);
         pool.onOpened();
     }
 
@@ -226,19 +228,19 @@
      * no deadline yet, and a disconnect of the client is not detected while its input is not read.
      */
     private void watchUpload(BodyWriter watched) {
-        uploadTimer =
-                loop.at(
-                        loop.now() + UPLOAD_STALL_NANOS / 4,
-                        () -> {
-                            if (upload != watched) {
-                                return;
-                            }
-                            if (watched.isStuck(UPLOAD_STALL_NANOS)) {
-                                failMalformed("endpoint accepts no more of the request body");
-                            } else {
-                                watchUpload(watched);
-                            }
-                        });
+        uploadTimer = loop.at(loop.now() + WriteRetry.INTERVAL_NANOS, () -> checkUpload(watched));
+    }
+
+    private void checkUpload(BodyWriter watched) {
+        writeRetry.run(loop.now());
+        if (upload != watched) {
+            return;
+        }
+        if (watched.isStuck(UPLOAD_STALL_NANOS)) {
+            failMalformed("endpoint accepts no more of the request body");
+        } else {
+            watchUpload(watched);
+        }
     }
 
     @Override
--- a/daemon/src/test/java/cedarrudder/program/MemoryUnderSlowClientsIT.java
+++ b/daemon/src/test/java/cedarrudder/program/MemoryUnderSlowClientsIT.java
@@ -9,7 +9,6 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -21,6 +20,7 @@
     /** Of each kind; together fewer than the clients that the example's descriptors allow. */
     private static final int CLIENTS_OF_A_KIND = 110;
 
+    private static final int STEADY_READERS = 300;
     private static final int SERVED_BESIDE = 100;
     private static final int LARGE = 3_000_000;
     private static final long BYTES_PER_KIB = 1024;
@@ -67,8 +67,26 @@
         }
     }
 
+    private static void readSteadily(Client client, String id) throws Exception {
+        client.send(ProxyHarness.request("lookup", "/endless", "").replace("id-1", id));
+        while (client.in().read(new byte[6_400]) >= 0) {
+            Thread.sleep(100);
+        }
+    }
+
+    /** Sends a response far larger than all buffers between the endpoint and its client. */
+    private static void sendEndless(Received request) throws IOException {
+        String piece = "y".repeat(64_000);
+        request.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        while (true) {
+            request.chunk(piece);
+        }
+    }
+
     private static void serve(Received request) throws Exception {
-        if (!request.first().contains("/large")) {
+        if (request.first().contains("/endless")) {
+            sendEndless(request);
+        } else if (!request.first().contains("/large")) {
             request.reply("200 OK", "done");
         } else if (request.first().startsWith("GET")) {
             request.reply("200 OK", "y".repeat(LARGE));
@@ -117,6 +135,23 @@
     /** Guards against a process that passes its memory limit, and against others not served. */
     @Test
     public void hundredsOfSlowClientsAtOnceLeaveTheProcessWithinItsMemory() throws Exception {
+        assertWithinMemoryBeside(
+                CLIENTS_OF_A_KIND,
+                List.of(
+                        MemoryUnderSlowClientsIT::writeSlowly,
+                        MemoryUnderSlowClientsIT::stopHalfWay,
+                        MemoryUnderSlowClientsIT::sendManyFields,
+                        MemoryUnderSlowClientsIT::readSlowly));
+    }
+
+    /** Guards against memory that grows with clients whose responses stay open for long. */
+    @Test
+    public void hundredsOfSteadySlowReadersLeaveTheProcessWithinItsMemory() throws Exception {
+        assertWithinMemoryBeside(STEADY_READERS, List.of(MemoryUnderSlowClientsIT::readSteadily));
+    }
+
+    private static void assertWithinMemoryBeside(int clientsOfAKind, List<Behavior> behaviors)
+            throws Exception {
         AtomicBoolean on = new AtomicBoolean(true);
         try (ProxyHarness harness = new ProxyHarness(4)) {
             harness.leavesBodies = true;
@@ -129,12 +164,7 @@
                             deployOptions(),
                             List.of())) {
                 proxy.awaitReady();
-                List<Behavior> behaviors = new ArrayList<>();
-                behaviors.add(MemoryUnderSlowClientsIT::writeSlowly);
-                behaviors.add(MemoryUnderSlowClientsIT::stopHalfWay);
-                behaviors.add(MemoryUnderSlowClientsIT::sendManyFields);
-                behaviors.add(MemoryUnderSlowClientsIT::readSlowly);
-                for (int i = 0; i < CLIENTS_OF_A_KIND * behaviors.size(); i++) {
+                for (int i = 0; i < clientsOfAKind * behaviors.size(); i++) {
                     start(harness, on, behaviors.get(i % behaviors.size()), "slow-" + i);
                 }
                 for (int i = 0; i < SERVED_BESIDE; i++) {
