Let long responses that still move end by themselves after SIGTERM

Cause: GracefulShutdown.closeAll aborted whatever connection was left 0.1 s after open requests had been answered, to be rid of clients that don't read, and did not ask whether a response moved on it. ProxyServer.awaitShutdown waits for streamed bodies, but they were gone by then.

Change: closeRemaining closes connections on which no response is written, or whose client took nothing of it for 10 s; 600 s later all. SIGTERM moves the deadlines of streaming requests to the instant by which the process has to answer (expireNow), so RequestDeadlines ends short ones as before and lets long ones go on. The wait for the process covers any response being written.

Why it works: while the proxy ends, a response has the same owners of its end as while it serves: its connections, which end it where a peer stops, and its deadline.

--- a/core/src/main/java/cedarrudder/forwarding/Exchange.java
+++ b/core/src/main/java/cedarrudder/forwarding/Exchange.java
@@ -207,9 +207,9 @@
                 : expiry;
     }
 
-    /** Makes the exchange expire at this instant. */
-    void expireAt(long instant) {
-        expiry = instant;
+    /** Makes the exchange expire at this instant, unless it expires earlier. */
+    void expireBy(long instant) {
+        expiry = Math.min(expiry, instant);
         uploading = false;
     }
 
--- a/core/src/main/java/cedarrudder/forwarding/RequestDeadlines.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestDeadlines.java
@@ -56,12 +56,13 @@
     }
 
     /**
-     * Expires a request before its deadline, since this process is about to end and the client
-     * would otherwise get no answer at all.
+     * Expires a request at the latest now, since this process is about to end and the client would
+     * otherwise get no answer at all. A response that streams continues if it may do so after its
+     * deadline.
      */
     void expireNow(Exchange<Q, A> exchange) {
-        if (!exchange.isOver()) {
-            exchange.expireAt(timers.now()); // set first, so that no further attempt starts
+        if (!exchange.isOver() || exchange.streamingAttempt() != null) {
+            exchange.expireBy(timers.now()); // set first, so that no further attempt starts
             exchange.cancelDeadline();
             expire(exchange);
         }
--- a/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
@@ -429,8 +429,8 @@
     }
 
     /**
-     * Expires a request before its deadline, since this process is about to end and the client
-     * would otherwise get no answer at all.
+     * Expires a request at the latest now, since this process is about to end and the client would
+     * otherwise get no answer at all. A long response that streams continues.
      */
     public void expireNow(Exchange<Q, A> exchange) {
         deadlines.expireNow(exchange);
--- a/daemon/src/main/java/cedarrudder/program/ProxyServer.java
+++ b/daemon/src/main/java/cedarrudder/program/ProxyServer.java
@@ -646,27 +646,29 @@
     }
 
     /**
-     * Waits for the shutdown while bodies are streamed, but not for one that is stuck, such as that
-     * of a process whose jar was replaced while it ran, so that a class can no longer be loaded.
+     * Waits for the shutdown while bodies are transferred, but not for one that is stuck, such as
+     * that of a process whose jar was replaced while it ran, so that a class can no longer be
+     * loaded.
      */
     private void awaitShutdown(CountDownLatch done) throws InterruptedException {
         boolean completed;
         do {
             completed = done.await(server.maxShutdownNanos(), TimeUnit.NANOSECONDS);
-        } while (!completed && isStreaming());
+        } while (!completed && isTransferring());
     }
 
     /**
-     * Returns whether a body is still being streamed; false where the loop does not answer in time.
+     * Returns whether a body is still being transferred; false where the loop does not answer in
+     * time.
      */
-    private boolean isStreaming() throws InterruptedException {
-        CountDownLatch streaming = new CountDownLatch(1);
+    private boolean isTransferring() throws InterruptedException {
+        CountDownLatch transferring = new CountDownLatch(1);
         loop.run(
                 () -> {
-                    if (server.isStreaming()) {
-                        streaming.countDown();
+                    if (server.isTransferring()) {
+                        transferring.countDown();
                     }
                 });
-        return streaming.await(LOOP_ANSWER_TIMEOUT_NANOS, TimeUnit.NANOSECONDS);
+        return transferring.await(LOOP_ANSWER_TIMEOUT_NANOS, TimeUnit.NANOSECONDS);
     }
 }
--- a/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
@@ -59,6 +59,9 @@
     /** The instant at which the present state times out. */
     private long timeoutAt;
 
+    /** The instant at which the response that is being written, or was last, began. */
+    private long respondingSince;
+
     ClientConnection(
             ServerContext server,
             ClientConnections connections,
@@ -106,6 +109,9 @@
             stateSince = now;
         }
         timeoutAt = timeoutOf(next, now);
+        if (next.isResponding()) {
+            respondingSince = now;
+        }
         state = next;
     }
 
@@ -317,9 +323,21 @@
         return reader.canDetectDisconnect();
     }
 
-    /** Returns whether a request body or a response body is being streamed. */
-    boolean isStreaming() {
-        return reader.isUploading() || download != null;
+    /** Returns whether a streamed request body is being read, or a response is being written. */
+    boolean isTransferring() {
+        return reader.isUploading() || state.isResponding();
+    }
+
+    /**
+     * Returns whether a request is open, or a response is being written of which the client has
+     * taken something within this time, in nanoseconds, or has taken all there is.
+     */
+    boolean isAnswering(long maxStallNanos) {
+        if (!state.isResponding()) {
+            return request != null;
+        }
+        long stalledSince = download == null ? respondingSince : download.stalledSince();
+        return server.loop().now() - stalledSince < maxStallNanos;
     }
 
     // ---- responses
@@ -517,8 +535,8 @@
     }
 
     /**
-     * Ends the open request, or closes the connection if none is open, because the process is about
-     * to end.
+     * Expires the open request, or closes the connection if none is open, because the process is
+     * about to end. A long response whose first bytes were passed on continues.
      */
     void cutOff() {
         reader.resumeDecoding();
--- a/daemon/src/main/java/cedarrudder/transport/GracefulShutdown.java
+++ b/daemon/src/main/java/cedarrudder/transport/GracefulShutdown.java
@@ -7,7 +7,8 @@
  * <p>After SIGTERM, clients are served for as long as the time until SIGKILL allows. They use their
  * connections as long as these stay open, and if this proxy is the only one, they find no other
  * until it is back. Only shortly before the end are idle connections closed and do responses
- * contain {@code Connection: close}; requests that are open then are ended and answered.
+ * contain {@code Connection: close}; requests that are open then are ended and answered. Responses
+ * that are being written continue to their end, unless their client or their endpoint has stopped.
  */
 final class GracefulShutdown {
 
@@ -39,11 +40,21 @@
     private static final long CLOSING_NANOS = 400_000_000L;
 
     /**
-     * The time from the end of the open requests to the close of the remaining connections, such as
-     * those with partly written responses.
+     * The time from the end of the open requests to the close of the connections on which no
+     * response is being written.
      */
     private static final long LAST_CLOSE_NANOS = 100_000_000L;
 
+    /**
+     * The time after which a client that has taken nothing of its response no longer delays the end
+     * of the process. A client with a full receive buffer opens its window again in steps, which
+     * take seconds at the slowest rate that occurs, 64 kB a second.
+     */
+    private static final long MAX_STALL_NANOS = 10_000_000_000L;
+
+    /** The maximum duration of a response: 32 MB at 64 kB a second take 500 s. */
+    private static final long MAX_RESPONSE_NANOS = 600_000_000_000L;
+
     /**
      * While operators drain the proxy: the times from the begin of the drain at which idle
      * connections begin to be closed, and by which none is left idle. Until the first, the load
@@ -162,8 +173,8 @@
     }
 
     /**
-     * Returns the time, in nanoseconds, after which a shutdown during which nothing is streamed is
-     * considered stuck. May be called from any thread.
+     * Returns the time, in nanoseconds, after which a shutdown during which nothing is transferred
+     * is considered stuck. May be called from any thread.
      */
     long maxShutdownNanos() {
         return waitNanos() + STUCK_AFTER_NANOS;
@@ -243,17 +254,22 @@
         for (ClientConnection connection : connections.snapshot()) {
             connection.cutOff();
         }
-        server.loop().at(server.loop().now() + LAST_CLOSE_NANOS, this::closeAll);
+        server.loop().at(server.loop().now() + LAST_CLOSE_NANOS, this::closeRemaining);
     }
 
     /**
-     * Closes all remaining connections, repeatedly: clients that don't read their responses must
-     * not delay the end of the process.
+     * Closes the remaining connections, repeatedly, except those whose response still moves. A
+     * request that is read behind such a response is answered too.
      */
-    private void closeAll() {
-        server.loop().at(server.loop().now() + sweepNanos, this::closeAll);
+    private void closeRemaining() {
+        long now = server.loop().now();
+        server.loop().at(now + sweepNanos, this::closeRemaining);
+        boolean mayContinue = now < answerBy + MAX_RESPONSE_NANOS;
         for (ClientConnection connection : connections.snapshot()) {
-            connection.abort();
+            connection.cutOff();
+            if (!mayContinue || !connection.isAnswering(MAX_STALL_NANOS)) {
+                connection.abort();
+            }
         }
     }
 
--- a/daemon/src/main/java/cedarrudder/transport/HttpServer.java
+++ b/daemon/src/main/java/cedarrudder/transport/HttpServer.java
@@ -214,14 +214,14 @@
         return shutdown.isServing();
     }
 
-    /** Returns whether a body is being streamed, which may take any time. */
-    public boolean isStreaming() {
-        return connections.snapshot().stream().anyMatch(ClientConnection::isStreaming);
+    /** Returns whether a streamed body or a response is being transferred, which may take long. */
+    public boolean isTransferring() {
+        return connections.snapshot().stream().anyMatch(ClientConnection::isTransferring);
     }
 
     /**
-     * Returns the time, in nanoseconds, after which a shutdown during which nothing is streamed is
-     * considered stuck. May be called from any thread.
+     * Returns the time, in nanoseconds, after which a shutdown during which nothing is transferred
+     * is considered stuck. May be called from any thread.
      */
     public long maxShutdownNanos() {
         return shutdown.maxShutdownNanos();
