--- a/core/src/main/java/cedarrudder/forwarding/Exchange.java
+++ b/core/src/main/java/cedarrudder/forwarding/Exchange.java
@@ -77,7 +77,8 @@
     private RequestAttempt<Q, A> streamingAttempt;
     private TimerService.Timer deadlineTimer;
     private int attemptsInFlight;
-    private long expiry;
+    private long deadline;
+    private long latestExpiry = Long.MAX_VALUE;
     private UploadProgress upload;
     private boolean uploading;
     private long timeoutAfterUpload;
@@ -107,7 +108,7 @@
             Reply<A> reply,
             PropagatedBudget receivedBudget) {
         this.request = request;
-        this.expiry = request.deadline();
+        this.deadline = request.deadline();
         this.content = content;
         this.reply = reply;
         this.receivedBudget = receivedBudget;
@@ -186,7 +187,7 @@
 
     /** Fixes the deadline of an exchange whose content was received completely. */
     void completeUpload(long lastByteAt, long now) {
-        expiry = Math.min(upload.mayBeCompleteSince(now), lastByteAt) + timeoutAfterUpload;
+        deadline = Math.min(upload.mayBeCompleteSince(now), lastByteAt) + timeoutAfterUpload;
         uploading = false;
     }
 
@@ -202,14 +203,22 @@
      * content is being received, it may become later.
      */
     public long expiry(long now) {
+        return Math.min(latestExpiry, deadline(now));
+    }
+
+    /**
+     * Returns the instant until which the client waits, as far as that is known now. The exchange
+     * may expire earlier, since this process ends.
+     */
+    long deadline(long now) {
         return uploading
-                ? Math.min(expiry, upload.mayBeCompleteSince(now) + timeoutAfterUpload)
-                : expiry;
+                ? Math.min(deadline, upload.mayBeCompleteSince(now) + timeoutAfterUpload)
+                : deadline;
     }
 
     /** Makes the exchange expire at this instant, unless it expires earlier. */
     void expireBy(long instant) {
-        expiry = Math.min(expiry, instant);
+        latestExpiry = Math.min(latestExpiry, instant);
         uploading = false;
     }
 
--- a/core/src/main/java/cedarrudder/forwarding/RequestAttempt.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestAttempt.java
@@ -130,6 +130,11 @@
         return isStreaming() ? response.mayContinueUntil(now, exchange.expiry(now)) : now;
     }
 
+    /** Returns whether the response streams, ends now, and is too late for any answer. */
+    boolean endsTooLate(long now) {
+        return isStreaming() && response.endsTooLate(now, exchange.deadline(now));
+    }
+
     /**
      * Returns the latency up to now, in nanoseconds; of a streamed response, until the response
      * began.
--- a/core/src/main/java/cedarrudder/forwarding/RequestDeadlines.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestDeadlines.java
@@ -106,6 +106,20 @@
         }
     }
 
+    /**
+     * Ends an attempt whose streamed response ends now if that is too late for any answer: its
+     * client must be able to tell it from one in time.
+     *
+     * @return whether the attempt was ended
+     */
+    boolean endIfTooLate(RequestAttempt<Q, A> attempt) {
+        if (!attempt.endsTooLate(timers.now())) {
+            return false;
+        }
+        endExpired(attempt.exchange(), attempt);
+        return true;
+    }
+
     private void endExpired(Exchange<Q, A> exchange, RequestAttempt<Q, A> attempt) {
         if (exchange.streamingAttempt() == attempt) {
             accounting.onDeadlineMissed();
--- a/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
@@ -323,6 +323,14 @@
         reportOutcome(attempt, Outcome.OK, attempt.latencyNanos(timers.now()), true, load);
     }
 
+    /**
+     * Returns whether a streamed response that is complete may be passed on as complete. One that
+     * is too late for any answer may not: its attempt ends within this call.
+     */
+    public boolean mayComplete(RequestAttempt<Q, A> attempt) {
+        return !deadlines.endIfTooLate(attempt);
+    }
+
     /** Records that an endpoint served an attempt. */
     public void served(RequestAttempt<Q, A> attempt, A answer, LoadReport load) {
         served(attempt, answer, load, DownstreamFeedback.NOTHING);
--- a/daemon/src/main/java/cedarrudder/transport/AttemptCall.java
+++ b/daemon/src/main/java/cedarrudder/transport/AttemptCall.java
@@ -113,6 +113,11 @@
         pool.forwarder().responseStarted(attempt, answer, load(answer), response);
     }
 
+    @Override
+    boolean mayComplete() {
+        return pool.forwarder().mayComplete(attempt);
+    }
+
     /** Returns the load that a response reports; null if it reports none. */
     private LoadReport load(HttpMessage answer) {
         return pool.reports() == SiteSettings.Reports.ANSWERS
--- a/daemon/src/main/java/cedarrudder/transport/EndpointCall.java
+++ b/daemon/src/main/java/cedarrudder/transport/EndpointCall.java
@@ -104,6 +104,14 @@
      */
     void responseStarted(HttpMessage answer, StreamedResponse response) {}
 
+    /**
+     * Returns whether a streamed response whose last byte was received may be passed on as
+     * complete; if not, the call has ended.
+     */
+    boolean mayComplete() {
+        return true;
+    }
+
     /** Reports a response. */
     abstract void onAnswer(HttpMessage answer);
 
--- a/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
@@ -297,7 +297,6 @@
             scheduleAnswerCheck();
         }
         if (download != null) {
-            streamed.received(decoder.bodyBytesRead(), loop.now());
             readDownload(!download.isFull());
         }
     }
@@ -328,11 +327,18 @@
         download = flow;
         MessageHead head = decoder.head();
         long length = decoder.bodyLength();
-        streamed = new StreamedResponse(length, BodyFlow.WINDOW, answerBegunAt);
-        streamed.received(decoder.bodyBytesRead(), loop.now());
+        StreamedResponse response = new StreamedResponse(length, BodyFlow.WINDOW, answerBegunAt);
+        response.received(decoder.bodyBytesRead(), lastReceivedAt);
+        streamed = response;
         BodyRemainder rest = new BodyRemainder(flow, length);
         flow.whenWritable(() -> loop.run(() -> continueDownload(flow)));
-        call.responseStarted(new HttpMessage(head, decoder.flow(flow::put), rest), streamed);
+        byte[] begin = decoder.flow(piece -> receivePiece(response, flow, piece));
+        call.responseStarted(new HttpMessage(head, begin, rest), response);
+    }
+
+    private void receivePiece(StreamedResponse response, BodyFlow flow, byte[] piece) {
+        response.receivedMore(piece.length, lastReceivedAt);
+        flow.put(piece);
     }
 
     private void continueDownload(BodyFlow flow) {
@@ -401,6 +407,9 @@
             failMalformed("response received before the request was sent");
             return;
         }
+        if (download != null && !call.mayComplete()) {
+            return;
+        }
         if (!on(Event.ANSWER_COMPLETE)) {
             return;
         }
