Share the framing of responses between the new scenario tests, and draw more shapes

LongResponseShutdownIT, PauseAcrossDeadlineScenarioTest and SlowReaderScenarioTest each told anew how a body begins and ends: ResponseFraming does it for all three. The pause across a deadline is now drawn before and after 64 KiB, with the rest at once, in lumps or in drips.

--- a/daemon/src/test/java/cedarrudder/program/LongResponseShutdownIT.java
+++ b/daemon/src/test/java/cedarrudder/program/LongResponseShutdownIT.java
@@ -32,18 +32,15 @@
     /** A stopped peer is given up after 10 s without progress; the rest is for a busy machine. */
     private static final int MAX_END_WITH_STOPPED_PEERS_MILLIS = 15_000;
 
-    /** How an endpoint tells the length of its response. */
-    private enum Framing {
-        LENGTH,
-        CHUNKED,
-        CLOSE
-    }
-
     /** A response that takes some seconds more than a process has for its open requests. */
     private record Shape(
-            Framing framing, int pieceBytes, int pieces, int gapMillis, int readBytesPerMilli) {
+            ResponseFraming framing,
+            int pieceBytes,
+            int pieces,
+            int gapMillis,
+            int readBytesPerMilli) {
 
-        static Shape draw(Framing framing, Random random) {
+        static Shape draw(ResponseFraming framing, Random random) {
             return switch (random.nextInt(4)) {
                 case 0 -> new Shape(framing, 20_000 + random.nextInt(20_000), 70, 100, 0);
                 case 1 -> new Shape(framing, 200_000 + random.nextInt(100_000), 8, 900, 0);
@@ -57,27 +54,13 @@
         }
 
         void send(Received request) throws Exception {
-            String field =
-                    switch (framing) {
-                        case LENGTH -> "Content-Length: " + length();
-                        case CHUNKED -> "Transfer-Encoding: chunked";
-                        case CLOSE -> "Connection: close";
-                    };
-            request.raw("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n");
+            framing.sendHead(request, length());
             String piece = "y".repeat(pieceBytes);
             for (int i = 0; i < pieces; i++) {
-                if (framing == Framing.CHUNKED) {
-                    request.chunk(piece);
-                } else {
-                    request.raw(piece);
-                }
+                framing.send(request, piece);
                 Thread.sleep(gapMillis);
             }
-            if (framing == Framing.CHUNKED) {
-                request.raw("0\r\n\r\n");
-            } else if (framing == Framing.CLOSE) {
-                request.socket().close();
-            }
+            framing.end(request);
         }
 
         /** Reads until the proxy ends the connection; returns what is wrong, or nothing. */
@@ -148,7 +131,8 @@
             first.awaitReady();
             List<CompletableFuture<String>> results = new ArrayList<>();
             for (int i = 0; i < RESPONSES; i++) {
-                Framing framing = Framing.values()[i % Framing.values().length];
+                ResponseFraming framing =
+                        ResponseFraming.values()[i % ResponseFraming.values().length];
                 results.add(receive(harness, Shape.draw(framing, random), "long-" + i));
             }
             Thread.sleep(BEFORE_SIGNAL_MILLIS);
@@ -202,7 +186,8 @@
         Client stopped = harness.client();
         stopped.send(request("client-stops", 2_000));
         Received unread = harness.nextRequest();
-        TestEndpoints.daemon(() -> new Shape(Framing.LENGTH, 1_000_000, 30, 0, 0).send(unread));
+        TestEndpoints.daemon(
+                () -> new Shape(ResponseFraming.LENGTH, 1_000_000, 30, 0, 0).send(unread));
         assertEquals(stopped.readHead().first(), "HTTP/1.1 200 OK");
     }
 }
--- a/daemon/src/test/java/cedarrudder/program/PauseAcrossDeadlineScenarioTest.java
+++ b/daemon/src/test/java/cedarrudder/program/PauseAcrossDeadlineScenarioTest.java
@@ -25,35 +25,51 @@
     private static final int RETRY_MILLIS = 300;
     private static final int[] DEADLINES_MILLIS = {800, 1_250, 2_500};
 
-    private static final String CHUNKED = "Transfer-Encoding: chunked";
-    private static final String ENDS_BY_CLOSE = "Connection: close";
-    private static final List<String> FRAMINGS =
-            List.of(CHUNKED, ENDS_BY_CLOSE, "Content-Length: " + LENGTH);
+    /** How the rest of a response comes after the pause. */
+    private enum Rest {
+        AT_ONCE(2_000, 0),
+        IN_LUMPS(30_000, 500),
+        IN_DRIPS(1_000, 15);
+
+        final int pieceBytes;
+        final int gapMillis;
+
+        Rest(int pieceBytes, int gapMillis) {
+            this.pieceBytes = pieceBytes;
+            this.gapMillis = gapMillis;
+        }
+    }
 
-    /** A response that begins before the deadline, pauses once, and comes fast from then on. */
+    /** A response that begins before the deadline, and pauses once before or after 64 KiB. */
     private record Shape(
-            String framing, int deadlineMillis, int beginMillis, int firstBytes, int pauseMillis) {
-
-        static Shape draw(String framing, Random random) {
+            ResponseFraming framing,
+            int deadlineMillis,
+            int beginMillis,
+            int firstBytes,
+            int pauseMillis,
+            Rest rest) {
+
+        static Shape draw(ResponseFraming framing, Random random) {
             int deadline = DEADLINES_MILLIS[random.nextInt(DEADLINES_MILLIS.length)];
             return new Shape(
                     framing,
                     deadline,
                     deadline - 150 - random.nextInt(500),
-                    16_000 + random.nextInt(44_000),
-                    300 + random.nextInt(1_200));
+                    16_000 + random.nextInt(80_000),
+                    300 + random.nextInt(1_200),
+                    Rest.values()[random.nextInt(Rest.values().length)]);
         }
 
         void send(Received request) throws Exception {
             Thread.sleep(beginMillis);
-            request.raw("HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n");
-            PauseAcrossDeadlineScenarioTest.send(request, framing, firstBytes);
+            framing.sendHead(request, LENGTH);
+            framing.send(request, "y".repeat(firstBytes));
             Thread.sleep(pauseMillis);
-            for (int sent = firstBytes; sent < LENGTH; sent += 2_000) {
-                int count = Math.min(2_000, LENGTH - sent);
-                PauseAcrossDeadlineScenarioTest.send(request, framing, count);
+            for (int sent = firstBytes; sent < LENGTH; sent += rest.pieceBytes) {
+                framing.send(request, "y".repeat(Math.min(rest.pieceBytes, LENGTH - sent)));
+                Thread.sleep(rest.gapMillis);
             }
-            end(request, framing);
+            framing.end(request);
         }
 
         /**
@@ -84,23 +100,6 @@
         }
     }
 
-    private static void send(Received request, String framing, int bytes) throws IOException {
-        String text = "y".repeat(bytes);
-        if (framing.equals(CHUNKED)) {
-            request.chunk(text);
-        } else {
-            request.raw(text);
-        }
-    }
-
-    private static void end(Received request, String framing) throws IOException {
-        if (framing.equals(CHUNKED)) {
-            request.raw("0\r\n\r\n");
-        } else if (framing.equals(ENDS_BY_CLOSE)) {
-            request.socket().close();
-        }
-    }
-
     private static String request(String id, long deadlineMillis) {
         return ProxyHarness.request("order", STAYS, "x", "Connection: close")
                 .replace("id-1", id)
@@ -126,9 +125,10 @@
         long seed = System.nanoTime();
         System.out.println("PauseAcrossDeadlineScenarioTest: seed " + seed);
         Random random = new Random(seed);
+        ResponseFraming[] framings = ResponseFraming.values();
         List<Shape> shapes = new ArrayList<>();
         for (int i = 0; i < RESPONSES; i++) {
-            shapes.add(Shape.draw(FRAMINGS.get(i % FRAMINGS.size()), random));
+            shapes.add(Shape.draw(framings[i % framings.length], random));
         }
         try (ProxyHarness harness = new ProxyHarness(4).start()) {
             TestEndpoints.handleRequests(
@@ -150,25 +150,26 @@
 
     @DataProvider
     public Object[][] framingsWithoutLength() {
-        return new Object[][] {{CHUNKED}, {ENDS_BY_CLOSE}};
+        return new Object[][] {{ResponseFraming.CHUNKED}, {ResponseFraming.CLOSE}};
     }
 
     /** Guards against a short response that is passed on as complete long after its deadline. */
     @Test(dataProvider = "framingsWithoutLength")
-    public void aShortResponseThatEndsTooLateVisiblyFails(String framing) throws Exception {
+    public void aShortResponseThatEndsTooLateVisiblyFails(ResponseFraming framing)
+            throws Exception {
         try (ProxyHarness harness = new ProxyHarness(1).start();
                 Client client = harness.client()) {
-            client.send(request("late", 800));
+            client.send(request("late", 1_400));
             Received received = harness.nextRequest();
             TestEndpoints.daemon(
                     () -> {
                         Thread.sleep(700);
-                        received.raw("HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n");
+                        framing.sendHead(received, 60_000);
                         for (int sent = 0; sent < 60_000; sent += 1_000) {
-                            send(received, framing, 1_000);
-                            Thread.sleep(16);
+                            framing.send(received, "y".repeat(1_000));
+                            Thread.sleep(25);
                         }
-                        end(received, framing);
+                        framing.end(received);
                     });
             assertEquals(client.readHead().first(), "HTTP/1.1 200 OK");
             assertThrows(SocketException.class, client::readAll);
--- a/daemon/src/test/java/cedarrudder/program/SlowReaderScenarioTest.java
+++ b/daemon/src/test/java/cedarrudder/program/SlowReaderScenarioTest.java
@@ -29,25 +29,10 @@
     private static final int SMALL_RECEIVE_BUFFER_BYTES = 16 * 1024;
     private static final long MAX_LATENCY_BESIDE_MILLIS = 1_000;
 
-    /** How the length of a response is told. */
-    private enum Framing {
-        LENGTH("HTTP/1.1", "Content-Length: " + SlowReaderScenarioTest.LENGTH),
-        CHUNKED("HTTP/1.1", "Transfer-Encoding: chunked"),
-        CLOSE("HTTP/1.0", "Connection: close");
-
-        final String version;
-        final String field;
-
-        Framing(String version, String field) {
-            this.version = version;
-            this.field = field;
-        }
-    }
-
     /** A client that reads {@link #BYTES_PER_SECOND}, so many bytes at once. */
-    private record Reader(Framing framing, int pieceBytes, int receiveBufferBytes) {
+    private record Reader(ResponseFraming framing, int pieceBytes, int receiveBufferBytes) {
 
-        static Reader draw(Framing framing, Random random) {
+        static Reader draw(ResponseFraming framing, Random random) {
             boolean isLump = random.nextInt(3) == 0;
             int pieceBytes = isLump ? 2 * BYTES_PER_SECOND : 400 + random.nextInt(6_000);
             return new Reader(
@@ -55,22 +40,18 @@
         }
     }
 
-    private static String request(Framing framing, String id) {
+    private static String request(ResponseFraming framing, String id) {
         return ProxyHarness.request("lookup", STAYS, "")
-                .replace("HTTP/1.1", framing.version)
+                .replace("HTTP/1.1", framing == ResponseFraming.CLOSE ? "HTTP/1.0" : "HTTP/1.1")
                 .replace("id-1", id);
     }
 
     private static void sendLarge(Received request) throws IOException {
-        Framing framing = Framing.valueOf(request.field("Req-Id").split("-")[0]);
-        request.raw("HTTP/1.1 200 OK\r\n" + framing.field + "\r\n\r\n");
+        ResponseFraming framing = ResponseFraming.valueOf(request.field("Req-Id").split("-")[0]);
+        framing.sendHead(request, LENGTH);
         String piece = "y".repeat(16_000);
         for (int sent = 0; sent < LENGTH; sent += piece.length()) {
-            if (framing == Framing.CHUNKED) {
-                request.chunk(piece);
-            } else {
-                request.raw(piece);
-            }
+            framing.send(request, piece);
         }
     }
 
@@ -140,7 +121,7 @@
         Random random = new Random(seed);
         try (ProxyHarness harness = new ProxyHarness(2).start();
                 Client nonReading = harness.client()) {
-            nonReading.send(request(Framing.LENGTH, "LENGTH-stops"));
+            nonReading.send(request(ResponseFraming.LENGTH, "LENGTH-stops"));
             Received abandoned = harness.nextRequest();
             TestEndpoints.daemon(() -> sendLarge(abandoned));
             TestEndpoints.handleRequests(
@@ -153,7 +134,7 @@
                         }
                     });
             List<CompletableFuture<String>> ends = new ArrayList<>();
-            for (Framing framing : Framing.values()) {
+            for (ResponseFraming framing : ResponseFraming.values()) {
                 for (int i = 0; i < 3; i++) {
                     Reader reader = Reader.draw(framing, random);
                     System.out.println("SlowReaderScenarioTest: " + reader);
