Move the timeout of a client connection into a class of its own

ClientTimeout has them now; no behaviour changes. One line differs in form: the writable event extends the timeout of a response as its check does, and no longer sets it, so a lower limit that operators set while a response is being written applies from its next state.

--- a/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
@@ -42,6 +42,7 @@
     private final RequestReader reader;
     private final LingeringClose lingering = new LingeringClose();
     private final WriteRetry writeRetry;
+    private final ClientTimeout timeout;
     private ClientConnectionState state = ClientConnectionState.NEW;
 
     /** The open request; null if there is none. */
@@ -56,9 +57,6 @@
     /** The instant from which the present state counts when a connection to close is chosen. */
     private long stateSince;
 
-    /** The instant at which the present state times out. */
-    private long timeoutAt;
-
     /** The instant at which the response that is being written, or was last, began. */
     private long respondingSince;
 
@@ -73,6 +71,7 @@
         this.channel = channel;
         this.reader = new RequestReader(server, shutdown, this, channel);
         this.writeRetry = new WriteRetry(channel);
+        this.timeout = new ClientTimeout(server);
     }
 
     // ---- state
@@ -108,31 +107,15 @@
         if (connections.onStateChanged(this, state, next)) {
             stateSince = now;
         }
-        timeoutAt = timeoutOf(next, now);
+        timeout.enter(state, next);
         if (next.isResponding()) {
             respondingSince = now;
         }
         state = next;
     }
 
-    /** Returns the instant at which a state times out that is entered now. */
-    private long timeoutOf(ClientConnectionState next, long now) {
-        ClientLimits limits = server.limits();
-        return switch (next) {
-            case READING_HEAD ->
-                    // The timeout of the first request counts from when the connection was
-                    // accepted.
-                    state == ClientConnectionState.NEW ? timeoutAt : now + limits.requestTimeout();
-            case NEW, READING_BODY -> now + limits.requestTimeout();
-            case IDLE -> now + limits.idleTimeout();
-            case RESPONDING, SENDING_LAST_RESPONSE -> now + limits.responseTimeout();
-            case LINGERING -> now + LingeringClose.QUIET_NANOS;
-            case REQUEST_OPEN, CLOSED -> Long.MAX_VALUE;
-        };
-    }
-
     void setTimeoutAt(long instant) {
-        timeoutAt = instant;
+        timeout.setDueAt(instant);
     }
 
     /** Checks the connection at regular intervals, and ends it if it has timed out. */
@@ -140,7 +123,7 @@
         if (state.isResponding()) {
             writeRetry.run(now);
         }
-        if (now >= timeoutAt) {
+        if (timeout.isDue()) {
             expire();
         }
     }
@@ -153,11 +136,9 @@
         if (download != null) {
             // A client that reads everything it is sent is not timed out because an endpoint is
             // slow.
-            timeoutAt =
-                    Math.max(
-                            timeoutAt, download.stalledSince() + server.limits().responseTimeout());
+            timeout.extendResponse(download.stalledSince());
         }
-        if (server.loop().now() < timeoutAt) {
+        if (!timeout.isDue()) {
             return;
         }
         server.loop()
@@ -178,7 +159,7 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         stateSince = server.loop().now();
-        timeoutAt = timeoutOf(state, stateSince);
+        timeout.enter(state, state);
         connections.add(this);
     }
 
@@ -190,9 +171,7 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         if (download != null && channel.isWritable()) {
-            timeoutAt =
-                    server.loop().now()
-                            + server.limits().responseTimeout(); // the client is reading
+            timeout.extendResponse(server.loop().now()); // the client is reading
             download.pump();
         }
     }
@@ -563,9 +542,9 @@
         bytes.release();
         long now = server.loop().now();
         if (tooMany) {
-            timeoutAt = now;
+            timeout.setDueAt(now);
         } else if (state == ClientConnectionState.LINGERING) {
-            timeoutAt = lingering.dueAfter(now);
+            timeout.setDueAt(lingering.dueAfter(now));
         }
     }
 
