--- a/daemon/src/test/java/cedarrudder/program/GracefulShutdownTest.java
+++ b/daemon/src/test/java/cedarrudder/program/GracefulShutdownTest.java
@@ -15,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 
 /** Tests which answers clients get that go on sending after SIGTERM, up to the last connection. */
@@ -157,6 +158,36 @@
         }
     }
 
+    /**
+     * Guards against losing a request that is sent behind a long response, after the process has
+     * answered all others: it is rejected, since no time is left to forward it.
+     */
+    @Test
+    public void aRequestBehindALongResponseIsAnsweredAtItsEnd() throws Exception {
+        int pieces = 50;
+        String piece = "y".repeat(10_000);
+        try (ProxyHarness harness = new ProxyHarness(1).start();
+                Client client = harness.client()) {
+            client.send(ProxyHarness.request("order", "/stays-for-test", "x"));
+            Received received = harness.nextRequest();
+            ResponseFraming.LENGTH.sendHead(received, pieces * piece.length());
+            ResponseFraming.LENGTH.send(received, piece.repeat(pieces / 2));
+            assertEquals(client.readHead().first(), "HTTP/1.1 200 OK");
+            Thread end = new Thread(harness::end);
+            end.start();
+            Thread.sleep(TimeUnit.NANOSECONDS.toMillis(KILLED_AFTER));
+            client.send(ProxyHarness.request("order", "/api", "x").replace("id-1", "behind"));
+            for (int i = 0; i < pieces / 2; i++) {
+                Thread.sleep(20);
+                ResponseFraming.LENGTH.send(received, piece);
+            }
+            client.in().skipNBytes((long) pieces * piece.length());
+            assertEquals(client.read().first(), "HTTP/1.1 503 Service Unavailable");
+            Await.end("the end of the service", end);
+            assertEquals(harness.requests.poll(), null, "the request was not forwarded");
+        }
+    }
+
     /**
      * Clients that don't read their answers must not delay the shutdown until the process is
      * killed.
