Log when a client's input is not read, that it left, and why an attempt did not begin

client.reading_stopped and client.reading_resumed have the bytes that wait to be decoded, those buffered for all clients, and how long it took; client.left has the state and the bytes that were read and not decoded; attempt.denied has the reason why an attempt ended before its first byte (StartDenial). All are on the level debug, as the other events of requests are. No decision changes.

--- a/core/src/main/java/cedarrudder/forwarding/AttemptGate.java
+++ b/core/src/main/java/cedarrudder/forwarding/AttemptGate.java
@@ -59,18 +59,28 @@
     }
 
     /**
-     * Returns the outcome with which an attempt ends instead of sending its first byte now; null if
-     * it may start.
+     * Returns why an attempt ends instead of sending its first byte now; null if it may start.
+     *
+     * @param canDetectDisconnect whether a disconnect of its client would be detected
      */
-    Outcome startDenial(RequestAttempt<Q, A> attempt) {
+    StartDenial startDenial(RequestAttempt<Q, A> attempt, boolean canDetectDisconnect) {
         Exchange<Q, A> exchange = attempt.exchange();
         long now = timers.now();
+        if (!canDetectDisconnect) {
+            return new StartDenial(StartDenial.Reason.CLIENT_UNKNOWN, Outcome.NOT_STARTED);
+        }
         if (!mayAttempt(exchange, now)) {
-            return Outcome.NOT_STARTED;
+            return new StartDenial(StartDenial.Reason.REQUEST_OVER, Outcome.NOT_STARTED);
         }
         if (!transport.knowsEndpoint(attempt.endpoint())) {
-            return Outcome.CONNECT_FAILED;
+            return new StartDenial(StartDenial.Reason.ENDPOINT_GONE, Outcome.CONNECT_FAILED);
         }
+        Outcome denial = balancerDenial(exchange, attempt, now);
+        return denial == null ? null : new StartDenial(StartDenial.Reason.BALANCER, denial);
+    }
+
+    private Outcome balancerDenial(
+            Exchange<Q, A> exchange, RequestAttempt<Q, A> attempt, long now) {
         try {
             return balancer.startDenial(now, exchange.request().id(), attempt.number());
         } catch (RuntimeException | VirtualMachineError | LinkageError e) {
--- a/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
@@ -261,13 +261,14 @@
         if (!attempt.isWaiting()) {
             return;
         }
-        Outcome denial = canDetectDisconnect ? gate.startDenial(attempt) : Outcome.NOT_STARTED;
+        StartDenial denial = gate.startDenial(attempt, canDetectDisconnect);
         if (denial != null) {
+            requestLog.attemptDenied(attempt, denial);
             // Its endpoint was not contacted, so the outcome must not count for its zone.
             accounting.onAttemptEnded(timers.now(), attempt, Outcome.NOT_STARTED, null);
             attempt.excludeFromZone();
             transport.abandonAttempt(attempt);
-            attemptEnded(attempt, denial, null);
+            attemptEnded(attempt, denial.outcome(), null);
         }
     }
 
--- a/core/src/main/java/cedarrudder/forwarding/RequestLog.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestLog.java
@@ -29,6 +29,15 @@
                 .write();
     }
 
+    void attemptDenied(RequestAttempt<?, ?> attempt, StartDenial denial) {
+        log.debug("attempt.denied")
+                .with("request", attempt.exchange().request().id())
+                .with("attempt", attempt.number())
+                .with("endpoint", attempt.endpoint())
+                .with("why", denial.reason())
+                .write();
+    }
+
     void responsePaused(RequestAttempt<?, ?> attempt) {
         log.debug("attempt.response_paused")
                 .with("request", attempt.exchange().request().id())
--- a/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
@@ -179,6 +179,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         connections.remove(this);
+        logLeft();
         on(ClientConnectionState.Event.CLOSE);
         reader.close();
         if (download != null) {
@@ -193,6 +194,19 @@
         shutdown.endIfEmpty();
     }
 
+    /** Logs the end of a connection that the proxy has not closed itself. */
+    private void logLeft() {
+        if (state != ClientConnectionState.CLOSED) {
+            server.loop()
+                    .log()
+                    .debug("client.left")
+                    .with("client", remoteAddress())
+                    .with("state", state)
+                    .with("buffered", reader.bufferedBytes())
+                    .write();
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (!(cause instanceof IOException)) {
--- a/daemon/src/main/java/cedarrudder/transport/RequestReader.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestReader.java
@@ -3,6 +3,7 @@
 import cedarrudder.bodyflow.BodyFlow;
 import cedarrudder.bodyflow.BufferAccount;
 import cedarrudder.forwarding.UploadProgress;
+import cedarrudder.logging.Logger;
 import cedarrudder.protocol.BodyRemainder;
 import cedarrudder.protocol.HttpDecoder;
 import cedarrudder.protocol.HttpEncoder;
@@ -63,6 +64,7 @@
      */
     private static final long MAX_SEND_BUFFER_BYTES = (4 * 1024 + 256) * 1024;
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final long NEVER = Long.MAX_VALUE;
 
     private final ServerContext server;
@@ -91,6 +93,8 @@
     /** The instant since which bytes or the end of stream of the client may be unread. */
     private long unreadSince = NEVER;
 
+    private long readingStoppedAt;
+
     RequestReader(
             ServerContext server,
             GracefulShutdown shutdown,
@@ -168,6 +172,9 @@
             return; // during the end of a connection, ClientConnection controls reading
         }
         boolean reads = mayRead();
+        if (reads != channel.config().isAutoRead()) {
+            logReading(reads);
+        }
         channel.config().setAutoRead(reads);
         if (!reads) {
             noteUnread();
@@ -180,6 +187,25 @@
         }
     }
 
+    private void logReading(boolean resumes) {
+        Logger log = server.loop().log();
+        long now = server.loop().now();
+        if (resumes) {
+            log.debug("client.reading_resumed")
+                    .with("client", connection.remoteAddress())
+                    .with("buffered", buffer.size())
+                    .with("stopped_ms", (now - readingStoppedAt) / NANOS_PER_MILLI)
+                    .write();
+        } else {
+            readingStoppedAt = now;
+            log.debug("client.reading_stopped")
+                    .with("client", connection.remoteAddress())
+                    .with("buffered", buffer.size())
+                    .with("account", account.bufferedBytes())
+                    .write();
+        }
+    }
+
     private void noteUnread() {
         unreadSince = Math.min(unreadSince, server.loop().now());
     }
@@ -220,6 +246,11 @@
         return unreadSince == NEVER || server.loop().now() - unreadSince < MAX_UNREAD_NANOS;
     }
 
+    /** Returns how many bytes were read and wait to be decoded. */
+    int bufferedBytes() {
+        return buffer.size();
+    }
+
     /** Returns whether bytes that were read wait to be decoded. */
     boolean hasBytes() {
         return buffer.hasBytes();
