--- a/daemon/src/test/java/cedarrudder/program/MemoryUnderSlowClientsIT.java
+++ b/daemon/src/test/java/cedarrudder/program/MemoryUnderSlowClientsIT.java
@@ -97,7 +97,7 @@
     }
 
     /** Returns the options of the virtual machine in the deploy file. */
-    private static List<String> deployOptions() throws IOException {
+    static List<String> deployOptions() throws IOException {
         String run =
                 Files.readAllLines(Path.of("deploy", "balancer.toml")).stream()
                         .filter(line -> line.startsWith("run ="))
--- a/daemon/src/test/java/cedarrudder/program/ProxyHarness.java
+++ b/daemon/src/test/java/cedarrudder/program/ProxyHarness.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Runs a proxy under test on loopback sockets, together with the clients, endpoints and discovery
@@ -150,7 +151,11 @@
         }
 
         private Received receive(Socket socket) throws IOException {
-            return leavesBodies ? readHead(socket) : read(socket);
+            Received head = readHead(socket);
+            if (head != null) {
+                onHead.accept(head);
+            }
+            return leavesBodies ? head : readBody(head);
         }
 
         private void serve(Socket socket) {
@@ -320,6 +325,9 @@
     /** True if probes also wait for the test's answer. */
     volatile boolean probesWait;
 
+    /** Called with each head that an endpoint or discovery receives, as soon as it has come. */
+    volatile Consumer<Received> onHead = head -> {};
+
     /** True if the test reads the bodies of requests to endpoints itself. */
     volatile boolean leavesBodies;
 
@@ -497,14 +505,18 @@
     }
 
     private static Received read(Socket socket) throws IOException {
-        Received received = readHead(socket);
-        String length = received == null ? null : received.field("Content-Length");
-        byte[] body =
-                socket.getInputStream().readNBytes(length == null ? 0 : Integer.parseInt(length));
-        return received == null
-                ? null
-                : new Received(
-                        socket, received.head(), new String(body, StandardCharsets.ISO_8859_1));
+        return readBody(readHead(socket));
+    }
+
+    /** Returns a message with its body; null if there is no head. */
+    private static Received readBody(Received head) throws IOException {
+        String length = head == null ? null : head.field("Content-Length");
+        if (length == null) {
+            return head;
+        }
+        byte[] body = head.socket().getInputStream().readNBytes(Integer.parseInt(length));
+        return new Received(
+                head.socket(), head.head(), new String(body, StandardCharsets.ISO_8859_1));
     }
 
     private static Received readHead(Socket socket) throws IOException {
--- a/daemon/src/test/java/cedarrudder/program/TestEndpoints.java
+++ b/daemon/src/test/java/cedarrudder/program/TestEndpoints.java
@@ -58,7 +58,8 @@
         void run() throws Exception;
     }
 
-    static void daemon(Task task) {
+    /** Runs a task on a thread of its own, and returns that thread. */
+    static Thread daemon(Task task) {
         Thread thread =
                 new Thread(
                         () -> {
@@ -70,6 +71,7 @@
                         });
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     /**
