Ask the kernel for a client's end of stream, and read on, before a request is sent

Cause: the absence of a sign taken for a proof of the contrary. A read that left room in its buffer counted as proof that nothing is unread; it proves that for bytes, and an end of stream may wait behind just that read. As the read brought the read-ahead to 32 KiB again, reading stopped and the 50 ms in which a client may go unseen began anew, half a second after it had gone.

Change: DisconnectDetector alone says whether a client is connected, and since when that is not known. Known is an empty socket that is read on, or what the kernel says (SocketPolling: poll with POLLRDHUP, by the class library's own sun.nio.ch.Net, which the manifest opens; no library, no file, the same on x86-64 and arm64) while at most 32 KiB are unread, so that the client's system holds nothing back. It is asked before each attempt, and each 0.1 s while reading is stopped. Reading goes on up to 1 MiB behind an open request, and for a body of which nothing was sent, while the account of buffers is at most half full; ReadAheadBuffer grows in small steps, since its capacity is charged.

--- a/core/src/main/java/cedarrudder/bodyflow/BufferAccount.java
+++ b/core/src/main/java/cedarrudder/bodyflow/BufferAccount.java
@@ -36,6 +36,14 @@
         return bufferedBytes;
     }
 
+    /**
+     * Returns whether at most half of the bound is in use, so that more may be buffered than is
+     * needed to make progress.
+     */
+    public boolean hasSpare() {
+        return bufferedBytes <= max / 2;
+    }
+
     /** Returns whether the bound is reached, so that nothing new should be read. */
     public boolean isExhausted() {
         return bufferedBytes >= max;
--- a/core/src/main/java/cedarrudder/forwarding/Exchange.java
+++ b/core/src/main/java/cedarrudder/forwarding/Exchange.java
@@ -242,7 +242,8 @@
         contentDiscarded = true;
     }
 
-    boolean contentDiscarded() {
+    /** Returns whether no further attempt can be made, since its content is no longer buffered. */
+    public boolean contentDiscarded() {
         return contentDiscarded;
     }
 
--- a/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.function.Supplier;
@@ -38,7 +37,7 @@
     private final ServerContext server;
     private final ClientConnections connections;
     private final GracefulShutdown shutdown;
-    private final NioSocketChannel channel;
+    private final ClientSocket channel;
     private final RequestReader reader;
     private final LingeringClose lingering = new LingeringClose();
     private final WriteRetry writeRetry;
@@ -64,7 +63,7 @@
             ServerContext server,
             ClientConnections connections,
             GracefulShutdown shutdown,
-            NioSocketChannel channel) {
+            ClientSocket channel) {
         this.server = server;
         this.connections = connections;
         this.shutdown = shutdown;
@@ -123,6 +122,7 @@
         if (state.isResponding()) {
             writeRetry.run(now);
         }
+        reader.checkUnread();
         if (timeout.isDue()) {
             expire();
         }
@@ -203,10 +203,24 @@
                     .with("client", remoteAddress())
                     .with("state", state)
                     .with("buffered", reader.bufferedBytes())
+                    .with("unread", 0)
                     .write();
         }
     }
 
+    /** Closes the connection, since its client has disconnected behind bytes that are unread. */
+    void onDisconnectBehind(int unreadBytes) {
+        server.loop()
+                .log()
+                .debug("client.left")
+                .with("client", remoteAddress())
+                .with("state", state)
+                .with("buffered", reader.bufferedBytes())
+                .with("unread", unreadBytes)
+                .write();
+        abort();
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (!(cause instanceof IOException)) {
@@ -316,6 +330,11 @@
         return reader.canDetectDisconnect();
     }
 
+    /** Returns whether a further attempt of the open request may need the bytes of its body. */
+    boolean mayNeedContent() {
+        return request == null || !request.exchange().contentDiscarded();
+    }
+
     /** Returns whether a streamed request body is being read, or a response is being written. */
     boolean isTransferring() {
         return reader.isUploading() || state.isResponding();
--- a/daemon/src/main/java/cedarrudder/transport/HandoverSocket.java
+++ b/daemon/src/main/java/cedarrudder/transport/HandoverSocket.java
@@ -1,9 +1,9 @@
 package cedarrudder.transport;
 
+import io.netty.channel.ChannelException;
 import io.netty.channel.DefaultChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
@@ -65,10 +65,13 @@
     @Override
     protected int doReadMessages(List<Object> accepted) throws Exception {
         try {
-            int count = super.doReadMessages(accepted);
+            SocketChannel next = javaChannel().accept();
+            if (next != null) {
+                accepted.add(new ClientSocket(this, next));
+            }
             failuresInARow = 0;
-            return count;
-        } catch (IOException e) {
+            return next == null ? 0 : 1;
+        } catch (IOException | ChannelException e) {
             if (!isOpen()) {
                 throw e;
             }
@@ -77,7 +80,7 @@
         }
     }
 
-    private void onAcceptFailed(IOException cause) {
+    private void onAcceptFailed(Exception cause) {
         loop.log().warn("listener.accept_failed").with("why", cause).write();
         failuresInARow++;
         if (failuresInARow >= MAX_FAILURES_IN_A_ROW) {
@@ -127,7 +130,7 @@
             // the channel closes it once more below
         }
         for (SocketChannel accepted : waiting) {
-            pipeline().fireChannelRead(new NioSocketChannel(this, accepted));
+            pipeline().fireChannelRead(new ClientSocket(this, accepted));
         }
         pipeline().fireChannelReadComplete();
         close();
--- a/daemon/src/main/java/cedarrudder/transport/HttpServer.java
+++ b/daemon/src/main/java/cedarrudder/transport/HttpServer.java
@@ -11,7 +11,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
@@ -152,9 +151,9 @@
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, BodyWriter.WRITE_AHEAD)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(
-                        new ChannelInitializer<NioSocketChannel>() {
+                        new ChannelInitializer<ClientSocket>() {
                             @Override
-                            protected void initChannel(NioSocketChannel channel) {
+                            protected void initChannel(ClientSocket channel) {
                                 channel.pipeline()
                                         .addLast(
                                                 new ClientConnection(
--- a/daemon/src/main/java/cedarrudder/transport/ReadAheadBuffer.java
+++ b/daemon/src/main/java/cedarrudder/transport/ReadAheadBuffer.java
@@ -22,6 +22,9 @@
      */
     private static final long SAME_ARRIVAL_NANOS = 10_000_000L;
 
+    private static final int MIN_GROWTH_BYTES = 1024;
+    private static final int GROWTH_DIVISOR = 8;
+
     /**
      * The maximum number of arrivals, which bounds memory; later bytes are added to the last one.
      */
@@ -96,12 +99,21 @@
             return;
         }
         try {
-            buffer.discardSomeReadBytes().writeBytes(bytes);
+            buffer.discardSomeReadBytes();
+            grow(buffer.writerIndex() + bytes.readableBytes());
+            buffer.writeBytes(bytes);
         } finally {
             bytes.release();
         }
     }
 
+    /** Grows in small steps: the account is charged with the capacity, which Netty would double. */
+    private void grow(int needed) {
+        if (needed > buffer.capacity()) {
+            buffer.capacity(needed + Math.max(MIN_GROWTH_BYTES, needed / GROWTH_DIVISOR));
+        }
+    }
+
     private long decoded() {
         return received - size();
     }
--- a/daemon/src/main/java/cedarrudder/transport/RequestReader.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestReader.java
@@ -11,7 +11,6 @@
 import cedarrudder.protocol.MalformedMessageException;
 import cedarrudder.protocol.MessageHead;
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.socket.nio.NioSocketChannel;
 
 /**
  * Reads the requests of one client connection. One request is processed at a time; the bytes of
@@ -21,22 +20,15 @@
 final class RequestReader {
 
     /**
-     * The maximum number of bytes that are read ahead of the open request, charged to the account
-     * of buffers; the bytes of one read may exceed it. The client's end of stream follows the bytes
-     * that it has sent, so without reading ahead the request of a client that has disconnected
-     * would still be forwarded. Reading stops beyond this limit, or when the account is exhausted:
-     * a disconnect is then detected only after the response is written, and no attempt starts after
-     * {@link #MAX_UNREAD_NANOS}.
+     * The number of bytes that are read ahead of the open request, charged to the account of
+     * buffers, unless the account is exhausted; the bytes of one read may exceed it. The client's
+     * end of stream follows the bytes that it has sent, so without reading ahead the request of a
+     * client that has disconnected would still be forwarded.
      */
-    private static final int MAX_READ_AHEAD_BYTES = 32 * 1024;
+    private static final int READ_AHEAD_BYTES = 32 * 1024;
 
-    /**
-     * The time after which a client whose input is not read, for lack of buffers, may have
-     * disconnected undetected. Half of the time within which an attempt may still start after its
-     * client's end of stream: the end of stream may have been received before reading stopped, by
-     * as much as the loop is late.
-     */
-    private static final long MAX_UNREAD_NANOS = 50_000_000L;
+    /** The same while the account has spare capacity. */
+    private static final int MAX_READ_AHEAD_BYTES = 1024 * 1024;
 
     /**
      * The maximum number of reads in one check of a socket, even if its client sends at full speed.
@@ -70,7 +62,8 @@
     private final ServerContext server;
     private final GracefulShutdown shutdown;
     private final ClientConnection connection;
-    private final NioSocketChannel channel;
+    private final ClientSocket channel;
+    private final DisconnectDetector disconnects;
     private final HttpDecoder decoder;
     private final ReadAheadBuffer buffer;
     private final BufferAccount account;
@@ -90,20 +83,18 @@
     /** The bytes of the request that is being read that are charged to the account. */
     private int collected;
 
-    /** The instant since which bytes or the end of stream of the client may be unread. */
-    private long unreadSince = NEVER;
-
     private long readingStoppedAt;
 
     RequestReader(
             ServerContext server,
             GracefulShutdown shutdown,
             ClientConnection connection,
-            NioSocketChannel channel) {
+            ClientSocket channel) {
         this.server = server;
         this.shutdown = shutdown;
         this.connection = connection;
         this.channel = channel;
+        this.disconnects = new DisconnectDetector(channel, server.loop()::now);
         this.account = server.buffers();
         ClientLimits limits = server.limits();
         this.decoder =
@@ -117,10 +108,7 @@
     /** Processes bytes that were read from the channel, and releases them. */
     void receive(ByteBuf bytes) {
         buffer.onReceived(bytes.readableBytes());
-        boolean socketEmpty = bytes.isWritable();
-        if (socketEmpty) {
-            unreadSince = NEVER;
-        }
+        boolean allBytesRead = bytes.isWritable(); // an end of stream may still follow them
         if (dropsInput()) {
             connection.drop(bytes);
             return;
@@ -130,16 +118,17 @@
             requestsDecoded = 0;
         }
         decode();
-        noteProgress(socketEmpty);
+        noteProgress(allBytesRead);
         continueReading();
     }
 
-    private void noteProgress(boolean socketEmpty) {
+    private void noteProgress(boolean allBytesRead) {
         if (upload == null) {
             return;
         }
         long now = server.loop().now();
-        progress.received(decoder.bodyBytesRead(), buffer.size() + socketBytes(), socketEmpty, now);
+        progress.received(
+                decoder.bodyBytesRead(), buffer.size() + socketBytes(), allBytesRead, now);
         if (upload.isFull() || !mayRead()) {
             progress.stopped(now);
         }
@@ -177,7 +166,7 @@
         }
         channel.config().setAutoRead(reads);
         if (!reads) {
-            noteUnread();
+            disconnects.onUnread();
         }
         if (upload != null) {
             // The timeout counts from the last progress: a large body may take as long as it
@@ -206,17 +195,20 @@
         }
     }
 
-    private void noteUnread() {
-        unreadSince = Math.min(unreadSince, server.loop().now());
-    }
-
     /**
      * Returns whether more may be read, so that neither requests nor a body are buffered without
      * limit.
      */
     private boolean mayRead() {
         boolean hasPendingInput = buffer.hasBytes() || upload != null && upload.isFull();
-        return !hasPendingInput || buffer.size() < MAX_READ_AHEAD_BYTES && !account.isExhausted();
+        if (!hasPendingInput) {
+            return true;
+        }
+        return buffer.size() < READ_AHEAD_BYTES
+                ? !account.isExhausted()
+                : buffer.size() < MAX_READ_AHEAD_BYTES
+                        && account.hasSpare()
+                        && connection.mayNeedContent();
     }
 
     /**
@@ -231,19 +223,33 @@
             long before = buffer.received();
             channel.unsafe().read();
             if (buffer.received() == before) {
-                unreadSince = NEVER;
+                disconnects.onSocketEmpty();
                 if (upload != null && !upload.isFull()) {
                     progress.foundEmpty(server.loop().now());
                 }
                 return;
             }
         }
-        noteUnread();
+        disconnects.onUnread();
+        closeIfDisconnected();
+    }
+
+    /** Closes the connection if its input is not read and its client has disconnected. */
+    void checkUnread() {
+        if (!channel.config().isAutoRead()) {
+            closeIfDisconnected();
+        }
+    }
+
+    private void closeIfDisconnected() {
+        if (channel.isOpen() && !dropsInput() && disconnects.hasDisconnected()) {
+            connection.onDisconnectBehind(channel.unreadBytes());
+        }
     }
 
     /** Returns whether a disconnect of the client would be detected. */
     boolean canDetectDisconnect() {
-        return unreadSince == NEVER || server.loop().now() - unreadSince < MAX_UNREAD_NANOS;
+        return disconnects.canDetect();
     }
 
     /** Returns how many bytes were read and wait to be decoded. */
