--- a/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
@@ -179,7 +179,9 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         connections.remove(this);
-        logLeft();
+        if (state != ClientConnectionState.CLOSED) {
+            logLeft(0);
+        }
         on(ClientConnectionState.Event.CLOSE);
         reader.close();
         if (download != null) {
@@ -194,22 +196,13 @@
         shutdown.endIfEmpty();
     }
 
-    /** Logs the end of a connection that the proxy has not closed itself. */
-    private void logLeft() {
-        if (state != ClientConnectionState.CLOSED) {
-            server.loop()
-                    .log()
-                    .debug("client.left")
-                    .with("client", remoteAddress())
-                    .with("state", state)
-                    .with("buffered", reader.bufferedBytes())
-                    .with("unread", 0)
-                    .write();
-        }
-    }
-
     /** Closes the connection, since its client has disconnected behind bytes that are unread. */
     void onDisconnectBehind(int unreadBytes) {
+        logLeft(unreadBytes);
+        abort();
+    }
+
+    private void logLeft(int unreadBytes) {
         server.loop()
                 .log()
                 .debug("client.left")
@@ -218,7 +211,6 @@
                 .with("buffered", reader.bufferedBytes())
                 .with("unread", unreadBytes)
                 .write();
-        abort();
     }
 
     @Override
