Replace answered ids before others in the bounded memory of started ids

Class: a bounded memory that keeps by age alone.

Change: an answered id is marked, and replaced before those that were not: its client is the least likely to send it again. The mark is the lowest bit of the key, so the size and the form of the shared file stay.

RepeatedIdScenarioTest, RequestForwarderTest and LayersTest passed.

--- a/core/src/main/java/cedarrudder/forwarding/Exchange.java
+++ b/core/src/main/java/cedarrudder/forwarding/Exchange.java
@@ -84,6 +84,7 @@
     private long timeoutAfterUpload;
     private boolean contentDiscarded;
     private boolean mayHaveRun;
+    private boolean abandoned;
     private RepeatGuard.Permission startPermission;
     private RequestBudget budget;
     private DownstreamFeedback feedback;
@@ -304,6 +305,11 @@
         return mayHaveRun;
     }
 
+    /** Records that the client has left before the end of its answer. */
+    void abandon() {
+        abandoned = true;
+    }
+
     /** Returns whether the request may start, given its id; null before its first attempt. */
     RepeatGuard.Permission startPermission() {
         return startPermission;
@@ -315,7 +321,16 @@
 
     /** Returns whether the id of the request, which is over, need not be remembered any longer. */
     boolean forgetsId() {
-        return startPermission == RepeatGuard.Permission.FIRST && !mayHaveRun;
+        return holdsId() && !mayHaveRun;
+    }
+
+    /** Returns whether the id of the request, which is over, was answered to a connected client. */
+    boolean answeredId() {
+        return holdsId() && mayHaveRun && !abandoned;
+    }
+
+    private boolean holdsId() {
+        return startPermission == RepeatGuard.Permission.FIRST;
     }
 
     /** Returns whether the exchange is over and no attempt is in flight, so it can be removed. */
--- a/core/src/main/java/cedarrudder/forwarding/RepeatGuard.java
+++ b/core/src/main/java/cedarrudder/forwarding/RepeatGuard.java
@@ -26,6 +26,12 @@
     /** Forgets a request that was permitted as the first with its id. */
     void forget(Q content);
 
+    /**
+     * Records that such a request was answered. Its id may be forgotten before those of requests
+     * whose clients are more likely to send them again.
+     */
+    void answered(Q content);
+
     /** Returns a guard that permits everything. */
     static <Q> RepeatGuard<Q> none() {
         return new RepeatGuard<>() {
@@ -36,6 +42,9 @@
 
             @Override
             public void forget(Q content) {}
+
+            @Override
+            public void answered(Q content) {}
         };
     }
 }
--- a/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
@@ -139,6 +139,7 @@
 
     /** Records that the client has disconnected: nothing more is sent for its request. */
     public void clientLeft(Exchange<Q, A> exchange) {
+        exchange.abandon();
         RequestAttempt<Q, A> streaming = exchange.streamingAttempt();
         if (exchange.endStreaming()) {
             accounting.onEnded(exchange, End.CLIENT_LEFT);
@@ -197,6 +198,8 @@
             exchanges.remove(exchange.request().id());
             if (exchange.forgetsId()) {
                 repeatGuard.forget(exchange.content());
+            } else if (exchange.answeredId()) {
+                repeatGuard.answered(exchange.content());
             }
         }
     }
--- a/core/src/main/java/cedarrudder/forwarding/StartedRequestIds.java
+++ b/core/src/main/java/cedarrudder/forwarding/StartedRequestIds.java
@@ -6,8 +6,8 @@
 /**
  * The ids of requests of which an attempt may have run, as hashes, and since when. The memory is
  * bounded: each process of a proxy writes to a region of its own, where a new id replaces the
- * oldest one of its bucket; all processes read all regions. Entries expire after {@link
- * #RETENTION_NANOS}.
+ * oldest answered one of its bucket, or else the oldest; all processes read all regions. Entries
+ * expire after {@link #RETENTION_NANOS}.
  *
  * <p>Clients send each request with a new id. One may send an id again on a new connection, if the
  * former one was closed before the answer; that answer may have been written, and the earlier copy
@@ -32,6 +32,9 @@
     /** The size of the memory of all regions. */
     public static final int SHARED_BYTES = REGIONS * REGION_BYTES;
 
+    /** Set in the key of an id that is not marked as answered. */
+    private static final long UNANSWERED_BIT = 1;
+
     private static final long FNV_BASIS = 0xCBF29CE484222325L;
     private static final long FNV_PRIME = 0x100000001B3L;
 
@@ -87,21 +90,35 @@
 
     /** Removes an id that this process has added: it is proven not to have run. */
     public void remove(String id) {
-        int bucket = bucket(ownRegion, hash(id));
+        replaceKey(hash(id), 0);
+    }
+
+    /** Marks an id that this process has added as answered: it is replaced before others. */
+    public void markAnswered(String id) {
+        replaceKey(hash(id), hash(id) & ~UNANSWERED_BIT);
+    }
+
+    private void replaceKey(long hash, long key) {
+        int bucket = bucket(ownRegion, hash);
         for (int at = bucket; at < bucket + BUCKET_BYTES; at += ENTRY_BYTES) {
-            if (memory.getLong(at) == hash(id)) {
-                memory.putLong(at, 0);
+            if (isKeyOf(memory.getLong(at), hash)) {
+                memory.putLong(at, key);
             }
         }
     }
 
+    /** Returns whether a key is that of a hash, answered or not; 0 is the key of none. */
+    private static boolean isKeyOf(long key, long hash) {
+        return key != 0 && (key | UNANSWERED_BIT) == hash;
+    }
+
     private long find(long hash, long now, int exceptRegion) {
         VarHandle.fullFence();
         for (int region = 0; region * REGION_BYTES < memory.capacity(); region++) {
             int bucket = bucket(region, hash);
             int end = region == exceptRegion ? bucket : bucket + BUCKET_BYTES;
             for (int at = bucket; at < end; at += ENTRY_BYTES) {
-                if (memory.getLong(at) == hash && isLive(memory, at, now)) {
+                if (isKeyOf(memory.getLong(at), hash) && isLive(memory, at, now)) {
                     return memory.getLong(at + Long.BYTES);
                 }
             }
@@ -117,7 +134,7 @@
                 chosen = at;
                 break;
             }
-            if (memory.getLong(at + Long.BYTES) < memory.getLong(chosen + Long.BYTES)) {
+            if (isReplacedBefore(at, chosen)) {
                 chosen = at;
             }
         }
@@ -126,6 +143,14 @@
         VarHandle.fullFence();
     }
 
+    private boolean isReplacedBefore(int at, int other) {
+        long unanswered = memory.getLong(at) & UNANSWERED_BIT;
+        long otherUnanswered = memory.getLong(other) & UNANSWERED_BIT;
+        return unanswered == otherUnanswered
+                ? memory.getLong(at + Long.BYTES) < memory.getLong(other + Long.BYTES)
+                : unanswered == 0;
+    }
+
     /** Returns whether an entry is used and not expired; one from before a reboot may be later. */
     private static boolean isLive(ByteBuffer memory, int at, long now) {
         long age = now - memory.getLong(at + Long.BYTES);
@@ -136,13 +161,13 @@
         return region * REGION_BYTES + (int) (hash >>> 1 & BUCKETS - 1) * BUCKET_BYTES;
     }
 
-    /** Hashes an id; never returns 0, which marks an unused entry. */
+    /** Hashes an id, with {@link #UNANSWERED_BIT}: 0 marks an unused entry. */
     private static long hash(String id) {
         long hash = FNV_BASIS;
         for (int i = 0; i < id.length(); i++) {
             hash = (hash ^ id.charAt(i)) * FNV_PRIME;
         }
         hash = (hash ^ hash >>> 30) * 0xBF58476D1CE4E5B9L;
-        return (hash ^ hash >>> 27) | 1;
+        return (hash ^ hash >>> 27) | UNANSWERED_BIT;
     }
 }
--- a/core/src/test/java/cedarrudder/forwarding/StartedRequestIdsTest.java
+++ b/core/src/test/java/cedarrudder/forwarding/StartedRequestIdsTest.java
@@ -53,4 +53,19 @@
             assertEquals(ids.addIfAbsent("id-" + i, START + i + 1), START + i);
         }
     }
+
+    /**
+     * Guards against an id that runs twice since many others were answered after its client left.
+     */
+    @Test
+    public void answeredIdsAreReplacedBeforeOthers() {
+        StartedRequestIds ids = new StartedRequestIds();
+        ids.addIfAbsent("left", START);
+        for (int i = 0; i < IDS_OF_A_LONG_RUN; i++) {
+            ids.addIfAbsent("id-" + i, START + i);
+            ids.markAnswered("id-" + i);
+            assertEquals(ids.addIfAbsent("id-" + i, START + i + 1), START + i);
+        }
+        assertEquals(ids.addIfAbsent("left", START + IDS_OF_A_LONG_RUN), START);
+    }
 }
--- a/daemon/src/main/java/cedarrudder/transport/RequestIdGuard.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestIdGuard.java
@@ -50,6 +50,11 @@
         ids.remove(id(content));
     }
 
+    @Override
+    public void answered(HttpMessage content) {
+        ids.markAnswered(id(content));
+    }
+
     private static String id(HttpMessage content) {
         return content.head().fields().get("req-id");
     }
