Count neither a lagging read nor a window just reopened as a proof of connection

Cause: "reading goes on" stood for "all is read", but the loop reads 32 KiB of a client a turn and lagged half a second behind 746 kB. A socket that is empty right after its window was closed proves as little: what the client's system held back comes only then. The other way round, once reading had stopped, nothing but a read that found the socket empty within a check set the state back, so the next large body began with a time long past.

Change: DisconnectDetector keeps since when reads leave bytes behind, and a client is known to be connected up to then; an empty socket and a small rest prove nothing for 10 ms after more than 32 KiB were unread; a read that leaves nothing behind, with reading still on, sets the state back.

ClientConnection- Test, ClientScenarioTest, LayersTest, OperatorsPageTest passed.

--- a/daemon/src/main/java/cedarrudder/transport/ClientSocket.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientSocket.java
@@ -26,14 +26,20 @@
     }
 
     /**
-     * Returns whether an end of stream that the client has sent would have been received: the
-     * client's own system holds nothing back for lack of a receive window.
+     * Returns whether the receive window is open, so that the client's own system holds nothing
+     * back; false if that is unknown.
      */
-    boolean wouldReceiveDisconnect() {
-        return SocketPolling.isAvailable() && unreadBytes() <= maxUnreadWithOpenWindow();
+    boolean hasOpenWindow() {
+        int unread = unreadBytes();
+        return unread != SocketPolling.UNKNOWN && unread <= maxUnreadWithOpenWindow();
     }
 
-    /** Returns how many received bytes are unread. */
+    /** Returns whether the receive window may be closed; false if that is unknown. */
+    boolean mayHaveClosedWindow() {
+        return unreadBytes() > maxUnreadWithOpenWindow();
+    }
+
+    /** Returns how many received bytes are unread; negative if that is unknown. */
     int unreadBytes() {
         return SocketPolling.unreadBytes(javaChannel());
     }
--- a/daemon/src/main/java/cedarrudder/transport/DisconnectDetector.java
+++ b/daemon/src/main/java/cedarrudder/transport/DisconnectDetector.java
@@ -18,6 +18,12 @@
      */
     private static final long MAX_UNKNOWN_NANOS = 50_000_000L;
 
+    /**
+     * How long after a closed receive window the client's system may still hold something back: it
+     * sends that only once it has learnt that the window is open again.
+     */
+    private static final long REOPENING_NANOS = 10_000_000L;
+
     private final ClientSocket socket;
     private final LongSupplier clock;
 
@@ -27,21 +33,74 @@
     /** Unless {@link #readsAll}: the last instant at which the client was known to be connected. */
     private long connectedAt;
 
+    /** Whether the last read, with reading still on, has left no bytes unread. */
+    private boolean lastReadLeftNothing;
+
+    /** Whether and since when the reads of the event loop leave bytes unread. */
+    private boolean hasBacklog;
+
+    private long backlogSince;
+
+    /** Whether and until when something may be held back by a window that was closed. */
+    private boolean reopening;
+
+    private long reopenedAt;
+
     DisconnectDetector(ClientSocket socket, LongSupplier clock) {
         this.socket = socket;
         this.clock = clock;
     }
 
+    /** Called before each check, and before the socket is read for it. */
+    void beforeCheck() {
+        if (socket.mayHaveClosedWindow()) {
+            reopening = true;
+            reopenedAt = clock.getAsLong() + REOPENING_NANOS;
+        }
+    }
+
+    private boolean isReopening() {
+        reopening = reopening && clock.getAsLong() - reopenedAt < 0;
+        return reopening;
+    }
+
     /** Records that a read found the socket empty, without an end of stream. */
     void onSocketEmpty() {
-        readsAll = true;
+        if (isReopening()) {
+            onUnread();
+        } else {
+            readsAll = true;
+            hasBacklog = false;
+        }
+    }
+
+    /**
+     * Records a read of the event loop, which reads a part of what there is in each turn.
+     *
+     * @param allBytesRead whether it has read all bytes that had been received
+     */
+    void onRead(boolean allBytesRead) {
+        lastReadLeftNothing = allBytesRead;
+        if (!allBytesRead && !hasBacklog) {
+            hasBacklog = true;
+            backlogSince = clock.getAsLong();
+        }
+    }
+
+    /** Records that the event loop goes on reading, and so will read an end of stream. */
+    void onReadingOn() {
+        if (lastReadLeftNothing && !isReopening()) {
+            readsAll = true;
+            hasBacklog = false;
+        }
     }
 
     /** Records that the socket is not read until it is empty from now on. */
     void onUnread() {
+        lastReadLeftNothing = false;
         if (readsAll) {
             readsAll = false;
-            connectedAt = clock.getAsLong();
+            connectedAt = hasBacklog ? backlogSince : clock.getAsLong();
         }
     }
 
@@ -50,7 +109,9 @@
         if (socket.hasClientDisconnected()) {
             return true;
         }
-        if (!readsAll && socket.wouldReceiveDisconnect()) {
+        boolean wouldHaveBeenReceived =
+                SocketPolling.isAvailable() && !isReopening() && socket.hasOpenWindow();
+        if (!readsAll && wouldHaveBeenReceived) {
             connectedAt = clock.getAsLong();
         }
         return false;
--- a/daemon/src/main/java/cedarrudder/transport/RequestReader.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestReader.java
@@ -109,6 +109,7 @@
     void receive(ByteBuf bytes) {
         buffer.onReceived(bytes.readableBytes());
         boolean allBytesRead = bytes.isWritable(); // an end of stream may still follow them
+        disconnects.onRead(allBytesRead);
         if (dropsInput()) {
             connection.drop(bytes);
             return;
@@ -165,7 +166,9 @@
             logReading(reads);
         }
         channel.config().setAutoRead(reads);
-        if (!reads) {
+        if (reads) {
+            disconnects.onReadingOn();
+        } else {
             disconnects.onUnread();
         }
         if (upload != null) {
@@ -219,6 +222,7 @@
      * are appended to the buffer, and the decoding that is in progress continues with them.
      */
     void readNow() {
+        disconnects.beforeCheck();
         for (int i = 0; i < MAX_READS_PER_CHECK && channel.isOpen() && mayRead(); i++) {
             long before = buffer.received();
             channel.unsafe().read();
@@ -237,6 +241,7 @@
     /** Closes the connection if its input is not read and its client has disconnected. */
     void checkUnread() {
         if (!channel.config().isAutoRead()) {
+            disconnects.beforeCheck();
             closeIfDisconnected();
         }
     }
--- a/daemon/src/main/java/cedarrudder/transport/SocketPolling.java
+++ b/daemon/src/main/java/cedarrudder/transport/SocketPolling.java
@@ -18,6 +18,9 @@
     /** Linux's POLLERR, POLLHUP and POLLRDHUP. */
     private static final int DISCONNECT_EVENTS = 0x0008 | 0x0010 | 0x2000;
 
+    /** Returned in place of a number of bytes. */
+    static final int UNKNOWN = -1;
+
     /** Polls a descriptor without waiting; null if that is not available. */
     private static final Method POLL =
             find("sun.nio.ch.Net", "pollNow", FileDescriptor.class, int.class);
@@ -60,12 +63,12 @@
         }
     }
 
-    /** Returns how many received bytes are unread; {@link Integer#MAX_VALUE} if that is unknown. */
+    /** Returns how many received bytes are unread; {@link #UNKNOWN} if the call fails. */
     static int unreadBytes(SocketChannel socket) {
         try {
             return socket.socket().getInputStream().available();
         } catch (IOException e) {
-            return Integer.MAX_VALUE;
+            return UNKNOWN;
         }
     }
 }
