List the large crowd's ids that ran twice as a test of its own

ClientDepartureIT.nothingIsSentForAClientOfALargeCrowdThatLeft is that test, by the same checks; the property that set the crowd is gone.

--- a/daemon/src/test/java/cedarrudder/program/ClientDepartureIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ClientDepartureIT.java
@@ -29,7 +29,10 @@
 
     private static final int SEEDS = Integer.getInteger("departure.seeds", 4);
     private static final long FIRST_SEED = Long.getLong("departure.first", 1);
-    private static final int CROWD = Integer.getInteger("departure.crowd", 100);
+    private static final int CROWD = 100;
+
+    /** About as many as the descriptors of the example's configuration allow. */
+    private static final int LARGE_CROWD = 450;
 
     /** The time after its client's close within which an attempt may still begin. */
     private static final long MAX_BEGIN_AFTER_CLOSE_NANOS = 100_000_000L;
@@ -58,7 +61,7 @@
         final boolean isCrowd;
 
         Round(long seed, int clients, boolean upgrade) throws Exception {
-            isCrowd = clients == CROWD;
+            isCrowd = clients >= CROWD;
             random = new Random(Objects.hash(seed, clients, upgrade));
             withoutOtherRefusals();
             harness.onHead = this::onBegin;
@@ -186,6 +189,17 @@
     @Test(dataProvider = "rounds")
     public void nothingIsSentForAClientThatLeftAndNoneThatStaysIsRefused(
             int clients, int withinMillis, boolean upgrade) throws Exception {
+        assertNoProblems(clients, withinMillis, upgrade);
+    }
+
+    /** Guards against ids that run twice since others replace them in a memory that is bounded. */
+    @Test
+    public void nothingIsSentForAClientOfALargeCrowdThatLeft() throws Exception {
+        assertNoProblems(LARGE_CROWD, 300, false);
+    }
+
+    private static void assertNoProblems(int clients, int withinMillis, boolean upgrade)
+            throws Exception {
         List<String> problems = new ArrayList<>();
         for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
             Round round = new Round(seed, clients, upgrade);
