Give the tests' own new ids a name that no test uses

FootprintIT failed, in both of its plays: ProxyHarness.Client.send gave the id "id-1" a number, so it became "id-12", which the same test sent later for another request and which was rightly denied. Its new ids are "new-N" now. FootprintIT passed.

--- a/daemon/src/test/java/cedarrudder/program/ProxyHarness.java
+++ b/daemon/src/test/java/cedarrudder/program/ProxyHarness.java
@@ -289,9 +289,7 @@
         Client send(String text) throws IOException {
             String sent = text;
             while (sent.contains(ID_FIELD)) {
-                sent =
-                        sent.replaceFirst(
-                                ID_FIELD, ID_FIELD.strip() + IDS.incrementAndGet() + "\r\n");
+                sent = sent.replaceFirst(ID_FIELD, "Req-Id: new-" + IDS.incrementAndGet() + "\r\n");
             }
             socket.getOutputStream().write(sent.getBytes(StandardCharsets.ISO_8859_1));
             return this;
