Count the time of a request that waited unread from when reading stopped

Cause: a request's time counted from when its last byte was read. Bytes beyond what is read ahead wait in the sockets, and their time began anew once they were read, behind the requests in front.

Evidence: ReadAheadDeadlineScenarioTest, 1,200 requests of 3 kB at once, a first one that takes 1.2 s: before, 293 late answers, the latest after 2,624 ms; after, none.

Why it works: DisconnectDetector knows since when bytes may be unread; that instant is the earliest at which they can have been written, so no answer is later than its client allows. A read behind which the socket was empty makes later bytes count from when they are read, as before.

--- a/daemon/src/main/java/cedarrudder/transport/DisconnectDetector.java
+++ b/daemon/src/main/java/cedarrudder/transport/DisconnectDetector.java
@@ -33,9 +33,15 @@
     /** Unless {@link #readsAll}: the last instant at which the client was known to be connected. */
     private long connectedAt;
 
+    /** Unless {@link #readsAll}: the instant since which bytes may be unread. */
+    private long unreadSince;
+
     /** Whether the last read, with reading still on, has left no bytes unread. */
     private boolean lastReadLeftNothing;
 
+    /** Whether the socket was empty after the last read; its window may still have been closed. */
+    private boolean wasEmptied;
+
     /** Whether and since when the reads of the event loop leave bytes unread. */
     private boolean hasBacklog;
 
@@ -72,6 +78,7 @@
             readsAll = true;
             hasBacklog = false;
         }
+        wasEmptied = true;
     }
 
     /**
@@ -81,6 +88,7 @@
      */
     void onRead(boolean allBytesRead) {
         lastReadLeftNothing = allBytesRead;
+        wasEmptied = allBytesRead;
         if (!allBytesRead && !hasBacklog) {
             hasBacklog = true;
             backlogSince = clock.getAsLong();
@@ -98,10 +106,20 @@
     /** Records that the socket is not read until it is empty from now on. */
     void onUnread() {
         lastReadLeftNothing = false;
+        wasEmptied = false;
         if (readsAll) {
             readsAll = false;
-            connectedAt = hasBacklog ? backlogSince : clock.getAsLong();
+            unreadSince = hasBacklog ? backlogSince : clock.getAsLong();
+            connectedAt = unreadSince;
+        }
+    }
+
+    /** Returns the instant since which bytes that are read now may have waited for it. */
+    long arrivedSince() {
+        if (!readsAll && !(wasEmptied && !isReopening())) {
+            return unreadSince;
         }
+        return readsAll && hasBacklog ? backlogSince : clock.getAsLong();
     }
 
     /** Asks the kernel, and returns whether the client has disconnected. */
--- a/daemon/src/main/java/cedarrudder/transport/ReadAheadBuffer.java
+++ b/daemon/src/main/java/cedarrudder/transport/ReadAheadBuffer.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.Unpooled;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.function.LongSupplier;
 
 /**
  * The bytes of one connection that were received and wait to be decoded, with the times at which
@@ -34,21 +33,20 @@
      * Bytes that were received together.
      *
      * @param endOffset the number of bytes received on the connection up to and including these
-     * @param at the instant of receipt, by the event loop's clock in nanoseconds
+     * @param at the instant at which they may have been received, by the event loop's clock in
+     *     nanoseconds
      */
     private record Arrival(long endOffset, long at) {}
 
     private final BufferAccount account;
-    private final LongSupplier clock;
     private final Deque<Arrival> arrivals = new ArrayDeque<>(1);
     private ByteBuf buffer;
     private int charged;
     private long received;
 
     /** Creates an empty buffer. */
-    ReadAheadBuffer(BufferAccount account, LongSupplier clock) {
+    ReadAheadBuffer(BufferAccount account) {
         this.account = account;
-        this.clock = clock;
     }
 
     /** Returns how many bytes were received on the connection. */
@@ -71,22 +69,25 @@
         return buffer;
     }
 
-    /** Records that this many bytes were received, whether they are added or dropped. */
-    void onReceived(int bytes) {
+    /**
+     * Records that this many bytes were received, whether they are added or dropped.
+     *
+     * @param since the instant since which they may have waited to be read
+     */
+    void onReceived(int bytes, long since) {
         while (!arrivals.isEmpty() && arrivals.getFirst().endOffset() <= decoded()) {
             arrivals.removeFirst();
         }
         received += bytes;
-        long now = clock.getAsLong();
         Arrival last = arrivals.peekLast();
         boolean joins =
                 last != null
-                        && (now - last.at() < SAME_ARRIVAL_NANOS
+                        && (since - last.at() < SAME_ARRIVAL_NANOS
                                 || arrivals.size() >= MAX_ARRIVALS);
         if (joins) {
             arrivals.removeLast();
         }
-        arrivals.addLast(new Arrival(received, joins ? last.at() : now));
+        arrivals.addLast(new Arrival(received, joins ? last.at() : since));
     }
 
     /**
--- a/daemon/src/main/java/cedarrudder/transport/RequestReader.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestReader.java
@@ -100,14 +100,14 @@
         this.decoder =
                 HttpDecoder.ofFlows(
                         true, limits.maxHeadBytes(), limits.maxBodyBytes(), BodyFlow.WINDOW);
-        this.buffer = new ReadAheadBuffer(account, server.loop()::now);
+        this.buffer = new ReadAheadBuffer(account);
     }
 
     // ---- receiving
 
     /** Processes bytes that were read from the channel, and releases them. */
     void receive(ByteBuf bytes) {
-        buffer.onReceived(bytes.readableBytes());
+        buffer.onReceived(bytes.readableBytes(), disconnects.arrivedSince());
         boolean allBytesRead = bytes.isWritable(); // an end of stream may still follow them
         disconnects.onRead(allBytesRead);
         if (dropsInput()) {
