Trust a receive window as open only if it can't have closed since the socket was empty

Cause: a client counted as connected if the kernel reported no end of stream and at most 32 KiB were unread, since then "the window is open and nothing is held back". A window that has closed does not open again at that point: the kernel offers none before a whole segment fits, which is 64 KiB on loopback. Measured in an upgrade with 87 clients: ten windows were closed with 14,309 or 30,693 bytes unread, up to 57 kB held back by the clients' systems, the end of stream behind them.

Evidence: aClientBehindAWindowThatWasClosedIsNotTakenForConnected answers 1 to 79 of 80 requests of 3 kB, closes, and asks 0.1 s later whether an attempt may begin. Before, in 4 of 27 positions it might; after, in none. On the former code the test also met an exception: the size of a closed socket's buffer was asked for; it is read once now.

Why it works: the bytes read since the socket was last empty, and those unread, are the most that the kernel ever held. While they fit into what the window takes at least (48 KiB, or three quarters of the buffer), it can't have closed. Otherwise the client is not known to be connected.

--- a/daemon/src/main/java/cedarrudder/transport/ClientSocket.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientSocket.java
@@ -8,13 +8,18 @@
 final class ClientSocket extends NioSocketChannel {
 
     /**
-     * The maximum number of unread bytes with which the receive window is considered open. Linux
-     * closes the window of a socket with default buffers at more than twice as many.
+     * The maximum number of bytes that the receive window takes in any case before it closes. Linux
+     * closes the window of a socket with default buffers at over half as many more.
      */
-    private static final int MAX_UNREAD_WITH_OPEN_WINDOW = 32 * 1024;
+    private static final int MAX_OPEN_WINDOW_BYTES = 48 * 1024;
+
+    private final int maxOpenWindowBytes;
 
     ClientSocket(Channel parent, SocketChannel accepted) {
         super(parent, accepted);
+        // Linux only enlarges the buffer later; a closed socket has no size any more.
+        maxOpenWindowBytes =
+                Math.min(MAX_OPEN_WINDOW_BYTES, config().getReceiveBufferSize() * 3 / 4);
     }
 
     /**
@@ -26,25 +31,26 @@
     }
 
     /**
-     * Returns whether the receive window is open, so that the client's own system holds nothing
-     * back; false if that is unknown.
+     * Returns whether the receive window has been open since the socket was last empty, so that the
+     * client's own system holds nothing back; false if that is unknown. A window that was closed
+     * need not open before the socket is empty again, however little is unread.
+     *
+     * @param readSinceEmpty the number of bytes that were read since the socket was last empty
      */
-    boolean hasOpenWindow() {
+    boolean hasOpenWindow(long readSinceEmpty) {
         int unread = unreadBytes();
-        return unread != SocketPolling.UNKNOWN && unread <= maxUnreadWithOpenWindow();
+        return unread != SocketPolling.UNKNOWN && readSinceEmpty + unread <= maxOpenWindowBytes;
     }
 
-    /** Returns whether the receive window may be closed; false if that is unknown. */
-    boolean mayHaveClosedWindow() {
-        return unreadBytes() > maxUnreadWithOpenWindow();
+    /**
+     * Returns whether this many bytes since the socket was last empty may have closed the window.
+     */
+    boolean mayCloseWindow(long bytesSinceEmpty) {
+        return bytesSinceEmpty > maxOpenWindowBytes;
     }
 
     /** Returns how many received bytes are unread; negative if that is unknown. */
     int unreadBytes() {
         return SocketPolling.unreadBytes(javaChannel());
     }
-
-    private int maxUnreadWithOpenWindow() {
-        return Math.min(MAX_UNREAD_WITH_OPEN_WINDOW, config().getReceiveBufferSize() / 2);
-    }
 }
--- a/daemon/src/main/java/cedarrudder/transport/DisconnectDetector.java
+++ b/daemon/src/main/java/cedarrudder/transport/DisconnectDetector.java
@@ -47,6 +47,9 @@
 
     private long backlogSince;
 
+    /** The number of bytes that were read since the socket was last empty. */
+    private long readSinceEmpty;
+
     /** Whether and until when something may be held back by a window that was closed. */
     private boolean reopening;
 
@@ -59,19 +62,30 @@
 
     /** Called before each check, and before the socket is read for it. */
     void beforeCheck() {
-        if (socket.mayHaveClosedWindow()) {
-            reopening = true;
-            reopenedAt = clock.getAsLong() + REOPENING_NANOS;
+        if (mayHaveClosedWindow()) {
+            onWindowClosed();
         }
     }
 
-    private boolean isReopening() {
+    /** Returns whether the client's system may hold back what the window does not take. */
+    boolean mayHaveClosedWindow() {
+        return socket.mayCloseWindow(readSinceEmpty + socket.unreadBytes());
+    }
+
+    private void onWindowClosed() {
+        reopening = true;
+        reopenedAt = clock.getAsLong() + REOPENING_NANOS;
+    }
+
+    /** Returns whether the client's system may still hold back what it sends. */
+    boolean isReopening() {
         reopening = reopening && clock.getAsLong() - reopenedAt < 0;
         return reopening;
     }
 
     /** Records that a read found the socket empty, without an end of stream. */
     void onSocketEmpty() {
+        readSinceEmpty = 0;
         if (isReopening()) {
             onUnread();
         } else {
@@ -84,9 +98,17 @@
     /**
      * Records a read of the event loop, which reads a part of what there is in each turn.
      *
+     * @param bytes the number of bytes read
      * @param allBytesRead whether it has read all bytes that had been received
      */
-    void onRead(boolean allBytesRead) {
+    void onRead(int bytes, boolean allBytesRead) {
+        readSinceEmpty += bytes;
+        if (socket.mayCloseWindow(readSinceEmpty)) {
+            onWindowClosed();
+        }
+        if (allBytesRead) {
+            readSinceEmpty = 0;
+        }
         lastReadLeftNothing = allBytesRead;
         wasEmptied = allBytesRead;
         if (!allBytesRead && !hasBacklog) {
@@ -128,7 +150,9 @@
             return true;
         }
         boolean wouldHaveBeenReceived =
-                SocketPolling.isAvailable() && !isReopening() && socket.hasOpenWindow();
+                SocketPolling.isAvailable()
+                        && !isReopening()
+                        && socket.hasOpenWindow(readSinceEmpty);
         if (!readsAll && wouldHaveBeenReceived) {
             connectedAt = clock.getAsLong();
         }
--- a/daemon/src/main/java/cedarrudder/transport/RequestReader.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestReader.java
@@ -107,9 +107,10 @@
 
     /** Processes bytes that were read from the channel, and releases them. */
     void receive(ByteBuf bytes) {
-        buffer.onReceived(bytes.readableBytes(), disconnects.arrivedSince());
+        int received = bytes.readableBytes();
+        buffer.onReceived(received, disconnects.arrivedSince());
         boolean allBytesRead = bytes.isWritable(); // an end of stream may still follow them
-        disconnects.onRead(allBytesRead);
+        disconnects.onRead(received, allBytesRead);
         if (dropsInput()) {
             connection.drop(bytes);
             return;
--- a/daemon/src/test/java/cedarrudder/transport/ClientConnectionTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/ClientConnectionTest.java
@@ -353,6 +353,45 @@
         }
     }
 
+    /**
+     * Guards against attempts for a client whose end of stream its own system holds back, since the
+     * receive window is still closed though little is unread.
+     */
+    @Test
+    public void aClientBehindAWindowThatWasClosedIsNotTakenForConnected() throws Exception {
+        int requests = 80;
+        List<Integer> takenForConnected = new ArrayList<>();
+        for (int answered = 1; answered < requests; answered += 3) {
+            try (Service service = new Service()) {
+                AtomicReference<ClientRequest> open = new AtomicReference<>();
+                service.requestListener = (request, reply) -> open.set(reply);
+                service.on(
+                        () -> {
+                            service.account.add(BufferAccount.MAX / 2 + 1);
+                            return null;
+                        });
+                Socket client = service.client();
+                StringBuilder all = new StringBuilder();
+                for (int i = 0; i < requests; i++) {
+                    all.append(request("r" + i, "Padding: " + "x".repeat(3_000) + "\r\n"));
+                }
+                send(client, all.toString());
+                for (int i = 0; i < answered; i++) {
+                    service.rejectOldest();
+                    assertTrue(read(client).startsWith("HTTP/1.1 503"));
+                }
+                service.request();
+                client.close();
+                Thread.sleep(100);
+                if (service.on(
+                        () -> open.get().isClientWaiting() && open.get().canDetectDisconnect())) {
+                    takenForConnected.add(answered);
+                }
+            }
+        }
+        assertEquals(takenForConnected, List.of());
+    }
+
     private static CompletableFuture<Void> sendBehind(Socket client, int requests) {
         return CompletableFuture.runAsync(
                 () -> {
