Answer all that was read of a connection before it ends, and read no more than that

Cause: at most 64 pipelined requests were answered after the response that was to be the last, while 1 MiB is read ahead; and a connection whose requests waited for the next turn of the loop counted as one without a request when the last connections were closed.

Change: as a connection begins to end, its input ends (RequestReader.endInput): what its client has sent by then is read, up to what is read ahead, and the last response is that to the last request of it. Nothing behind it is read and dropped; it stays unread, so that its client may send it again. After SIGTERM no more than 32 KiB are read ahead.

CloseReason says why each connection ends and whether requests that were read need an answer; UnansweredRequests counts those without one. With it come run-time checks of attempts that begin too late or must not be repeated, all counted in "violations" of /-/metrics and logged.

--- a/core/src/main/java/cedarrudder/forwarding/Exchange.java
+++ b/core/src/main/java/cedarrudder/forwarding/Exchange.java
@@ -56,6 +56,11 @@
         default boolean canDetectDisconnect() {
             return true;
         }
+
+        /** Returns for how long the client has not been known to be connected, in nanoseconds. */
+        default long nanosWithoutSignOfClient() {
+            return 0;
+        }
     }
 
     /** The state of an exchange; {@link #isOver} is true except in {@code OPEN}. */
@@ -305,6 +310,11 @@
         return mayHaveRun;
     }
 
+    /** Returns whether an attempt may have been executed, or still may be. */
+    boolean mayStillRun() {
+        return mayHaveRun || attempts.stream().anyMatch(RequestAttempt::isExecuting);
+    }
+
     /** Records that the client has left before the end of its answer. */
     void abandon() {
         abandoned = true;
--- a/core/src/main/java/cedarrudder/forwarding/RepeatGuard.java
+++ b/core/src/main/java/cedarrudder/forwarding/RepeatGuard.java
@@ -23,6 +23,9 @@
     /** Returns whether a request may start its first attempt now. */
     Permission start(LoadBalancer.Request request, Q content);
 
+    /** Returns whether a request may run more than once, within the window of its key if any. */
+    boolean mayRunTwice(LoadBalancer.Request request);
+
     /** Forgets a request that was permitted as the first with its id. */
     void forget(Q content);
 
@@ -40,6 +43,11 @@
                 return Permission.REPEATABLE;
             }
 
+            @Override
+            public boolean mayRunTwice(LoadBalancer.Request request) {
+                return true;
+            }
+
             @Override
             public void forget(Q content) {}
 
--- a/core/src/main/java/cedarrudder/forwarding/RequestAccounting.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestAccounting.java
@@ -7,6 +7,7 @@
 import cedarrudder.failover.ZoneTrafficCounter;
 import cedarrudder.metrics.RequestMetrics;
 import cedarrudder.metrics.RequestMetrics.End;
+import cedarrudder.metrics.Violation;
 import java.util.List;
 
 /** Counts requests and attempts, for the metrics and by zone; either may be absent. */
@@ -49,6 +50,12 @@
         }
     }
 
+    void onViolation(Violation violation, int requests) {
+        if (metrics != null) {
+            metrics.onViolation(violation, requests);
+        }
+    }
+
     void onDeadlineMissed() {
         if (metrics != null) {
             metrics.onDeadlineMissed();
--- a/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestForwarder.java
@@ -13,6 +13,7 @@
 import cedarrudder.logging.Logger;
 import cedarrudder.metrics.RequestMetrics;
 import cedarrudder.metrics.RequestMetrics.End;
+import cedarrudder.metrics.Violation;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +34,9 @@
  */
 public final class RequestForwarder<Q, A> {
 
+    /** The time after its client has left within which an attempt may still begin. */
+    private static final long MAX_START_AFTER_CLIENT_LEFT_NANOS = 100_000_000L;
+
     private final TimerService timers;
     private final RequestLog requestLog;
     private final LoadBalancer balancer;
@@ -227,11 +231,29 @@
         if (attempt.hasEnded()) {
             return false;
         }
+        checkStart(attempt);
         attempt.startWriting();
         requestLog.attemptStarted(attempt);
         return true;
     }
 
+    /** Checks what must hold as an attempt begins, independently of what has permitted it. */
+    private void checkStart(RequestAttempt<Q, A> attempt) {
+        Exchange<Q, A> exchange = attempt.exchange();
+        if (exchange.reply().nanosWithoutSignOfClient() > MAX_START_AFTER_CLIENT_LEFT_NANOS) {
+            violated(Violation.LATE_START, 1);
+        }
+        if (exchange.mayStillRun() && !repeatGuard.mayRunTwice(exchange.request())) {
+            violated(Violation.REPEATED, 1);
+        }
+    }
+
+    /** Records that something happened to so many requests that must never happen. */
+    public void violated(Violation violation, int requests) {
+        requestLog.violated(violation, requests);
+        accounting.onViolation(violation, requests);
+    }
+
     private boolean mayStartWithItsId(Exchange<Q, A> exchange) {
         if (exchange.startPermission() == null) {
             exchange.startPermission(repeatGuard.start(exchange.request(), exchange.content()));
--- a/core/src/main/java/cedarrudder/forwarding/RequestLog.java
+++ b/core/src/main/java/cedarrudder/forwarding/RequestLog.java
@@ -3,6 +3,7 @@
 import cedarrudder.balancer.LoadBalancer.Outcome;
 import cedarrudder.logging.Logger;
 import cedarrudder.metrics.RequestMetrics.End;
+import cedarrudder.metrics.Violation;
 
 /**
  * Logs what happens to each request and why, so that a refusal, a retry or a cut-off response can
@@ -66,6 +67,13 @@
                 .write();
     }
 
+    void violated(Violation violation, int requests) {
+        log.warn("invariant.violated")
+                .with("violation", violation)
+                .with("requests", requests)
+                .write();
+    }
+
     void repeatDenied(Exchange<?, ?> exchange) {
         log.warn("request.repeat_denied").with("request", exchange.request().id()).write();
     }
--- a/core/src/main/java/cedarrudder/metrics/RequestMetrics.java
+++ b/core/src/main/java/cedarrudder/metrics/RequestMetrics.java
@@ -22,6 +22,7 @@
     private final long[][] ended;
     private final long[] accepted;
     private final long[] forwarded;
+    private final long[] violations = new long[Violation.values().length];
     private long deadlinesMissed;
     private long openRequests;
 
@@ -58,6 +59,16 @@
         return deadlinesMissed;
     }
 
+    /** Counts so many requests to which this happened. */
+    public void onViolation(Violation violation, int requests) {
+        violations[violation.ordinal()] += requests;
+    }
+
+    /** Returns the number of requests to which this happened. */
+    public long violations(Violation violation) {
+        return violations[violation.ordinal()];
+    }
+
     /** Counts an attempt of this class that was written completely to an endpoint. */
     public void onForwarded(int classIndex) {
         forwarded[classIndex]++;
--- a/daemon/src/main/java/cedarrudder/protocol/MetricsPage.java
+++ b/daemon/src/main/java/cedarrudder/protocol/MetricsPage.java
@@ -5,6 +5,7 @@
 import cedarrudder.footprint.RouteTableCapacity;
 import cedarrudder.metrics.RequestMetrics;
 import cedarrudder.metrics.RequestMetrics.End;
+import cedarrudder.metrics.Violation;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.ByteArrayOutputStream;
@@ -73,6 +74,7 @@
             json.writeNumberField("registry_entries", listed);
             json.writeNumberField("out_of_rotation", avoided);
             json.writeNumberField("held_bytes", held);
+            writeViolations(figures, json);
             if (estimate != null) {
                 write(estimate, json);
             }
@@ -83,6 +85,16 @@
         return page.toByteArray();
     }
 
+    private static void writeViolations(RequestMetrics figures, JsonGenerator json)
+            throws IOException {
+        json.writeObjectFieldStart("violations");
+        for (Violation violation : Violation.values()) {
+            json.writeNumberField(
+                    violation.name().toLowerCase(Locale.ROOT), figures.violations(violation));
+        }
+        json.writeEndObject();
+    }
+
     private static void write(Estimate estimate, JsonGenerator json) throws IOException {
         EndpointListReader.Judged list = estimate.list();
         json.writeObjectFieldStart("footprint");
--- a/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
@@ -25,12 +25,6 @@
 
     private static final String HEALTH_PATH = "/_health";
 
-    /**
-     * The maximum number of pipelined requests that are still answered after the response that was
-     * to be the last of the connection. Bounded because a client may pipeline requests without end.
-     */
-    private static final int MAX_PIPELINED_AFTER_LAST = 64;
-
     /** The maximum duration of an upload: 32 MB at 64 kB a second take 500 s. */
     private static final long MAX_UPLOAD_NANOS = 600_000_000_000L;
 
@@ -42,8 +36,12 @@
     private final LingeringClose lingering = new LingeringClose();
     private final WriteRetry writeRetry;
     private final ClientTimeout timeout;
+    private final UnansweredRequests unanswered;
     private ClientConnectionState state = ClientConnectionState.NEW;
 
+    /** Why the connection ends; null before its end has begun. */
+    private CloseReason closeReason;
+
     /** The open request; null if there is none. */
     private ClientRequest request;
 
@@ -51,7 +49,6 @@
     private BodyWriter download;
 
     private boolean keepAlive;
-    private int answeredAfterLast;
 
     /** The instant from which the present state counts when a connection to close is chosen. */
     private long stateSince;
@@ -71,6 +68,7 @@
         this.reader = new RequestReader(server, shutdown, this, channel);
         this.writeRetry = new WriteRetry(channel);
         this.timeout = new ClientTimeout(server);
+        this.unanswered = new UnansweredRequests(server);
     }
 
     // ---- state
@@ -99,7 +97,7 @@
                     .fault("client.failed", new IllegalStateException(event + " in " + state))
                     .with("client", remoteAddress())
                     .write();
-            abort();
+            abort(CloseReason.FAULT);
             return;
         }
         long now = server.loop().now();
@@ -123,6 +121,9 @@
             writeRetry.run(now);
         }
         reader.checkUnread();
+        if (isLeavingInputUnread() && channel.hasClientDisconnected()) {
+            close(CloseReason.CLIENT_LEFT);
+        }
         if (timeout.isDue()) {
             expire();
         }
@@ -148,9 +149,9 @@
                 .with("state", state)
                 .write();
         if (state.acceptsRequests()) {
-            closeOrLinger();
+            closeOrLinger(CloseReason.TIMED_OUT);
         } else {
-            abort();
+            abort(CloseReason.CLIENT_STALLED);
         }
     }
 
@@ -181,8 +182,12 @@
         connections.remove(this);
         if (state != ClientConnectionState.CLOSED) {
             logLeft(0);
+            closeReason = CloseReason.CLIENT_LEFT;
         }
         on(ClientConnectionState.Event.CLOSE);
+        if (request != null) {
+            unanswered.onRequestDropped(remoteAddress(), closeReason);
+        }
         reader.close();
         if (download != null) {
             // The download is stopped before the attempt is ended, which would otherwise abort a
@@ -199,7 +204,7 @@
     /** Closes the connection, since its client has disconnected behind bytes that are unread. */
     void onDisconnectBehind(int unreadBytes) {
         logLeft(unreadBytes);
-        abort();
+        abort(CloseReason.CLIENT_LEFT);
     }
 
     private void logLeft(int unreadBytes) {
@@ -215,14 +220,12 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (!(cause instanceof IOException)) {
-            server.loop()
-                    .log()
-                    .fault("client.failed", cause)
-                    .with("client", remoteAddress())
-                    .write();
+        if (cause instanceof IOException) {
+            context.close(); // reset by the client
+            return;
         }
-        context.close();
+        server.loop().log().fault("client.failed", cause).with("client", remoteAddress()).write();
+        close(CloseReason.FAULT);
     }
 
     // ---- requests
@@ -300,11 +303,12 @@
         }
         boolean streaming = download != null;
         if (streaming) {
-            abort(); // another response can't follow
+            abort(CloseReason.MALFORMED); // another response can't follow
         }
         abandonRequest();
         reader.dropUpload();
         if (!streaming) {
+            closeReason = CloseReason.MALFORMED;
             write(ownResponse(e.status(), e.getMessage(), true), true);
         }
     }
@@ -322,6 +326,10 @@
         return reader.canDetectDisconnect();
     }
 
+    long nanosWithoutSignOfClient() {
+        return reader.nanosWithoutSignOfClient();
+    }
+
     /** Returns whether a further attempt of the open request may need the bytes of its body. */
     boolean mayNeedContent() {
         return request == null || !request.exchange().contentDiscarded();
@@ -333,12 +341,13 @@
     }
 
     /**
-     * Returns whether a request is open, or a response is being written of which the client has
-     * taken something within this time, in nanoseconds, or has taken all there is.
+     * Returns whether a request is open or waits to be decoded, or a response is being written of
+     * which the client has taken something within this time, in nanoseconds, or has taken all there
+     * is.
      */
     boolean isAnswering(long maxStallNanos) {
         if (!state.isResponding()) {
-            return request != null;
+            return request != null || reader.hasInput();
         }
         long stalledSince = download == null ? respondingSince : download.stalledSince();
         return server.loop().now() - stalledSince < maxStallNanos;
@@ -347,23 +356,28 @@
     // ---- responses
 
     /**
-     * Returns whether the next response is the last of its connection; called once for each
-     * response. During a shutdown, pipelined requests are read first and answered, because a
-     * request that was read must not stay unanswered.
+     * Returns whether the next response is the last of its connection. During a shutdown nothing
+     * more is read than what has been received by then, and the last response is that to the last
+     * request that was read, because none of those may stay unanswered.
      */
     boolean isLastResponse() {
-        if (!keepAlive || reader.isUploading()) {
-            return true;
+        closeReason = reasonToCloseAfterResponse();
+        return closeReason != null;
+    }
+
+    private CloseReason reasonToCloseAfterResponse() {
+        if (!keepAlive) {
+            return CloseReason.CLOSE_REQUESTED;
         }
-        if (!shutdown.endsConnections()) {
-            return false;
+        if (reader.isUploading()) {
+            return CloseReason.BODY_DROPPED;
         }
-        reader.readNow();
-        if (!reader.hasBytes()) {
-            return true;
+        if (!shutdown.endsConnections()) {
+            reader.reopenInput();
+            return null;
         }
-        answeredAfterLast++;
-        return answeredAfterLast > MAX_PIPELINED_AFTER_LAST;
+        reader.endInput();
+        return reader.hasInput() ? null : CloseReason.SHUTDOWN;
     }
 
     /** Encodes a response; returns null if that fails, for example for lack of memory. */
@@ -386,10 +400,12 @@
      * @param response null if it could not be encoded: the connection is closed instead
      */
     void respond(ByteBuf response, boolean last) {
-        closeRequest();
         if (response == null) {
-            close();
-        } else if (state == ClientConnectionState.CLOSED) {
+            close(CloseReason.OUT_OF_MEMORY); // which is the end of the request, too
+            return;
+        }
+        closeRequest();
+        if (state == ClientConnectionState.CLOSED) {
             response.release();
         } else {
             write(response, last);
@@ -401,10 +417,16 @@
         if (state == ClientConnectionState.CLOSED) {
             return; // channelInactive follows and ends the attempt
         }
+        if (last && closeReason == null) {
+            closeReason = CloseReason.CLOSE_REQUESTED; // its end is the end of the connection
+        }
         on(last ? ClientConnectionState.Event.LAST_RESPONSE : ClientConnectionState.Event.RESPONSE);
+        if (isLeavingInputUnread()) {
+            channel.config().setAutoRead(false);
+        }
         ByteBuf head = encode(headEncoder);
         if (head == null) {
-            close(); // this also ends the attempt
+            close(CloseReason.OUT_OF_MEMORY); // this also ends the attempt
             return;
         }
         channel.write(head);
@@ -424,7 +446,7 @@
 
         @Override
         public void onBodyFailed() {
-            abort();
+            abort(CloseReason.RESPONSE_BROKEN);
         }
     }
 
@@ -445,14 +467,14 @@
         on(last ? ClientConnectionState.Event.LAST_RESPONSE : ClientConnectionState.Event.RESPONSE);
         if (last) {
             reader.dropUpload();
-            channel.config().setAutoRead(true);
+            channel.config().setAutoRead(!isLeavingInputUnread());
         }
         channel.writeAndFlush(response).addListener(written -> onWritten(written.isSuccess()));
     }
 
     private void onWritten(boolean success) {
         if (!success) {
-            close();
+            close(CloseReason.CLIENT_LEFT);
             return;
         }
         on(ClientConnectionState.Event.WRITTEN);
@@ -521,7 +543,7 @@
     void closeIfQuiet() {
         reader.readNow();
         if (state.isBetweenRequests() && !reader.hasBytes()) {
-            close();
+            close(CloseReason.SHUTDOWN);
         }
     }
 
@@ -529,10 +551,11 @@
      * Closes a connection without an open request as {@link #closeIfQuiet} does, but with a
      * lingering close if part of a request has been received.
      */
-    private void closeOrLinger() {
+    private void closeOrLinger(CloseReason reason) {
         if (state.isBetweenRequests()) {
-            close();
+            close(reason);
         } else {
+            closeReason = reason;
             on(ClientConnectionState.Event.HALF_CLOSE);
             linger();
         }
@@ -547,8 +570,8 @@
         reader.readNow();
         if (request != null) {
             server.forwarder().expireNow(request.exchange());
-        } else if (state.acceptsRequests()) {
-            closeOrLinger();
+        } else if (state.acceptsRequests() && !reader.hasInput()) {
+            closeOrLinger(CloseReason.SHUTDOWN);
         }
     }
 
@@ -558,11 +581,29 @@
         reader.dropBytes();
         lingering.start(stateSince);
         channel.shutdownOutput();
-        channel.config().setAutoRead(true);
+        channel.config().setAutoRead(!isLeavingInputUnread());
+    }
+
+    /**
+     * Returns whether input is neither read nor dropped, since the connection ends by this
+     * process's decision: its client may send again what was not read.
+     */
+    private boolean isLeavingInputUnread() {
+        return state.isEnding()
+                && closeReason == CloseReason.SHUTDOWN
+                && SocketPolling.isAvailable();
+    }
+
+    /** Records that bytes are dropped which were read and not decoded. */
+    void onBytesDropped(ByteBuf bytes) {
+        if (closeReason != null) {
+            unanswered.onBytesDropped(remoteAddress(), closeReason, bytes);
+        }
     }
 
     /** Drops bytes that were read. */
     void drop(ByteBuf bytes) {
+        onBytesDropped(bytes);
         boolean tooMany = lingering.drop(bytes.readableBytes());
         bytes.release();
         long now = server.loop().now();
@@ -577,7 +618,7 @@
      * Closes the connection at once. Resets it if a response is being streamed, since a response
      * without a length that ends early would look complete.
      */
-    void abort() {
+    void abort(CloseReason reason) {
         if (download != null) {
             download.stop();
             download = null;
@@ -585,10 +626,14 @@
                 channel.config().setOption(ChannelOption.SO_LINGER, 0);
             }
         }
-        close();
+        close(reason);
     }
 
-    void close() {
+    /** Closes the connection at once, for a reason that counts unless it has begun to end. */
+    void close(CloseReason reason) {
+        if (closeReason == null) {
+            closeReason = reason;
+        }
         on(ClientConnectionState.Event.CLOSE);
         channel.close();
     }
--- a/daemon/src/main/java/cedarrudder/transport/ClientConnectionState.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientConnectionState.java
@@ -83,7 +83,12 @@
 
     /** Returns whether no request is open and input is decoded as a request. */
     boolean acceptsRequests() {
-        return this == NEW || this == IDLE || this == READING_HEAD || this == READING_BODY;
+        return isBetweenRequests() || isReadingRequest();
+    }
+
+    /** Returns whether a part of a request has been received, and is buffered. */
+    boolean isReadingRequest() {
+        return this == READING_HEAD || this == READING_BODY;
     }
 
     /** Returns whether no part of a request has been received since the last response. */
--- a/daemon/src/main/java/cedarrudder/transport/ClientConnections.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientConnections.java
@@ -131,7 +131,7 @@
                         .with("client", candidate.remoteAddress())
                         .with("clients", all.size())
                         .write();
-                candidate.close();
+                candidate.close(CloseReason.EVICTED);
                 return;
             }
             candidate = nextToEvict();
--- a/daemon/src/main/java/cedarrudder/transport/ClientRequest.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientRequest.java
@@ -61,6 +61,11 @@
         return connection.canDetectDisconnect();
     }
 
+    @Override
+    public long nanosWithoutSignOfClient() {
+        return connection.nanosWithoutSignOfClient();
+    }
+
     @Override
     public void served(HttpMessage answer) {
         boolean last = connection.isLastResponse();
--- a/daemon/src/main/java/cedarrudder/transport/DisconnectDetector.java
+++ b/daemon/src/main/java/cedarrudder/transport/DisconnectDetector.java
@@ -159,6 +159,11 @@
         return false;
     }
 
+    /** Returns for how long the client has not been known to be connected, in nanoseconds. */
+    long nanosWithoutSign() {
+        return readsAll ? 0 : clock.getAsLong() - connectedAt;
+    }
+
     /** Returns whether a disconnect up to now, or just before, would have been detected. */
     boolean canDetect() {
         return readsAll || clock.getAsLong() - connectedAt < MAX_UNKNOWN_NANOS;
--- a/daemon/src/main/java/cedarrudder/transport/GracefulShutdown.java
+++ b/daemon/src/main/java/cedarrudder/transport/GracefulShutdown.java
@@ -268,7 +268,7 @@
         for (ClientConnection connection : connections.snapshot()) {
             connection.cutOff();
             if (!mayContinue || !connection.isAnswering(MAX_STALL_NANOS)) {
-                connection.abort();
+                connection.abort(mayContinue ? CloseReason.CLIENT_STALLED : CloseReason.SHUTDOWN);
             }
         }
     }
--- a/daemon/src/main/java/cedarrudder/transport/RequestIdGuard.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestIdGuard.java
@@ -45,6 +45,11 @@
         return recognized ? Permission.REPEATABLE : Permission.DENIED;
     }
 
+    @Override
+    public boolean mayRunTwice(Request request) {
+        return classes.get(request.classIndex()).idempotency() != Idempotency.UNSAFE;
+    }
+
     @Override
     public void forget(HttpMessage content) {
         ids.remove(id(content));
--- a/daemon/src/main/java/cedarrudder/transport/RequestReader.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestReader.java
@@ -27,7 +27,7 @@
      */
     private static final int READ_AHEAD_BYTES = 32 * 1024;
 
-    /** The same while the account has spare capacity. */
+    /** The same while the account has spare capacity, and the process has not been told to end. */
     private static final int MAX_READ_AHEAD_BYTES = 1024 * 1024;
 
     /**
@@ -85,6 +85,12 @@
 
     private long readingStoppedAt;
 
+    /** Whether only what has been received by now is read, and the rest of a partial request. */
+    private boolean inputEnded;
+
+    /** Once input has ended: the number of bytes of the connection that are read. */
+    private long inputEnd;
+
     RequestReader(
             ServerContext server,
             GracefulShutdown shutdown,
@@ -204,6 +210,9 @@
      * limit.
      */
     private boolean mayRead() {
+        if (inputEnded && upload == null && !isBeforeInputEnd()) {
+            return false;
+        }
         boolean hasPendingInput = buffer.hasBytes() || upload != null && upload.isFull();
         if (!hasPendingInput) {
             return true;
@@ -212,9 +221,39 @@
                 ? !account.isExhausted()
                 : buffer.size() < MAX_READ_AHEAD_BYTES
                         && account.hasSpare()
+                        && shutdown.isServing()
                         && connection.mayNeedContent();
     }
 
+    /**
+     * Ends the input of a connection that is to be closed: what the client has sent by now is read,
+     * up to the bytes that are read ahead, and after that only the rest of a partial request. So
+     * what is still to be answered is bounded by what is read, whatever the client sends.
+     */
+    void endInput() {
+        if (inputEnded) {
+            return;
+        }
+        readNow();
+        // Behind a closed window the client's own system holds more back.
+        int unread =
+                disconnects.mayHaveClosedWindow()
+                        ? MAX_READ_AHEAD_BYTES
+                        : Math.max(0, channel.unreadBytes());
+        inputEnded = true;
+        inputEnd = buffer.received() + unread;
+    }
+
+    /** Continues the input of a connection that is no longer to be closed. */
+    void reopenInput() {
+        inputEnded = false;
+    }
+
+    private boolean isBeforeInputEnd() {
+        boolean completesRequest = connection.state().isReadingRequest();
+        return buffer.received() < inputEnd + (completesRequest ? MAX_READ_AHEAD_BYTES : 0);
+    }
+
     /**
      * Reads what the socket has received by now: requests and ends of stream that the event loop
      * has not read yet.
@@ -258,6 +297,11 @@
         return disconnects.canDetect();
     }
 
+    /** Returns for how long the client has not been known to be connected, in nanoseconds. */
+    long nanosWithoutSignOfClient() {
+        return disconnects.nanosWithoutSign();
+    }
+
     /** Returns how many bytes were read and wait to be decoded. */
     int bufferedBytes() {
         return buffer.size();
@@ -268,6 +312,15 @@
         return buffer.hasBytes();
     }
 
+    /** Returns whether bytes wait to be decoded, or to be read although input has ended. */
+    boolean hasInput() {
+        if (hasBytes() || !inputEnded || !isBeforeInputEnd()) {
+            return hasBytes();
+        }
+        disconnects.beforeCheck();
+        return channel.unreadBytes() > 0 || disconnects.isReopening();
+    }
+
     /** Returns how many bytes were received on the connection. */
     long receivedBytes() {
         return buffer.received();
@@ -437,6 +490,7 @@
      */
     void dropBytes() {
         if (!decoding) {
+            connection.onBytesDropped(buffer.bytes());
             buffer.clear();
         }
     }
