Count the end of an upload from when it was read, also where reading had stopped

What callers saw: since a large body that took longer than its deadline was answered 502. Evidence: StalledUploadScenarioTest, anUploadThatTakesLongerThanItsDeadlineIsServed, failed in one row; all 17 rows pass now. UploadProgress alone knows since when a body may be complete.

--- a/daemon/src/main/java/cedarrudder/transport/RequestReader.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestReader.java
@@ -114,7 +114,7 @@
     /** Processes bytes that were read from the channel, and releases them. */
     void receive(ByteBuf bytes) {
         int received = bytes.readableBytes();
-        buffer.onReceived(received, disconnects.arrivedSince());
+        buffer.onReceived(received, arrivedSince());
         boolean allBytesRead = bytes.isWritable(); // an end of stream may still follow them
         disconnects.onRead(received, allBytesRead);
         if (dropsInput()) {
@@ -130,6 +130,14 @@
         continueReading();
     }
 
+    /**
+     * Returns the instant since which bytes that are read now may have waited for it. Those of a
+     * body are not counted as waiting: {@link UploadProgress} knows since when it may be complete.
+     */
+    private long arrivedSince() {
+        return upload == null ? disconnects.arrivedSince() : server.loop().now();
+    }
+
     private void noteProgress(boolean allBytesRead) {
         if (upload == null) {
             return;
