Answer the requests that were read behind one that is rejected for what it asks

What callers saw: a request without its fields, of an unknown class, or with an id that is open already got 400, and those that its client had sent behind it got nothing though they had been read. Cause: every rejection closed the connection and dropped its buffer, also where the length of the request was clear. Now only bytes that can't be divided into requests end the connection at once; otherwise it ends like in a shutdown, after the last request that was read.

--- a/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
@@ -50,6 +50,9 @@
 
     private boolean keepAlive;
 
+    /** Whether a request was rejected for what it asks. */
+    private boolean hadBadRequest;
+
     /** The instant from which the present state counts when a connection to close is chosen. */
     private long stateSince;
 
@@ -294,8 +297,18 @@
     }
 
     /**
-     * Responds to a malformed request, and closes the connection once the client has had time to
-     * read the response.
+     * Responds to a complete request that is rejected for what it asks. The connection ends after
+     * those that were read behind it.
+     */
+    void rejectRequest(MalformedMessageException e) {
+        hadBadRequest = true;
+        boolean last = isLastResponse();
+        write(ownResponse(e.status(), e.getMessage(), last), last);
+    }
+
+    /**
+     * Responds to bytes that can't be divided into requests, and closes the connection once the
+     * client has had time to read the response.
      */
     void reject(MalformedMessageException e) {
         if (reader.dropsInput()) {
@@ -372,12 +385,15 @@
         if (reader.isUploading()) {
             return CloseReason.BODY_DROPPED;
         }
-        if (!shutdown.endsConnections()) {
+        if (!shutdown.endsConnections() && !hadBadRequest) {
             reader.reopenInput();
             return null;
         }
         reader.endInput();
-        return reader.hasInput() ? null : CloseReason.SHUTDOWN;
+        if (reader.hasInput()) {
+            return null;
+        }
+        return hadBadRequest ? CloseReason.BAD_REQUEST : CloseReason.SHUTDOWN;
     }
 
     /** Encodes a response; returns null if that fails, for example for lack of memory. */
@@ -590,7 +606,7 @@
      */
     private boolean isLeavingInputUnread() {
         return state.isEnding()
-                && closeReason == CloseReason.SHUTDOWN
+                && (closeReason == CloseReason.SHUTDOWN || closeReason == CloseReason.BAD_REQUEST)
                 && SocketPolling.isAvailable();
     }
 
--- a/daemon/src/main/java/cedarrudder/transport/CloseReason.java
+++ b/daemon/src/main/java/cedarrudder/transport/CloseReason.java
@@ -14,6 +14,8 @@
     BODY_DROPPED(false),
     /** The response that was being streamed can't be completed, so no other can follow. */
     RESPONSE_BROKEN(false),
+    /** A request was rejected for what it asks, though its length was clear. */
+    BAD_REQUEST(true),
     /** The client has not completed a request in time, or is idle. */
     TIMED_OUT(true),
     /** Another client needs the descriptor. */
--- a/daemon/src/main/java/cedarrudder/transport/RequestReader.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestReader.java
@@ -367,13 +367,7 @@
                 decodeNext();
             }
         } catch (MalformedMessageException e) {
-            server.loop()
-                    .log()
-                    .warn("client.rejected")
-                    .with("client", connection.remoteAddress())
-                    .with("status", e.status())
-                    .with("why", e.getMessage())
-                    .write();
+            logRejected(e);
             connection.reject(e);
         } finally {
             decoding = false;
@@ -412,7 +406,7 @@
         chargeCollected();
         if (request != null) {
             requestsDecoded++;
-            connection.acceptRequest(request, null);
+            acceptWhole(request);
         } else if (decoder.large()) {
             startUpload();
         } else {
@@ -420,6 +414,26 @@
         }
     }
 
+    /** Accepts a complete request, or rejects it, which does not affect those behind it. */
+    private void acceptWhole(HttpMessage request) {
+        try {
+            connection.acceptRequest(request, null);
+        } catch (MalformedMessageException e) {
+            logRejected(e);
+            connection.rejectRequest(e);
+        }
+    }
+
+    private void logRejected(MalformedMessageException e) {
+        server.loop()
+                .log()
+                .warn("client.rejected")
+                .with("client", connection.remoteAddress())
+                .with("status", e.status())
+                .with("why", e.getMessage())
+                .write();
+    }
+
     /** Decodes received bytes of a body that is streamed. */
     private void decodeUpload() throws MalformedMessageException {
         BodyFlow flow = upload;
--- a/daemon/src/test/java/cedarrudder/transport/ClientConnectionTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/ClientConnectionTest.java
@@ -809,6 +809,23 @@
         }
     }
 
+    /** Guards against dropping sound requests behind one that is rejected for what it asks. */
+    @Test
+    public void requestsPipelinedBehindARejectedOneAreAnswered() throws Exception {
+        try (Service service = new Service();
+                Socket client = service.client()) {
+            service.rejectsAtOnce = true;
+            String unknownKind = request("2").replace("lookup", "unknown");
+            send(client, request("1") + unknownKind + request("3") + request("4"));
+            for (int i = 1; i <= 4; i++) {
+                String answer = read(client);
+                assertTrue(answer.startsWith(i == 2 ? "HTTP/1.1 400" : "HTTP/1.1 503"), answer);
+                assertEquals(answer.contains("Connection: close"), i == 4, "answer " + i);
+            }
+            assertEquals(client.getInputStream().read(), -1);
+        }
+    }
+
     /** A client that sends requests without end must not keep its connection open for ever. */
     @Test
     public void aClientThatPipelinesWithoutEndIsDisconnected() throws Exception {
