Keep the ids that may have run of 300 clients a second, not 68, for as long as promised

Cause: 4,096 ids in buckets of 8 for 60 s are 68 a second, and a bucket overflows long before that. Evidence: idsOfACrowdThatLeftArePresentForAsLongAsTheyAreKept, 18,000 ids within the time that they are kept: failed at the first before, passes now. A bucket holds 64: 32,768 ids, 512 KiB a process, so that 300 a second fit. Beyond that the oldest answered ones go first, as before. The shared file has another name, since its regions are larger: two tests that name it follow.

--- a/core/src/main/java/cedarrudder/forwarding/StartedRequestIds.java
+++ b/core/src/main/java/cedarrudder/forwarding/StartedRequestIds.java
@@ -24,7 +24,10 @@
     static final long RETENTION_NANOS = 60_000_000_000L;
 
     private static final int BUCKETS = 512;
-    private static final int ENTRIES_PER_BUCKET = 8;
+
+    /** So many that buckets are about evenly full: some 300 ids a second are kept. */
+    private static final int ENTRIES_PER_BUCKET = 64;
+
     private static final int ENTRY_BYTES = 2 * Long.BYTES;
     private static final int BUCKET_BYTES = ENTRIES_PER_BUCKET * ENTRY_BYTES;
     private static final int REGION_BYTES = BUCKETS * BUCKET_BYTES;
--- a/core/src/test/java/cedarrudder/forwarding/StartedRequestIdsTest.java
+++ b/core/src/test/java/cedarrudder/forwarding/StartedRequestIdsTest.java
@@ -11,6 +11,9 @@
     private static final long START = 1_000;
     private static final int IDS_OF_A_LONG_RUN = 200_000;
 
+    /** As many as 300 clients a second leave behind within the time for which ids are kept. */
+    private static final int IDS_OF_A_CROWD = 18_000;
+
     /** Guards against an id that is forgotten while its client may still send it. */
     @Test
     public void anIdIsPresentUntilItIsRemovedOrExpires() {
@@ -54,6 +57,18 @@
         }
     }
 
+    /** Guards against ids that run twice since those of other clients that left replaced them. */
+    @Test
+    public void idsOfACrowdThatLeftArePresentForAsLongAsTheyAreKept() {
+        StartedRequestIds ids = new StartedRequestIds();
+        for (int i = 0; i < IDS_OF_A_CROWD; i++) {
+            ids.addIfAbsent("left-" + i, START + i);
+        }
+        for (int i = 0; i < IDS_OF_A_CROWD; i++) {
+            assertEquals(ids.addIfAbsent("left-" + i, START + IDS_OF_A_CROWD), START + i);
+        }
+    }
+
     /**
      * Guards against an id that runs twice since many others were answered after its client left.
      */
--- a/daemon/src/main/java/cedarrudder/program/StartedRequestsFile.java
+++ b/daemon/src/main/java/cedarrudder/program/StartedRequestsFile.java
@@ -11,7 +11,8 @@
 /** The file through which the processes of one proxy share the ids of started requests. */
 final class StartedRequestsFile {
 
-    private static final String NAME = "started-requests";
+    /** Former versions, whose regions are smaller, use another name. */
+    private static final String NAME = "started-request-ids";
 
     private StartedRequestsFile() {}
 
--- a/daemon/src/test/java/cedarrudder/program/AdminOperationsTest.java
+++ b/daemon/src/test/java/cedarrudder/program/AdminOperationsTest.java
@@ -176,7 +176,7 @@
             try (Stream<Path> remaining = Files.list(harness.state)) {
                 List<String> names =
                         remaining.map(file -> file.getFileName().toString()).sorted().toList();
-                assertEquals(names, List.of("processes", "started-requests"));
+                assertEquals(names, List.of("processes", "started-request-ids"));
             }
         }
         try (ProxyHarness harness = new ProxyHarness(1).withAdmin()) {
--- a/daemon/src/test/java/cedarrudder/program/RepeatedIdScenarioTest.java
+++ b/daemon/src/test/java/cedarrudder/program/RepeatedIdScenarioTest.java
@@ -126,7 +126,7 @@
     @Test
     public void anUnsafeIdDoesNotRunAgainWhereTheSharedFileFails() throws Exception {
         try (ProxyHarness harness = new ProxyHarness(2).withAdmin()) {
-            Files.createDirectories(harness.state.resolve("started-requests"));
+            Files.createDirectories(harness.state.resolve("started-request-ids"));
             harness.start();
             harness.awaitLog("state.write_failed");
             try (Client leaves = harness.client()) {
