Read ahead after SIGTERM as before, so that clients that wait are not refused in an upgrade

Cause: with 32 KiB read ahead it is unknown whether they are still there. That bound isn't needed to answer all that was read.

--- a/daemon/src/main/java/cedarrudder/transport/RequestReader.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestReader.java
@@ -27,7 +27,7 @@
      */
     private static final int READ_AHEAD_BYTES = 32 * 1024;
 
-    /** The same while the account has spare capacity, and the process has not been told to end. */
+    /** The same while the account has spare capacity. */
     private static final int MAX_READ_AHEAD_BYTES = 1024 * 1024;
 
     /**
@@ -229,7 +229,6 @@
                 ? !account.isExhausted()
                 : buffer.size() < MAX_READ_AHEAD_BYTES
                         && account.hasSpare()
-                        && shutdown.isServing()
                         && connection.mayNeedContent();
     }
 
@@ -406,7 +405,7 @@
         chargeCollected();
         if (request != null) {
             requestsDecoded++;
-            acceptWhole(request);
+            acceptComplete(request);
         } else if (decoder.large()) {
             startUpload();
         } else {
@@ -415,7 +414,7 @@
     }
 
     /** Accepts a complete request, or rejects it, which does not affect those behind it. */
-    private void acceptWhole(HttpMessage request) {
+    private void acceptComplete(HttpMessage request) {
         try {
             connection.acceptRequest(request, null);
         } catch (MalformedMessageException e) {
