Notice at run time that ends of streams are not reported, and trust no report then

A client counts as connected while poll(2) reports no end of its stream. Each end of stream that is read is now checked; the warm-up has read some before the first client comes. One that was not reported disproves it: a line says so, and ends are known by reading alone from then on.

--- a/daemon/src/main/java/cedarrudder/transport/ClientSocket.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientSocket.java
@@ -1,5 +1,6 @@
 package cedarrudder.transport;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.nio.channels.SocketChannel;
@@ -22,6 +23,15 @@
                 Math.min(MAX_OPEN_WINDOW_BYTES, config().getReceiveBufferSize() * 3 / 4);
     }
 
+    @Override
+    protected int doReadBytes(ByteBuf bytes) throws Exception {
+        int read = super.doReadBytes(bytes);
+        if (read < 0) {
+            SocketPolling.checkAtEndOfStream(javaChannel());
+        }
+        return read;
+    }
+
     /**
      * Returns whether the client's end of stream or a reset has been received, whether or not
      * unread bytes are in front of it.
--- a/daemon/src/main/java/cedarrudder/transport/HttpServer.java
+++ b/daemon/src/main/java/cedarrudder/transport/HttpServer.java
@@ -53,6 +53,7 @@
     private final ClientConnections connections;
     private final GracefulShutdown shutdown;
     private HandoverSocket listening;
+    private boolean warnedOfUnreportedDisconnects;
 
     /**
      * Creates a server that does not listen yet.
@@ -182,8 +183,17 @@
         result.complete(listening.localAddress());
     }
 
+    /** Logs once that ends of streams are known by reading alone, so that more is refused. */
+    private void warnIfDisconnectsAreUnreported() {
+        if (!SocketPolling.isAvailable() && !warnedOfUnreportedDisconnects) {
+            warnedOfUnreportedDisconnects = true;
+            loop.log().warn("client.disconnects_unreported").write();
+        }
+    }
+
     private void sweep() {
         long now = loop.now();
+        warnIfDisconnectsAreUnreported();
         // first, so that an exception below does not end the sweeps
         loop.at(now + SWEEP_NANOS, this::sweep);
         connections.sweep(now);
--- a/daemon/src/main/java/cedarrudder/transport/SocketPolling.java
+++ b/daemon/src/main/java/cedarrudder/transport/SocketPolling.java
@@ -11,7 +11,8 @@
  * <p>Java has no public method for this: its selectors report an end of stream as readable input,
  * so unread bytes in front of it hide it. The class library's own {@code sun.nio.ch.Net} polls for
  * any events; the manifest of the jar opens that package. Where it is missing or not opened, and on
- * other systems than Linux, no end of stream is ever reported.
+ * other systems than Linux, no end of stream is ever reported; nor is it after one was read that
+ * had not been reported.
  */
 final class SocketPolling {
 
@@ -27,6 +28,9 @@
 
     private static final Method DESCRIPTOR = find("sun.nio.ch.SelChImpl", "getFD");
 
+    /** Whether an end of stream was read that was not reported; written by the event loop alone. */
+    private static volatile boolean isDisproved;
+
     private SocketPolling() {}
 
     private static Method find(String type, String name, Class<?>... parameters) {
@@ -44,7 +48,17 @@
 
     /** Returns whether an end of stream that unread bytes hide can be detected. */
     static boolean isAvailable() {
-        return POLL != null && DESCRIPTOR != null;
+        return POLL != null && DESCRIPTOR != null && !isDisproved;
+    }
+
+    /**
+     * Checks that the end of a stream, which was just read, is reported; otherwise that a stream
+     * has not ended is no longer concluded from reports.
+     */
+    static void checkAtEndOfStream(SocketChannel socket) {
+        if (isAvailable() && !hasPeerDisconnected(socket)) {
+            isDisproved = true;
+        }
     }
 
     /**
--- a/daemon/src/test/c/failing_calls.c
+++ b/daemon/src/test/c/failing_calls.c
@@ -1,13 +1,15 @@
 /*
  * Makes system calls of a process fail, for tests: preloaded, and controlled by the environment.
  *
- * FAIL_CALL     the call that fails: accept, connect or socket
+ * FAIL_CALL     the call that fails: accept, connect or socket; or poll, which does not report the
+ *               end of a peer's stream
  * FAIL_ONE_IN   how many calls one failure is among
  * FAIL_WHILE    a file; calls fail only while it exists; unset: always
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
+#include <poll.h>
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
@@ -77,3 +79,17 @@
     int (*real)(int, int, int) = dlsym(RTLD_NEXT, "socket");
     return domain != AF_UNIX && FAILS("socket", SOCKET_ERRORS) ? -1 : real(domain, type, protocol);
 }
+
+int poll(struct pollfd *polled, nfds_t count, int timeout) {
+    int (*real)(struct pollfd *, nfds_t, int) = dlsym(RTLD_NEXT, "poll");
+    const char *failing = getenv("FAIL_CALL");
+    int ready = real(polled, count, timeout);
+    if (failing != NULL && strcmp(failing, "poll") == 0) {
+        for (nfds_t i = 0; i < count; i++) {
+            if (polled[i].events & POLLRDHUP) {
+                polled[i].revents &= ~(POLLRDHUP | POLLHUP | POLLERR);
+            }
+        }
+    }
+    return ready;
+}
--- a/daemon/src/test/java/cedarrudder/program/FailingCallsIT.java
+++ b/daemon/src/test/java/cedarrudder/program/FailingCallsIT.java
@@ -101,6 +101,23 @@
         }
     }
 
+    /** Guards against trusting reports of a client's end that do not come. */
+    @Test
+    public void endsOfStreamsThatAreNotReportedAreNoticed() throws Exception {
+        try (ProxyHarness harness = new ProxyHarness(2);
+                ProxyUnderTest proxy =
+                        new ProxyUnderTest(
+                                harness,
+                                Files.createTempDirectory("state"),
+                                preload("poll", 1, Files.createTempFile("fail", "")),
+                                MemoryUnderSlowClientsIT.deployOptions(),
+                                List.of())) {
+            serveAll(harness);
+            proxy.awaitLine("client.disconnects_unreported");
+            assertEquals(answer(harness, "unreported"), SERVED);
+        }
+    }
+
     /** Guards against blaming endpoints for connections that this machine can't begin. */
     @Test
     public void aFailedConnectIsRepeated() throws Exception {
