--- a/daemon/src/test/java/cedarrudder/program/ClientDepartureIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ClientDepartureIT.java
@@ -228,14 +228,14 @@
             Round round, ProxyHarness harness, int clients, int withinMillis, boolean upgrade)
             throws Exception {
         Path state = Files.createTempDirectory("departure");
-        try (ProxyUnderTest proxy = start(harness, state)) {
+        try (ProxyUnderTest proxy = ProxyUnderTest.startAsDeployed(harness, state)) {
             round.connect(clients);
             if (!upgrade) {
                 round.play(withinMillis);
                 proxy.awaitMetric("open_requests", 0);
                 return;
             }
-            try (ProxyUnderTest successor = start(harness, state)) {
+            try (ProxyUnderTest successor = ProxyUnderTest.startAsDeployed(harness, state)) {
                 Thread signal = TestEndpoints.daemon(() -> signal(proxy, round.random));
                 round.play(withinMillis);
                 signal.join();
@@ -248,12 +248,4 @@
         Thread.sleep(random.nextInt(500));
         proxy.signal("TERM");
     }
-
-    private static ProxyUnderTest start(ProxyHarness harness, Path state) throws Exception {
-        ProxyUnderTest proxy =
-                new ProxyUnderTest(
-                        harness, state, "", MemoryUnderSlowClientsIT.deployOptions(), List.of());
-        proxy.awaitReady();
-        return proxy;
-    }
 }
--- a/daemon/src/test/java/cedarrudder/program/FaultSoakIT.java
+++ b/daemon/src/test/java/cedarrudder/program/FaultSoakIT.java
@@ -87,7 +87,7 @@
         List<String> play() throws Exception {
             Path state = Files.createTempDirectory("faults");
             try (harness;
-                    ProxyUnderTest proxy = start(state)) {
+                    ProxyUnderTest proxy = ProxyUnderTest.startAsDeployed(harness, state)) {
                 List<Thread> clients = startClients();
                 disturb(proxy);
                 end(proxy, state, clients);
@@ -107,18 +107,6 @@
             return problems.stream().map(problem -> "seed " + seed + ": " + problem).toList();
         }
 
-        private ProxyUnderTest start(Path state) throws Exception {
-            ProxyUnderTest proxy =
-                    new ProxyUnderTest(
-                            harness,
-                            state,
-                            "",
-                            MemoryUnderSlowClientsIT.deployOptions(),
-                            List.of());
-            proxy.awaitReady();
-            return proxy;
-        }
-
         private List<Thread> startClients() {
             int count = random.nextInt(4) == 0 ? CROWD : 6 + random.nextInt(MAX_CLIENTS);
             List<Thread> clients = new ArrayList<>();
@@ -176,7 +164,7 @@
                 await(clients);
                 return;
             }
-            try (ProxyUnderTest successor = start(state)) {
+            try (ProxyUnderTest successor = ProxyUnderTest.startAsDeployed(harness, state)) {
                 terminate(proxy);
                 goesOn.set(false);
                 await(clients);
--- a/daemon/src/test/java/cedarrudder/program/PipeliningClient.java
+++ b/daemon/src/test/java/cedarrudder/program/PipeliningClient.java
@@ -39,7 +39,7 @@
     private static final int MIN_REQUEST_BYTES = 220;
     private static final int MAX_REQUEST_BYTES = 3_000;
 
-    /** As many as a proxy answers on a connection that it is about to end. */
+    /** So few that all have their answers long before the end of a test. */
     private static final int MAX_REQUESTS = 60;
 
     private static final int READ_AHEAD_BYTES = 32 * 1024;
--- a/daemon/src/test/java/cedarrudder/program/ProxyUnderTest.java
+++ b/daemon/src/test/java/cedarrudder/program/ProxyUnderTest.java
@@ -90,6 +90,16 @@
         log = process.inputReader(StandardCharsets.UTF_8);
     }
 
+    /**
+     * Starts a process with the virtual machine's options of the deploy file, until it is ready.
+     */
+    static ProxyUnderTest startAsDeployed(ProxyHarness harness, Path state) throws Exception {
+        List<String> machine = MemoryUnderSlowClientsIT.deployOptions();
+        ProxyUnderTest proxy = new ProxyUnderTest(harness, state, "", machine, List.of());
+        proxy.awaitReady();
+        return proxy;
+    }
+
     void awaitLine(String part) throws IOException, InterruptedException {
         Await.line(
                 part,
--- a/daemon/src/test/java/cedarrudder/program/ReadRequestsWithoutAnswerIT.java
+++ b/daemon/src/test/java/cedarrudder/program/ReadRequestsWithoutAnswerIT.java
@@ -97,7 +97,7 @@
                         request.reply("200 OK", "done");
                     });
             TestEndpoints.serveFullList(harness);
-            try (ProxyUnderTest proxy = start(harness, state)) {
+            try (ProxyUnderTest proxy = ProxyUnderTest.startAsDeployed(harness, state)) {
                 for (int i = 0; i < clients; i++) {
                     int most = maxBytes / REQUEST_BYTES - MIN_REQUESTS;
                     int requests = MIN_REQUESTS + random.nextInt(most);
@@ -155,18 +155,10 @@
 
     private static long replace(ProxyHarness harness, Path state, ProxyUnderTest former)
             throws Exception {
-        try (ProxyUnderTest successor = start(harness, state)) {
+        try (ProxyUnderTest successor = ProxyUnderTest.startAsDeployed(harness, state)) {
             long ended = end(former);
             assertEquals(successor.status("GET", "/-/ready"), 200);
             return ended;
         }
     }
-
-    private static ProxyUnderTest start(ProxyHarness harness, Path state) throws Exception {
-        ProxyUnderTest proxy =
-                new ProxyUnderTest(
-                        harness, state, "", MemoryUnderSlowClientsIT.deployOptions(), List.of());
-        proxy.awaitReady();
-        return proxy;
-    }
 }
