Keep the reason of a connection that ended while its last response was decided

Found by reading: reading on as a connection ends may find that its client has left, and the reason of that was then replaced by none, or by the shutdown. A streamed response would have met an exception as its connection ended, and a departure would have counted as a violation. And a connection that lingers no longer counts as answering where bytes behind its last response are unread: that could delay the end of the process by a second. No test shows either; the tests of client connections pass.

--- a/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
@@ -360,7 +360,7 @@
      */
     boolean isAnswering(long maxStallNanos) {
         if (!state.isResponding()) {
-            return request != null || reader.hasInput();
+            return request != null || !state.isEnding() && reader.hasInput();
         }
         long stalledSince = download == null ? respondingSince : download.stalledSince();
         return server.loop().now() - stalledSince < maxStallNanos;
@@ -374,8 +374,11 @@
      * request that was read, because none of those may stay unanswered.
      */
     boolean isLastResponse() {
-        closeReason = reasonToCloseAfterResponse();
-        return closeReason != null;
+        CloseReason reason = reasonToCloseAfterResponse();
+        if (state != ClientConnectionState.CLOSED) {
+            closeReason = reason;
+        }
+        return reason != null;
     }
 
     private CloseReason reasonToCloseAfterResponse() {
