Write the file of started ids in pieces, so that it takes little direct memory

What operators would have seen: since the larger memory of ids a process with little direct memory did not start ("Cannot reserve 4194304 bytes"). Cause: one write of 4 MiB takes as much direct memory.

--- a/daemon/src/main/java/cedarrudder/program/StartedRequestsFile.java
+++ b/daemon/src/main/java/cedarrudder/program/StartedRequestsFile.java
@@ -14,6 +14,9 @@
     /** Former versions, whose regions are smaller, use another name. */
     private static final String NAME = "started-request-ids";
 
+    /** The bytes of one write, for which the virtual machine takes as much direct memory. */
+    private static final int PIECE_BYTES = 16 * 1024;
+
     private StartedRequestsFile() {}
 
     /**
@@ -30,10 +33,11 @@
                         StandardOpenOption.READ,
                         StandardOpenOption.WRITE)) {
             long size = file.size();
-            ByteBuffer rest =
-                    ByteBuffer.allocate((int) Math.max(0, StartedRequestIds.SHARED_BYTES - size));
-            while (rest.hasRemaining()) {
-                size += file.write(rest, size);
+            ByteBuffer zeros = ByteBuffer.allocate(PIECE_BYTES);
+            while (size < StartedRequestIds.SHARED_BYTES) {
+                long rest = StartedRequestIds.SHARED_BYTES - size;
+                zeros.clear().limit((int) Math.min(PIECE_BYTES, rest));
+                size += file.write(zeros, size);
             }
             return file.map(FileChannel.MapMode.READ_WRITE, 0, StartedRequestIds.SHARED_BYTES);
         }
