--- a/daemon/src/test/java/cedarrudder/program/FailingCallsIT.java
+++ b/daemon/src/test/java/cedarrudder/program/FailingCallsIT.java
@@ -114,6 +114,7 @@
                                 List.of())) {
             serveAll(harness);
             proxy.awaitLine("client.disconnects_unreported");
+            proxy.awaitReady();
             assertEquals(answer(harness, "unreported"), SERVED);
         }
     }
