Let the test of a client that is not known to be connected wait for its sender

Cause: the test opened its endpoint after a fixed time, whether or not its client's 3.6 MB had been sent. If fewer than some 400 kB had, all of them were read, the client was known to be connected, and its request was begun rightly; the test does not answer it.

The test now waits until the last byte is sent. What it asserts is unchanged.

--- a/daemon/src/test/java/cedarrudder/program/FirstByteScenarioTest.java
+++ b/daemon/src/test/java/cedarrudder/program/FirstByteScenarioTest.java
@@ -207,9 +207,12 @@
             harness.start();
             try (Client client = harness.client()) {
                 String health = "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n".repeat(behind);
-                TestEndpoints.daemon(() -> client.send(request("order", "first") + health));
+                Thread sender =
+                        TestEndpoints.daemon(
+                                () -> client.send(request("order", "first") + health));
                 awaitOpen(harness, 1);
                 awaitAttemptTooLate(System.nanoTime());
+                Await.until("the last byte to be sent", () -> !sender.isAlive());
                 full.open();
                 if (expected.equals(SERVED)) {
                     harness.nextRequest().reply("200 OK", "");
