--- a/daemon/src/test/java/cedarrudder/program/ProxyHarness.java
+++ b/daemon/src/test/java/cedarrudder/program/ProxyHarness.java
@@ -559,5 +559,8 @@
         }
         reservedPort.close();
         reservedAdminPort.close();
+        for (Socket socket : accepted) {
+            socket.close();
+        }
     }
 }
