--- a/daemon/src/test/java/cedarrudder/program/FirstByteScenarioTest.java
+++ b/daemon/src/test/java/cedarrudder/program/FirstByteScenarioTest.java
@@ -208,8 +208,7 @@
             try (Client client = harness.client()) {
                 String health = "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n".repeat(behind);
                 Thread sender =
-                        TestEndpoints.daemon(
-                                () -> client.send(request("order", "first") + health));
+                        TestEndpoints.daemon(() -> client.send(request("order", "first") + health));
                 awaitOpen(harness, 1);
                 awaitAttemptTooLate(System.nanoTime());
                 Await.until("the last byte to be sent", () -> !sender.isAlive());
