--- a/daemon/src/test/java/cedarrudder/program/FootprintIT.java
+++ b/daemon/src/test/java/cedarrudder/program/FootprintIT.java
@@ -25,6 +25,9 @@
      */
     private static final int NODES = 28_000;
 
+    /** The exit code of a virtual machine that ends since its heap is exhausted. */
+    private static final int OUT_OF_MEMORY = 3;
+
     private static final List<String> MACHINE = List.of("-XX:+UseSerialGC", "-Xms32m", "-Xmx56m");
 
     /** Returns a list whose endpoints all have the address of the first one, which answers. */
@@ -175,4 +178,25 @@
                     line -> line.contains("OutOfMemoryError"));
         }
     }
+
+    /** Guards against a process that goes on, or ends as if all were well, without memory. */
+    @Test
+    public void aProcessWhoseHeapIsExhaustedEndsAtOnceWithAnExitCodeOfItsOwn() throws Exception {
+        try (ProxyHarness harness = new ProxyHarness(3);
+                ProxyUnderTest proxy =
+                        new ProxyUnderTest(
+                                harness,
+                                Files.createTempDirectory("fit"),
+                                "",
+                                MemoryUnderSlowClientsIT.deployOptions(),
+                                List.of())) {
+            serveList(harness);
+            List<String> errors =
+                    proxy.rest().lines().filter(line -> line.contains("OutOfMemory")).toList();
+            proxy.awaitEnd(OUT_OF_MEMORY);
+            assertEquals(
+                    errors,
+                    List.of("Terminating due to java.lang.OutOfMemoryError: Java heap space"));
+        }
+    }
 }
