--- a/daemon/src/test/java/cedarrudder/transport/ClientConnectionTest.java
+++ b/daemon/src/test/java/cedarrudder/transport/ClientConnectionTest.java
@@ -1,42 +1,29 @@
 package cedarrudder.transport;
 
+import static cedarrudder.transport.HttpServerUnderTest.HEALTH;
+import static cedarrudder.transport.HttpServerUnderTest.LIMITS_WITHOUT_TIMEOUTS;
+import static cedarrudder.transport.HttpServerUnderTest.MAX_CLIENTS;
+import static cedarrudder.transport.HttpServerUnderTest.leave;
+import static cedarrudder.transport.HttpServerUnderTest.read;
+import static cedarrudder.transport.HttpServerUnderTest.request;
+import static cedarrudder.transport.HttpServerUnderTest.send;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import cedarrudder.balancer.Await;
-import cedarrudder.balancer.LoadBalancer;
 import cedarrudder.bodyflow.BodyFlow;
 import cedarrudder.bodyflow.BufferAccount;
-import cedarrudder.forwarding.AttemptTransport;
-import cedarrudder.forwarding.EndpointDiscovery;
-import cedarrudder.forwarding.Exchange;
-import cedarrudder.forwarding.PeerTransport;
-import cedarrudder.forwarding.RequestAttempt;
-import cedarrudder.forwarding.RequestForwarder;
-import cedarrudder.logging.Logger;
-import cedarrudder.protocol.HttpMessage;
-import cedarrudder.protocol.JsonObject;
-import cedarrudder.protocol.RequestHeaders;
-import cedarrudder.protocol.SettingsReader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.PrintStream;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -50,251 +37,7 @@
  */
 public class ClientConnectionTest {
 
-    private static final int TIMEOUT_MILLIS = 20_000;
-    private static final int MAX_CLIENTS = 10;
     private static final long MAX_READ_AHEAD_BYTES = 1024 * 1024;
-    private static final String HEALTH = "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n";
-
-    /** A timeout that does not expire during a test, in nanoseconds. */
-    private static final long NO_TIMEOUT = 1_000_000_000_000L;
-
-    private static final ClientLimits LIMITS_WITHOUT_TIMEOUTS =
-            new ClientLimits(
-                    NO_TIMEOUT,
-                    NO_TIMEOUT,
-                    NO_TIMEOUT,
-                    NO_TIMEOUT,
-                    ClientLimits.DEFAULT.maxHeadBytes(),
-                    ClientLimits.DEFAULT.maxBodyBytes(),
-                    0.5);
-
-    /**
-     * The time before a shutdown counts as stuck at which it has begun to close connections and no
-     * open request is ended yet: 3.4 and 3 s.
-     */
-    private static final long BEFORE_STUCK_NANOS = 3_200_000_000L;
-
-    /** Called when a request is accepted, on the event loop and within the decoder. */
-    private interface RequestListener {
-        void onRequest(Exchange<HttpMessage, HttpMessage> request, ClientRequest reply)
-                throws Exception;
-    }
-
-    /** A server whose requests wait for the test. */
-    private static final class Service implements AutoCloseable {
-        private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
-        private final Logger log = new Logger(new PrintStream(logOutput, true));
-        private final ProxyEventLoop loop = new ProxyEventLoop(log);
-        private final BufferAccount account = new BufferAccount(BufferAccount.MAX);
-        private final BlockingQueue<Long> requests = new LinkedBlockingQueue<>();
-        private final BlockingQueue<Object> left = new LinkedBlockingQueue<>();
-        private final BlockingQueue<Throwable> failures = new LinkedBlockingQueue<>();
-        private final CountDownLatch shutdownComplete = new CountDownLatch(1);
-        private volatile RequestListener requestListener = (request, client) -> {};
-        private volatile boolean rejectsAtOnce;
-        private LoadBalancer.Actions actions;
-        private final HttpServer listener;
-        private final InetSocketAddress at;
-
-        Service() throws Exception {
-            RequestForwarder<HttpMessage, HttpMessage> forwarder =
-                    new RequestForwarder<>(
-                            balancerActions -> {
-                                actions = balancerActions;
-                                return StubFactory.create(
-                                        LoadBalancer.class,
-                                        (event, with) -> {
-                                            if (event.equals("onRequest")) {
-                                                long id = ((LoadBalancer.Request) with[1]).id();
-                                                if (rejectsAtOnce) {
-                                                    actions.reject(id, 0);
-                                                } else {
-                                                    requests.add(id);
-                                                }
-                                            } else if (event.equals("onClientLeft")) {
-                                                left.add(with[1]);
-                                            }
-                                        });
-                            },
-                            1,
-                            loop,
-                            log);
-            forwarder.attach(
-                    new NoEndpoints(),
-                    StubFactory.create(EndpointDiscovery.class, (action, with) -> {}),
-                    StubFactory.create(PeerTransport.class, (action, with) -> {}));
-            RequestHeaders fields =
-                    new RequestHeaders(
-                            SettingsReader.read(
-                                            JsonObject.parse(
-                                                            Files.readString(
-                                                                    Path.of(
-                                                                            "example",
-                                                                            "config.json")))
-                                                    .child("settings"))
-                                    .module());
-            listener =
-                    new HttpServer(
-                            loop,
-                            forwarder,
-                            fields,
-                            () -> true,
-                            LIMITS_WITHOUT_TIMEOUTS,
-                            MAX_CLIENTS,
-                            account);
-            listener.setInterceptor(
-                    (request, reply) -> {
-                        try {
-                            requestListener.onRequest(request, (ClientRequest) reply);
-                        } catch (Exception | AssertionError e) {
-                            failures.add(e);
-                        }
-                        return false;
-                    });
-            at = listener.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), false);
-        }
-
-        Socket client() throws IOException {
-            Socket client = new Socket(at.getAddress(), at.getPort());
-            client.setSoTimeout(TIMEOUT_MILLIS);
-            client.setTcpNoDelay(true);
-            return client;
-        }
-
-        /** Runs a task on the event loop and waits for its result. */
-        <T> T on(Callable<T> task) throws Exception {
-            CompletableFuture<T> done = new CompletableFuture<>();
-            loop.run(
-                    () -> {
-                        try {
-                            done.complete(task.call());
-                        } catch (Exception e) {
-                            done.completeExceptionally(e);
-                        }
-                    });
-            return done.get(Await.LONGEST_SECONDS, TimeUnit.SECONDS);
-        }
-
-        long request() throws InterruptedException {
-            return Await.next("an RPC", requests);
-        }
-
-        /** Rejects the oldest waiting request. */
-        void rejectOldest() throws Exception {
-            long id = request();
-            on(
-                    () -> {
-                        actions.reject(id, 0);
-                        return null;
-                    });
-        }
-
-        void replace() throws Exception {
-            on(
-                    () -> {
-                        listener.handOver(shutdownComplete::countDown);
-                        return null;
-                    });
-        }
-
-        void drain() throws Exception {
-            on(
-                    () -> {
-                        listener.shutDown(shutdownComplete::countDown);
-                        return null;
-                    });
-        }
-
-        /**
-         * Begins a shutdown and runs a task on the event loop once responses may be the last of
-         * their connections, but before open requests are ended: by the order of the loop's timers,
-         * however late it is.
-         */
-        void drain(Callable<?> taskDuringClosing) throws Exception {
-            on(
-                    () -> {
-                        listener.shutDown(shutdownComplete::countDown);
-                        return loop.at(
-                                loop.now() + listener.maxShutdownNanos() - BEFORE_STUCK_NANOS,
-                                () -> {
-                                    try {
-                                        taskDuringClosing.call();
-                                    } catch (Exception e) {
-                                        failures.add(e);
-                                    }
-                                });
-                    });
-        }
-
-        @Override
-        public void close() {
-            CompletableFuture.runAsync(() -> {}, loop::run)
-                    .join(); // // after the tasks that may still log
-            loop.stop();
-            if (!failures.isEmpty()) {
-                throw new AssertionError("on the loop", failures.poll());
-            }
-            assertFalse(logOutput.toString().contains("failed"), logOutput.toString());
-        }
-    }
-
-    private static final class NoEndpoints implements AttemptTransport<HttpMessage, HttpMessage> {
-        @Override
-        public boolean knowsEndpoint(long endpoint) {
-            return false;
-        }
-
-        @Override
-        public void startAttempt(RequestAttempt<HttpMessage, HttpMessage> attempt) {}
-
-        @Override
-        public void abandonAttempt(RequestAttempt<HttpMessage, HttpMessage> attempt) {}
-
-        @Override
-        public void sendProbe(long endpoint) {}
-
-        @Override
-        public void closeIdleConnections(long endpoint) {}
-    }
-
-    private static String request(String id, String... fields) {
-        return "GET /api HTTP/1.1\r\nHost: a\r\nReq-Id: "
-                + id
-                + "\r\nReq-Kind: lookup\r\nReq-Owner: acme\r\n"
-                + "Req-Deadline-Ms: 900000\r\n"
-                + String.join("", fields)
-                + "\r\n";
-    }
-
-    private static void send(Socket client, String text) throws IOException {
-        client.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-    }
-
-    /**
-     * Returns the head of the next response after reading its body too; empty at the end of the
-     * stream.
-     */
-    private static String read(Socket client) throws IOException {
-        InputStream in = client.getInputStream();
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int next = in.read();
-            if (next < 0) {
-                return head.toString();
-            }
-            head.append((char) next);
-        }
-        int length = head.indexOf("Content-Length: ") + 16;
-        in.skipNBytes(Integer.parseInt(head.substring(length, head.indexOf("\r\n", length))));
-        return head.toString();
-    }
-
-    private static void leave(Socket client, boolean reset) throws IOException {
-        if (reset) {
-            client.setSoLinger(true, 0);
-        }
-        client.close();
-    }
 
     /**
      * A request must not be forwarded if its client has disconnected, even if the end of stream
@@ -303,7 +46,7 @@
     @Test
     public void aDisconnectBehindUnreadBytesEndsTheOpenRequest() throws Exception {
         for (boolean reset : new boolean[] {false, true}) {
-            try (Service service = new Service()) {
+            try (HttpServerUnderTest service = new HttpServerUnderTest()) {
                 Socket client = service.client();
                 send(client, request("1"));
                 long id = service.request();
@@ -325,7 +68,7 @@
     @Test
     public void aDisconnectIsDetectedWhileNothingIsReadForLackOfMemory() throws Exception {
         for (boolean reset : new boolean[] {false, true}) {
-            try (Service service = new Service()) {
+            try (HttpServerUnderTest service = new HttpServerUnderTest()) {
                 AtomicReference<ClientRequest> open = new AtomicReference<>();
                 service.requestListener = (request, reply) -> open.set(reply);
                 service.on(
@@ -362,7 +105,7 @@
         int requests = 80;
         List<Integer> takenForConnected = new ArrayList<>();
         for (int answered = 1; answered < requests; answered += 3) {
-            try (Service service = new Service()) {
+            try (HttpServerUnderTest service = new HttpServerUnderTest()) {
                 AtomicReference<ClientRequest> open = new AtomicReference<>();
                 service.requestListener = (request, reply) -> open.set(reply);
                 service.on(
@@ -403,7 +146,8 @@
                 });
     }
 
-    private static void assertBuffersStayWithin(Service service, long maxBytes) throws Exception {
+    private static void assertBuffersStayWithin(HttpServerUnderTest service, long maxBytes)
+            throws Exception {
         for (int i = 0; i < 1000; i++) {
             long buffered = service.on(service.account::bufferedBytes);
             assertTrue(buffered <= maxBytes, buffered + " bytes are buffered");
@@ -417,7 +161,7 @@
     @Test
     public void pipelinedRequestsAreBufferedWithinALimitAndAnswered() throws Exception {
         int behind = 40_000;
-        try (Service service = new Service();
+        try (HttpServerUnderTest service = new HttpServerUnderTest();
                 Socket client = service.client()) {
             send(client, request("1"));
             CompletableFuture<Void> sent = sendBehind(client, behind);
@@ -438,7 +182,7 @@
     @Test
     public void pipelinedRequestsOfManyClientsLeaveASpareOfTheAccount() throws Exception {
         List<Socket> clients = new ArrayList<>();
-        try (Service service = new Service()) {
+        try (HttpServerUnderTest service = new HttpServerUnderTest()) {
             for (int i = 0; i < MAX_CLIENTS; i++) {
                 Socket client = service.client();
                 clients.add(client);
@@ -463,7 +207,7 @@
         int pipelined = 280;
         int maxBefore = 64;
         List<String> order = new ArrayList<>();
-        try (Service service = new Service();
+        try (HttpServerUnderTest service = new HttpServerUnderTest();
                 Socket pipelines = service.client();
                 Socket other = service.client()) {
             service.rejectsAtOnce = true;
@@ -502,7 +246,7 @@
     public void theTimeoutOfARequestStartsWhenItIsReceivedAndNotWhenItIsProcessed()
             throws Exception {
         long wait = TimeUnit.SECONDS.toNanos(900);
-        try (Service service = new Service();
+        try (HttpServerUnderTest service = new HttpServerUnderTest();
                 Socket client = service.client()) {
             List<Long> deadlines = new ArrayList<>();
             service.requestListener =
@@ -534,7 +278,7 @@
     @Test
     public void aCheckDetectsTheDisconnectBehindUnreadBytes() throws Exception {
         for (boolean reset : new boolean[] {false, true}) {
-            try (Service service = new Service()) {
+            try (HttpServerUnderTest service = new HttpServerUnderTest()) {
                 BlockingQueue<Boolean> waits = new LinkedBlockingQueue<>();
                 Socket client = service.client();
                 service.requestListener =
@@ -562,7 +306,7 @@
      */
     @Test
     public void bytesReadWithinADecodeKeepTheirOrder() throws Exception {
-        try (Service service = new Service();
+        try (HttpServerUnderTest service = new HttpServerUnderTest();
                 Socket client = service.client()) {
             service.requestListener =
                     (request, reply) -> {
@@ -601,7 +345,7 @@
             chunks.add(Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n");
         }
         chunks.add("0\r\n\r\n");
-        try (Service service = new Service();
+        try (HttpServerUnderTest service = new HttpServerUnderTest();
                 Socket client = service.client()) {
             AtomicInteger sent = new AtomicInteger(first);
             ByteArrayOutputStream got = new ByteArrayOutputStream();
@@ -657,7 +401,7 @@
     @Test
     public void aResponseFromWithinAStreamedBodyIsTheOnlyOne() throws Exception {
         for (String end : List.of("0\r\n\r\n", "no chunk\r\n")) {
-            try (Service service = new Service();
+            try (HttpServerUnderTest service = new HttpServerUnderTest();
                     Socket client = service.client()) {
                 String chunk = "400\r\n" + "x".repeat(1024) + "\r\n";
                 service.requestListener =
@@ -696,7 +440,7 @@
     @Test
     public void requestsPipelinedBehindTheLastOneAreAnswered() throws Exception {
         for (boolean byHand : new boolean[] {true, false}) {
-            try (Service service = new Service();
+            try (HttpServerUnderTest service = new HttpServerUnderTest();
                     Socket client = service.client();
                     Socket idle = service.client()) {
                 send(idle, HEALTH);
@@ -741,7 +485,7 @@
     @Test
     public void requestsPipelinedBehindAnImmediateResponseAreAnswered() throws Exception {
         for (String atOnce : List.of(HEALTH, request("2"))) {
-            try (Service service = new Service();
+            try (HttpServerUnderTest service = new HttpServerUnderTest();
                     Socket client = service.client()) {
                 send(client, request("1"));
                 long id = service.request();
@@ -765,7 +509,7 @@
     /** Requests behind one that is ended by the shutdown must be answered. */
     @Test
     public void requestsPipelinedBehindAnEndedRequestAreAnswered() throws Exception {
-        try (Service service = new Service();
+        try (HttpServerUnderTest service = new HttpServerUnderTest();
                 Socket client = service.client()) {
             send(client, request("1") + request("2") + request("3"));
             Await.until("it is taken", () -> service.requests.size() == 1);
@@ -787,7 +531,7 @@
      */
     @Test
     public void aLargeBodyBehindAnEndedRequestHasNoTimeLeft() throws Exception {
-        try (Service service = new Service();
+        try (HttpServerUnderTest service = new HttpServerUnderTest();
                 Socket client = service.client()) {
             BlockingQueue<Long> left = new LinkedBlockingQueue<>();
             service.requestListener =
@@ -812,7 +556,7 @@
     /** Guards against dropping sound requests behind one that is rejected for what it asks. */
     @Test
     public void requestsPipelinedBehindARejectedOneAreAnswered() throws Exception {
-        try (Service service = new Service();
+        try (HttpServerUnderTest service = new HttpServerUnderTest();
                 Socket client = service.client()) {
             service.rejectsAtOnce = true;
             String unknownKind = request("2").replace("lookup", "unknown");
@@ -829,7 +573,7 @@
     /** A client that sends requests without end must not keep its connection open for ever. */
     @Test
     public void aClientThatPipelinesWithoutEndIsDisconnected() throws Exception {
-        try (Service service = new Service();
+        try (HttpServerUnderTest service = new HttpServerUnderTest();
                 Socket client = service.client()) {
             send(client, request("0"));
             service.replace();
@@ -853,7 +597,7 @@
     @Test
     public void inputAfterTheEndOfTheOutputIsReadAndDropped() throws Exception {
         for (boolean closeRequested : new boolean[] {true, false}) {
-            try (Service service = new Service();
+            try (HttpServerUnderTest service = new HttpServerUnderTest();
                     Socket client = service.client()) {
                 BlockingQueue<ClientConnection> ends = new LinkedBlockingQueue<>();
                 service.requestListener = (request, reply) -> ends.add(reply.connection());
@@ -886,7 +630,7 @@
     @Test
     public void pendingInputIsReadBeforeAnEviction() throws Exception {
         for (boolean atOnce : new boolean[] {false, true}) {
-            try (Service service = new Service();
+            try (HttpServerUnderTest service = new HttpServerUnderTest();
                     Socket active = service.client();
                     Socket idleClient = service.client()) {
                 for (Socket client : List.of(active, idleClient)) {
@@ -917,7 +661,7 @@
      */
     @Test
     public void pendingInputIsReadBeforeAConnectionWithItsLastResponseIsEvicted() throws Exception {
-        try (Service service = new Service();
+        try (HttpServerUnderTest service = new HttpServerUnderTest();
                 Socket closeRequested = service.client();
                 Socket idleClient = service.client()) {
             send(idleClient, HEALTH);
@@ -942,7 +686,7 @@
     /** A connection must be closed if an illegal event occurs, and no other connection with it. */
     @Test
     public void anIllegalEventClosesItsConnectionOnly() throws Exception {
-        try (Service service = new Service();
+        try (HttpServerUnderTest service = new HttpServerUnderTest();
                 Socket client = service.client();
                 Socket other = service.client()) {
             BlockingQueue<ClientConnection> taken = new LinkedBlockingQueue<>();
@@ -983,7 +727,7 @@
     @Test
     public void aPartialRequestDoesNotDelayTheEndOfTheProcess() throws Exception {
         List<Socket> callers = new ArrayList<>();
-        try (Service service = new Service()) {
+        try (HttpServerUnderTest service = new HttpServerUnderTest()) {
             for (String text : List.of("GET /a", HEALTH + "POST /api HT", HEALTH)) {
                 callers.add(service.client());
                 send(callers.get(callers.size() - 1), text);
