Refuse a request without ending its connection when its head finds no room for its body

Seen: two clients of a crowd of 450 that stay had their connections closed, and what they had sent behind a refused request was not answered.

Cause: a request whose head comes while the account of buffers is exhausted was refused before its body had come, as bytes that can't be divided are: with 503, and the end of the connection.

Its body is now discarded as it comes, so that nothing of it is held; the request is refused with 503 once it is complete, and those behind it are read as usual. A client that stops within the body is disconnected after the time that holds for a partial request, or for a streamed one if that much has come.

Evidence: ExhaustedAccountTest, a length of 1 byte, 1 kB and 256 KiB, and chunks: 4 of 4 rows failed before ("Connection: close" in the refusal), all pass.

--- a/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/ClientConnection.java
@@ -302,10 +302,23 @@
      */
     void rejectRequest(MalformedMessageException e) {
         hadBadRequest = true;
+        respondToRejected(e);
+    }
+
+    private void respondToRejected(MalformedMessageException e) {
         boolean last = isLastResponse();
         write(ownResponse(e.status(), e.getMessage(), last), last);
     }
 
+    /**
+     * Responds to a complete request that is refused for lack of resources, which does not end the
+     * connection.
+     */
+    void refuseRequest(HttpMessage message, MalformedMessageException refusal) {
+        keepAlive = message.head().keepsAlive();
+        respondToRejected(refusal);
+    }
+
     /**
      * Responds to bytes that can't be divided into requests, and closes the connection once the
      * client has had time to read the response.
--- a/daemon/src/main/java/cedarrudder/transport/RequestReader.java
+++ b/daemon/src/main/java/cedarrudder/transport/RequestReader.java
@@ -83,6 +83,9 @@
     /** The bytes of the request that is being read that are charged to the account. */
     private int collected;
 
+    /** Whether the body that is being read is discarded, and its request refused at the end. */
+    private boolean discardsBody;
+
     private long readingStoppedAt;
 
     /** Whether only what has been received by now is read, and the rest of a partial request. */
@@ -405,7 +408,7 @@
         chargeCollected();
         if (request != null) {
             requestsDecoded++;
-            acceptComplete(request);
+            onComplete(request);
         } else if (decoder.large()) {
             startUpload();
         } else {
@@ -413,6 +416,19 @@
         }
     }
 
+    private void onComplete(HttpMessage request) {
+        if (!discardsBody) {
+            acceptComplete(request);
+            return;
+        }
+        discardsBody = false;
+        MalformedMessageException refusal =
+                new MalformedMessageException(
+                        MalformedMessageException.UNAVAILABLE, "too much is held");
+        logRejected(refusal);
+        connection.refuseRequest(request, refusal);
+    }
+
     /** Accepts a complete request, or rejects it, which does not affect those behind it. */
     private void acceptComplete(HttpMessage request) {
         try {
@@ -478,19 +494,32 @@
     }
 
     /** Handles an incomplete request, or bytes before one. */
-    private void awaitRest() throws MalformedMessageException {
+    private void awaitRest() {
         if (decoder.head() != null && connection.state() == ClientConnectionState.READING_HEAD) {
             connection.on(ClientConnectionState.Event.HEAD);
             if (account.isExhausted()) {
-                throw new MalformedMessageException(
-                        MalformedMessageException.UNAVAILABLE, "too much is held");
+                discardBody();
             }
         }
+        if (discardsBody && decoder.bodyBytesRead() >= BodyFlow.WINDOW) {
+            // A body of this size would be streamed, so it may take as long as one that is.
+            connection.setTimeoutAt(server.loop().now() + UPLOAD_SILENCE_NANOS);
+        }
         if (decoder.awaitsContinue()) {
             channel.writeAndFlush(HttpEncoder.goOn(server.loop().buffers()));
         }
     }
 
+    /**
+     * Discards the body that is being read. The request is refused only once it is complete,
+     * because those behind it can be told apart from its body only then.
+     */
+    private void discardBody() {
+        discardsBody = true;
+        decoder.flow(piece -> {});
+        chargeCollected();
+    }
+
     // ---- end
 
     /** Returns whether a request body is being streamed. */
