Rest connections behind an answer while endpoints send second copies of answers

Cause: a connection was used again at once; a second copy that comes some milliseconds late meets the next request on it and is decoded as its answer, and what follows is shifted by one. Nothing in an answer names its request. Bytes that came to an idle connection closed it, but changed nothing for the others.

Change: after such bytes, of any endpoint, a connection is not used again for 60 ms behind an answer, for 10 s; a new one is opened meanwhile, up to the bound on idle ones. Where no endpoint sends such bytes nothing changes.

--- a/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
+++ b/daemon/src/main/java/cedarrudder/transport/EndpointConnection.java
@@ -31,6 +31,8 @@
      */
     private static final long UPLOAD_STALL_NANOS = 30_000_000_000L;
 
+    private static final long NEVER = Long.MIN_VALUE;
+
     private final EndpointConnectionPool pool;
     private final ProxyEventLoop loop;
     private final UpstreamEndpoint endpoint;
@@ -65,6 +67,7 @@
 
     private long connectedAt;
     private long idleSince;
+    private long lastAnswerAt = NEVER;
 
     EndpointConnection(EndpointConnectionPool pool, UpstreamEndpoint endpoint) {
         this.pool = pool;
@@ -119,6 +122,11 @@
         return idleSince;
     }
 
+    /** Returns when the last response was complete; an instant before all others if none was. */
+    long lastAnswerAt() {
+        return lastAnswerAt;
+    }
+
     /**
      * Returns whether a request may be sent on this idle connection now. It may not be sent on a
      * connection to an earlier incarnation of the endpoint, which may be open and silent because
@@ -263,7 +271,8 @@
             return;
         }
         if (state.is(State.IDLE)) {
-            close(); // unexpected bytes, such as those after the end of the last response
+            pool.onUnexpectedBytes(endpoint); // such as those after the end of the last response
+            close();
             return;
         }
         try {
@@ -292,6 +301,9 @@
         }
         chargeCollected();
         if (answer != null) {
+            if (in.isReadable()) {
+                pool.onUnexpectedBytes(endpoint);
+            }
             finish(answer, answer.head().keepsAlive() && !in.isReadable());
         } else if (answerTimer == null && !decoder.between()) {
             scheduleAnswerCheck();
@@ -424,6 +436,7 @@
         }
         if (reusable) {
             idleSince = loop.now();
+            lastAnswerAt = idleSince;
             becomeIdle();
         } else {
             close();
--- a/daemon/src/main/java/cedarrudder/transport/EndpointConnectionPool.java
+++ b/daemon/src/main/java/cedarrudder/transport/EndpointConnectionPool.java
@@ -33,6 +33,16 @@
     /** The interval between two sweeps over idle connections. */
     private static final long SWEEP_NANOS = 1_000_000_000L;
 
+    /**
+     * The time after a response within which its connection is not used again while endpoints send
+     * second copies of responses: one that comes late would be read as the response to the next
+     * request.
+     */
+    private static final long REUSE_DELAY_NANOS = 60_000_000L;
+
+    /** How long connections are used with that delay after unexpected bytes of any endpoint. */
+    private static final long REUSE_DELAYED_FOR_NANOS = 10_000_000_000L;
+
     /**
      * The fraction of the idle limit after which idle connections are closed: endpoints may close
      * them a little early.
@@ -78,6 +88,9 @@
     private TimerService.Timer sweepTimer;
     private int open;
 
+    /** The instant until which connections are used again only some time after a response. */
+    private long reuseDelayedUntil = Long.MIN_VALUE;
+
     /**
      * Creates a pool without connections.
      *
@@ -230,21 +243,29 @@
         send(endpoint, new ProbeCall(this, endpointId, endpoint));
     }
 
+    /** Records that an endpoint has sent bytes that belong to no response. */
+    void onUnexpectedBytes(UpstreamEndpoint endpoint) {
+        reuseDelayedUntil = loop.now() + REUSE_DELAYED_FOR_NANOS;
+        loop.log().debug("endpoint.unexpected_bytes").with("endpoint", endpoint.address()).write();
+    }
+
     /** Removes an attempt that has ended. */
     void onAttemptEnded(RequestAttempt<HttpMessage, HttpMessage> attempt) {
         attempts.remove(attempt);
     }
 
-    /** Sends a call on the idle connection that was used last, or on a new one. */
+    /**
+     * Sends a call on an idle connection, or on a new one. One on which a second copy of the last
+     * response may still arrive is used only if the new one would replace an idle one.
+     */
     private void send(UpstreamEndpoint endpoint, EndpointCall call) {
-        for (EndpointConnection idle = endpoint.takeIdle();
-                idle != null;
-                idle = endpoint.takeIdle()) {
-            if (idle.isReusable()) {
-                idle.send(call);
-                return;
-            }
-            idle.close();
+        long now = loop.now();
+        boolean delaysReuse = now < reuseDelayedUntil && open < bounds.maxIdle();
+        EndpointConnection idle =
+                takeReusable(endpoint, delaysReuse ? now - REUSE_DELAY_NANOS : now);
+        if (idle != null) {
+            idle.send(call);
+            return;
         }
         boolean evicted = open >= bounds.maxIdle() && closeOldestIdle();
         if (open >= bounds.max() && !evicted) {
@@ -254,6 +275,19 @@
         connect(endpoint, call);
     }
 
+    /**
+     * Removes and returns the idle connection that was used last, of those without a response after
+     * an instant, and closes those of them that may not be used again; null if there is none.
+     */
+    private static EndpointConnection takeReusable(UpstreamEndpoint endpoint, long noAnswerAfter) {
+        EndpointConnection idle = endpoint.takeIdleWithoutAnswerAfter(noAnswerAfter);
+        while (idle != null && !idle.isReusable()) {
+            idle.close();
+            idle = endpoint.takeIdleWithoutAnswerAfter(noAnswerAfter);
+        }
+        return idle;
+    }
+
     private void connect(UpstreamEndpoint endpoint, EndpointCall call) {
         connect(endpoint, call, loop.now() + connectTimeoutNanos);
     }
--- a/daemon/src/main/java/cedarrudder/transport/UpstreamEndpoint.java
+++ b/daemon/src/main/java/cedarrudder/transport/UpstreamEndpoint.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.List;
 
 /** The address of an endpoint, and the idle connections to it in the order of their last use. */
@@ -39,9 +40,20 @@
 
     // ---- idle connections
 
-    /** Removes and returns the connection that was used last; null if none is idle. */
-    EndpointConnection takeIdle() {
-        return idle.pollLast();
+    /**
+     * Removes and returns the connection that was used last, of those without a response after an
+     * instant; null if there is none.
+     */
+    EndpointConnection takeIdleWithoutAnswerAfter(long instant) {
+        Iterator<EndpointConnection> lastUsedFirst = idle.descendingIterator();
+        while (lastUsedFirst.hasNext()) {
+            EndpointConnection connection = lastUsedFirst.next();
+            if (connection.lastAnswerAt() <= instant) {
+                lastUsedFirst.remove();
+                return connection;
+            }
+        }
+        return null;
     }
 
     /** Returns the connection that has been idle longest; null if none is. */
